--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,515 @@
+#include "http/HttpServer.h"
+
+#include "http/HttpError.h"
+#include "http/SocketOptions.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+
+#include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
+#include <vector>
+
+namespace lovagerock::http {
+
+namespace detail {
+
+struct EvhttpFree
+{
+  void operator()(evhttp* aServer) const { evhttp_free(aServer); }
+};
+
+struct UriFree
+{
+  void operator()(evhttp_uri* aUri) const { evhttp_uri_free(aUri); }
+};
+using UriPtr = std::unique_ptr<evhttp_uri, UriFree>;
+
+struct Route
+{
+  Method mMethod;
+  std::vector<std::string> mSegments;
+  HttpServer::Handler mHandler;
+};
+
+struct ServerState
+{
+  EventLoop* mLoop = nullptr;
+  std::unique_ptr<evhttp, EvhttpFree> mServer;
+  evhttp_bound_socket* mSocket = nullptr;
+  SocketAddress mAddress;
+  std::vector<Route> mRoutes;
+  std::size_t mActive = 0;
+  bool mDraining = false;
+};
+
+// The state of one request between its arrival and the end of its answer. evhttp frees the
+// request when the answer is complete or the connection is lost; mRequest is null from then on.
+struct Exchange : std::enable_shared_from_this<Exchange>
+{
+  Exchange(evhttp_request* aRequest, const std::shared_ptr<ServerState>& aServer)
+    : mRequest(aRequest)
+    , mServer(aServer)
+  {
+    ++aServer->mActive;
+  }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+  ~Exchange();
+
+  void Detach();
+  void AddHeaders(const Headers& aHeaders) const;
+  void SendWhole(const Response& aResponse);
+
+  evhttp_request* mRequest;
+  std::weak_ptr<ServerState> mServer;
+  std::function<void()> mDrained;
+  // Keeps the exchange alive until evhttp is done with it.
+  std::shared_ptr<Exchange> mSelf;
+  bool mStarted = false;
+  bool mEnded = false;
+};
+
+namespace {
+
+void
+OnConnectionClosed(evhttp_connection*, void* aArgument)
+{
+  auto* exchange = static_cast<Exchange*>(aArgument);
+  const auto self = exchange->shared_from_this();
+  exchange->Detach();
+}
+
+void
+OnAnswerComplete(evhttp_request* aRequest, void* aArgument)
+{
+  auto* exchange = static_cast<Exchange*>(aArgument);
+  const auto self = exchange->shared_from_this();
+  if (auto* connection = evhttp_request_get_connection(aRequest)) {
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  }
+  exchange->Detach();
+}
+
+void
+OnChunkWritten(evhttp_connection*, void* aArgument)
+{
+  auto* exchange = static_cast<Exchange*>(aArgument);
+  const auto self = exchange->shared_from_this();
+  auto drained = std::exchange(exchange->mDrained, nullptr);
+  if (drained) {
+    drained();
+  }
+}
+
+std::vector<std::string>
+SplitPath(std::string_view aPath)
+{
+  std::vector<std::string> segments;
+  std::size_t start = 0;
+  while (start < aPath.size()) {
+    if (aPath[start] == '/') {
+      ++start;
+      continue;
+    }
+    const auto end = std::min(aPath.find('/', start), aPath.size());
+    segments.emplace_back(aPath.substr(start, end - start));
+    start = end;
+  }
+  return segments;
+}
+
+std::string
+DecodeComponent(const std::string& aText, bool aPlusIsSpace)
+{
+  std::size_t n = 0;
+  char* decoded = evhttp_uridecode(aText.c_str(), aPlusIsSpace ? 1 : 0, &n);
+  if (!decoded) {
+    return aText;
+  }
+  std::string text(decoded, n);
+  free(decoded);
+  return text;
+}
+
+bool
+IsParameter(const std::string& aSegment)
+{
+  return aSegment.size() > 2 && aSegment.front() == '{' && aSegment.back() == '}';
+}
+
+std::string
+JoinFrom(const std::vector<std::string>& aSegments, std::size_t aFirst)
+{
+  std::string joined;
+  for (std::size_t i = aFirst; i < aSegments.size(); ++i) {
+    joined += (joined.empty() ? "" : "/") + DecodeComponent(aSegments[i], false);
+  }
+  return joined;
+}
+
+bool
+MatchRoute(const Route& aRoute, const std::vector<std::string>& aPath, Request& aRequest)
+{
+  aRequest.mPathParameters.clear();
+  const auto& pattern = aRoute.mSegments;
+  for (std::size_t i = 0; i < pattern.size(); ++i) {
+    const auto& segment = pattern[i];
+    if (IsParameter(segment) && segment[segment.size() - 2] == '*') {
+      aRequest.mPathParameters[segment.substr(1, segment.size() - 3)] = JoinFrom(aPath, i);
+      return true;
+    }
+    if (i >= aPath.size()) {
+      return false;
+    }
+    if (IsParameter(segment)) {
+      aRequest.mPathParameters[segment.substr(1, segment.size() - 2)] =
+        DecodeComponent(aPath[i], false);
+    } else if (segment != aPath[i]) {
+      return false;
+    }
+  }
+  return aPath.size() == pattern.size();
+}
+
+void
+ReadQuery(const char* aQuery, Request& aRequest)
+{
+  if (!aQuery) {
+    return;
+  }
+  evkeyvalq fields{};
+  if (evhttp_parse_query_str(aQuery, &fields) == 0) {
+    for (auto* it = fields.tqh_first; it; it = it->next.tqe_next) {
+      aRequest.mQuery[it->key] = it->value;
+    }
+  } else {
+    // evhttp rejects a parameter without "=", such as Consul's "?recurse".
+    std::string_view rest(aQuery);
+    while (!rest.empty()) {
+      const auto item = rest.substr(0, rest.find('&'));
+      rest.remove_prefix(std::min(rest.size(), item.size() + 1));
+      const auto equals = item.find('=');
+      const auto value =
+        equals == std::string_view::npos ? std::string() : std::string(item.substr(equals + 1));
+      aRequest.mQuery[std::string(item.substr(0, equals))] = DecodeComponent(value, true);
+    }
+  }
+  evhttp_clear_headers(&fields);
+}
+
+bool
+ReadMethod(evhttp_request* aRequest, Method& aMethod)
+{
+  switch (evhttp_request_get_command(aRequest)) {
+    case EVHTTP_REQ_GET:
+      aMethod = Method::Get;
+      return true;
+    case EVHTTP_REQ_POST:
+      aMethod = Method::Post;
+      return true;
+    case EVHTTP_REQ_PUT:
+      aMethod = Method::Put;
+      return true;
+    case EVHTTP_REQ_DELETE:
+      aMethod = Method::Delete;
+      return true;
+    default:
+      return false;
+  }
+}
+
+void
+ReadRequest(evhttp_request* aFrom, Request& aRequest)
+{
+  const auto* fields = evhttp_request_get_input_headers(aFrom);
+  for (const auto* it = fields->tqh_first; it; it = it->next.tqe_next) {
+    aRequest.mHeaders.Add(it->key, it->value);
+  }
+  auto* input = evhttp_request_get_input_buffer(aFrom);
+  aRequest.mBody.resize(evbuffer_get_length(input));
+  evbuffer_remove(input, aRequest.mBody.data(), aRequest.mBody.size());
+  if (auto* connection = evhttp_request_get_connection(aFrom)) {
+    char* ip = nullptr;
+    std::uint16_t port = 0;
+    evhttp_connection_get_peer(connection, &ip, &port);
+    aRequest.mRemoteIp = ip ? ip : "";
+  }
+}
+
+Response
+ErrorResponse(int aStatus, const char* aError)
+{
+  return JsonResponse(aStatus, std::string(R"({"error":")") + aError + R"(","ran":"no"})");
+}
+
+void
+Dispatch(const std::shared_ptr<ServerState>& aState, Request aRequest, const char* aPath,
+         const Responder& aResponder)
+{
+  const auto path = SplitPath(aPath);
+  bool pathKnown = false;
+  for (const auto& it : aState->mRoutes) {
+    if (!MatchRoute(it, path, aRequest)) {
+      continue;
+    }
+    pathKnown = true;
+    if (it.mMethod == aRequest.mMethod) {
+      // A copy, because the handler may register routes or destroy the server.
+      const auto handler = it.mHandler;
+      handler(std::move(aRequest), aResponder);
+      return;
+    }
+  }
+  aResponder.Send(pathKnown ? ErrorResponse(405, "method_not_allowed")
+                            : ErrorResponse(404, "unknown_path"));
+}
+
+void
+OnRequest(evhttp_request* aRequest, void* aArgument)
+{
+  const auto shared = *static_cast<std::shared_ptr<ServerState>*>(aArgument);
+  auto exchange = std::make_shared<Exchange>(aRequest, shared);
+  exchange->mSelf = exchange;
+  evhttp_request_set_on_complete_cb(aRequest, OnAnswerComplete, exchange.get());
+  if (auto* connection = evhttp_request_get_connection(aRequest)) {
+    evhttp_connection_set_closecb(connection, OnConnectionClosed, exchange.get());
+  }
+  const Responder responder(exchange);
+  Request request;
+  const auto* uri = evhttp_request_get_evhttp_uri(aRequest);
+  const char* path = uri ? evhttp_uri_get_path(uri) : nullptr;
+  if (!path || !ReadMethod(aRequest, request.mMethod)) {
+    responder.Send(ErrorResponse(400, "malformed_request"));
+    return;
+  }
+  request.mPath = path;
+  ReadQuery(evhttp_uri_get_query(uri), request);
+  ReadRequest(aRequest, request);
+  Dispatch(shared, std::move(request), path, responder);
+}
+
+bufferevent*
+NewConnection(event_base* aBase, void*)
+{
+  return bufferevent_socket_new(aBase, -1, BEV_OPT_CLOSE_ON_FREE);
+}
+
+} // namespace
+
+Exchange::~Exchange()
+{
+  if (const auto server = mServer.lock()) {
+    --server->mActive;
+  }
+}
+
+void
+Exchange::Detach()
+{
+  mRequest = nullptr;
+  mEnded = true;
+  mDrained = nullptr;
+  mSelf.reset();
+}
+
+void
+Exchange::AddHeaders(const Headers& aHeaders) const
+{
+  auto* fields = evhttp_request_get_output_headers(mRequest);
+  for (const auto& it : aHeaders) {
+    evhttp_add_header(fields, it.first.c_str(), it.second.c_str());
+  }
+  const auto server = mServer.lock();
+  if (!server || server->mDraining) {
+    evhttp_add_header(fields, "Connection", "close");
+  }
+}
+
+void
+Exchange::SendWhole(const Response& aResponse)
+{
+  mStarted = true;
+  mEnded = true;
+  AddHeaders(aResponse.mHeaders);
+  auto* buf = evbuffer_new();
+  evbuffer_add(buf, aResponse.mBody.data(), aResponse.mBody.size());
+  evhttp_send_reply(mRequest, aResponse.mStatus, nullptr, buf);
+  evbuffer_free(buf);
+}
+
+namespace {
+
+// Closes the connection of an exchange from the loop, because evhttp still uses the connection
+// after its own callbacks return.
+void
+AbortLater(const std::shared_ptr<Exchange>& aExchange)
+{
+  const auto server = aExchange->mServer.lock();
+  if (!aExchange->mRequest || !server) {
+    return;
+  }
+  server->mLoop->Post([aExchange] {
+    auto* connection =
+      aExchange->mRequest ? evhttp_request_get_connection(aExchange->mRequest) : nullptr;
+    if (connection) {
+      evhttp_connection_free(connection);
+    }
+  });
+}
+
+// Runs when the last copy of a responder is gone: an unanswered caller must not wait for ever.
+void
+OnResponderDropped(const std::shared_ptr<Exchange>& aExchange)
+{
+  if (!aExchange->mRequest || aExchange->mEnded) {
+    return;
+  }
+  if (aExchange->mStarted) {
+    AbortLater(aExchange);
+  } else {
+    aExchange->SendWhole(
+      JsonResponse(500, R"({"error":"internal","ran":"unknown","retry":false})"));
+  }
+}
+
+} // namespace
+} // namespace detail
+
+HttpServer::HttpServer(EventLoop& aLoop, const ServerLimits& aLimits)
+  : mState(std::make_shared<detail::ServerState>())
+{
+  mState->mLoop = &aLoop;
+  mState->mServer.reset(evhttp_new(aLoop.Base()));
+  auto* server = mState->mServer.get();
+  evhttp_set_max_headers_size(server, aLimits.mMaxHeaders.Value());
+  evhttp_set_max_body_size(server, aLimits.mMaxBody.Value());
+  evhttp_set_timeout(server, static_cast<int>(aLimits.mReadTimeout.count() / 1000));
+  evhttp_set_allowed_methods(server,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+  evhttp_set_default_content_type(server, nullptr);
+  evhttp_set_bevcb(server, detail::NewConnection, nullptr);
+  evhttp_set_gencb(server, detail::OnRequest, &mState);
+}
+
+HttpServer::~HttpServer() = default;
+
+void
+HttpServer::Handle(Method aMethod, std::string_view aPattern, Handler aHandler)
+{
+  mState->mRoutes.push_back({ aMethod, detail::SplitPath(aPattern), std::move(aHandler) });
+}
+
+std::error_code
+HttpServer::Listen(const SocketAddress& aAddress)
+{
+  mState->mSocket =
+    evhttp_bind_socket_with_handle(mState->mServer.get(), aAddress.Ip().c_str(), aAddress.Port());
+  if (!mState->mSocket) {
+    return HttpError::ListenFailed;
+  }
+  const int fd = evhttp_bound_socket_get_fd(mState->mSocket);
+  // Accepted sockets inherit these options from the listening socket.
+  SetSocketOptions(fd);
+  sockaddr_in bound{};
+  socklen_t n = sizeof bound;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &n);
+  mState->mAddress = SocketAddress(aAddress.Ip(), ntohs(bound.sin_port));
+  return {};
+}
+
+const SocketAddress&
+HttpServer::Address() const
+{
+  return mState->mAddress;
+}
+
+void
+HttpServer::SetDraining()
+{
+  mState->mDraining = true;
+}
+
+void
+HttpServer::StopListening()
+{
+  if (mState->mSocket) {
+    evhttp_del_accept_socket(mState->mServer.get(), mState->mSocket);
+    mState->mSocket = nullptr;
+  }
+}
+
+std::size_t
+HttpServer::ActiveRequests() const
+{
+  return mState->mActive;
+}
+
+Responder::Responder(std::shared_ptr<detail::Exchange> aExchange)
+  : mExchange(aExchange.get(),
+              [exchange = aExchange](detail::Exchange*) { detail::OnResponderDropped(exchange); })
+{
+}
+
+void
+Responder::Send(Response aResponse) const
+{
+  if (!mExchange->mRequest || mExchange->mStarted) {
+    return;
+  }
+  mExchange->SendWhole(aResponse);
+}
+
+void
+Responder::Start(int aStatus, const Headers& aHeaders) const
+{
+  if (!mExchange->mRequest || mExchange->mStarted) {
+    return;
+  }
+  mExchange->mStarted = true;
+  mExchange->AddHeaders(aHeaders);
+  evhttp_send_reply_start(mExchange->mRequest, aStatus, nullptr);
+}
+
+void
+Responder::Write(std::string_view aData, std::function<void()> aDrained) const
+{
+  if (!mExchange->mRequest || !mExchange->mStarted || mExchange->mEnded) {
+    return;
+  }
+  auto* buf = evbuffer_new();
+  evbuffer_add(buf, aData.data(), aData.size());
+  mExchange->mDrained = std::move(aDrained);
+  evhttp_send_reply_chunk_with_cb(mExchange->mRequest, buf, detail::OnChunkWritten,
+                                  mExchange.get());
+  evbuffer_free(buf);
+}
+
+void
+Responder::End() const
+{
+  if (!mExchange->mRequest || !mExchange->mStarted || mExchange->mEnded) {
+    return;
+  }
+  mExchange->mEnded = true;
+  evhttp_send_reply_end(mExchange->mRequest);
+}
+
+void
+Responder::Abort() const
+{
+  detail::AbortLater(mExchange->shared_from_this());
+}
+
+bool
+Responder::IsStarted() const
+{
+  return mExchange->mStarted;
+}
+
+} // namespace lovagerock::http
--- /dev/null
+++ b/tests/base/TextTests.cpp
@@ -0,0 +1,56 @@
+#include "base/Hash.h"
+#include "base/Json.h"
+#include "base/Random.h"
+#include "base/Settings.h"
+#include "base/SocketAddress.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace lovagerock;
+
+Test(SocketAddress, rejects_names_and_ports_out_of_range)
+{
+  cr_assert(SocketAddress::Parse("127.0.0.1:80").has_value());
+  cr_assert_not(SocketAddress::Parse("localhost:80").has_value());
+  cr_assert_not(SocketAddress::Parse("127.0.0.1:65536").has_value());
+  cr_assert_not(SocketAddress::Parse("127.0.0.1:").has_value());
+  cr_assert_not(SocketAddress::Parse("127.0.0.1:8x").has_value());
+}
+
+// Guards against stack exhaustion by hostile nesting.
+Test(Json, rejects_malformed_and_deeply_nested_text)
+{
+  cr_assert(ParseJson(R"({"a":[1]})").has_value());
+  cr_assert_not(ParseJson("{").has_value());
+  cr_assert_not(ParseJson(std::string(100000, '[')).has_value());
+}
+
+Test(Hash, is_the_same_on_every_node)
+{
+  cr_assert_eq(HashText(""), 0x2d06800538d394c2ULL);
+  cr_assert_eq(Sha256Hex("abc"),
+               std::string("ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"));
+}
+
+Test(Random, repeats_its_numbers_for_a_seed)
+{
+  Random left(7);
+  Random right(7);
+  cr_assert_eq(left.Token(), right.Token());
+  cr_assert_eq(left.Below(1000), right.Below(1000));
+}
+
+// Guards against a misspelled setting that is silently ignored.
+Test(Settings, names_the_invalid_flag)
+{
+  CLI::App app("test");
+  SocketAddress address;
+  AddSetting(app, "--listen", address, "address");
+  const char* arguments[] = { "test", "--listen", "nowhere" };
+  int status = 0;
+  cr_assert_not(ParseSettings(app, 3, arguments, status));
+  cr_assert_eq(status, kExitUsage);
+  cr_assert_eq(EnvironmentName("--peer-listen"), std::string("LOVAGEROCK_PEER_LISTEN"));
+}
