--- /dev/null
+++ b/src/kv/KvError.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <system_error>
+
+namespace lovagerock::kv {
+
+// Why a call to the key-value service failed.
+enum class KvError
+{
+  // The call had no effect: it was not sent, or the service refused it.
+  Unavailable = 1,
+  // A write may or may not have taken effect; the caller must read to find out.
+  OutcomeUnknown,
+  // The service refused the call because of its rate limit; it had no effect.
+  RateLimited,
+  // The service's answer was not understood. A write may have taken effect.
+  BadAnswer,
+};
+
+const std::error_category&
+KvCategory();
+
+std::error_code
+make_error_code(KvError aError);
+
+} // namespace lovagerock::kv
+
+template<>
+struct std::is_error_code_enum<lovagerock::kv::KvError> : std::true_type
+{
+};
--- /dev/null
+++ b/src/workers/WorkerState.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Json.h"
+#include "base/Resources.h"
+#include "base/Units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagerock::workers {
+
+// A fencing token. A worker refuses commands with a fence lower than the highest it has seen.
+// Fences compare by epoch, then by node.
+struct Fence
+{
+  std::uint64_t mEpoch = 0;
+  NodeId mNode;
+
+  auto operator<=>(const Fence&) const = default;
+};
+
+// What a lease is for.
+enum class LeaseKind
+{
+  // One task of a job.
+  Job,
+  // A replica of a service, which admits requests.
+  Service,
+};
+
+// Where a lease stands.
+enum class LeasePhase
+{
+  // Capacity is held and nothing runs.
+  Reserved,
+  Running,
+  // Asked to stop; ends at its deadline at the latest.
+  Stopping,
+  // The task ended and its answer is kept.
+  Finished,
+  // The task ended with an error of its own.
+  Failed,
+  // Stopped by command or because the lease lapsed.
+  Stopped,
+};
+
+// A request for a lease.
+struct LeaseRequest
+{
+  LeaseId mLease;
+  Fence mFence;
+  Duration mTtl{ 0 };
+  LeaseKind mKind = LeaseKind::Job;
+  Resources mResources;
+  bool mReclaimable = true;
+  bool mIdempotent = true;
+  AccountId mAccount;
+  ServiceId mService;
+  JobId mJob;
+  // Position of the task in the gang, from 0, and the size of the gang.
+  int mTask = 0;
+  int mTasks = 1;
+  int mAttempt = 1;
+  // Checkpoint of an earlier attempt to resume from; empty if none.
+  std::string mCheckpoint;
+  // The task's input, passed to the worker as it is.
+  std::string mPayload;
+};
+
+// A lease as a worker reports it.
+struct LeaseState
+{
+  LeaseId mLease;
+  LeaseKind mKind = LeaseKind::Job;
+  LeasePhase mPhase = LeasePhase::Reserved;
+  Resources mResources;
+  Duration mExpiresIn{ 0 };
+  bool mReclaimable = true;
+  bool mIdempotent = true;
+  AccountId mAccount;
+  ServiceId mService;
+  JobId mJob;
+  int mTask = 0;
+  int mTasks = 1;
+  int mAttempt = 1;
+  std::string mCheckpoint;
+  std::string mError;
+};
+
+// A worker's own report of itself.
+struct WorkerState
+{
+  WorkerId mWorker;
+  RegionId mRegion;
+  ZoneId mZone;
+  RackId mRack;
+  // Differs after each restart of the worker.
+  std::string mIncarnation;
+  // Grows with each change of the state.
+  std::uint64_t mSequence = 0;
+  bool mLeaving = false;
+  Resources mCapacity;
+  // Connections that the worker accepts at once.
+  int mConnections = 0;
+  Fence mFence;
+  // Accelerators that were busy mUsageLag ago.
+  Accelerators mBusyAccelerators;
+  Duration mUsageLag{ 0 };
+  std::vector<LeaseState> mLeases;
+};
+
+// Names on the wire, as in docs/design.md.
+std::string_view
+LeaseKindName(LeaseKind aKind);
+std::string_view
+LeasePhaseName(LeasePhase aPhase);
+
+// Conversions to and from the worker protocol's JSON. Reading gives nothing if a required member
+// is missing or has the wrong type.
+void
+to_json(Json& aJson, const Fence& aFence);
+void
+to_json(Json& aJson, const LeaseRequest& aRequest);
+void
+to_json(Json& aJson, const LeaseState& aState);
+void
+to_json(Json& aJson, const WorkerState& aState);
+std::optional<Fence>
+ReadFence(const Json& aJson);
+std::optional<LeaseRequest>
+ReadLeaseRequest(const LeaseId& aLease, const Json& aJson);
+std::optional<LeaseState>
+ReadLeaseState(const Json& aJson);
+std::optional<WorkerState>
+ReadWorkerState(const Json& aJson);
+
+} // namespace lovagerock::workers
