Add an in-memory key-value store with faults for tests

Cause: configuration, jobs and routing need the service's faults in their tests. Ruled out: starting the stand-in program in every unit test, which is slower and harder to step. Change: MemoryStore with outages, lost answers of writes that took effect, and restored values. Measured: builds without warnings; no test of its own yet, it is covered by its users. Conclusion: failure tests of the modules can run in one process.

--- /dev/null
+++ b/src/kv/MemoryStore.cpp
@@ -0,0 +1,163 @@
+#include "kv/MemoryStore.h"
+
+#include "kv/KvError.h"
+
+#include <utility>
+
+namespace lovagerock::kv {
+
+MemoryStore::MemoryStore(EventLoop& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+void
+MemoryStore::Get(const std::string& aKey, GetCallback aCallback)
+{
+  ++mCalls;
+  const std::error_code ec = mAvailable ? std::error_code() : make_error_code(KvError::Unavailable);
+  auto entry = mAvailable ? Find(aKey) : std::nullopt;
+  mLoop.Post([=, callback = std::move(aCallback)] { callback(ec, entry); });
+}
+
+void
+MemoryStore::List(const std::string& aPrefix, ListCallback aCallback)
+{
+  ++mCalls;
+  std::vector<Entry> entries;
+  if (mAvailable) {
+    for (auto it = mEntries.lower_bound(aPrefix);
+         it != mEntries.end() && it->first.starts_with(aPrefix); ++it) {
+      entries.push_back(it->second);
+    }
+  }
+  const std::error_code ec = mAvailable ? std::error_code() : make_error_code(KvError::Unavailable);
+  mLoop.Post([=, callback = std::move(aCallback)] { callback(ec, entries); });
+}
+
+void
+MemoryStore::Transact(std::vector<Operation> aOperations, TransactCallback aCallback)
+{
+  ++mCalls;
+  TransactionResult result;
+  std::error_code ec;
+  if (!mAvailable) {
+    ec = KvError::Unavailable;
+  } else {
+    for (std::size_t i = 0; i < aOperations.size(); ++i) {
+      if (!Holds(aOperations[i])) {
+        result.mFailed.push_back(i);
+      }
+    }
+    result.mApplied = result.mFailed.empty();
+  }
+  if (result.mApplied) {
+    for (const auto& it : aOperations) {
+      result.mModifyIndexes.push_back(Apply(it));
+    }
+    NotifyWaiters();
+  }
+  if (!ec && mLostAnswers > 0) {
+    --mLostAnswers;
+    ec = KvError::OutcomeUnknown;
+    result = {};
+  }
+  mLoop.Post([=, callback = std::move(aCallback)] { callback(ec, result); });
+}
+
+void
+MemoryStore::Watch(const std::string& aKey, ModifyIndex aSince, Duration aWait,
+                   GetCallback aCallback)
+{
+  const auto entry = Find(aKey);
+  if (!mAvailable || (entry ? entry->mModifyIndex : 0) != aSince) {
+    Get(aKey, std::move(aCallback));
+    return;
+  }
+  ++mCalls;
+  const auto id = mNextWaiter++;
+  auto timeout = mLoop.After(aWait, [this, id] { EndWaiter(id, {}); });
+  mWaiters.emplace(id, Waiter{ aKey, aSince, std::move(aCallback), std::move(timeout) });
+}
+
+void
+MemoryStore::SetAvailable(bool aAvailable)
+{
+  mAvailable = aAvailable;
+  while (!mAvailable && !mWaiters.empty()) {
+    EndWaiter(mWaiters.begin()->first, KvError::Unavailable);
+  }
+}
+
+void
+MemoryStore::LoseAnswers(int aCount)
+{
+  mLostAnswers = aCount;
+}
+
+void
+MemoryStore::Restore(const std::string& aKey, const std::string& aValue, ModifyIndex aIndex)
+{
+  mEntries[aKey] = Entry{ aKey, aValue, aIndex };
+  NotifyWaiters();
+}
+
+std::optional<Entry>
+MemoryStore::Find(const std::string& aKey) const
+{
+  const auto it = mEntries.find(aKey);
+  return it == mEntries.end() ? std::nullopt : std::optional(it->second);
+}
+
+bool
+MemoryStore::Holds(const Operation& aOperation) const
+{
+  if (aOperation.mKind == Operation::Kind::Set || aOperation.mKind == Operation::Kind::Delete) {
+    return true;
+  }
+  const auto entry = Find(aOperation.mKey);
+  return (entry ? entry->mModifyIndex : 0) == aOperation.mModifyIndex;
+}
+
+ModifyIndex
+MemoryStore::Apply(const Operation& aOperation)
+{
+  ++mLastIndex;
+  const bool isDelete = aOperation.mKind == Operation::Kind::Delete ||
+                        aOperation.mKind == Operation::Kind::CompareAndDelete;
+  if (isDelete) {
+    mEntries.erase(aOperation.mKey);
+    return 0;
+  }
+  mEntries[aOperation.mKey] = Entry{ aOperation.mKey, aOperation.mValue, mLastIndex };
+  return mLastIndex;
+}
+
+void
+MemoryStore::NotifyWaiters()
+{
+  std::vector<std::size_t> due;
+  for (const auto& [id, waiter] : mWaiters) {
+    const auto entry = Find(waiter.mKey);
+    if ((entry ? entry->mModifyIndex : 0) != waiter.mSince) {
+      due.push_back(id);
+    }
+  }
+  for (const auto it : due) {
+    EndWaiter(it, {});
+  }
+}
+
+void
+MemoryStore::EndWaiter(std::size_t aId, std::error_code aError)
+{
+  auto node = mWaiters.extract(aId);
+  if (node.empty()) {
+    return;
+  }
+  auto& waiter = node.mapped();
+  auto entry = aError ? std::nullopt : Find(waiter.mKey);
+  mLoop.Post([=, callback = std::move(waiter.mCallback)] { callback(aError, entry); });
+}
+
+} // namespace lovagerock::kv
