Add the jobs module: records, gang start, coordinator, answers, caller API

Cause: jobs need durable records, whole starts and stops, and answers that outlive entry nodes. Ruled out: lease ids by attempt number; two planners would share a lease and release each other's, so each start has a random token in the record.

--- /dev/null
+++ b/src/jobs/GangStatus.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/Units.h"
+#include "jobs/JobRecord.h"
+#include "workers/WorkerView.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lovagerock::jobs {
+
+// The views of the workers, by worker id.
+using WorkerViews = std::map<WorkerId, workers::WorkerView>;
+
+// What is known of one task of an attempt.
+enum class TaskStatus
+{
+  // The worker was not heard yet, or is silent and the lease may still be alive.
+  Unknown,
+  Reserved,
+  Running,
+  Stopping,
+  Finished,
+  Failed,
+  // Stopped, or the lease doesn't exist any more.
+  Lost,
+};
+
+// What is known of a gang.
+struct GangStatus
+{
+  std::vector<TaskStatus> mTasks;
+  // The last checkpoint of each task; empty if there is none.
+  std::vector<std::string> mCheckpoints;
+  // The first failed task, or -1, and its error.
+  int mFailedTask = -1;
+  std::string mError;
+
+  bool All(TaskStatus aStatus) const;
+  bool Any(TaskStatus aStatus) const;
+  // Whether no task can be running any more.
+  bool HasEnded() const;
+};
+
+// Reads the status of a record's current attempt from the workers' states. A silent worker's
+// lease counts as lost once it was silent for longer than aLeaseLimit.
+GangStatus
+ReadGangStatus(const JobRecord& aRecord, const WorkerViews& aViews, TimePoint aNow,
+               Duration aLeaseLimit);
+
+} // namespace lovagerock::jobs
--- /dev/null
+++ b/src/jobs/JobSpec.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/Adjacency.h"
+#include "base/Json.h"
+#include "base/Resources.h"
+#include "base/Units.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lovagerock::jobs {
+
+// The largest gang.
+inline constexpr int kMaxTasks = 512;
+// The payloads of all tasks of a job together; a record must fit into one value of the store.
+inline constexpr Bytes kMaxPayload{ 512 * 1024 };
+
+// A job as its caller described it.
+struct JobSpec
+{
+  int mTasks = 1;
+  Resources mPerTask;
+  Adjacency mAdjacency = Adjacency::Region;
+  bool mUrgent = false;
+  bool mIdempotent = true;
+  // The caller's estimate of the run time; often far off.
+  Duration mEstimate{ 0 };
+  // One payload for all tasks, or one for each task.
+  std::vector<std::string> mPayloads;
+
+  // The payload of one task.
+  const std::string& PayloadOf(int aTask) const;
+};
+
+// A member of a submitted job that is missing or invalid.
+struct SpecProblem
+{
+  std::string mField;
+  std::string mMessage;
+};
+
+// Reads a job from a caller's JSON. Unknown members are problems, so that a misspelled option is
+// not silently ignored. Gives nothing if there is any problem.
+std::optional<JobSpec>
+ReadJobSpec(const Json& aJson, std::vector<SpecProblem>& aProblems);
+
+void
+to_json(Json& aJson, const JobSpec& aSpec);
+
+} // namespace lovagerock::jobs
--- /dev/null
+++ b/src/jobs/JobStore.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include "base/Random.h"
+#include "jobs/JobError.h"
+#include "jobs/JobRecord.h"
+#include "kv/KvError.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lovagerock::jobs {
+
+// Reads and writes job records. Every change is a compare-and-swap on the record's version. When
+// the answer of a write is lost, the record is read back and recognized by its write token.
+template<kv::KeyValueStore Store>
+class JobStore
+{
+public:
+  using RecordCallback = std::function<void(std::error_code, JobRecord)>;
+  using RecordsCallback = std::function<void(std::error_code, std::vector<JobRecord>)>;
+
+  JobStore(Store& aStore, RegionId aRegion, Random& aRandom)
+    : mStore(aStore)
+    , mRegion(std::move(aRegion))
+    , mRandom(aRandom)
+  {
+  }
+
+  // Creates the record of a new job. If the job exists already its record is given instead;
+  // KeyReused if that is another job under the same key.
+  void Submit(JobRecord aRecord, RecordCallback aCallback)
+  {
+    aRecord.mRegion = mRegion;
+    Load(aRecord.mJob, [this, aRecord, aCallback](std::error_code aError, JobRecord aFound) {
+      if (!aError) {
+        const bool same = aFound.mDigest == aRecord.mDigest;
+        aCallback(same ? std::error_code() : make_error_code(JobError::KeyReused),
+                  std::move(aFound));
+      } else if (aError == make_error_code(JobError::NotFound)) {
+        Create(aRecord, aCallback);
+      } else {
+        aCallback(aError, {});
+      }
+    });
+  }
+
+  // Reads a job, live or done. NotFound if there is none.
+  void Load(const JobId& aJob, RecordCallback aCallback)
+  {
+    mStore.Get(LiveKey(aJob),
+               [this, aJob, aCallback](std::error_code aError, std::optional<kv::Entry> aEntry) {
+                 if (aError || aEntry) {
+                   Report(aError, aEntry, aCallback);
+                   return;
+                 }
+                 LoadDone(aJob, aCallback);
+               });
+  }
+
+  // Reads all live records of the region. Damaged ones are left out.
+  void ListLive(RecordsCallback aCallback)
+  {
+    mStore.List("jobs/" + mRegion.Value() + "/",
+                [aCallback](std::error_code aError, const std::vector<kv::Entry>& aEntries) {
+                  std::vector<JobRecord> records;
+                  for (const auto& it : aEntries) {
+                    if (auto record = ReadJobRecord(it)) {
+                      records.push_back(std::move(*record));
+                    }
+                  }
+                  aCallback(FromKvError(aError), std::move(records));
+                });
+  }
+
+  // Replaces a live record whose version is the record's. Conflict if it was changed meanwhile.
+  void Update(JobRecord aRecord, RecordCallback aCallback)
+  {
+    Write(std::move(aRecord), {}, std::move(aCallback));
+  }
+
+  // Moves a live record to the done ones as a whole.
+  void MoveToDone(JobRecord aRecord, RecordCallback aCallback)
+  {
+    aRecord.mWriteToken = mRandom.Token();
+    std::vector<kv::Operation> operations(2);
+    operations[0] = { kv::Operation::Kind::CompareAndDelete, LiveKey(aRecord.mJob), "",
+                      aRecord.mModifyIndex };
+    operations[1] = { kv::Operation::Kind::CompareAndSet, DoneKey(aRecord.mJob),
+                      WriteJobRecord(aRecord), 0 };
+    Apply(std::move(operations), 1, aRecord, std::move(aCallback));
+  }
+
+  // Waits until the job is done or the time is over, then reads it.
+  void AwaitDone(const JobId& aJob, Duration aWait, RecordCallback aCallback)
+  {
+    mStore.Watch(DoneKey(aJob), 0, aWait,
+                 [this, aJob, aCallback](std::error_code aError, std::optional<kv::Entry> aEntry) {
+                   if (!aError && aEntry) {
+                     Report(aError, aEntry, aCallback);
+                   } else {
+                     Load(aJob, aCallback);
+                   }
+                 });
+  }
+
+  // Deletes the record of a done job.
+  void DeleteDone(const JobRecord& aRecord, std::function<void(std::error_code)> aCallback)
+  {
+    std::vector<kv::Operation> operations(1);
+    operations[0] = { kv::Operation::Kind::Delete, DoneKey(aRecord.mJob), "", 0 };
+    mStore.Transact(std::move(operations),
+                    [aCallback](std::error_code aError, const kv::TransactionResult&) {
+                      aCallback(FromKvError(aError));
+                    });
+  }
+
+private:
+  std::string LiveKey(const JobId& aJob) const
+  {
+    return "jobs/" + mRegion.Value() + "/" + aJob.Value();
+  }
+  std::string DoneKey(const JobId& aJob) const
+  {
+    return "done/" + mRegion.Value() + "/" + aJob.Value();
+  }
+
+  static void Report(std::error_code aError, const std::optional<kv::Entry>& aEntry,
+                     const RecordCallback& aCallback)
+  {
+    if (aError) {
+      aCallback(FromKvError(aError), {});
+      return;
+    }
+    if (!aEntry) {
+      aCallback(JobError::NotFound, {});
+      return;
+    }
+    auto record = ReadJobRecord(*aEntry);
+    const auto ec = record ? std::error_code() : make_error_code(JobError::BadRecord);
+    aCallback(ec, record ? std::move(*record) : JobRecord());
+  }
+
+  void LoadDone(const JobId& aJob, RecordCallback aCallback)
+  {
+    mStore.Get(DoneKey(aJob), [aCallback](std::error_code aError, std::optional<kv::Entry> aEntry) {
+      Report(aError, aEntry, aCallback);
+    });
+  }
+
+  void Create(JobRecord aRecord, RecordCallback aCallback)
+  {
+    aRecord.mModifyIndex = 0;
+    Write(aRecord, {}, [this, aRecord, aCallback](std::error_code aError, JobRecord aWritten) {
+      if (aError == make_error_code(JobError::Conflict)) {
+        // Another node created it between the read and the write.
+        Submit(aRecord, aCallback);
+        return;
+      }
+      aCallback(aError, std::move(aWritten));
+    });
+  }
+
+  void Write(JobRecord aRecord, std::vector<kv::Operation> aMore, RecordCallback aCallback)
+  {
+    aRecord.mWriteToken = mRandom.Token();
+    std::vector<kv::Operation> operations(1);
+    operations[0] = { kv::Operation::Kind::CompareAndSet, LiveKey(aRecord.mJob),
+                      WriteJobRecord(aRecord), aRecord.mModifyIndex };
+    operations.insert(operations.end(), aMore.begin(), aMore.end());
+    Apply(std::move(operations), 0, std::move(aRecord), std::move(aCallback));
+  }
+
+  // Applies the operations; aRecordAt is the position of the one that writes the record.
+  void Apply(std::vector<kv::Operation> aOperations, std::size_t aRecordAt, JobRecord aRecord,
+             RecordCallback aCallback)
+  {
+    mStore.Transact(std::move(aOperations), [this, aRecordAt, aRecord,
+                                             aCallback](std::error_code aError,
+                                                        const kv::TransactionResult& aResult) {
+      const auto ec = FromKvError(aError);
+      if (ec == make_error_code(JobError::OutcomeUnknown)) {
+        SettleWrite(aRecord, aCallback);
+        return;
+      }
+      auto written = aRecord;
+      if (!ec && aResult.mApplied) {
+        written.mModifyIndex = aResult.mModifyIndexes.at(aRecordAt);
+      }
+      const bool conflict = !ec && !aResult.mApplied;
+      aCallback(conflict ? make_error_code(JobError::Conflict) : ec, std::move(written));
+    });
+  }
+
+  void SettleWrite(const JobRecord& aRecord, RecordCallback aCallback)
+  {
+    Load(aRecord.mJob, [aRecord, aCallback](std::error_code aError, JobRecord aFound) {
+      if (!aError) {
+        const bool own = aFound.mWriteToken == aRecord.mWriteToken;
+        aCallback(own ? std::error_code() : make_error_code(JobError::Conflict), std::move(aFound));
+      } else if (aError == make_error_code(JobError::NotFound)) {
+        aCallback(JobError::Conflict, {});
+      } else {
+        aCallback(JobError::OutcomeUnknown, {});
+      }
+    });
+  }
+
+  Store& mStore;
+  RegionId mRegion;
+  Random& mRandom;
+};
+
+} // namespace lovagerock::jobs
