--- /dev/null
+++ b/bench/placement_bench.cpp
@@ -0,0 +1,246 @@
+// Time and memory of ComputePlan over cluster sizes, and its outcomes over the recorded traces next
+// to a first-come-first-served first-fit baseline in the same run.
+
+#include "base/Random.h"
+#include "placement/Planner.h"
+#include "placement/TraceReplay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <sys/resource.h>
+
+using namespace lovagerock;
+using namespace lovagerock::placement;
+
+namespace {
+
+struct Size
+{
+  const char* mName;
+  int mWorkers;
+  int mTasks;
+  int mAccounts;
+  int mJobs;
+  int mLargest;
+};
+
+constexpr int kRepeats = 20;
+
+double
+CpuMilliseconds()
+{
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e3 + static_cast<double>(time.tv_nsec) / 1e6;
+}
+
+long
+PeakKiB()
+{
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
+// In the design size one worker in 29 has 8 accelerators, which gives 5,700; small clusters have 8
+// on each worker.
+ClusterSnapshot
+MakeSnapshot(const Size& aSize, Random& aRandom)
+{
+  ClusterSnapshot snapshot;
+  snapshot.mNow = TimePoint(std::chrono::hours(24));
+  const bool isSmall = aSize.mWorkers <= 50;
+  for (int i = 0; i < aSize.mWorkers; ++i) {
+    const int accelerators = isSmall || i % 29 == 0 ? 8 : 1;
+    const int zone = i * 6 / aSize.mWorkers;
+    snapshot.mWorkers.push_back(
+      { WorkerId("worker-" + std::to_string(i)),
+        RegionId("region-" + std::to_string(zone / 3)),
+        ZoneId("zone-" + std::to_string(zone)),
+        RackId("rack-" + std::to_string(i / 8)),
+        { Slots(8), Accelerators(accelerators), Cores(64), MemoryMiB(128'000) },
+        WorkerHealth::Live,
+        {} });
+  }
+  for (int i = 0; i < aSize.mAccounts; ++i) {
+    const int count = isSmall ? 1 : 8;
+    snapshot.mAccounts.push_back(
+      { AccountId("account-" + std::to_string(i)),
+        1.0 + static_cast<double>(aRandom.Below(3)),
+        {},
+        { { "shape", 1, count, Accelerators(1), isSmall ? Adjacency::Worker : Adjacency::Zone,
+            std::nullopt } } });
+  }
+  std::vector<int> slots(aSize.mWorkers, 8);
+  std::vector<int> accelerators;
+  for (const auto& it : snapshot.mWorkers) {
+    accelerators.push_back(static_cast<int>(it.mCapacity.mAccelerators.Value()));
+  }
+  for (int i = 0; i < aSize.mTasks; ++i) {
+    const auto worker = aRandom.Below(aSize.mWorkers);
+    if (slots[worker] == 0) {
+      continue;
+    }
+    --slots[worker];
+    const int wanted = accelerators[worker] > 0 ? 1 : 0;
+    accelerators[worker] -= wanted;
+    LeaseView lease;
+    lease.mLease = LeaseId("lease-" + std::to_string(i));
+    lease.mJob = JobId("running-" + std::to_string(i / 4));
+    lease.mAccount = snapshot.mAccounts[static_cast<std::size_t>(i / 4 % aSize.mAccounts)].mAccount;
+    lease.mResources = { Slots(1), Accelerators(wanted), Cores(4), MemoryMiB(8000) };
+    lease.mStarted = snapshot.mNow - std::chrono::minutes(aRandom.Below(300));
+    lease.mEstimate = std::chrono::minutes(aRandom.Below(400));
+    snapshot.mWorkers[worker].mLeases.push_back(lease);
+  }
+  for (int i = 0; i < aSize.mJobs; ++i) {
+    PendingJob job;
+    job.mJob = JobId("job-" + std::to_string(i));
+    job.mAccount = snapshot.mAccounts[aRandom.Below(snapshot.mAccounts.size())].mAccount;
+    const int scale = static_cast<int>(aRandom.Below(10));
+    job.mTasks = std::min(1 << scale, aSize.mLargest);
+    job.mResourcesPerTask = { Slots(1), Accelerators(aRandom.Below(2)),
+                              Cores(1 + static_cast<int>(aRandom.Below(8))), MemoryMiB(4000) };
+    job.mAdjacency = job.mTasks <= 4 ? Adjacency::Rack : Adjacency::Region;
+    job.mUrgent = aRandom.Below(50) == 0;
+    job.mIdempotent = aRandom.Below(5) != 0;
+    job.mEstimate = std::chrono::minutes(aRandom.Below(400));
+    job.mSubmitted = snapshot.mNow - std::chrono::minutes(aRandom.Below(600));
+    snapshot.mJobs.push_back(job);
+  }
+  return snapshot;
+}
+
+double
+Measure(const Size& aSize, std::uint64_t aSeed)
+{
+  Random random(aSeed);
+  const auto snapshot = MakeSnapshot(aSize, random);
+  PlannerState state;
+  const double firstBefore = CpuMilliseconds();
+  auto plan = ComputePlan(snapshot, state);
+  const double first = CpuMilliseconds() - firstBefore;
+  std::vector<double> times;
+  for (int i = 0; i < kRepeats; ++i) {
+    const double before = CpuMilliseconds();
+    plan = ComputePlan(snapshot, state);
+    times.push_back(CpuMilliseconds() - before);
+  }
+  std::ranges::sort(times);
+  std::printf("%-8s workers=%d tasks=%d accounts=%d jobs=%d first_ms=%.2f median_ms=%.2f "
+              "max_ms=%.2f starts=%zu reclaims=%zu waiting=%zu peak_rss_kib=%ld\n",
+              aSize.mName, aSize.mWorkers, aSize.mTasks, aSize.mAccounts, aSize.mJobs, first,
+              times[kRepeats / 2], times.back(), plan.mStarts.size(), plan.mReclaims.size(),
+              plan.mWaiting.size(), PeakKiB());
+  return times[kRepeats / 2];
+}
+
+// Strictly in order of arrival; the head of the queue blocks all others.
+Plan
+FirstFit(const ClusterSnapshot& aSnapshot)
+{
+  Plan plan;
+  std::map<WorkerId, Resources> free;
+  for (const auto& worker : aSnapshot.mWorkers) {
+    free[worker.mWorker] = worker.mCapacity;
+    for (const auto& it : worker.mLeases) {
+      free[worker.mWorker] -= it.mResources;
+    }
+  }
+  for (const auto& job : aSnapshot.mJobs) {
+    std::vector<WorkerId> best;
+    std::map<std::string, std::vector<WorkerId>> domains;
+    for (const auto& worker : aSnapshot.mWorkers) {
+      const auto key = job.mAdjacency == Adjacency::Worker ? worker.mWorker.Value()
+                       : job.mAdjacency == Adjacency::Rack ? worker.mRack.Value()
+                                                           : worker.mRegion.Value();
+      auto left = free[worker.mWorker];
+      auto& places = domains[key];
+      while (static_cast<int>(places.size()) < job.mTasks && job.mResourcesPerTask.FitsInto(left)) {
+        left -= job.mResourcesPerTask;
+        places.push_back(worker.mWorker);
+      }
+    }
+    for (const auto& it : domains) {
+      if (best.empty() && static_cast<int>(it.second.size()) == job.mTasks) {
+        best = it.second;
+      }
+    }
+    if (best.empty()) {
+      break;
+    }
+    for (const auto& it : best) {
+      free[it] -= job.mResourcesPerTask;
+    }
+    plan.mStarts.push_back({ job.mJob, job.mAccount, best, CapacityClass::Borrowed, true });
+  }
+  std::map<RackId, std::pair<double, double>> racks;
+  for (const auto& it : aSnapshot.mWorkers) {
+    racks[it.mRack].first += static_cast<double>(free[it.mWorker].mAccelerators.Value());
+    racks[it.mRack].second += static_cast<double>(it.mCapacity.mAccelerators.Value());
+  }
+  double all = 0;
+  double broken = 0;
+  for (const auto& it : racks) {
+    all += it.second.first;
+    broken += it.second.first * (1 - it.second.first / it.second.second);
+  }
+  plan.mFragmentation = all > 0 ? broken / all : 0;
+  return plan;
+}
+
+void
+Report(const char* aPolicy, const std::string& aTrace, const tests::TraceResult& aResult)
+{
+  double all = 0;
+  double large = 0;
+  int largeCount = 0;
+  int unfinished = 0;
+  for (const auto& it : aResult.mJobs) {
+    const double time = (it.second.mEnded < 0 ? 1440 : it.second.mEnded) - it.second.mArrived;
+    unfinished += it.second.mEnded < 0 ? 1 : 0;
+    all += time;
+    if (it.second.mTasks > 2) {
+      large += time;
+      ++largeCount;
+    }
+  }
+  std::printf("%-14s %-10s mean_completion_min=%.1f large_gang_completion_min=%.1f unfinished=%d "
+              "mean_fragmentation=%.3f\n",
+              aTrace.c_str(), aPolicy, all / static_cast<double>(aResult.mJobs.size()),
+              large / std::max(largeCount, 1), unfinished, aResult.mMeanFragmentation);
+}
+
+} // namespace
+
+int
+main()
+{
+  constexpr std::uint64_t kSeed = 1;
+  std::printf("seed %llu, %d plans per size, CPU time\n", static_cast<unsigned long long>(kSeed),
+              kRepeats);
+  const Size sizes[] = { { "today", 50, 300, 4, 50, 16 },
+                         { "quarter", 1150, 5500, 50, 250, 128 },
+                         { "half", 2300, 11'000, 100, 500, 256 },
+                         { "design", 4600, 22'000, 200, 1000, 512 } };
+  std::vector<double> times;
+  for (const auto& it : sizes) {
+    times.push_back(Measure(it, kSeed));
+  }
+  std::printf("slope quarter_to_half=%.2f half_to_design=%.2f (1 is linear in the size)\n",
+              std::log2(times[2] / times[1]), std::log2(times[3] / times[2]));
+  std::printf("share of a core at 6 plans a minute, design size: %.3f%%\n",
+              times[3] * 6 / 60'000 * 100);
+  for (const std::string name : { "overnight.txt", "term-end.txt" }) {
+    const auto trace = tests::ReadTrace(std::string(TRACE_DIRECTORY) + "/" + name);
+    Report("first-fit", name, tests::Replay(trace, FirstFit, 1440));
+    PlannerState state;
+    Report("lovagerock", name,
+           tests::Replay(
+             trace, [&](const ClusterSnapshot& aSnapshot) { return ComputePlan(aSnapshot, state); },
+             1440));
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/placement/ResourceVector.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "base/Resources.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <limits>
+
+namespace lovagerock::placement {
+
+// Resources as four 32-bit numbers, so that a scan over all workers stays in the processor's cache.
+// Larger amounts are cut to half of the range, which leaves room for sums.
+class ResourceVector
+{
+public:
+  static constexpr int kSlots = 0;
+  static constexpr int kAccelerators = 1;
+  static constexpr int kCores = 2;
+  static constexpr int kMemory = 3;
+  static constexpr int kSize = 4;
+
+  ResourceVector() = default;
+  explicit ResourceVector(const Resources& aResources)
+    : mValues{ Cut(aResources.mSlots.Value()), Cut(aResources.mAccelerators.Value()),
+               Cut(aResources.mCores.Value()), Cut(aResources.mMemory.Value()) }
+  {
+  }
+
+  bool operator==(const ResourceVector&) const = default;
+  std::int32_t operator[](int aIndex) const { return mValues[aIndex]; }
+  std::int32_t& operator[](int aIndex) { return mValues[aIndex]; }
+
+  ResourceVector& operator+=(const ResourceVector& aOther)
+  {
+    for (int i = 0; i < kSize; ++i) {
+      mValues[i] += aOther.mValues[i];
+    }
+    return *this;
+  }
+  ResourceVector& operator-=(const ResourceVector& aOther)
+  {
+    for (int i = 0; i < kSize; ++i) {
+      mValues[i] -= aOther.mValues[i];
+    }
+    return *this;
+  }
+  friend ResourceVector operator+(ResourceVector aLeft, const ResourceVector& aRight)
+  {
+    return aLeft += aRight;
+  }
+  friend ResourceVector operator-(ResourceVector aLeft, const ResourceVector& aRight)
+  {
+    return aLeft -= aRight;
+  }
+  friend ResourceVector operator*(ResourceVector aLeft, int aFactor)
+  {
+    for (auto& it : aLeft.mValues) {
+      it = Cut(static_cast<std::int64_t>(it) * aFactor);
+    }
+    return aLeft;
+  }
+
+  bool FitsInto(const ResourceVector& aOther) const
+  {
+    return mValues[0] <= aOther.mValues[0] && mValues[1] <= aOther.mValues[1] &&
+           mValues[2] <= aOther.mValues[2] && mValues[3] <= aOther.mValues[3];
+  }
+
+  bool IsZero() const { return *this == ResourceVector(); }
+
+  // The smaller value of each component.
+  static ResourceVector Min(ResourceVector aLeft, const ResourceVector& aRight)
+  {
+    for (int i = 0; i < kSize; ++i) {
+      aLeft.mValues[i] = std::min(aLeft.mValues[i], aRight.mValues[i]);
+    }
+    return aLeft;
+  }
+  // Negative components become 0.
+  static ResourceVector Positive(ResourceVector aValue)
+  {
+    for (auto& it : aValue.mValues) {
+      it = std::max(it, 0);
+    }
+    return aValue;
+  }
+
+  // How many times the need, which isn't zero, fits; at most aLimit.
+  int Fits(const ResourceVector& aNeed, int aLimit) const
+  {
+    if (!aNeed.FitsInto(*this)) {
+      return 0;
+    }
+    int n = aLimit;
+    for (int i = 0; i < kSize; ++i) {
+      if (aNeed.mValues[i] > 0) {
+        n = std::min(n, mValues[i] / aNeed.mValues[i]);
+      }
+    }
+    return n;
+  }
+
+  Resources ToResources() const
+  {
+    return { Slots(mValues[kSlots]), Accelerators(mValues[kAccelerators]), Cores(mValues[kCores]),
+             MemoryMiB(mValues[kMemory]) };
+  }
+
+private:
+  static std::int32_t Cut(std::int64_t aValue)
+  {
+    constexpr std::int64_t kMost = std::numeric_limits<std::int32_t>::max() / 2;
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(aValue, 0, kMost));
+  }
+
+  std::array<std::int32_t, kSize> mValues{};
+};
+
+} // namespace lovagerock::placement
--- /dev/null
+++ b/tests/placement/PlannerTests.cpp
@@ -0,0 +1,377 @@
+#include "base/Random.h"
+#include "placement/ClusterFake.h"
+#include "placement/GuaranteeAssigner.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdio>
+
+using namespace lovagerock;
+using namespace lovagerock::placement;
+using lovagerock::placement::tests::ClusterFake;
+
+namespace {
+
+Guarantee
+RackOf(int aWorkers, int aCount = 1)
+{
+  return { "shape", aCount, aWorkers, Accelerators(8), Adjacency::Rack, std::nullopt };
+}
+
+} // namespace
+
+// Guards against accepting a file whose guarantees can't all be met at once.
+Test(Guarantees, names_the_guarantee_that_does_not_fit)
+{
+  ClusterFake fake(16);
+  fake.AddAccount("a", { RackOf(8) });
+  fake.AddAccount("b", { RackOf(5) });
+  cr_assert_not(CanPackAll(fake.mSnapshot.mWorkers, fake.mSnapshot.mAccounts).has_value());
+  fake.AddAccount("c", { RackOf(4) });
+  const auto error = CanPackAll(fake.mSnapshot.mWorkers, fake.mSnapshot.mAccounts);
+  cr_assert(error.has_value());
+  cr_assert_eq(error->mAccount, AccountId("c"));
+}
+
+// Guards against moving guarantees that no failure touched.
+Test(Guarantees, reassigns_only_the_copy_on_a_lost_worker)
+{
+  ClusterFake fake(24);
+  fake.AddAccount("a", { RackOf(6, 2) });
+  fake.Step();
+  const auto before = fake.mState.mAssignment;
+  auto lost =
+    std::ranges::find(fake.mSnapshot.mWorkers, before[0].mWorkers[0], &WorkerView::mWorker);
+  lost->mHealth = WorkerHealth::Leaving;
+  fake.Step();
+  const auto& after = fake.mState.mAssignment;
+  cr_assert_eq(after.size(), 2U);
+  cr_assert(after[1].mWorkers == before[1].mWorkers);
+  cr_assert(std::ranges::find(after[0].mWorkers, lost->mWorker) == after[0].mWorkers.end());
+  cr_assert_eq(after[0].mWorkers[0], before[0].mWorkers[1], "the other workers stay");
+}
+
+// Guards against a guaranteed batch that waits behind borrowers, and against stopping half a gang.
+Test(Reclaim, stops_the_cheapest_whole_borrowers_for_guaranteed_work)
+{
+  ClusterFake fake(8);
+  fake.AddAccount("owner", { RackOf(4) });
+  fake.AddAccount("other");
+  fake.Submit("other", 8, 8);
+  fake.Step();
+  const auto job = fake.Submit("owner", 4, 8, Adjacency::Rack).mJob;
+  const auto plan = fake.Step();
+  cr_assert_eq(fake.Waits(plan, job)->mReason, WaitReason::WaitingForReclaim);
+  cr_assert_eq(plan.mReclaims.size(), 1U);
+  cr_assert_eq(plan.mReclaims[0].mForJob, job);
+  fake.Step();
+  cr_assert(fake.Runs(job));
+  cr_assert_eq(fake.mClass[job], CapacityClass::Guaranteed);
+}
+
+// Guards against lending to work that could not be taken back.
+Test(Reclaim, keeps_uninterruptible_work_off_capacity_assigned_to_others)
+{
+  ClusterFake fake(8);
+  fake.AddAccount("owner", { RackOf(6) });
+  fake.AddAccount("other");
+  auto& job = fake.Submit("other", 3, 8);
+  job.mIdempotent = false;
+  const auto id = job.mJob;
+  cr_assert_eq(fake.Waits(fake.Step(), id)->mReason, WaitReason::NoCapacityNow);
+  auto& small = fake.Submit("other", 2, 8);
+  small.mIdempotent = false;
+  const auto smallId = small.mJob;
+  fake.Step();
+  cr_assert(fake.Runs(smallId), "capacity that is assigned to nobody is used");
+}
+
+// Guards against needless reclaims.
+Test(Borrowing, uses_capacity_assigned_to_nobody_first)
+{
+  ClusterFake fake(16);
+  fake.AddAccount("owner", { RackOf(8) });
+  fake.AddAccount("other");
+  fake.Submit("other", 8, 8);
+  fake.Step();
+  const auto job = fake.Submit("owner", 8, 8, Adjacency::Rack).mJob;
+  const auto plan = fake.Step();
+  cr_assert(plan.mReclaims.empty());
+  cr_assert(fake.Runs(job));
+}
+
+// Guards against one account taking all free capacity, and against its head blocking others.
+Test(FairShare, divides_free_capacity_by_weight_and_passes_blocked_heads)
+{
+  ClusterFake fake(8);
+  fake.AddAccount("a").mWeight = 3;
+  fake.AddAccount("b");
+  fake.Submit("a", 1, 8).mIdempotent = true;
+  for (int i = 0; i < 20; ++i) {
+    fake.Submit("a", 1, 4);
+    fake.Submit("b", 1, 4);
+  }
+  fake.Step();
+  const auto ofB = std::ranges::count_if(
+    fake.mRunning, [](const auto& aJob) { return aJob.second.mAccount == AccountId("b"); });
+  cr_assert(ofB >= 3 && ofB <= 5, "b has a quarter of 16 places, got %d", static_cast<int>(ofB));
+}
+
+Test(FairShare, applies_quotas_and_refuses_what_exceeds_them_alone)
+{
+  ClusterFake fake(8);
+  fake.AddAccount("a").mQuota = { Slots(0), Accelerators(16), Cores(0), MemoryMiB(0) };
+  const auto first = fake.Submit("a", 1, 8).mJob;
+  const auto second = fake.Submit("a", 2, 8).mJob;
+  fake.Submit("a", 3, 8);
+  const auto plan = fake.Step();
+  cr_assert(fake.Runs(first));
+  cr_assert_eq(fake.Waits(plan, second)->mReason, WaitReason::OverQuota);
+  cr_assert_eq(plan.mRefused.size(), 1U);
+  cr_assert_eq(plan.mRefused[0].mReason, RefusalReason::LargerThanQuota);
+}
+
+// Guards against a large batch that small jobs starve, and against trust in estimates.
+Test(Reservation, starts_the_large_job_and_reclaims_backfill_that_overruns)
+{
+  ClusterFake fake(8);
+  fake.AddAccount("a");
+  fake.AddAccount("b");
+  std::vector<JobId> running;
+  for (int i = 0; i < 8; ++i) {
+    auto& job = fake.Submit("a", 1, 8);
+    job.mEstimate = std::chrono::minutes(5);
+    running.push_back(job.mJob);
+  }
+  fake.Step();
+  const auto large = fake.Submit("b", 8, 8, Adjacency::Rack).mJob;
+  fake.Step();
+  fake.Finish(running[0]);
+  auto& tooLong = fake.Submit("a", 1, 8);
+  tooLong.mEstimate = std::chrono::hours(1);
+  const auto tooLongId = tooLong.mJob;
+  auto& backfill = fake.Submit("a", 1, 8);
+  backfill.mEstimate = std::chrono::minutes(1);
+  const auto backfillId = backfill.mJob;
+  const auto plan = fake.Step();
+  cr_assert_eq(fake.Waits(plan, tooLongId)->mReason, WaitReason::ReservedForLargerJob);
+  cr_assert(fake.Runs(backfillId));
+  for (int i = 1; i < 8; ++i) {
+    fake.Finish(running[i]);
+  }
+  fake.Step();
+  fake.Step();
+  cr_assert(fake.Runs(large));
+}
+
+// Guards against a reservation that holds capacity for a job that can't complete.
+Test(Reservation, ends_when_its_capacity_can_not_be_freed)
+{
+  ClusterFake fake(8);
+  fake.AddAccount("a");
+  fake.AddAccount("b");
+  const auto blocker = fake.Submit("b", 8, 4, Adjacency::Rack).mJob;
+  fake.Step();
+  fake.Submit("b", 8, 8, Adjacency::Rack);
+  fake.Step();
+  cr_assert(fake.mState.mReservation.has_value());
+  const auto small = fake.Submit("a", 1, 4).mJob;
+  fake.Step();
+  cr_assert_not(fake.Runs(small));
+  fake.mSnapshot.mNow += std::chrono::minutes(16);
+  fake.Step();
+  fake.Step();
+  cr_assert(fake.Runs(small));
+  cr_assert(fake.Runs(blocker));
+}
+
+// Guards against late urgent work when all capacity is lent.
+Test(Urgent, goes_first_and_reclaims_from_accounts_with_a_higher_share)
+{
+  ClusterFake fake(4);
+  fake.AddAccount("a");
+  fake.AddAccount("b");
+  for (int i = 0; i < 4; ++i) {
+    fake.Submit("a", 1, 8);
+  }
+  fake.Step();
+  fake.Submit("b", 1, 8);
+  auto& job = fake.Submit("b", 1, 8);
+  job.mUrgent = true;
+  const auto id = job.mJob;
+  const auto plan = fake.Step();
+  cr_assert_eq(plan.mReclaims.size(), 1U);
+  cr_assert_eq(plan.mReclaims[0].mReason, ReclaimReason::Urgent);
+  fake.Step();
+  cr_assert(fake.Runs(id));
+}
+
+// Guards against jobs that wait forever, and against refusals by a planner that has just started.
+Test(Refusal, covers_impossible_shapes_only_when_all_workers_are_known)
+{
+  ClusterFake fake(8, 4);
+  fake.AddAccount("a");
+  const auto id = fake.Submit("a", 5, 8, Adjacency::Rack).mJob;
+  fake.mSnapshot.mComplete = false;
+  cr_assert_eq(fake.Waits(fake.Step(), id)->mReason, WaitReason::NoCapacityNow);
+  fake.mSnapshot.mComplete = true;
+  const auto plan = fake.Step();
+  cr_assert_eq(plan.mRefused.size(), 1U);
+  cr_assert_eq(plan.mRefused[0].mReason, RefusalReason::CanNeverRun);
+}
+
+// Guards against a worker that fails everything it is given, and a job that fails everywhere.
+Test(Quarantine, doubles_and_ends_jobs_after_three_workers)
+{
+  PlannerState state;
+  const WorkerId worker("w0");
+  const TimePoint start;
+  const auto fail = [&](int aRound, TimePoint aAt) {
+    for (int i = 0; i < 3; ++i) {
+      state.RecordFailure(worker, JobId(std::to_string(aRound * 3 + i)), Duration(100), aAt);
+    }
+  };
+  state.RecordFailure(worker, JobId("same"), Duration(100), start);
+  state.RecordFailure(worker, JobId("same"), Duration(100), start);
+  cr_assert_eq(state.Failures(worker), 1);
+  state.RecordSuccess(worker);
+  fail(0, start);
+  cr_assert(state.IsQuarantined(worker, start + std::chrono::seconds(59)));
+  cr_assert_not(state.IsQuarantined(worker, start + std::chrono::seconds(60)));
+  fail(1, start);
+  cr_assert(state.IsQuarantined(worker, start + std::chrono::seconds(119)));
+  for (int i = 2; i < 12; ++i) {
+    fail(i, start);
+  }
+  cr_assert_not(state.IsQuarantined(worker, start + std::chrono::hours(1)));
+
+  ClusterFake fake(8);
+  fake.AddAccount("a");
+  fake.Submit("a", 1, 8).mFailedWorkers = { WorkerId("w0"), WorkerId("w1"), WorkerId("w2") };
+  cr_assert_eq(fake.Step().mRefused[0].mReason, RefusalReason::FailedRepeatedly);
+}
+
+// Guards against new work on a leaving worker, and against a service that shrinks while it moves.
+Test(Leaving, moves_gangs_and_service_replicas)
+{
+  ClusterFake fake(4);
+  fake.AddAccount("a");
+  fake.mSnapshot.mServices.push_back({ ServiceId("s"), AccountId("a"), 8, Accelerators(1), true });
+  const auto job = fake.Submit("a", 2, 4).mJob;
+  fake.Step();
+  for (auto& worker : fake.mSnapshot.mWorkers) {
+    if (!worker.mLeases.empty()) {
+      worker.mHealth = WorkerHealth::Leaving;
+    }
+  }
+  for (int i = 0; i < 4; ++i) {
+    fake.Step();
+  }
+  cr_assert(fake.Runs(job));
+  std::int64_t slots = 0;
+  for (const auto& worker : fake.mSnapshot.mWorkers) {
+    cr_assert(worker.mHealth == WorkerHealth::Live || worker.mLeases.empty());
+    for (const auto& it : worker.mLeases) {
+      slots += it.mService.IsEmpty() ? 0 : it.mResources.mSlots.Value();
+    }
+  }
+  cr_assert_eq(slots, 8);
+}
+
+namespace {
+
+void
+RandomStep(ClusterFake& aFake, Random& aRandom)
+{
+  static const Adjacency kLevels[] = { Adjacency::Worker, Adjacency::Rack, Adjacency::Zone,
+                                       Adjacency::Region };
+  for (auto n = aRandom.Below(6); n > 0; --n) {
+    const auto level = kLevels[aRandom.Below(4)];
+    const int most = level == Adjacency::Worker ? 2 : 6;
+    auto& job = aFake.Submit("a" + std::to_string(aRandom.Below(4)),
+                             1 + static_cast<int>(aRandom.Below(most)),
+                             static_cast<int>(aRandom.Below(9)), level);
+    job.mIdempotent = aRandom.Below(4) != 0;
+    job.mUrgent = aRandom.Below(8) == 0;
+    job.mEstimate = std::chrono::seconds(aRandom.Below(600));
+  }
+  for (auto n = aRandom.Below(4); n > 0 && !aFake.mRunning.empty(); --n) {
+    aFake.Finish(std::next(aFake.mRunning.begin(),
+                           static_cast<std::ptrdiff_t>(aRandom.Below(aFake.mRunning.size())))
+                   ->first);
+  }
+  aFake.mSnapshot.mNow += std::chrono::seconds(aRandom.Below(300));
+  aFake.Step();
+}
+
+} // namespace
+
+// Guards against every way in which borrowing could make a guarantee void: whatever runs, a job of
+// the guaranteed shape is planned within one reclaim. The account that tests its guarantee has no
+// own work at that moment.
+Test(Invariants, hold_over_random_clusters_and_events, .timeout = 300)
+{
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
+    Random random(seed);
+    const int workers = 16 + 8 * static_cast<int>(random.Below(4));
+    ClusterFake fake(workers);
+    fake.AddAccount("a0", { RackOf(3 + static_cast<int>(random.Below(5))) });
+    fake.AddAccount("a1", { { "one", 2, 1, Accelerators(4), Adjacency::Worker, std::nullopt } });
+    fake.AddAccount("a2");
+    fake.AddAccount("a3").mWeight = 3;
+    fake.mSnapshot.mServices.push_back(
+      { ServiceId("s"), AccountId("a3"), 6, Accelerators(1), random.Below(2) == 0 });
+    cr_assert_not(CanPackAll(fake.mSnapshot.mWorkers, fake.mSnapshot.mAccounts).has_value());
+    for (int i = 0; i < 40; ++i) {
+      RandomStep(fake, random);
+    }
+    for (const auto& account : { 0, 1 }) {
+      const auto name = "a" + std::to_string(account);
+      std::erase_if(fake.mSnapshot.mJobs,
+                    [&](const auto& aJob) { return aJob.mAccount == AccountId(name); });
+      std::vector<JobId> own;
+      for (const auto& [id, job] : fake.mRunning) {
+        if (job.mAccount == AccountId(name)) {
+          own.push_back(id);
+        }
+      }
+      std::ranges::for_each(own, [&](const auto& aJob) { fake.Finish(aJob); });
+      const auto shape = fake.mSnapshot.mAccounts[account].mGuarantees[0];
+      const auto job =
+        fake
+          .Submit(name, shape.mWorkers, static_cast<int>(shape.mAcceleratorsPerWorker.Value()),
+                  shape.mAdjacency)
+          .mJob;
+      fake.Step();
+      fake.Step();
+      cr_assert(fake.Runs(job), "seed %llu: %s", static_cast<unsigned long long>(seed),
+                name.c_str());
+      cr_assert_eq(fake.mClass[job], CapacityClass::Guaranteed);
+    }
+  }
+}
+
+// Guards against plans that depend on addresses or hash order.
+Test(Invariants, same_input_gives_the_same_plan)
+{
+  ClusterFake fake(32);
+  fake.AddAccount("a0", { RackOf(6) });
+  for (int i = 1; i < 4; ++i) {
+    fake.AddAccount("a" + std::to_string(i));
+  }
+  Random random(5);
+  for (int i = 0; i < 20; ++i) {
+    RandomStep(fake, random);
+    auto left = fake.mState;
+    auto right = fake.mState;
+    const auto one = ComputePlan(fake.mSnapshot, left);
+    const auto copy = fake.mSnapshot;
+    const auto two = ComputePlan(copy, right);
+    cr_assert_eq(one.mStarts.size(), two.mStarts.size());
+    for (std::size_t k = 0; k < one.mStarts.size(); ++k) {
+      cr_assert(one.mStarts[k].mWorkers == two.mStarts[k].mWorkers);
+    }
+    cr_assert_eq(one.mReclaims.size(), two.mReclaims.size());
+  }
+}
--- /dev/null
+++ b/tests/placement/TraceTests.cpp
@@ -0,0 +1,49 @@
+#include "placement/TraceReplay.h"
+
+#include <criterion/criterion.h>
+
+using namespace lovagerock;
+using namespace lovagerock::placement;
+using namespace lovagerock::placement::tests;
+
+namespace {
+
+TraceResult
+ReplayFile(const std::string& aName)
+{
+  const auto trace = ReadTrace(std::string(TRACE_DIRECTORY) + "/" + aName);
+  cr_assert_not(trace.empty());
+  PlannerState state;
+  return Replay(
+    trace, [&](const ClusterSnapshot& aSnapshot) { return ComputePlan(aSnapshot, state); }, 1440);
+}
+
+void
+ExpectAllEnd(const TraceResult& aResult)
+{
+  for (const auto& [id, outcome] : aResult.mJobs) {
+    cr_assert(outcome.mEnded >= 0, "%s starved", id.Value().c_str());
+  }
+}
+
+} // namespace
+
+// Guards against the past failure in which a battery batch waited all night behind screen scans.
+Test(Trace, overnight_battery_batch_starts_within_an_hour)
+{
+  const auto result = ReplayFile("overnight.txt");
+  const auto& batch = result.mJobs.at(JobId("battery-0"));
+  cr_assert(batch.mStarted >= 0 && batch.mStarted <= batch.mArrived + 60, "started at %d",
+            batch.mStarted);
+  ExpectAllEnd(result);
+}
+
+// Guards against a late grade: scoring must end in the day although declared run times are wrong.
+Test(Trace, term_end_scoring_ends_in_the_day_and_no_account_starves)
+{
+  const auto result = ReplayFile("term-end.txt");
+  const auto& first = result.mJobs.at(JobId("scoring-0"));
+  cr_assert(first.mStarted >= 0 && first.mStarted <= first.mArrived + 90, "started at %d",
+            first.mStarted);
+  ExpectAllEnd(result);
+}
