Add the request path of the entry node

Ruled out: a timer per request (one shared timer wakes due requests); reading fetched answers through WorkerApi::FetchRequestAnswer, which gives no status and holds the whole answer in memory; trusting "unknown" of a worker without a check of its incarnation, because a restarted worker forgets what it ran.

Change: src/routing with the routing table, replica picker, admission queue, retry budget, claim store and resolver, router, request API and metrics.

Sanitizers and throughput have not been run at this commit.

--- /dev/null
+++ b/src/routing/KeptAnswers.cpp
@@ -0,0 +1,46 @@
+#include "routing/KeptAnswers.h"
+
+#include <utility>
+
+namespace lovagerock::routing {
+
+namespace detail {
+namespace {
+
+// Memory of an entry besides its body.
+constexpr std::size_t kEntryOverhead = 1024;
+
+std::size_t
+SizeOf(const KeptAnswers::Entry& aEntry)
+{
+  return aEntry.mAnswer.mResponse.mBody.size() + kEntryOverhead;
+}
+
+} // namespace
+} // namespace detail
+
+void
+KeptAnswers::Add(const std::string& aKey, Entry aEntry)
+{
+  const auto n = detail::SizeOf(aEntry);
+  if (!mEntries.emplace(aKey, std::move(aEntry)).second) {
+    return;
+  }
+  mBytes += n;
+  mOrder.push_back(aKey);
+  while (mBytes > kMaxBytes) {
+    const auto oldest = mEntries.find(mOrder.front());
+    mBytes -= detail::SizeOf(oldest->second);
+    mEntries.erase(oldest);
+    mOrder.pop_front();
+  }
+}
+
+const KeptAnswers::Entry*
+KeptAnswers::Find(const std::string& aKey) const
+{
+  const auto it = mEntries.find(aKey);
+  return it == mEntries.end() ? nullptr : &it->second;
+}
+
+} // namespace lovagerock::routing
--- /dev/null
+++ b/src/routing/RouteRequest.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "http/HttpMessage.h"
+
+#include <cstddef>
+#include <string>
+
+namespace lovagerock::routing {
+
+// A caller's request after its checks.
+struct RouteRequest
+{
+  RequestId mId;
+  AccountId mAccount;
+  ServiceId mService;
+  // Share of the account and bound of its queue for the service.
+  double mWeight = 1;
+  std::size_t mQueueLimit = 1000;
+  // The caller's idempotency key; empty for none.
+  std::string mKey;
+  bool mIdempotent = true;
+  Duration mTimeout{ 30000 };
+  // Header fields to pass on to the worker.
+  http::Headers mHeaders;
+  std::string mBody;
+};
+
+} // namespace lovagerock::routing
--- /dev/null
+++ b/src/routing/RouterRequests.h
@@ -0,0 +1,403 @@
+#pragma once
+
+// The life of a request in the Router: admission, retries, deadlines and the final answer.
+
+#include "routing/Router.h"
+
+#include <algorithm>
+
+namespace lovagerock::routing {
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+Router<S, T, W>::Router(EventLoop& aLoop, http::HttpClient& aClient, S& aStore, T& aTransport,
+                        W& aWorkers, Random& aRandom, RoutingMetrics& aMetrics,
+                        RouterOptions aOptions)
+  : mLoop(aLoop)
+  , mClient(aClient)
+  , mWorkers(aWorkers)
+  , mRandom(aRandom)
+  , mMetrics(aMetrics)
+  , mOptions(std::move(aOptions))
+  , mPicker(mTable, mOptions.mZone, aRandom)
+  , mBudget(Now())
+  , mClaims(aLoop, aStore)
+  , mResolver(aTransport, Guarded([this](const std::string& aKey, const std::string& aToken,
+                                         const typename ClaimResolver<T>::ReplyCallback& aReply) {
+                LookUp(aKey, aToken, aReply);
+              }))
+  , mWheel(aLoop, [this](RequestNumber aNumber) { OnWake(aNumber); })
+{
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Submit(RouteRequest aRequest, const http::Responder& aResponder)
+{
+  const Bytes size(static_cast<std::int64_t>(aRequest.mBody.size()));
+  // Not make_shared: a weak reference must not keep the memory of an ended request.
+  const TaskPtr task(
+    new RequestTask(++mLastNumber, std::move(aRequest), aResponder, Now())); // NOLINT
+  const auto& request = task->mRequest;
+  mTasks.emplace(task->mNumber, task);
+  mBuffered += size;
+  if (mDraining) {
+    Refuse(*task, { 503, "draining", "this node is stopping", Ran::No, true, Duration(1000) });
+    return;
+  }
+  if (mBuffered > mOptions.mMaxBuffered) {
+    Refuse(*task, { 503, "node_busy", "too many request bodies are held on this node", Ran::No,
+                    true, Duration(1000) });
+    return;
+  }
+  mBudget.AddRequest();
+  Schedule(*task, std::min(task->mDeadline, task->mStarted + mOptions.mProbeInterval));
+  if (!request.mKey.empty() && JoinByKey(*task)) {
+    return;
+  }
+  Enqueue(*task, true);
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::UpdateWorker(const workers::WorkerState& aState, const SocketAddress& aAddress,
+                              bool aSuspected)
+{
+  mTable.Update(aState, aAddress, aSuspected);
+  if (aSuspected || aState.mLeaving) {
+    mClient.CloseIdle(aAddress);
+  }
+  DispatchAll();
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::RemoveWorker(const WorkerId& aWorker)
+{
+  mTable.Remove(aWorker);
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::SetLiveNodes(int aCount)
+{
+  mTable.SetLiveNodes(aCount);
+  DispatchAll();
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Drain(std::function<void()> aCallback)
+{
+  mDraining = true;
+  mDrained = std::move(aCallback);
+  mDrainTimer = mLoop.Every(Duration(20), [this] { CheckDrained(); });
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::CheckDrained()
+{
+  if (!mTasks.empty()) {
+    return;
+  }
+  mDrainEnd = std::min(mDrainEnd, Now() + mOptions.mDrainLimit);
+  if (mClaims.Unsettled() > 0 && Now() < mDrainEnd) {
+    return;
+  }
+  LogEvent("requests_drained").With("unsettled_claims", std::to_string(mClaims.Unsettled()));
+  mDrainTimer.Cancel();
+  if (const auto callback = std::exchange(mDrained, nullptr)) {
+    callback();
+  }
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+typename Router<S, T, W>::TaskPtr
+Router<S, T, W>::Find(RequestNumber aNumber) const
+{
+  const auto it = mTasks.find(aNumber);
+  return it == mTasks.end() ? nullptr : it->second;
+}
+
+// True if another request with the key gives or gave the answer.
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+bool
+Router<S, T, W>::JoinByKey(RequestTask& aTask)
+{
+  const auto& request = aTask.mRequest;
+  aTask.mClaimKey =
+    mOptions.mClaimPrefix + request.mAccount.Value() + "/" + Sha256Hex(request.mKey);
+  aTask.mFingerprint = Sha256Hex(request.mService.Value() + "\n" + request.mBody);
+  const auto [it, isFirst] = mByKey.emplace(aTask.mClaimKey, aTask.mNumber);
+  const auto primary = isFirst ? nullptr : Find(it->second);
+  const auto* kept = isFirst && !request.mIdempotent ? mKept.Find(aTask.mClaimKey) : nullptr;
+  const auto& fingerprint = primary ? primary->mFingerprint
+                            : kept  ? kept->mFingerprint
+                                    : aTask.mFingerprint;
+  if (fingerprint != aTask.mFingerprint) {
+    Refuse(aTask, { 422, "key_reused", "the idempotency key belongs to a different request",
+                    Ran::No, false, Duration(0) });
+    return true;
+  }
+  if (primary) {
+    Join(aTask, *primary);
+  } else if (kept) {
+    Finish(aTask, kept->mAnswer);
+  }
+  return primary || kept;
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Join(RequestTask& aTask, RequestTask& aPrimary)
+{
+  LogEvent("request_joined")
+    .With("request", aTask.mRequest.mId)
+    .With("running", aPrimary.mRequest.mId);
+  aTask.SetState(RequestState::Claiming);
+  aTask.mMayHaveRun = true;
+  aPrimary.mJoiners.emplace_back([this, number = aTask.mNumber](const FinalAnswer& aFinal) {
+    if (const auto task = Find(number)) {
+      Finish(*task, aFinal);
+    }
+  });
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Enqueue(RequestTask& aTask, bool aIsNew)
+{
+  const auto& request = aTask.mRequest;
+  aTask.SetState(RequestState::Queued);
+  // A request that was accepted once isn't refused because the queue has filled up since.
+  const auto limit = aIsNew ? request.mQueueLimit : SIZE_MAX;
+  if (!mQueue.Push({ request.mAccount, request.mService, request.mIdempotent }, aTask.mNumber,
+                   request.mWeight, limit)) {
+    Refuse(aTask, { 429, "queue_full", "too many requests of the account wait for the service",
+                    Ran::No, true, Duration(1000) });
+    return;
+  }
+  Dispatch(request.mService);
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Dispatch(const ServiceId& aService)
+{
+  const auto now = Now();
+  for (;;) {
+    std::array<ReplicaPtr, 2> picked;
+    const auto number = mQueue.Pop(aService, [&](bool aIdempotent) {
+      auto& replica = picked[aIdempotent ? 1 : 0];
+      replica = mPicker.Pick(aService, aIdempotent, {}, now);
+      return replica != nullptr;
+    });
+    mMetrics.SetQueueLength(mQueue.Length());
+    if (!number) {
+      return;
+    }
+    const auto task = Find(*number);
+    if (!task) {
+      continue;
+    }
+    const bool idempotent = task->mRequest.mIdempotent;
+    auto replica = picked[idempotent ? 1 : 0];
+    if (replica->mHost->mWorker == task->mAvoid) {
+      replica = mPicker.Pick(aService, idempotent, task->mAvoid, now);
+    }
+    ReplicaPicker::Reserve(*replica);
+    task->mReplica = replica;
+    if (idempotent || task->mRequest.mKey.empty() || task->mClaimHeld) {
+      StartAttempt(*task);
+    } else {
+      StartClaim(*task);
+    }
+  }
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::DispatchAll()
+{
+  if (mQueue.Length() == 0) {
+    return;
+  }
+  for (const auto& it : mQueue.Services()) {
+    Dispatch(it);
+  }
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Schedule(RequestTask& aTask, TimePoint aTime)
+{
+  if (aTime < aTask.mNextWake) {
+    aTask.mNextWake = aTime;
+    mWheel.Add(aTime, aTask.mNumber);
+  }
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::OnWake(RequestNumber aNumber)
+{
+  const auto task = Find(aNumber);
+  const auto now = Now();
+  if (!task || now < task->mNextWake) {
+    return;
+  }
+  task->mNextWake = TimePoint::max();
+  if (now >= task->mDeadline) {
+    OnDeadline(*task);
+    return;
+  }
+  OnDue(*task, now);
+  if (task->State() == RequestState::Done) {
+    return;
+  }
+  auto next = now + mOptions.mProbeInterval;
+  if (task->IsAtWorker() && task->mLastActivity + mOptions.mProbeInterval > now) {
+    next = task->mLastActivity + mOptions.mProbeInterval;
+  }
+  Schedule(*task, std::min(task->mDeadline, next));
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::OnDue(RequestTask& aTask, TimePoint aNow)
+{
+  const bool due = aTask.mRetryAt != TimePoint() && aTask.mRetryAt <= aNow;
+  if (aTask.State() == RequestState::Queued) {
+    // An ejection may have ended without another event.
+    Dispatch(aTask.mRequest.mService);
+  } else if (aTask.State() == RequestState::Retrying && due) {
+    aTask.mRetryAt = {};
+    Enqueue(aTask, false);
+  } else if (aTask.State() == RequestState::Claiming && due) {
+    aTask.mRetryAt = {};
+    AskHolder(aTask);
+  } else if (aTask.IsAtWorker() && !aTask.mProbeOpen && !aTask.IsPaused() &&
+             aNow >= aTask.mLastActivity + mOptions.mProbeInterval) {
+    Probe(aTask);
+  }
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::OnDeadline(RequestTask& aTask)
+{
+  const bool atWorker = aTask.IsAtWorker();
+  if (atWorker) {
+    DropAtWorker(aTask);
+    CloseCall(aTask);
+  }
+  if (!atWorker && !aTask.mMayHaveRun) {
+    const bool queued = aTask.State() == RequestState::Queued;
+    Refuse(aTask,
+           { queued ? 503 : 504, queued ? "no_capacity" : "deadline_exceeded",
+             "the deadline passed before the request was run", Ran::No, true, Duration(1000) });
+    return;
+  }
+  Refuse(aTask, { 504, "deadline_exceeded", "the deadline passed before the answer was complete",
+                  Ran::Unknown, aTask.mRequest.mIdempotent, Duration(0) });
+}
+
+// Gives the attempt up and plans another one; aNotRun tells that the attempt is known not to run.
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Retry(RequestTask& aTask, std::string aReason, bool aNotRun)
+{
+  CloseCall(aTask);
+  if (aTask.mReplica) {
+    aTask.mAvoid = aTask.mReplica->mHost->mWorker;
+  }
+  ReleaseReplica(aTask);
+  aTask.mMayHaveRun = aTask.mMayHaveRun || !aNotRun;
+  const bool idempotent = aTask.mRequest.mIdempotent;
+  const auto ran = aTask.mMayHaveRun ? Ran::Unknown : Ran::No;
+  const auto now = Now();
+  const auto retryAt = now + RetryBudget::Backoff(aTask.mAttempt, mRandom);
+  if ((!idempotent && aTask.mMayHaveRun) || retryAt >= aTask.mDeadline || !mBudget.TakeRetry(now)) {
+    Refuse(aTask, { aNotRun ? 503 : 502, std::move(aReason),
+                    "the attempt at the worker failed and no other attempt is possible", ran,
+                    idempotent || ran == Ran::No, Duration(1000) });
+    return;
+  }
+  mMetrics.AddRetry(aTask.mRequest.mService);
+  aTask.ResetAnswer();
+  aTask.mRetryReason = std::move(aReason);
+  aTask.mRetryAt = retryAt;
+  aTask.SetState(RequestState::Retrying);
+  Schedule(aTask, retryAt);
+  DispatchAll();
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::ReleaseReplica(RequestTask& aTask)
+{
+  if (const auto replica = std::exchange(aTask.mReplica, nullptr)) {
+    ReplicaPicker::Release(*replica);
+  }
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Refuse(RequestTask& aTask, const Refusal& aRefusal)
+{
+  if (aTask.IsAnswerStarted()) {
+    aTask.AbortCaller();
+  }
+  Finish(aTask, { aRefusal.mError, RefusalResponse(aRefusal, aTask.mRequest.mId),
+                  aRefusal.mRan == Ran::No });
+}
+
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::Finish(RequestTask& aTask, FinalAnswer aFinal)
+{
+  const auto task = Find(aTask.mNumber);
+  if (!task) {
+    return;
+  }
+  if (task->State() == RequestState::Queued) {
+    const auto& request = task->mRequest;
+    mQueue.Remove({ request.mAccount, request.mService, request.mIdempotent }, task->mNumber);
+  }
+  task->SetState(RequestState::Done);
+  mTasks.erase(task->mNumber);
+  const auto byKey = mByKey.find(task->mClaimKey);
+  if (byKey != mByKey.end() && byKey->second == task->mNumber) {
+    mByKey.erase(byKey);
+  }
+  mBuffered -= Bytes(static_cast<std::int64_t>(task->mRequest.mBody.size()));
+  mMetrics.SetBufferedBytes(mBuffered);
+  const auto time = Now() - task->mStarted;
+  mMetrics.AddRequest(task->mRequest.mService, aFinal.mOutcome, time);
+  LogEvent("request_end")
+    .With("request", task->mRequest.mId)
+    .With("account", task->mRequest.mAccount)
+    .With("service", task->mRequest.mService)
+    .With("outcome", aFinal.mOutcome)
+    .With("status", std::to_string(aFinal.mResponse.mStatus))
+    .With("attempts", std::to_string(task->mAttempt))
+    .With("ms", std::to_string(std::chrono::duration_cast<Duration>(time).count()));
+  task->SendFinal(aFinal);
+  ReleaseReplica(*task);
+  const bool whole = aFinal.mOutcome != "answered" || task->IsAnswerKept();
+  SettleClaim(*task, aFinal, whole);
+  if (!whole) {
+    aFinal = { "answer_not_kept",
+               RefusalResponse({ 409, "answer_not_kept",
+                                 "the request was run and its answer is no longer held",
+                                 Ran::Unknown, false, Duration(0) },
+                               task->mRequest.mId),
+               false };
+  }
+  for (const auto& it : task->mJoiners) {
+    it(aFinal);
+  }
+  DispatchAll();
+}
+
+} // namespace lovagerock::routing
--- /dev/null
+++ b/tests/routing/ClaimTests.cpp
@@ -0,0 +1,175 @@
+#include "routing/RoutingFixture.h"
+
+using namespace lovagerock;
+using namespace lovagerock::routing;
+using namespace lovagerock::routing::test;
+
+namespace {
+
+std::string
+ClaimKey()
+{
+  return "lovagerock/claims/a/" + Sha256Hex("k");
+}
+
+std::optional<Claim>
+StoredClaim(Fixture& aFixture)
+{
+  std::optional<Claim> claim;
+  bool done = false;
+  aFixture.mStore.Get(ClaimKey(), [&](std::error_code, const std::optional<kv::Entry>& aEntry) {
+    claim = aEntry ? ReadClaim(aEntry->mValue) : std::nullopt;
+    done = true;
+  });
+  aFixture.Until([&] { return done; });
+  return claim;
+}
+
+// A claim of a node that no longer exists.
+Claim
+ForeignClaim(ClaimState aState)
+{
+  Claim claim;
+  claim.mState = aState;
+  claim.mToken = "foreign";
+  claim.mNode = NodeId("n9");
+  claim.mPeer = SocketAddress("127.0.0.1", 9);
+  claim.mFingerprint = Sha256Hex("s\nx");
+  return claim;
+}
+
+} // namespace
+
+Test(Claim, records_the_answer_for_other_nodes)
+{
+  Fixture f;
+  const auto first = f.Call(kKeyed);
+  while (StoredClaim(f)->mState != ClaimState::Done) {
+  }
+  // The holder is gone; another node answers from the record.
+  f.AddNode();
+  f.mNetwork.mHandlers.clear();
+  const auto second = f.Finish(f.Start(kKeyed, "x", "a", 1));
+  cr_assert_eq(second.mResponse.mBody, first.mResponse.mBody);
+  cr_assert_eq(f.Worker().mRequests.size(), 1);
+}
+
+// Guards against a request that is refused or run twice because the claim's answer was lost.
+Test(Claim, runs_once_when_the_answer_of_the_write_is_lost)
+{
+  Fixture f;
+  f.mStore.LoseAnswers(1);
+  cr_assert_eq(f.Call(kKeyed).mResponse.mStatus, 200);
+  cr_assert_eq(f.Worker().mRequests.size(), 1);
+}
+
+// Guards against sending without a claim, and against stopping requests that need none.
+Test(Claim, refuses_only_keyed_requests_while_the_store_is_down)
+{
+  Fixture f;
+  f.mStore.SetAvailable(false);
+  const auto keyed = f.Call(kKeyed);
+  cr_assert_eq(keyed.mResponse.mStatus, 503);
+  cr_assert_eq(keyed.Ran(), std::string("no"));
+  cr_assert(keyed.mResponse.mHeaders.Has("Retry-After"));
+  cr_assert_eq(f.Call(kOnce).mResponse.mStatus, 200);
+  cr_assert_eq(f.Call({}).mResponse.mStatus, 200);
+  f.mStore.SetAvailable(true);
+  cr_assert_eq(f.Call(kKeyed).mResponse.mStatus, 200);
+  cr_assert_eq(f.Worker().mRequests.size(), 3);
+}
+
+// Guards against a second run of a request whose holder died with the outcome.
+Test(Claim, answers_409_when_the_holder_is_gone)
+{
+  Fixture f;
+  f.mStore.Restore(ClaimKey(), WriteClaim(ForeignClaim(ClaimState::Claimed)), 1);
+  const auto outcome = f.Call(kKeyed);
+  cr_assert_eq(outcome.mResponse.mStatus, 409);
+  cr_assert_eq(outcome.Ran(), std::string("unknown"));
+  cr_assert(f.Worker().mRequests.empty());
+}
+
+Test(Claim, takes_a_released_claim_over)
+{
+  Fixture f;
+  f.mStore.Restore(ClaimKey(), WriteClaim(ForeignClaim(ClaimState::Released)), 1);
+  cr_assert_eq(f.Call(kKeyed).mResponse.mStatus, 200);
+}
+
+// Guards against a double run when a caller's retry reaches another node at the same time.
+Test(Claim, runs_once_when_two_nodes_get_the_same_key_at_once)
+{
+  Fixture f;
+  f.AddNode();
+  f.Worker().BeSilent();
+  f.Worker().mPhase = workers::RequestPhase::Running;
+  const auto first = f.Start(kKeyed);
+  const auto second = f.Start(kKeyed, "x", "a", 1);
+  f.Until([&] { return f.Worker().mHeld.size() == 1; });
+  const auto later = f.mLoop.After(Duration(200), [&] {
+    f.Worker().mHeld[0].Send({ 200, {}, "only once" });
+  });
+  cr_assert_eq(f.Finish(first).mResponse.mBody, std::string("only once"));
+  cr_assert_eq(f.Finish(second).mResponse.mBody, std::string("only once"));
+  cr_assert_eq(f.Worker().mRequests.size(), 1);
+}
+
+Test(Claim, joins_requests_with_the_same_key_on_one_node)
+{
+  Fixture f;
+  const auto first = f.Start(kKeyed);
+  const auto second = f.Start(kKeyed);
+  cr_assert_eq(f.Finish(first).mResponse.mBody, std::string("answer to x"));
+  cr_assert_eq(f.Finish(second).mResponse.mBody, std::string("answer to x"));
+  cr_assert_eq(f.Worker().mRequests.size(), 1);
+}
+
+// Guards against the answer of one request for another that reuses its key.
+Test(Claim, refuses_a_key_that_belongs_to_another_request)
+{
+  Fixture f;
+  f.AddNode();
+  f.Call(kKeyed, "x");
+  cr_assert_eq(f.Call(kKeyed, "y").mResponse.mStatus, 422);
+  cr_assert_eq(f.Finish(f.Start(kKeyed, "y", "a", 1)).mResponse.mStatus, 422);
+  cr_assert_eq(f.Worker().mRequests.size(), 1);
+}
+
+// Guards against a key that is blocked for ever by a request that was not run.
+Test(Claim, releases_the_claim_of_a_request_that_was_not_run)
+{
+  Fixture f;
+  f.Worker().mOnRequest = [](const http::Request&, const http::Responder& aResponder) {
+    aResponder.Send({ 503, { { "Not-Run", "true" } }, "" });
+  };
+  auto headers = kKeyed;
+  headers.Add("Deadline-Ms", "100");
+  const auto outcome = f.Call(headers);
+  cr_assert_eq(outcome.mResponse.mStatus, 503);
+  cr_assert_eq(outcome.Ran(), std::string("no"));
+  f.Worker().mOnRequest = [](const http::Request&, const http::Responder& aResponder) {
+    aResponder.Send({ 200, {}, "ran" });
+  };
+  f.AddNode();
+  cr_assert_eq(f.Finish(f.Start(kKeyed, "x", "a", 1)).mResponse.mBody, std::string("ran"));
+}
+
+// Guards against a write per claim, which the service can't carry.
+Test(Claim, batches_claims_and_settles_a_batch_that_fails_in_part)
+{
+  Fixture f;
+  f.Publish(*f.mNodes[0], 64, false);
+  f.mStore.Restore(ClaimKey(), WriteClaim(ForeignClaim(ClaimState::Claimed)), 1);
+  std::vector<OutcomePtr> outcomes;
+  for (int i = 0; i < 40; ++i) {
+    outcomes.push_back(f.Start(
+      { { "Idempotent", "false" }, { "Idempotency-Key", i == 20 ? "k" : std::to_string(i) } }));
+  }
+  int answered = 0;
+  for (const auto& it : outcomes) {
+    answered += f.Finish(it).mResponse.mStatus == 200 ? 1 : 0;
+  }
+  cr_assert_eq(answered, 39);
+  cr_assert_eq(f.Worker().mRequests.size(), 39);
+}
