--- a/src/routing/AdmissionQueue.cpp
+++ b/src/routing/AdmissionQueue.cpp
@@ -83,7 +83,7 @@
   std::vector<ServiceId> services;
   for (const auto& [id, service] : mServices) {
     if (std::any_of(service.mAccounts.begin(), service.mAccounts.end(),
-                    [](const auto& it) { return it.second.Length() > 0; })) {
+                    [](const auto& aItem) { return aItem.second.Length() > 0; })) {
       services.push_back(id);
     }
   }
--- a/src/routing/AdmissionQueue.h
+++ b/src/routing/AdmissionQueue.h
@@ -6,9 +6,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace lovagerock::routing {
@@ -57,11 +57,11 @@
   };
   struct ServiceQueue
   {
-    std::map<AccountId, AccountQueue> mAccounts;
+    std::unordered_map<AccountId, AccountQueue> mAccounts;
     double mVirtualTime = 0;
   };
 
-  std::map<ServiceId, ServiceQueue> mServices;
+  std::unordered_map<ServiceId, ServiceQueue> mServices;
   std::size_t mLength = 0;
 };
 
--- a/src/routing/ClaimBatcher.h
+++ b/src/routing/ClaimBatcher.h
@@ -42,7 +42,7 @@
   {
     // Two operations on one key in one transaction would fail together.
     if (std::any_of(mPending.begin(), mPending.end(),
-                    [&](const Item& it) { return it.mOperation.mKey == aOperation.mKey; })) {
+                    [&](const Item& aItem) { return aItem.mOperation.mKey == aOperation.mKey; })) {
       Flush();
     }
     mPending.push_back({ std::move(aOperation), std::move(aCallback) });
--- a/src/routing/RouterRequests.h
+++ b/src/routing/RouterRequests.h
@@ -44,7 +44,7 @@
     Refuse(*task, { 503, "draining", "this node is stopping", Ran::No, true, Duration(1000) });
     return;
   }
-  if (mBuffered > mOptions.mMaxBuffered) {
+  if (mBuffered.Value() > mOptions.mMaxBuffered.Value()) {
     Refuse(*task, { 503, "node_busy", "too many request bodies are held on this node", Ran::No,
                     true, Duration(1000) });
     return;
--- a/src/routing/RoutingTable.cpp
+++ b/src/routing/RoutingTable.cpp
@@ -63,16 +63,17 @@
 std::size_t
 RoutingTable::HostCount() const
 {
-  return static_cast<std::size_t>(std::count_if(
-    mWorkers.begin(), mWorkers.end(), [](const auto& it) { return !it.second.mReplicas.empty(); }));
+  return static_cast<std::size_t>(
+    std::count_if(mWorkers.begin(), mWorkers.end(),
+                  [](const auto& aItem) { return !aItem.second.mReplicas.empty(); }));
 }
 
 std::size_t
 RoutingTable::EjectedCount(TimePoint aNow) const
 {
   return static_cast<std::size_t>(
-    std::count_if(mWorkers.begin(), mWorkers.end(), [aNow](const auto& it) {
-      return !it.second.mReplicas.empty() && it.second.mHost->mEjectedUntil > aNow;
+    std::count_if(mWorkers.begin(), mWorkers.end(), [aNow](const auto& aItem) {
+      return !aItem.second.mReplicas.empty() && aItem.second.mHost->mEjectedUntil > aNow;
     }));
 }
 
--- a/tests/routing/AdmissionTests.cpp
+++ b/tests/routing/AdmissionTests.cpp
@@ -33,6 +33,7 @@
   f.Worker().BeSilent();
   f.Worker().mPhase = workers::RequestPhase::Running;
   std::vector<OutcomePtr> accepted;
+  accepted.reserve(3);
   for (int i = 0; i < 3; ++i) {
     accepted.push_back(f.Start({}));
     f.Until([&] { return f.Router().ActiveRequests() == accepted.size(); });
--- a/tests/routing/ClaimTests.cpp
+++ b/tests/routing/ClaimTests.cpp
@@ -162,6 +162,7 @@
   f.Publish(*f.mNodes[0], 64, false);
   f.mStore.Restore(ClaimKey(), WriteClaim(ForeignClaim(ClaimState::Claimed)), 1);
   std::vector<OutcomePtr> outcomes;
+  outcomes.reserve(40);
   for (int i = 0; i < 40; ++i) {
     outcomes.push_back(f.Start(
       { { "Idempotent", "false" }, { "Idempotency-Key", i == 20 ? "k" : std::to_string(i) } }));
--- a/tests/routing/RoutingFixture.h
+++ b/tests/routing/RoutingFixture.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <system_error>
+#include <unordered_map>
 #include <vector>
 
 namespace lovagerock::routing::test {
@@ -127,7 +128,7 @@
 struct TestNetwork
 {
   EventLoop& mLoop;
-  std::map<SocketAddress, std::map<std::string, peer::CallHandler>> mHandlers;
+  std::unordered_map<SocketAddress, std::map<std::string, peer::CallHandler>> mHandlers;
 };
 
 struct TestTransport
