Add the transport between nodes over HTTP/2

Cause: membership, configuration and claims need calls between entry nodes that tell a call that was not sent from one whose outcome is unknown, and that find silent connections. Ruled out: one connection for both directions of a pair, because HTTP/2 lets only the client open streams; resetting the PING count on any received byte, because a connection that is dead in one direction would stay open.

--- /dev/null
+++ b/src/peer/PeerListener.cpp
@@ -0,0 +1,130 @@
+#include "peer/PeerListener.h"
+
+#include "peer/Cbor.h"
+#include "peer/PeerError.h"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <unistd.h>
+#include <utility>
+
+namespace lovagerock::peer {
+
+namespace detail {
+namespace {
+
+// Far above the number of nodes; bounds what strangers can open.
+constexpr std::size_t kMaxConnections = 256;
+constexpr int kBacklog = 128;
+
+void
+OnAccept(evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aUser)
+{
+  static_cast<PeerListener*>(aUser)->Accept(static_cast<int>(aSocket));
+}
+
+// Answers at most once, and not at all once the connection is gone.
+ReplyFunction
+MakeReply(const std::shared_ptr<Http2Connection>& aConnection, std::int32_t aStream, Bytes aMaxBody)
+{
+  return [weak = std::weak_ptr(aConnection), aStream, aMaxBody,
+          done = std::make_shared<bool>(false)](const Json& aAnswer) {
+    const auto connection = weak.lock();
+    if (!connection || std::exchange(*done, true)) {
+      return;
+    }
+    auto body = EncodeCbor(aAnswer);
+    const bool fits = body.size() <= static_cast<std::size_t>(aMaxBody.Value());
+    connection->SendAnswer(aStream, fits ? 200 : 500, fits ? std::move(body) : std::string());
+  };
+}
+
+} // namespace
+} // namespace detail
+
+PeerListener::PeerListener(EventLoop& aLoop, const PeerSettings& aSettings, PeerCounters& aCounters)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mCounters(aCounters)
+{
+}
+
+PeerListener::~PeerListener()
+{
+  if (mListener) {
+    evconnlistener_free(mListener);
+  }
+}
+
+std::error_code
+PeerListener::Listen(const SocketAddress& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.Port());
+  inet_pton(AF_INET, aAddress.Ip().c_str(), &address.sin_addr);
+  mListener = evconnlistener_new_bind(mLoop.Base(), detail::OnAccept, this,
+                                      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, detail::kBacklog,
+                                      reinterpret_cast<sockaddr*>(&address), sizeof address);
+  if (!mListener) {
+    return PeerError::ListenFailed;
+  }
+  socklen_t n = sizeof address;
+  getsockname(evconnlistener_get_fd(mListener), reinterpret_cast<sockaddr*>(&address), &n);
+  mAddress = SocketAddress(aAddress.Ip(), ntohs(address.sin_port));
+  return {};
+}
+
+void
+PeerListener::Handle(const std::string& aMethod, CallHandler aHandler)
+{
+  mHandlers["/" + aMethod] = std::move(aHandler);
+}
+
+void
+PeerListener::Accept(int aSocket)
+{
+  if (mConnections.size() >= detail::kMaxConnections) {
+    close(aSocket);
+    return;
+  }
+  const auto id = mNextConnection++;
+  auto* buf = bufferevent_socket_new(mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+  Http2Events events;
+  events.mOnConnected = [] {};
+  events.mOnMessage = [this, id](std::int32_t aStream, const Http2Message& aMessage) {
+    OnCall(id, aStream, aMessage);
+  };
+  events.mOnStreamLost = [](std::int32_t, bool) {};
+  events.mOnClosed = [this, id] { mConnections.erase(id); };
+  auto connection = std::make_shared<Http2Connection>(mLoop, Http2Connection::Role::Server, buf,
+                                                      mSettings, mCounters, std::move(events));
+  mConnections[id] = connection;
+  connection->Start(true);
+}
+
+void
+PeerListener::OnCall(std::uint64_t aConnection, std::int32_t aStream, const Http2Message& aMessage)
+{
+  const auto it = mConnections.find(aConnection);
+  if (it == mConnections.end()) {
+    return;
+  }
+  const auto connection = it->second;
+  auto body = DecodeCbor(aMessage.mBody);
+  if (!body) {
+    connection->Close("malformed_body");
+    return;
+  }
+  const auto handler = mHandlers.find(aMessage.mPath);
+  if (handler == mHandlers.end()) {
+    connection->SendAnswer(aStream, 404, {});
+    return;
+  }
+  handler->second(std::move(*body), detail::MakeReply(connection, aStream, mSettings.mMaxBody));
+}
+
+} // namespace lovagerock::peer
