Add the VM list reader, the membership and rendezvous hashing

Cause: the planner role, configuration and claims need to know which entry nodes are live, and a node that was paused must not act on what it knew before. Ruled out: ending the doubt after a pause by any heartbeat received, because heartbeats sent during the pause wait in the socket; taking the VM list's "leaving" for entry nodes, because the list lags and heartbeats say it at once. Change: VmList, MemberTable (rules, with the time given by the caller), Membership<Transport> (heartbeats, payloads, notifications, OwnerOf) and RendezvousOwner. Conclusion: modules can read members and owners and add payloads to heartbeat answers.

--- /dev/null
+++ b/src/membership/VmList.cpp
@@ -0,0 +1,95 @@
+#include "membership/VmList.h"
+
+#include "base/Json.h"
+#include "base/LogEvent.h"
+
+#include <utility>
+
+namespace lovagerock::membership {
+
+namespace detail {
+namespace {
+
+void
+ReadGroup(const Json& aGroup, std::vector<Vm>& aVms)
+{
+  const auto labels = JsonValue(aGroup, "labels", Json::object());
+  const auto role = JsonValue(labels, "role", std::string());
+  if (role != "entry" && role != "worker") {
+    return;
+  }
+  Vm vm;
+  vm.mRole = role == "entry" ? Vm::Role::Entry : Vm::Role::Worker;
+  vm.mLeaving = JsonValue(labels, "state", std::string()) == "leaving";
+  vm.mZone = ZoneId(JsonValue(labels, "zone", std::string()));
+  vm.mRegion = RegionId(JsonValue(labels, "region", std::string()));
+  vm.mName = JsonValue(labels, "node", std::string());
+  for (const auto& it : JsonValue(aGroup, "targets", std::vector<std::string>())) {
+    if (auto address = SocketAddress::Parse(it)) {
+      vm.mAddress = std::move(*address);
+      aVms.push_back(vm);
+    }
+  }
+}
+
+} // namespace
+} // namespace detail
+
+std::optional<std::vector<Vm>>
+ParseVmList(std::string_view aText)
+{
+  const auto json = ParseJson(aText);
+  if (!json || !json->is_array()) {
+    return std::nullopt;
+  }
+  std::vector<Vm> vms;
+  for (const auto& it : *json) {
+    detail::ReadGroup(it, vms);
+  }
+  return vms;
+}
+
+VmList::VmList(EventLoop& aLoop, const VmListSettings& aSettings, ReadCallback aOnRead)
+  : mSettings(aSettings)
+  , mOnRead(std::move(aOnRead))
+  , mClient(aLoop)
+{
+  mTimer = aLoop.Every(mSettings.mPeriod, [this] { Read(); });
+  Read();
+}
+
+void
+VmList::Read()
+{
+  if (std::exchange(mReading, true)) {
+    return;
+  }
+  http::ClientRequest request;
+  request.mServer = mSettings.mServer;
+  request.mTarget = mSettings.mPath;
+  request.mDeadline = mSettings.mTimeout;
+  mClient.Send(request, [this](std::error_code aError, const http::Response& aResponse) {
+    mReading = false;
+    OnAnswer(aError, aResponse);
+  });
+}
+
+void
+VmList::OnAnswer(std::error_code aError, const http::Response& aResponse)
+{
+  auto vms = aError || aResponse.mStatus != 200 ? std::nullopt : ParseVmList(aResponse.mBody);
+  if (!vms) {
+    // Logged once per outage, because the list is read every second.
+    if (mFailures++ == 0) {
+      LogEvent("vm_list_unavailable", LogLevel::Warning)
+        .With("status", aResponse.mStatus)
+        .With("error", aError.message());
+    }
+    return;
+  }
+  mFailures = 0;
+  mVms = std::move(*vms);
+  mOnRead(mVms);
+}
+
+} // namespace lovagerock::membership
--- /dev/null
+++ b/tests/membership/MemberTableTests.cpp
@@ -0,0 +1,162 @@
+#include "membership/MemberTable.h"
+#include "membership/Rendezvous.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace lovagerock;
+using namespace lovagerock::membership;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+Member
+MakeMember(const std::string& aNode, std::uint16_t aPort, std::uint64_t aIncarnation = 1)
+{
+  Member member;
+  member.mNode = NodeId(aNode);
+  member.mIncarnation = aIncarnation;
+  member.mRegion = RegionId("east");
+  member.mAddress = SocketAddress("10.0.0.1", aPort);
+  return member;
+}
+
+Vm
+MakeVm(std::uint16_t aPort)
+{
+  Vm vm;
+  vm.mAddress = SocketAddress("10.0.0.1", aPort);
+  return vm;
+}
+
+MemberState
+StateOf(const MemberTable& aTable, const std::string& aNode, TimePoint aNow)
+{
+  for (const auto& it : aTable.Members(aNow)) {
+    if (it.mMember.mNode.Value() == aNode) {
+      return it.mState;
+    }
+  }
+  cr_assert_fail("no such member");
+  return MemberState::Suspected;
+}
+
+// Advances second by second, as a node that runs does.
+TimePoint
+RunFor(MemberTable& aTable, TimePoint aNow, int aSeconds)
+{
+  for (int i = 0; i < aSeconds; ++i) {
+    aNow += seconds(1);
+    aTable.Advance(aNow);
+  }
+  return aNow;
+}
+
+} // namespace
+
+// Guards against work for a dead member, and against members that stay known for ever.
+Test(MemberTable, suspects_a_silent_member_and_forgets_it_later)
+{
+  MemberTable table(MakeMember("a", 1), {}, kStart);
+  table.Hear(MakeMember("b", 2), kStart);
+  auto now = RunFor(table, kStart, 3);
+  cr_assert(StateOf(table, "b", now) == MemberState::Live);
+  now = RunFor(table, now, 1);
+  cr_assert(StateOf(table, "b", now) == MemberState::Suspected);
+  cr_assert_eq(table.LiveNodes({}, now), std::vector<NodeId>{ NodeId("a") });
+  cr_assert_eq(table.KnownCount(), 2);
+  RunFor(table, now, 60);
+  cr_assert_eq(table.KnownCount(), 1);
+}
+
+// Guards against a list that lags: it neither hides a member that was heard nor makes one live.
+Test(MemberTable, joins_the_list_with_the_members_heard)
+{
+  MemberTable table(MakeMember("a", 1), {}, kStart);
+  auto worker = MakeVm(9);
+  worker.mRole = Vm::Role::Worker;
+  table.SetVmList({ MakeVm(1), MakeVm(3), worker }, kStart);
+  table.Hear(MakeMember("b", 2), kStart);
+  cr_assert_eq(table.KnownCount(), 3);
+  cr_assert_eq(table.HeartbeatTargets().size(), 2);
+  cr_assert_eq(table.LiveNodes({}, kStart).size(), 2);
+  table.SetVmList({}, kStart);
+  cr_assert_eq(table.KnownCount(), 2);
+}
+
+// Guards against a late message of the old incarnation, and against a restarted node that counts
+// twice in a majority.
+Test(MemberTable, replaces_a_member_by_its_next_incarnation)
+{
+  MemberTable table(MakeMember("a", 1), {}, kStart);
+  auto old = MakeMember("b", 2, 5);
+  old.mLeaving = true;
+  table.Hear(old, kStart);
+  // An earlier heartbeat of the same incarnation arrives late.
+  table.Hear(MakeMember("b", 2, 5), kStart);
+  cr_assert(StateOf(table, "b", kStart) == MemberState::Leaving);
+  table.Hear(MakeMember("b", 2, 6), kStart);
+  cr_assert(StateOf(table, "b", kStart) == MemberState::Live);
+  table.Hear(old, kStart);
+  cr_assert(StateOf(table, "b", kStart) == MemberState::Live);
+  table.Hear(MakeMember("c", 2, 7), kStart);
+  cr_assert_eq(table.Members(kStart).size(), 2);
+}
+
+// Guards against a node that resumes and acts as owner on a view from before its pause, and
+// against answers that waited in a socket during the pause.
+Test(MemberTable, is_unsure_after_a_pause_until_a_fresh_answer)
+{
+  MemberTable table(MakeMember("a", 1), {}, kStart);
+  const auto peer = MakeMember("b", 2);
+  table.HearAnswer(peer, kStart, kStart);
+  cr_assert_not(table.IsUnsure());
+  const auto resumed = kStart + seconds(10);
+  table.Advance(resumed);
+  cr_assert(table.IsUnsure());
+  table.Hear(peer, resumed);
+  table.HearAnswer(peer, kStart + seconds(1), resumed);
+  cr_assert(table.IsUnsure());
+  RunFor(table, resumed, 10);
+  cr_assert(table.IsUnsure());
+  table.HearAnswer(peer, resumed + seconds(10), resumed + seconds(10));
+  cr_assert_not(table.IsUnsure());
+}
+
+// Guards against a node that can't start alone, and one that takes over before it heard others.
+Test(MemberTable, is_unsure_at_the_start_for_a_limited_time)
+{
+  MemberTable table(MakeMember("a", 1), {}, kStart);
+  table.SetVmList({ MakeVm(2) }, kStart);
+  cr_assert(table.IsUnsure());
+  RunFor(table, kStart, 4);
+  cr_assert_not(table.IsUnsure());
+  MemberTable alone(MakeMember("a", 1), {}, kStart);
+  alone.SetVmList({ MakeVm(1) }, kStart);
+  cr_assert_not(alone.IsUnsure());
+}
+
+// Guards against keys that all move when one node leaves, and against a node that owns far too
+// many of them.
+Test(Rendezvous, moves_only_the_keys_of_the_lost_node)
+{
+  std::vector<NodeId> nodes{ NodeId("a"), NodeId("b"), NodeId("c"), NodeId("d") };
+  const std::vector<NodeId> fewer{ NodeId("d"), NodeId("a"), NodeId("b") };
+  std::map<NodeId, int> owned;
+  for (int i = 0; i < 4000; ++i) {
+    const auto key = "key/" + std::to_string(i);
+    const auto owner = RendezvousOwner(key, nodes);
+    ++owned[owner];
+    if (owner != NodeId("c")) {
+      cr_assert_eq(RendezvousOwner(key, fewer), owner);
+    }
+  }
+  for (const auto& it : nodes) {
+    cr_assert_geq(owned[it], 800);
+  }
+  cr_assert(RendezvousOwner("key", {}).IsEmpty());
+}
--- /dev/null
+++ b/tests/membership/MembershipTests.cpp
@@ -0,0 +1,233 @@
+#include "base/EventLoop.h"
+#include "base/Random.h"
+#include "http/HttpServer.h"
+#include "membership/Membership.h"
+#include "membership/VmList.h"
+#include "peer/NghttpTransport.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace lovagerock;
+using namespace lovagerock::membership;
+using peer::NghttpTransport;
+
+namespace {
+
+// Shorter than the defaults, so that the tests don't wait for seconds.
+MembershipSettings
+ShortTimes()
+{
+  MembershipSettings settings;
+  settings.mHeartbeatPeriod = Duration(100);
+  settings.mLiveTimeout = Duration(500);
+  return settings;
+}
+
+// An entry node with its own transport.
+struct Node
+{
+  NghttpTransport mTransport;
+  std::unique_ptr<Membership<NghttpTransport>> mMembership;
+
+  Node(EventLoop& aLoop, Random& aRandom, const std::string& aNode, std::uint64_t aIncarnation = 1,
+       const SocketAddress& aAddress = { "127.0.0.1", 0 })
+    : mTransport(aLoop, aRandom)
+  {
+    cr_assert_not(mTransport.Listen(aAddress));
+    Member self;
+    self.mNode = NodeId(aNode);
+    self.mIncarnation = aIncarnation;
+    self.mRegion = RegionId("east");
+    self.mAddress = mTransport.Address();
+    mMembership =
+      std::make_unique<Membership<NghttpTransport>>(aLoop, mTransport, self, ShortTimes());
+  }
+
+  Vm ListEntry() const
+  {
+    Vm vm;
+    vm.mAddress = mTransport.Address();
+    return vm;
+  }
+
+  // Whether it sees the node in the state.
+  bool Sees(const std::string& aNode, MemberState aState, std::uint64_t aIncarnation = 1) const
+  {
+    for (const auto& it : mMembership->Members()) {
+      if (it.mMember.mNode.Value() == aNode) {
+        return it.mState == aState && it.mMember.mIncarnation == aIncarnation;
+      }
+    }
+    return false;
+  }
+};
+
+// Two nodes, of which only the first knows the other's address.
+struct Fixture
+{
+  EventLoop mLoop;
+  Random mRandom{ 1 };
+  std::unique_ptr<Node> mFirst = std::make_unique<Node>(mLoop, mRandom, "a");
+  std::unique_ptr<Node> mSecond = std::make_unique<Node>(mLoop, mRandom, "b");
+  Timer mLimit;
+
+  Fixture()
+  {
+    mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
+    mFirst->mMembership->SetVmList({ mFirst->ListEntry(), mSecond->ListEntry() });
+  }
+
+  void WaitUntil(const std::function<bool()>& aCondition)
+  {
+    const auto timer = mLoop.Every(Duration(5), [&] {
+      if (aCondition()) {
+        mLoop.Stop();
+      }
+    });
+    mLoop.Run();
+  }
+
+  void WaitUntilJoined()
+  {
+    WaitUntil([&] {
+      return mFirst->Sees("b", MemberState::Live) && mSecond->Sees("a", MemberState::Live) &&
+             !mFirst->mMembership->IsUnsure() && !mSecond->mMembership->IsUnsure();
+    });
+  }
+};
+
+} // namespace
+
+// Guards against a node that the list of the others does not show yet.
+Test(Membership, learns_members_from_heartbeats)
+{
+  Fixture f;
+  f.WaitUntilJoined();
+  cr_assert_eq(f.mSecond->mMembership->KnownCount(), 2);
+  f.WaitUntil([&] {
+    return f.mFirst->mMembership->OwnerOf("planner/east", RegionId("east")) ==
+           f.mSecond->mMembership->OwnerOf("planner/east", RegionId("east"));
+  });
+  cr_assert(f.mFirst->mMembership->OwnerOf("planner/west", RegionId("west")).IsEmpty());
+}
+
+// Guards against age arithmetic with the time of arrival, which would make an answer look fresher
+// than it is.
+Test(Membership, gives_payloads_with_the_time_of_the_request)
+{
+  Fixture f;
+  const auto start = std::chrono::steady_clock::now();
+  f.mSecond->mMembership->AddPayload(
+    "config", [] { return Json(7); }, [](const Member&, const Json&, TimePoint) {});
+  int version = 0;
+  f.mFirst->mMembership->AddPayload(
+    "config", [] { return Json(6); },
+    [&](const Member& aMember, const Json& aPayload, TimePoint aSent) {
+      cr_assert_eq(aMember.mNode, NodeId("b"));
+      cr_assert(aSent <= std::chrono::steady_clock::now());
+      cr_assert(aSent + Duration(1000) > start);
+      version = aPayload.get<int>();
+    });
+  f.WaitUntil([&] { return version == 7; });
+}
+
+// Guards against a leaving node that keeps the planner role until its next heartbeat.
+Test(Membership, tells_others_at_once_that_it_leaves)
+{
+  Fixture f;
+  f.WaitUntilJoined();
+  int changes = 0;
+  f.mSecond->mMembership->OnChange([&] { ++changes; });
+  f.mFirst->mMembership->SetLeaving();
+  f.WaitUntil([&] { return f.mSecond->Sees("a", MemberState::Leaving); });
+  f.WaitUntil([&] { return changes > 0; });
+  f.WaitUntil([&] { return f.mSecond->mMembership->OwnerOf("key") == NodeId("b"); });
+  f.WaitUntil([&] { return f.mFirst->mMembership->OwnerOf("key") == NodeId("b"); });
+}
+
+// Guards against a restart that is taken for the member that was there before.
+Test(Membership, suspects_a_stopped_node_and_sees_its_restart)
+{
+  Fixture f;
+  f.WaitUntilJoined();
+  const auto address = f.mSecond->mTransport.Address();
+  f.mSecond.reset();
+  f.WaitUntil([&] { return f.mFirst->Sees("b", MemberState::Suspected); });
+  cr_assert_eq(f.mFirst->mMembership->OwnerOf("key"), NodeId("a"));
+  f.mSecond = std::make_unique<Node>(f.mLoop, f.mRandom, "b", 2, address);
+  f.WaitUntil([&] { return f.mFirst->Sees("b", MemberState::Live, 2); });
+}
+
+// Guards against a resumed node that acts before its first timer has noticed the pause.
+Test(Membership, is_unsure_right_after_a_pause)
+{
+  Fixture f;
+  f.WaitUntilJoined();
+  std::this_thread::sleep_for(ShortTimes().mLiveTimeout + Duration(50));
+  cr_assert(f.mFirst->mMembership->IsUnsure());
+  f.WaitUntil([&] { return !f.mFirst->mMembership->IsUnsure(); });
+}
+
+// Guards against a malformed heartbeat that changes the members or stops the node.
+Test(Membership, ignores_malformed_heartbeats)
+{
+  Fixture f;
+  f.WaitUntilJoined();
+  Random random(2);
+  NghttpTransport stranger(f.mLoop, random);
+  int answers = 0;
+  for (const auto& it : { Json(1), Json::object(), Json{ { "node", 5 } },
+                          Json{ { "node", "c" }, { "state", "live" }, { "address", "x" } } }) {
+    stranger.Call(f.mFirst->mTransport.Address(), "heartbeat", it, Duration(30000),
+                  [&](std::error_code, const Json&) { ++answers; });
+  }
+  f.WaitUntil([&] { return answers == 4; });
+  cr_assert_eq(f.mFirst->mMembership->Members().size(), 2);
+}
+
+Test(VmList, reads_the_service_discovery_format)
+{
+  const auto vms = ParseVmList(R"([
+    {"targets":["10.0.0.1:7000","bad"],
+     "labels":{"role":"entry","state":"leaving","zone":"z","region":"r","node":"n1"}},
+    {"targets":["10.0.0.2:7000"],"labels":{"role":"worker","state":"live"}},
+    {"targets":["10.0.0.3:7000"],"labels":{"role":"database"}}, 5])");
+  cr_assert_eq(vms->size(), 2);
+  cr_assert((*vms)[0].mLeaving);
+  cr_assert_eq((*vms)[0].mName, std::string("n1"));
+  cr_assert((*vms)[1].mRole == Vm::Role::Worker);
+  cr_assert_not(ParseVmList("{}"));
+}
+
+// Guards against a failing list that takes all members away.
+Test(VmList, keeps_the_last_list_while_reading_fails)
+{
+  EventLoop loop;
+  const auto limit = loop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
+  http::HttpServer server(loop);
+  int reads = 0;
+  server.Handle(
+    http::Method::Get, "/v1/targets", [&](const http::Request&, const http::Responder& aResponder) {
+      const std::string list = R"([{"targets":["10.0.0.1:7000"],"labels":{"role":"entry"}}])";
+      ++reads;
+      aResponder.Send({ reads == 2 ? 500 : 200, {}, reads == 1 ? list : "[{" });
+    });
+  cr_assert_not(server.Listen(SocketAddress("127.0.0.1", 0)));
+  VmListSettings settings;
+  settings.mServer = server.Address();
+  settings.mPeriod = Duration(10);
+  VmList list(loop, settings, [](const std::vector<Vm>&) {});
+  const auto check = loop.Every(Duration(5), [&] {
+    if (list.Failures() >= 2) {
+      loop.Stop();
+    }
+  });
+  loop.Run();
+  cr_assert_eq(list.Vms().size(), 1);
+}
