--- a/src/config/Guarantee.h
+++ b/src/config/Guarantee.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/Adjacency.h"
 #include "base/Ids.h"
 #include "base/Units.h"
-#include "config/Adjacency.h"
 
 #include <optional>
 
--- a/src/placement/ClusterSnapshot.h
+++ b/src/placement/ClusterSnapshot.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/Adjacency.h"
 #include "base/Ids.h"
 #include "base/Resources.h"
 #include "base/Units.h"
-#include "placement/Adjacency.h"
 
 #include <optional>
 #include <string>
