--- a/src/cli/ApplyCommand.cpp
+++ b/src/cli/ApplyCommand.cpp
@@ -231,7 +231,7 @@
   for (const auto& it : JsonValue<Json>(result.mBody, "nodes", Json::array())) {
     // A leaving node takes no new work, so it needs no new configuration.
     if (JsonValue<std::string>(it, "state", "") != "leaving" &&
-        detail::VersionOf(it) < mAccepted.mVersion) {
+        detail::VersionOf(it).Value() < mAccepted.mVersion.Value()) {
       behind.push_back({ { "node", JsonValue<std::string>(it, "node", "") },
                          { "state", JsonValue<std::string>(it, "state", "") },
                          { "version", detail::VersionOf(it).Value() } });
--- a/src/config/CanonicalJson.cpp
+++ b/src/config/CanonicalJson.cpp
@@ -16,8 +16,9 @@
 void
 SortByName(std::vector<Entry>& aEntries)
 {
-  std::sort(aEntries.begin(), aEntries.end(),
-            [](const Entry& aLeft, const Entry& aRight) { return aLeft.mName < aRight.mName; });
+  std::sort(aEntries.begin(), aEntries.end(), [](const Entry& aLeft, const Entry& aRight) {
+    return aLeft.mName.Value() < aRight.mName.Value();
+  });
 }
 
 Json
@@ -79,7 +80,10 @@
   }
   detail::SortByName(aDocument.mServices);
   for (auto& it : aDocument.mServices) {
-    std::sort(it.mCallers.begin(), it.mCallers.end());
+    std::sort(it.mCallers.begin(), it.mCallers.end(),
+              [](const AccountId& aLeft, const AccountId& aRight) {
+                return aLeft.Value() < aRight.Value();
+              });
   }
 }
 
--- a/src/config/DocumentChecks.cpp
+++ b/src/config/DocumentChecks.cpp
@@ -55,7 +55,7 @@
     }
     total += guarantee.Total();
   }
-  if (total > aAccount.mQuota.mAccelerators) {
+  if (total.Value() > aAccount.mQuota.mAccelerators.Value()) {
     aProblems.Add(aPath + ".guarantees", "the guarantees need " + std::to_string(total.Value()) +
                                            " accelerators, above the account's quota of " +
                                            std::to_string(aAccount.mQuota.mAccelerators.Value()));
--- a/tests/config/CanonicalJsonTests.cpp
+++ b/tests/config/CanonicalJsonTests.cpp
@@ -63,6 +63,7 @@
   text.replace(text.find(", zone: karaganda"), 17, "");
   const auto changes = Diff(older, ReadValid(text));
   std::vector<std::string> lines;
+  lines.reserve(changes.size());
   for (const auto& it : changes) {
     lines.push_back(it.ToString().substr(0, 60));
   }
