--- a/src/placement/PlanContext.cpp
+++ b/src/placement/PlanContext.cpp
@@ -94,6 +94,7 @@
     domains[mModel.GetTopology().DomainOf(aLevel, it)].push_back(it);
   }
   std::vector<std::vector<int>> result;
+  result.reserve(domains.size());
   for (auto& it : domains) {
     result.push_back(std::move(it.second));
   }
