Mark three false reports of the linter in the base headers

Cause: clang-tidy 14 reports modernize-use-nullptr in the defaulted comparisons of SocketAddress, StrongId and StrongCount wherever a container or std::max compares them; scripts/lint.sh failed before the new modules came (src/base/Units.h:26). Ruled out: turning the check off, which would hide real reports; unordered containers, which would only hide it in one module. Change: NOLINT with the reason on these three lines; reserve() in MemberTable::Members. Measured: clang-tidy run on the units of src/peer, src/membership and their tests and on src/base/Resources.cpp: no report left. A whole scripts/lint.sh was not run after this change. Tests of base, http, kv, peer and membership: 5 runs each, all pass; the sanitizer build was not repeated. Conclusion: the linter's reports are real again.

--- a/src/base/SocketAddress.h
+++ b/src/base/SocketAddress.h
@@ -23,7 +23,8 @@
   std::uint16_t Port() const { return mPort; }
   std::string ToString() const;
 
-  auto operator<=>(const SocketAddress&) const = default;
+  // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+  auto operator<=>(const SocketAddress&) const = default; // NOLINT(modernize-use-nullptr)
 
 private:
   std::string mIp;
--- a/src/base/StrongId.h
+++ b/src/base/StrongId.h
@@ -23,7 +23,8 @@
   const std::string& Value() const { return mValue; }
   bool IsEmpty() const { return mValue.empty(); }
 
-  auto operator<=>(const StrongId&) const = default;
+  // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+  auto operator<=>(const StrongId&) const = default; // NOLINT(modernize-use-nullptr)
 
 private:
   std::string mValue;
--- a/src/base/Units.h
+++ b/src/base/Units.h
@@ -23,6 +23,8 @@
   }
 
   constexpr std::int64_t Value() const { return mValue; }
+  // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const StrongCount&) const = default;
 
   constexpr StrongCount& operator+=(StrongCount aOther)
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -110,6 +110,7 @@
     views[node] = { heard.mMember, StateOf(heard, aNow) };
   }
   std::vector<MemberView> members;
+  members.reserve(views.size());
   for (auto& it : views) {
     members.push_back(std::move(it.second));
   }
