Add the worker client and monitor, and stand-ins for workers and the VM list

Cause: placement, jobs and routing need the workers' states and commands, and integration tests need workers and a VM list that speak the published protocol. Ruled out: trusting the sequence alone after a restart, because a worker that restarts between two polls counts from a low sequence and its polls would stay without news for ever; remembering only that an id is refused, because a request that ran and was cancelled would be called not run. Change: JSON conversions, WorkerError, HttpWorkerApi and WorkerMonitor in src/workers; LeaseTable, RequestTable, TaskRunner, WorkerServer and the VM list in src/standin, with the programs lovagerock-worker and lovagerock-vmlist. The fault proxy is not part of this change. The VM list and the two programs' command lines have no tests yet. Conclusion: a worker that restarts between two polls is noticed within five quiet polls (about 10 s); one that restarts during a poll is noticed when the poll's connection closes.

--- /dev/null
+++ b/src/workers/WorkerMonitor.h
@@ -0,0 +1,253 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "base/LogEvent.h"
+#include "base/Mailbox.h"
+#include "base/Random.h"
+#include "workers/WorkerApi.h"
+#include "workers/WorkerView.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+namespace lovagerock::workers {
+
+// Times and limits of the polls.
+struct MonitorSettings
+{
+  // How long a worker holds a poll without news. An error that comes after it means that the poll
+  // was abandoned.
+  Duration mWait{ 2000 };
+  // Shortest time between two polls of a worker that has news; it merges bursts of changes.
+  Duration mPause{ 20 };
+  // First and longest delay after failures; the delay doubles in between.
+  Duration mFirstRetry{ 200 };
+  Duration mLongestRetry{ 2000 };
+  // Failed polls in a row that make a worker suspected.
+  int mFailureLimit = 2;
+  // Polls without news after which the whole state is read again. A worker that restarted between
+  // two polls counts from a low sequence and would otherwise seem unchanged.
+  int mQuietLimit = 5;
+};
+
+// Long-polls workers and sends one message per change of their views. Belongs to its loop. The
+// callbacks of the API must not run after the API's own end.
+template<WorkerApi Api>
+class WorkerMonitor
+{
+public:
+  using Listener = Mailbox<WorkerChange>::Address;
+
+  WorkerMonitor(EventLoop& aLoop, Api& aApi, Random& aRandom, Listener aListener,
+                const MonitorSettings& aSettings = {})
+    : mLoop(&aLoop)
+    , mApi(&aApi)
+    , mRandom(&aRandom)
+    , mListener(std::move(aListener))
+    , mSettings(aSettings)
+  {
+  }
+
+  // Takes the workers of the VM list. An unlisted worker is watched until its polls fail, because
+  // the list lags and may be wrong.
+  void SetWorkers(const std::vector<ListedWorker>& aWorkers)
+  {
+    for (auto& [address, entry] : mEntries) {
+      entry->mListed = false;
+    }
+    for (const auto& it : aWorkers) {
+      Apply(it);
+    }
+    std::vector<EntryPtr> unlisted;
+    for (const auto& [address, entry] : mEntries) {
+      if (!entry->mListed && entry->mView.mSuspected) {
+        unlisted.push_back(entry);
+      }
+    }
+    for (const auto& it : unlisted) {
+      Remove(it);
+    }
+  }
+
+  // The view of a worker; null if it isn't watched. Valid until the loop goes on.
+  const WorkerView* Find(const SocketAddress& aAddress) const
+  {
+    const auto it = mEntries.find(aAddress);
+    return it == mEntries.end() ? nullptr : &it->second->mView;
+  }
+
+  // All views, ordered by address.
+  std::vector<WorkerView> Views() const
+  {
+    std::vector<WorkerView> views;
+    views.reserve(mEntries.size());
+    for (const auto& [address, entry] : mEntries) {
+      views.push_back(entry->mView);
+    }
+    return views;
+  }
+
+private:
+  struct Entry
+  {
+    WorkerView mView;
+    std::uint64_t mSince = 0;
+    TimePoint mAsked;
+    int mFailures = 0;
+    int mQuiet = 0;
+    bool mListed = true;
+    Timer mNext;
+  };
+  using EntryPtr = std::shared_ptr<Entry>;
+
+  void Apply(const ListedWorker& aWorker)
+  {
+    auto& entry = mEntries[aWorker.mAddress];
+    if (!entry) {
+      entry = std::make_shared<Entry>();
+      entry->mView.mAddress = aWorker.mAddress;
+      entry->mView.mListedLeaving = aWorker.mLeaving;
+      Ask(entry);
+      return;
+    }
+    entry->mListed = true;
+    const auto before = entry->mView.Health();
+    entry->mView.mListedLeaving = aWorker.mLeaving;
+    ReportHealth(entry, before, "vm_list");
+  }
+
+  void Remove(EntryPtr aEntry)
+  {
+    mEntries.erase(aEntry->mView.mAddress);
+    LogEvent("worker_unwatched").With("address", aEntry->mView.mAddress.ToString());
+    mListener.Send({ WorkerChange::Kind::Removed, aEntry->mView });
+  }
+
+  void Ask(const EntryPtr& aEntry)
+  {
+    aEntry->mAsked = std::chrono::steady_clock::now();
+    mApi->Poll(aEntry->mView.mAddress, aEntry->mSince, mSettings.mWait,
+               [this, weak = std::weak_ptr<Entry>(aEntry)](std::error_code aError,
+                                                           std::optional<WorkerState> aState) {
+                 // The monitor owns the entries, so a live entry means a live monitor.
+                 if (const auto entry = weak.lock()) {
+                   OnPolled(entry, aError, std::move(aState));
+                 }
+               });
+  }
+
+  void AskLater(const EntryPtr& aEntry, Duration aDelay)
+  {
+    aEntry->mNext = mLoop->After(aDelay, [this, weak = std::weak_ptr<Entry>(aEntry)] {
+      if (const auto entry = weak.lock()) {
+        Ask(entry);
+      }
+    });
+  }
+
+  void OnPolled(const EntryPtr& aEntry, std::error_code aError, std::optional<WorkerState> aState)
+  {
+    if (aError) {
+      OnFailure(aEntry, aError);
+      return;
+    }
+    const auto before = aEntry->mView.Health();
+    aEntry->mFailures = 0;
+    aEntry->mView.mSuspected = false;
+    aEntry->mView.mHeard = std::chrono::steady_clock::now();
+    if (!aState) {
+      aEntry->mSince = ++aEntry->mQuiet >= mSettings.mQuietLimit ? 0 : aEntry->mSince;
+      ReportHealth(aEntry, before, "answered");
+      AskLater(aEntry, mSettings.mPause);
+      return;
+    }
+    aEntry->mQuiet = 0;
+    aEntry->mSince = aState->mSequence;
+    OnState(aEntry, before, std::move(*aState));
+    AskLater(aEntry, mSettings.mPause);
+  }
+
+  void OnState(const EntryPtr& aEntry, WorkerHealth aBefore, WorkerState aState)
+  {
+    const auto& old = aEntry->mView.mState;
+    const bool restarted = !old || old->mIncarnation != aState.mIncarnation;
+    if (!restarted && old->mSequence >= aState.mSequence) {
+      // Read again after failures or quiet polls, and unchanged.
+      ReportHealth(aEntry, aBefore, "answered");
+      return;
+    }
+    aEntry->mView.mState = std::make_shared<const WorkerState>(std::move(aState));
+    if (restarted) {
+      LogEvent("worker_started")
+        .With("worker", aEntry->mView.mState->mWorker)
+        .With("address", aEntry->mView.mAddress.ToString())
+        .With("incarnation", aEntry->mView.mState->mIncarnation);
+    }
+    if (aEntry->mView.Health() != aBefore) {
+      LogHealth(*aEntry, "state");
+    }
+    const auto kind = restarted ? WorkerChange::Kind::Restarted : WorkerChange::Kind::State;
+    mListener.Send({ kind, aEntry->mView });
+  }
+
+  void OnFailure(const EntryPtr& aEntry, std::error_code aError)
+  {
+    const auto before = aEntry->mView.Health();
+    const bool wasSuspected = aEntry->mView.mSuspected;
+    const bool abandoned = std::chrono::steady_clock::now() - aEntry->mAsked > mSettings.mWait;
+    ++aEntry->mFailures;
+    // The worker may have restarted, and then counts its changes anew.
+    aEntry->mSince = 0;
+    if (abandoned || aEntry->mFailures >= mSettings.mFailureLimit) {
+      aEntry->mView.mSuspected = true;
+    }
+    if (!aEntry->mListed && aEntry->mView.mSuspected) {
+      Remove(aEntry);
+      return;
+    }
+    if (aEntry->mView.mSuspected != wasSuspected) {
+      LogEvent("worker_poll_failed", LogLevel::Warning)
+        .With("address", aEntry->mView.mAddress.ToString())
+        .With("error", aError.message())
+        .With("abandoned", abandoned);
+    }
+    ReportHealth(aEntry, before, "poll_failed");
+    const int doublings = std::min(aEntry->mFailures - 1, 10);
+    AskLater(aEntry, mRandom->Jitter(std::min(mSettings.mFirstRetry * (1 << doublings),
+                                              mSettings.mLongestRetry)));
+  }
+
+  void ReportHealth(const EntryPtr& aEntry, WorkerHealth aBefore, const char* aReason)
+  {
+    if (aEntry->mView.Health() != aBefore) {
+      LogHealth(*aEntry, aReason);
+      mListener.Send({ WorkerChange::Kind::Health, aEntry->mView });
+    }
+  }
+
+  void LogHealth(const Entry& aEntry, const char* aReason) const
+  {
+    const auto health = aEntry.mView.Health();
+    LogEvent("worker_health")
+      .With("address", aEntry.mView.mAddress.ToString())
+      .With("worker", aEntry.mView.mState ? aEntry.mView.mState->mWorker : WorkerId())
+      .With("health", health == WorkerHealth::Live        ? "live"
+                      : health == WorkerHealth::Suspected ? "suspected"
+                                                          : "leaving")
+      .With("reason", aReason);
+  }
+
+  EventLoop* mLoop;
+  Api* mApi;
+  Random* mRandom;
+  Listener mListener;
+  MonitorSettings mSettings;
+  std::map<SocketAddress, EntryPtr> mEntries;
+};
+
+} // namespace lovagerock::workers
--- /dev/null
+++ b/tests/workers/WorkerTests.cpp
@@ -0,0 +1,184 @@
+#include "standin/worker/WorkerServer.h"
+#include "workers/HttpWorkerApi.h"
+#include "workers/WorkerMonitor.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace lovagerock;
+using namespace lovagerock::workers;
+
+namespace {
+
+// A stand-in worker, a client and a monitor on one loop.
+struct Fixture
+{
+  EventLoop mLoop;
+  Random mRandom{ 7 };
+  standin::Counters mCounters;
+  standin::TraceFile mTrace;
+  std::unique_ptr<standin::WorkerServer> mWorker;
+  http::HttpClient mClient{ mLoop };
+  HttpWorkerApi mApi{ mClient };
+  SocketAddress mAddress{ "127.0.0.1", 0 };
+  Fence mFence{ 1, NodeId("n") };
+  std::vector<WorkerChange> mChanges;
+  std::function<bool()> mUntil;
+  Mailbox<WorkerChange> mMailbox{ mLoop, [this](WorkerChange aChange) {
+                                   mChanges.push_back(std::move(aChange));
+                                   if (mUntil && mUntil()) {
+                                     mLoop.Stop();
+                                   }
+                                 } };
+  WorkerMonitor<HttpWorkerApi> mMonitor{ mLoop, mApi, mRandom, mMailbox.GetAddress() };
+  Timer mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
+
+  Fixture() { StartWorker("first"); }
+
+  void StartWorker(const char* aIncarnation)
+  {
+    standin::WorkerSettings settings;
+    settings.mWorker = WorkerId("w");
+    settings.mIncarnation = aIncarnation;
+    settings.mCapacity.mAccelerators = Accelerators(8);
+    mWorker = std::make_unique<standin::WorkerServer>(mLoop, settings, mCounters, mTrace);
+    cr_assert_not(mWorker->Listen(mAddress));
+    mAddress = mWorker->Address();
+  }
+  void Wait(std::function<bool()> aUntil)
+  {
+    mUntil = std::move(aUntil);
+    mLoop.Run();
+  }
+  LeaseRequest Lease(const char* aId) const
+  {
+    LeaseRequest request;
+    request.mLease = LeaseId(aId);
+    request.mFence = mFence;
+    request.mTtl = Duration(5000);
+    request.mResources.mAccelerators = Accelerators(8);
+    request.mPayload = R"({"answer":"42"})";
+    return request;
+  }
+  std::error_code Reserve(const LeaseRequest& aRequest)
+  {
+    std::error_code result;
+    mApi.Reserve(mAddress, aRequest, [&](std::error_code aError, const LeaseState&) {
+      result = aError;
+      mLoop.Stop();
+    });
+    mLoop.Run();
+    return result;
+  }
+  bool HasHealth(WorkerHealth aHealth) const
+  {
+    return !mChanges.empty() && mChanges.back().mView.Health() == aHealth;
+  }
+  void Post(const char* aFaults)
+  {
+    http::ClientRequest request;
+    request.mServer = mAddress;
+    request.mMethod = http::Method::Post;
+    request.mTarget = "/v1/faults";
+    request.mBody = aFaults;
+    mClient.Send(request, [](std::error_code, const http::Response&) {});
+  }
+};
+
+} // namespace
+
+Test(WorkerState, survives_the_wire)
+{
+  WorkerState state;
+  state.mWorker = WorkerId("w");
+  state.mFence = { 3, NodeId("n") };
+  state.mLeases.emplace_back();
+  state.mLeases.back().mPhase = LeasePhase::Stopping;
+  const auto read = ReadWorkerState(Json(state));
+  cr_assert(read && read->mFence == state.mFence);
+  cr_assert_eq(read->mLeases.at(0).mPhase, LeasePhase::Stopping);
+  Json broken = state;
+  broken["leases"][0].erase("phase");
+  cr_assert_not(ReadWorkerState(broken));
+}
+
+Test(HttpWorkerApi, runs_a_task_and_reads_its_answer)
+{
+  Fixture f;
+  cr_assert_not(f.Reserve(f.Lease("a")));
+  std::string result;
+  f.mApi.Start(f.mAddress, LeaseId("a"), f.mFence, Duration(5000), [&](std::error_code aError) {
+    cr_assert_not(aError);
+    f.mApi.FetchAnswer(f.mAddress, LeaseId("a"), [&](std::error_code, std::string aAnswer) {
+      result = std::move(aAnswer);
+      f.mLoop.Stop();
+    });
+  });
+  f.mLoop.Run();
+  cr_assert_eq(result, std::string("42"));
+}
+
+// Guards against taking one refusal for another: the reactions differ.
+Test(HttpWorkerApi, tells_refusals_and_unsent_calls_apart)
+{
+  Fixture f;
+  cr_assert_not(f.Reserve(f.Lease("a")));
+  cr_assert_eq(f.Reserve(f.Lease("b")), make_error_code(WorkerError::NoCapacity));
+  f.mFence.mEpoch = 0;
+  cr_assert_eq(f.Reserve(f.Lease("c")), make_error_code(WorkerError::Fenced));
+  f.mAddress = SocketAddress("127.0.0.1", 1);
+  cr_assert_eq(f.Reserve(f.Lease("d")), make_error_code(WorkerError::NotSent));
+}
+
+// Guards against a retry elsewhere of a command that took effect.
+Test(HttpWorkerApi, calls_the_outcome_unknown_when_the_answer_is_lost)
+{
+  Fixture f;
+  f.Post(R"({"lose_answers":1})");
+  const auto delay = f.mLoop.After(Duration(50), [&] { f.mLoop.Stop(); });
+  f.mLoop.Run();
+  cr_assert_eq(f.Reserve(f.Lease("a")), make_error_code(WorkerError::OutcomeUnknown));
+  cr_assert_not(f.Reserve(f.Lease("a")));
+}
+
+// Guards against new work for an endpoint that is leaving.
+Test(WorkerMonitor, reports_a_leaving_worker_from_either_source)
+{
+  Fixture f;
+  f.mMonitor.SetWorkers({ { f.mAddress, false } });
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Live); });
+  f.mMonitor.SetWorkers({ { f.mAddress, true } });
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Leaving); });
+  f.mMonitor.SetWorkers({ { f.mAddress, false } });
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Live); });
+  f.mWorker->SetLeaving();
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Leaving); });
+}
+
+// Guards against a restarted worker whose low sequence hides its state for ever.
+Test(WorkerMonitor, notices_a_restart)
+{
+  Fixture f;
+  f.mMonitor.SetWorkers({ { f.mAddress, false } });
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Live); });
+  f.mWorker.reset();
+  f.StartWorker("second");
+  f.Wait([&] {
+    const auto& last = f.mChanges.back();
+    return last.mKind == WorkerChange::Kind::Restarted &&
+           last.mView.mState->mIncarnation == "second";
+  });
+}
+
+// Guards against new work for a worker that accepts connections and never answers.
+Test(WorkerMonitor, suspects_a_silent_worker_until_it_answers)
+{
+  Fixture f;
+  f.mMonitor.SetWorkers({ { f.mAddress, false } });
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Live); });
+  f.Post(R"({"freeze":true})");
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Suspected); });
+  f.Post(R"({"freeze":false})");
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Live); });
+}
