--- a/src/jobs/GangStatus.cpp
+++ b/src/jobs/GangStatus.cpp
@@ -62,27 +62,31 @@
 }
 
 GangStatus
-ReadGangStatus(const JobRecord& aRecord, const WorkerViews& aViews, TimePoint aNow,
-               Duration aLeaseLimit)
+ReadGangStatus(const JobRecord& aRecord, const WorkerViews& aViews, GangObservation& aObservation,
+               const GangLimits& aLimits, TimePoint aNow)
 {
   GangStatus status;
   status.mTasks.resize(aRecord.mPlacements.size(), TaskStatus::Unknown);
   status.mCheckpoints = aRecord.mCheckpoints;
   status.mCheckpoints.resize(aRecord.mPlacements.size());
+  aObservation.mSeen.resize(aRecord.mPlacements.size(), false);
   for (std::size_t i = 0; i < aRecord.mPlacements.size(); ++i) {
     const auto it = aViews.find(aRecord.mPlacements[i].mWorker);
-    if (it == aViews.end() || !it->second.mState) {
-      continue;
+    const bool known = it != aViews.end() && it->second.mState;
+    const auto* lease =
+      known ? detail::FindLease(*it->second.mState, TaskLease(aRecord, static_cast<int>(i)))
+            : nullptr;
+    const auto heard = known ? it->second.mHeard : aObservation.mSince;
+    const bool silent = !known || it->second.mSuspected;
+    if (lease) {
+      aObservation.mSeen[i] = true;
+      status.mTasks[i] = detail::FromPhase(lease->mPhase);
     }
-    const auto& view = it->second;
-    const auto* lease = detail::FindLease(*view.mState, TaskLease(aRecord, static_cast<int>(i)));
-    if (view.mSuspected && aNow - view.mHeard > aLeaseLimit) {
+    if (silent && aNow - std::max(heard, aObservation.mSince) > aLimits.mSilent) {
+      status.mTasks[i] = TaskStatus::Lost;
+    } else if (!lease && !silent &&
+               (aObservation.mSeen[i] || aNow - aObservation.mSince > aLimits.mUnseen)) {
       status.mTasks[i] = TaskStatus::Lost;
-    } else if (!lease) {
-      // A silent worker may hold a lease that its last state doesn't show yet.
-      status.mTasks[i] = view.mSuspected ? TaskStatus::Unknown : TaskStatus::Lost;
-    } else {
-      status.mTasks[i] = detail::FromPhase(lease->mPhase);
     }
     if (lease && !lease->mCheckpoint.empty()) {
       status.mCheckpoints[i] = lease->mCheckpoint;
--- a/src/jobs/GangStatus.h
+++ b/src/jobs/GangStatus.h
@@ -43,10 +43,29 @@
   bool HasEnded() const;
 };
 
-// Reads the status of a record's current attempt from the workers' states. A silent worker's
-// lease counts as lost once it was silent for longer than aLeaseLimit.
+// What this planner has observed of an attempt so far.
+struct GangObservation
+{
+  // When the attempt was started or taken over.
+  TimePoint mSince;
+  // Whether the lease of each task was in a state of its worker since then.
+  std::vector<bool> mSeen;
+};
+
+// When a lease that can't be seen counts as lost.
+struct GangLimits
+{
+  // A worker's state may be older than the start of the attempt, so a lease that was never seen
+  // counts as lost only after this time.
+  Duration mUnseen{ 5000 };
+  // The lease of a silent worker counts as lost once it was silent for this time.
+  Duration mSilent{ 80000 };
+};
+
+// Reads the status of a record's current attempt from the workers' states, and notes the leases
+// that were seen.
 GangStatus
-ReadGangStatus(const JobRecord& aRecord, const WorkerViews& aViews, TimePoint aNow,
-               Duration aLeaseLimit);
+ReadGangStatus(const JobRecord& aRecord, const WorkerViews& aViews, GangObservation& aObservation,
+               const GangLimits& aLimits, TimePoint aNow);
 
 } // namespace lovagerock::jobs
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -100,6 +101,8 @@
     mPlanSoon.Cancel();
     mRetryTimer.Cancel();
     mRetries.clear();
+    mAttemptChecks.clear();
+    mReleased.clear();
     mJobs.clear();
     mState = {};
     LogEvent("planner_inactive").With("epoch", mFence.mEpoch).With("reason", aReason);
@@ -263,6 +266,7 @@
     job.mRecord = aRecord;
     job.mQueuedAt = queuedAt;
     job.mStartedAt = Now();
+    job.mObservation.mSince = Now();
     job.mReclaimable = aRecord.mSpec.mIdempotent;
     job.mAnswers.resize(static_cast<std::size_t>(aRecord.mSpec.mTasks));
     if (aRecord.mState == JobState::Started) {
@@ -317,10 +321,10 @@
 
   // --- gangs
 
-  Duration LeaseLimit() const
+  GangLimits Limits() const
   {
     // Allows for the difference between the last answer heard and the last renewal.
-    return mTimes.mGang.mRunningTtl + mTimes.mRenewPeriod;
+    return { mTimes.mGang.mStartTtl, mTimes.mGang.mRunningTtl + mTimes.mRenewPeriod };
   }
 
   void StartGang(const placement::GangStart& aStart)
@@ -381,6 +385,7 @@
         job->mRecord = std::move(aRecord);
         job->mPhase = JobPhase::Running;
         job->mStartedAt = Now();
+        job->mObservation = { Now(), {} };
         job->mAnswers.assign(job->mRecord.mPlacements.size(), std::nullopt);
         RenewGang(job->mRecord);
         CheckCancel(*job);
@@ -401,6 +406,7 @@
       case GangOutcome::StartFailed:
         job->mRecord = std::move(aRecord);
         job->mPhase = JobPhase::Running;
+        job->mObservation = { Now(), {} };
         StopGang(*job, StopReason::StartFailed, Duration(0));
         break;
     }
@@ -433,47 +439,76 @@
 
   void CheckOrphans(const workers::WorkerView& aView)
   {
+    std::map<std::string, JobId> attempts;
     for (const auto& it : aView.mState->mLeases) {
-      if (it.mKind != workers::LeaseKind::Job) {
-        continue;
-      }
       const auto* job = Find(it.mJob);
-      if (job &&
-          (job->mPhase == JobPhase::Writing || TaskLease(job->mRecord, it.mTask) == it.mLease)) {
-        continue;
+      const bool managed =
+        job && (job->mPhase == JobPhase::Writing || TaskLease(job->mRecord, it.mTask) == it.mLease);
+      if (it.mKind == workers::LeaseKind::Job && !managed) {
+        attempts.emplace(AttemptPrefix(it.mLease), it.mJob);
       }
-      // The record decides, because it may be newer than the list that was read.
-      ReleaseIfUnknown(it, aView.mAddress);
     }
+    for (const auto& [prefix, job] : attempts) {
+      const auto released = mReleased.find(prefix);
+      if (released == mReleased.end()) {
+        // The record decides, because it may be newer than the list that was read.
+        CheckAttempt(prefix, job);
+      } else if (Now() - released->second > kReleaseRetry) {
+        ReleaseAttempt(prefix);
+      }
+    }
+  }
+
+  // A release that was lost is repeated after this time.
+  static constexpr Duration kReleaseRetry{ 2000 };
+  static constexpr Duration kKeepReleased{ 60000 };
+
+  // The part of a task's lease id that all tasks of its attempt share.
+  static std::string AttemptPrefix(const LeaseId& aLease)
+  {
+    return aLease.Value().substr(0, aLease.Value().rfind('.') + 1);
   }
 
-  void ReleaseIfUnknown(const workers::LeaseState& aLease, const SocketAddress& aWorker)
+  void CheckAttempt(const std::string& aPrefix, const JobId& aJob)
   {
-    if (!mOrphanChecks.insert(aLease.mLease).second) {
+    if (!mAttemptChecks.insert(aPrefix).second) {
       return;
     }
-    mJobStore.Load(
-      aLease.mJob, InTerm([this, lease = aLease.mLease, task = aLease.mTask,
-                           aWorker](std::error_code aError, const Record& aRecord) {
-        mOrphanChecks.erase(lease);
-        const bool known = !aError && !aRecord.IsDone() && TaskLease(aRecord, task) == lease;
-        if (aError && aError != make_error_code(JobError::NotFound)) {
-          return;
-        }
-        if (known) {
-          if (!Find(aRecord.mJob)) {
-            Adopt(aRecord);
-          }
-          return;
+    mJobStore.Load(aJob, InTerm([this, aPrefix](std::error_code aError, const Record& aRecord) {
+                     mAttemptChecks.erase(aPrefix);
+                     if (aError && aError != make_error_code(JobError::NotFound)) {
+                       return;
+                     }
+                     const bool known = !aError && !aRecord.IsDone() &&
+                                        AttemptPrefix(TaskLease(aRecord, 0)) == aPrefix;
+                     if (!known) {
+                       LogEvent("attempt_orphaned").With("leases", aPrefix);
+                       ReleaseAttempt(aPrefix);
+                     } else if (!Find(aRecord.mJob)) {
+                       Adopt(aRecord);
+                     }
+                   }));
+  }
+
+  // Releases all leases of an attempt, wherever they are seen.
+  void ReleaseAttempt(const std::string& aPrefix)
+  {
+    mReleased[aPrefix] = Now();
+    for (const auto& [id, view] : mViews) {
+      if (!view.mState) {
+        continue;
+      }
+      for (const auto& it : view.mState->mLeases) {
+        if (it.mLease.Value().starts_with(aPrefix)) {
+          mApi.Release(view.mAddress, it.mLease, mFence, [](std::error_code) {});
         }
-        LogEvent("lease_orphaned").With("lease", lease).With("worker", aWorker.ToString());
-        mApi.Release(aWorker, lease, mFence, [](std::error_code) {});
-      }));
+      }
+    }
   }
 
   void CheckGang(ManagedJob& aJob)
   {
-    const auto status = ReadGangStatus(aJob.mRecord, mViews, Now(), LeaseLimit());
+    const auto status = ReadGangStatus(aJob.mRecord, mViews, aJob.mObservation, Limits(), Now());
     if (aJob.mPhase == JobPhase::Stopping) {
       if (status.HasEnded()) {
         aJob.mRecord.mCheckpoints = status.mCheckpoints;
@@ -632,6 +667,10 @@
 
   void ReleaseLeases(const Record& aRecord)
   {
+    if (aRecord.mPlacements.empty()) {
+      return;
+    }
+    mReleased[AttemptPrefix(TaskLease(aRecord, 0))] = Now();
     for (std::size_t i = 0; i < aRecord.mPlacements.size(); ++i) {
       mApi.Release(aRecord.mPlacements[i].mAddress, TaskLease(aRecord, static_cast<int>(i)), mFence,
                    [](std::error_code) {});
@@ -763,6 +802,8 @@
 
   void OnTick()
   {
+    std::erase_if(
+      mReleased, [now = Now()](const auto& aEntry) { return now - aEntry.second > kKeepReleased; });
     // Some conditions depend on time alone, such as a silent worker's lease that has lapsed.
     std::vector<JobId> ids;
     for (const auto& [id, job] : mJobs) {
@@ -931,7 +972,10 @@
   std::vector<WorkerId> mSuccesses;
   // Start tokens of attempts whose commit is uncertain and that were never started.
   std::set<std::string> mUnsentStarts;
-  std::set<LeaseId> mOrphanChecks;
+  // Attempts whose record is being read, by the prefix of their lease ids.
+  std::set<std::string> mAttemptChecks;
+  // Attempts whose leases were released, and when; workers show them for a little longer.
+  std::map<std::string, TimePoint> mReleased;
   std::function<void()> mOnFenced;
   Timer mRenewTimer;
   Timer mRelistTimer;
--- a/src/jobs/ManagedJob.h
+++ b/src/jobs/ManagedJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "jobs/GangStatus.h"
 #include "jobs/JobRecord.h"
 
 #include <optional>
@@ -68,6 +69,7 @@
   TimePoint mStartedAt;
   // The job isn't planned before this time, after a start that was not possible.
   TimePoint mNotBefore;
+  GangObservation mObservation;
   // One entry for each task; set once the answer is stored.
   std::vector<std::optional<AnswerInfo>> mAnswers;
   // Whether the collection of an answer is in progress.
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,547 @@
+#include "node/Node.h"
+
+#include "base/Hash.h"
+#include "base/LogEvent.h"
+#include "node/ConfigReplies.h"
+#include "node/PlannerViews.h"
+#include "node/PolicyConversion.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <chrono>
+#include <sstream>
+#include <utility>
+
+namespace lovagerock::node {
+
+namespace detail {
+namespace {
+
+constexpr Duration kRoleCheckPeriod{ 500 };
+// A planner waits this long after its start for workers that don't answer.
+constexpr Duration kWorkerWait{ 3000 };
+constexpr Duration kFencedBackoff{ 2000 };
+constexpr Duration kPeerTimeout{ 2000 };
+constexpr int kNotifyTries = 3;
+constexpr Duration kIdleCheckPeriod{ 50 };
+
+std::uint64_t
+NewIncarnation()
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
+membership::Member
+MakeSelf(const NodeSettings& aSettings)
+{
+  membership::Member self;
+  self.mNode = aSettings.mNode;
+  self.mIncarnation = NewIncarnation();
+  self.mZone = aSettings.mZone;
+  self.mRegion = aSettings.mRegion;
+  self.mAddress = aSettings.mPeerListen;
+  return self;
+}
+
+kv::ConsulSettings
+MakeKvSettings(const NodeSettings& aSettings, std::size_t aMaxInFlight)
+{
+  kv::ConsulSettings settings;
+  settings.mServer = aSettings.mKv;
+  settings.mPrefix = aSettings.mKvPrefix;
+  settings.mMaxInFlight = aMaxInFlight;
+  return settings;
+}
+
+configstore::ConfigStoreSettings
+MakeConfigSettings(const NodeSettings& aSettings)
+{
+  configstore::ConfigStoreSettings settings;
+  settings.mServeIsolated = aSettings.mIsolatedMode == "serve";
+  return settings;
+}
+
+routing::RouterOptions
+MakeRouterOptions(const NodeSettings& aSettings, std::uint64_t aIncarnation)
+{
+  routing::RouterOptions options;
+  options.mNode = aSettings.mNode;
+  options.mIncarnation = std::to_string(aIncarnation);
+  options.mPeer = aSettings.mPeerListen;
+  options.mZone = aSettings.mZone;
+  options.mMaxBuffered = Bytes(aSettings.mMaxBuffered);
+  // The store adds the prefix of all keys.
+  options.mClaimPrefix = "claims/";
+  return options;
+}
+
+jobs::CoordinatorTimes
+MakeCoordinatorTimes(const NodeSettings& aSettings)
+{
+  jobs::CoordinatorTimes times;
+  times.mReclaimDeadline = aSettings.mReclaimDeadline;
+  return times;
+}
+
+http::ServerLimits
+MakeLimits(const NodeSettings& aSettings)
+{
+  http::ServerLimits limits;
+  limits.mMaxBody = Bytes(aSettings.mMaxBody);
+  limits.mReadTimeout = aSettings.mReadTimeout;
+  return limits;
+}
+
+membership::VmListSettings
+MakeVmListSettings(const NodeSettings& aSettings)
+{
+  membership::VmListSettings settings;
+  settings.mServer = aSettings.mVmList;
+  return settings;
+}
+
+} // namespace
+} // namespace detail
+
+Node::Node(EventLoop& aLoop, NodeSettings aSettings, std::uint64_t aSeed)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
+  , mRandom(aSeed)
+  , mRequestClient(aLoop)
+  , mControlClient(aLoop)
+  , mStore(aLoop, detail::MakeKvSettings(mSettings, 64))
+  , mWatchStore(aLoop,
+                detail::MakeKvSettings(mSettings, jobs::JobApi<kv::ConsulStore>::kMaxWaiting))
+  , mTransport(aLoop, mRandom)
+  , mMembership(aLoop, mTransport, detail::MakeSelf(mSettings))
+  , mConfig(aLoop, mStore, mTransport, mMembership, mRandom, detail::MakeConfigSettings(mSettings))
+  , mWorkerApi(mControlClient)
+  , mWorkerChanges(aLoop, [this](const workers::WorkerChange& aChange) { OnWorkerChange(aChange); })
+  , mMonitor(aLoop, mWorkerApi, mRandom, mWorkerChanges.GetAddress())
+  , mRoutingMetrics(mRegistry)
+  , mRouter(aLoop, mRequestClient, mStore, mTransport, mWorkerApi, mRandom, mRoutingMetrics,
+            detail::MakeRouterOptions(mSettings, mMembership.Self().mIncarnation))
+  , mJobStore(mStore, mSettings.mRegion, mRandom)
+  , mJobWatches(mWatchStore, mSettings.mRegion, mRandom)
+  , mAnswers(mStore)
+  , mCoordinator(aLoop, mWorkerApi, mJobStore, mAnswers, mRandom, mSettings.mNode,
+                 detail::MakeCoordinatorTimes(mSettings))
+  , mMetrics(mRegistry)
+  , mRequestApi(
+      ToAccountDirectory(&mDocument), [this] { return Gate(); },
+      [this](routing::RouteRequest aRequest, const http::Responder& aResponder) {
+        mRouter.Submit(std::move(aRequest), aResponder);
+      },
+      mRandom)
+  , mJobApi(mJobStore, mJobWatches, mAnswers,
+            { [this](const http::Request& aRequest) { return Authenticate(aRequest); },
+              [this] { return Gate(); },
+              [this](const JobId& aJob) { NotifyPlanner(aJob, detail::kNotifyTries); } })
+  , mAdminApi(MakeAdminHooks())
+  , mServer(aLoop, detail::MakeLimits(mSettings))
+  , mAdminServer(aLoop)
+  , mVmList(aLoop, detail::MakeVmListSettings(mSettings),
+            [this](const std::vector<membership::Vm>& aVms) { OnVmList(aVms); })
+  , mStarted(std::chrono::steady_clock::now())
+{
+  WireMembership();
+  WireConfig();
+  WireJobs();
+  RegisterApis();
+}
+
+std::error_code
+Node::Start()
+{
+  if (const auto ec = mTransport.Listen(mSettings.mPeerListen)) {
+    return ec;
+  }
+  if (const auto ec = mAdminServer.Listen(mSettings.mAdminListen)) {
+    return ec;
+  }
+  return mServer.Listen(mSettings.mListen);
+}
+
+void
+Node::WireMembership()
+{
+  mMembership.OnChange([this] {
+    mRouter.SetLiveNodes(
+      static_cast<int>(std::max<std::size_t>(1, mMembership.LiveNodes().size())));
+    CheckPlannerRole();
+  });
+  mRoleTimer = mLoop.Every(detail::kRoleCheckPeriod, [this] { CheckPlannerRole(); });
+}
+
+void
+Node::WireConfig()
+{
+  mConfig.SetExtraCheck([this](const config::Document& aDocument) {
+    return CheckGuarantees(aDocument, mCoordinator.Views());
+  });
+  mConfig.OnInForce([this](const std::shared_ptr<const configstore::AcceptedConfig>& aConfig) {
+    OnConfig(aConfig);
+  });
+}
+
+void
+Node::WireJobs()
+{
+  mCoordinator.OnFenced([this] {
+    mPlannerNotBefore = std::chrono::steady_clock::now() + mRandom.Jitter(detail::kFencedBackoff);
+  });
+  mTransport.Handle("job.changed", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
+    mCoordinator.OnJobChanged(JobId(JsonValue<std::string>(aBody, "job", "")));
+    aReply({ { "planner", mCoordinator.IsActive() } });
+  });
+  mTransport.Handle("planner.view", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
+    Json reply{ { "planner", mCoordinator.IsActive() } };
+    if (mCoordinator.IsActive()) {
+      reply["view"] = LocalPlannerView(JsonValue<std::string>(aBody, "view", ""),
+                                       JsonValue<std::string>(aBody, "job", ""));
+    }
+    aReply(reply);
+  });
+}
+
+void
+Node::RegisterApis()
+{
+  mRequestApi.Register(mServer);
+  mJobApi.Register(mServer);
+  // The balancer checks the port that it sends callers to.
+  mServer.Handle(http::Method::Get, "/readyz",
+                 [this](const http::Request&, const http::Responder& aResponder) {
+                   const auto reason = NotReady();
+                   aResponder.Send({ reason ? 503 : 200, {}, reason.value_or("ready") + "\n" });
+                 });
+  mAdminApi.Register(mAdminServer);
+}
+
+void
+Node::OnVmList(const std::vector<membership::Vm>& aVms)
+{
+  mMembership.SetVmList(aVms);
+  std::vector<workers::ListedWorker> listed;
+  for (const auto& it : aVms) {
+    // Workers of other regions belong to the nodes there.
+    if (it.mRole == membership::Vm::Role::Worker &&
+        (it.mRegion == mSettings.mRegion || it.mRegion.IsEmpty())) {
+      listed.push_back({ it.mAddress, it.mLeaving });
+    }
+  }
+  mListedWorkers = listed.size();
+  mMonitor.SetWorkers(listed);
+  mCoordinator.SetComplete(AllWorkersHeard());
+}
+
+void
+Node::OnWorkerChange(const workers::WorkerChange& aChange)
+{
+  mCoordinator.SetComplete(AllWorkersHeard());
+  mCoordinator.OnWorkerChange(aChange);
+  const auto& view = aChange.mView;
+  if (!view.mState) {
+    return;
+  }
+  if (aChange.mKind == workers::WorkerChange::Kind::Removed) {
+    mRouter.RemoveWorker(view.mState->mWorker);
+    return;
+  }
+  auto state = *view.mState;
+  state.mLeaving = view.Health() == workers::WorkerHealth::Leaving;
+  mRouter.UpdateWorker(state, view.mAddress, view.mSuspected);
+}
+
+void
+Node::OnConfig(const std::shared_ptr<const configstore::AcceptedConfig>& aConfig)
+{
+  mDocument = std::shared_ptr<const config::Document>(aConfig, &aConfig->mDocument);
+  mCoordinator.SetPolicy(ToPolicyInput(*mDocument));
+  LogEvent("config_in_force")
+    .With("version", aConfig->mHead.mVersion)
+    .With("change", aConfig->mHead.mChange)
+    .With("operator", aConfig->mHead.mOperator);
+  CheckPlannerRole();
+}
+
+bool
+Node::AllWorkersHeard() const
+{
+  const auto views = mMonitor.Views();
+  const bool heard = std::all_of(views.begin(), views.end(),
+                                 [](const auto& aView) { return aView.mState != nullptr; });
+  return heard && !views.empty() && views.size() >= mListedWorkers;
+}
+
+void
+Node::CheckPlannerRole()
+{
+  const auto now = std::chrono::steady_clock::now();
+  const bool owner =
+    !mShuttingDown && mDocument && !mMembership.IsUnsure() && PlannerNode() == mSettings.mNode;
+  if (!owner) {
+    mCoordinator.Deactivate("not_owner");
+    return;
+  }
+  const bool ready = AllWorkersHeard() || now - mStarted > detail::kWorkerWait;
+  if (ready && now >= mPlannerNotBefore) {
+    mCoordinator.Activate();
+  }
+}
+
+NodeId
+Node::PlannerNode()
+{
+  return mMembership.OwnerOf("planner/" + mSettings.mRegion.Value(), mSettings.mRegion);
+}
+
+std::optional<SocketAddress>
+Node::PeerAddress(const NodeId& aNode)
+{
+  for (const auto& it : mMembership.Members()) {
+    if (it.mMember.mNode == aNode) {
+      return it.mMember.mAddress;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+Node::NotifyPlanner(const JobId& aJob, int aTriesLeft)
+{
+  if (mCoordinator.IsActive()) {
+    mCoordinator.OnJobChanged(aJob);
+    return;
+  }
+  const auto address = PeerAddress(PlannerNode());
+  const auto retry = [this, aJob, aTriesLeft] {
+    // The planner reads all records from time to time, so a lost notification only delays.
+    if (aTriesLeft > 1) {
+      mLoop.Post([this, aJob, aTriesLeft] { NotifyPlanner(aJob, aTriesLeft - 1); });
+    }
+  };
+  if (!address) {
+    retry();
+    return;
+  }
+  mTransport.Call(*address, "job.changed", { { "job", aJob.Value() } }, detail::kPeerTimeout,
+                  [retry](std::error_code aError, const Json& aReply) {
+                    if (aError || !JsonValue(aReply, "planner", false)) {
+                      retry();
+                    }
+                  });
+}
+
+std::optional<std::string>
+Node::Gate()
+{
+  if (!mDocument) {
+    return "no_configuration";
+  }
+  if (!mConfig.MayAcceptWork()) {
+    return "isolated";
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string>
+Node::NotReady()
+{
+  if (mShuttingDown) {
+    return "leaving";
+  }
+  return Gate();
+}
+
+std::optional<AccountId>
+Node::Authenticate(const http::Request& aRequest) const
+{
+  constexpr std::string_view kScheme = "Bearer ";
+  const auto field = aRequest.mHeaders.Get("Authorization");
+  if (!mDocument || !field.starts_with(kScheme)) {
+    return std::nullopt;
+  }
+  const auto hash = Sha256Hex(field.substr(kScheme.size()));
+  for (const auto& it : mDocument->mAccounts) {
+    if (it.mTokenHash.Value() == hash) {
+      return it.mName;
+    }
+  }
+  return std::nullopt;
+}
+
+Json
+Node::LocalPlannerView(const std::string& aView, const std::string& aJob) const
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (aView == "queues") {
+    return DescribeQueues(mCoordinator.Jobs(), now);
+  }
+  if (aView == "placements") {
+    return DescribePlacements(mCoordinator.Jobs(), mCoordinator.Views());
+  }
+  if (aView == "workers") {
+    return DescribeWorkers(mCoordinator.Views());
+  }
+  return DescribeWhy(mCoordinator.Jobs(), JobId(aJob), now);
+}
+
+void
+Node::PlannerView(const std::string& aView, const std::string& aJob,
+                  const std::function<void(std::optional<Json>)>& aCallback)
+{
+  if (mCoordinator.IsActive()) {
+    aCallback(LocalPlannerView(aView, aJob));
+    return;
+  }
+  const auto address = PeerAddress(PlannerNode());
+  if (!address) {
+    aCallback(std::nullopt);
+    return;
+  }
+  mTransport.Call(*address, "planner.view", { { "view", aView }, { "job", aJob } },
+                  detail::kPeerTimeout, [aCallback](std::error_code aError, const Json& aReply) {
+                    const bool known = !aError && aReply.contains("view");
+                    aCallback(known ? std::optional(aReply.at("view")) : std::nullopt);
+                  });
+}
+
+Json
+Node::DescribeNodes()
+{
+  const auto planner = PlannerNode();
+  Json nodes = Json::array();
+  for (const auto& it : mConfig.Nodes()) {
+    nodes.push_back(DescribeNode(it, planner));
+  }
+  return nodes;
+}
+
+http::Response
+Node::ShowConfig() const
+{
+  const auto& config = mConfig.InForce();
+  return config ? DescribeConfig(*config) : NoConfig();
+}
+
+http::Response
+Node::CheckFile(const std::string& aText) const
+{
+  auto read = config::ReadYaml(aText, "");
+  if (read.mDocument) {
+    read.mProblems = CheckGuarantees(*read.mDocument, mCoordinator.Views());
+  }
+  return read.mProblems.empty() ? ValidFile() : InvalidFile(read.mProblems);
+}
+
+http::Response
+Node::DiffFile(const std::string& aText) const
+{
+  const auto read = config::ReadYaml(aText, "");
+  if (!read.mDocument) {
+    return InvalidFile(read.mProblems);
+  }
+  return DescribeDiff(mConfig.Version(), mDocument ? *mDocument : config::Document(),
+                      *read.mDocument);
+}
+
+void
+Node::ApplyFile(const admin::ApplyRequest& aRequest, const admin::ReplyCallback& aReply)
+{
+  configstore::ChangeRequest request;
+  request.mText = aRequest.mText;
+  request.mBase = aRequest.mBase;
+  request.mChange = aRequest.mChange;
+  request.mOperator = aRequest.mOperator;
+  mConfig.Accept(request, [aRequest, aReply](const configstore::ChangeOutcome& aOutcome) {
+    aReply(DescribeOutcome(aRequest.mChange, aOutcome));
+  });
+}
+
+void
+Node::FindChange(const ChangeId& aChange, const admin::ReplyCallback& aReply)
+{
+  mConfig.FindChange(aChange,
+                     [aChange, aReply](std::error_code aError,
+                                       const std::optional<configstore::ChangeRecord>& aRecord) {
+                       aReply(DescribeChange(aChange, aError, aRecord));
+                     });
+}
+
+std::string
+Node::CollectMetrics()
+{
+  mMetrics.SetConfig(mConfig.Version(), mConfig.MayAcceptWork());
+  mMetrics.SetMembers(mMembership.LiveNodes().size());
+  mMetrics.SetPlanner(mCoordinator.IsActive(), mCoordinator.GetFence().mEpoch, mCoordinator.Jobs(),
+                      mCoordinator.LastPlan());
+  mMetrics.SetWorkers(mCoordinator.Views());
+  mMetrics.SetKvCalls(mStore.Calls() + mWatchStore.Calls());
+  std::ostringstream stream;
+  prometheus::TextSerializer().Serialize(stream, mRegistry.Collect());
+  return stream.str();
+}
+
+admin::AdminHooks
+Node::MakeAdminHooks()
+{
+  admin::AdminHooks hooks;
+  hooks.mCheck = [this](const std::string& aText) { return CheckFile(aText); };
+  hooks.mDiff = [this](const std::string& aText) { return DiffFile(aText); };
+  hooks.mApply = [this](const admin::ApplyRequest& aRequest, const admin::ReplyCallback& aReply) {
+    ApplyFile(aRequest, aReply);
+  };
+  hooks.mFindChange = [this](const ChangeId& aChange, const admin::ReplyCallback& aReply) {
+    FindChange(aChange, aReply);
+  };
+  hooks.mShowConfig = [this] { return ShowConfig(); };
+  hooks.mNodes = [this] { return DescribeNodes(); };
+  hooks.mPlannerView = [this](const std::string& aView, const std::string& aJob,
+                              const std::function<void(std::optional<Json>)>& aCallback) {
+    PlannerView(aView, aJob, aCallback);
+  };
+  hooks.mNotReady = [this] { return NotReady(); };
+  hooks.mMetrics = [this] { return CollectMetrics(); };
+  return hooks;
+}
+
+void
+Node::Shutdown()
+{
+  if (mShuttingDown) {
+    LogEvent("shutdown_forced", LogLevel::Warning);
+    mLoop.Stop();
+    return;
+  }
+  mShuttingDown = true;
+  LogEvent("shutdown_started").With("active_requests", mServer.ActiveRequests());
+  mCoordinator.Deactivate("leaving");
+  mMembership.SetLeaving();
+  mServer.SetDraining();
+  // The balancer needs time to notice before connections are refused.
+  mShutdownTimer = mLoop.After(mSettings.mDrainAccept, [this] { StopAccepting(); });
+}
+
+void
+Node::StopAccepting()
+{
+  mServer.StopListening();
+  mRouter.Drain([this] { StopWhenIdle(); });
+}
+
+void
+Node::StopWhenIdle()
+{
+  if (mServer.ActiveRequests() > 0) {
+    mShutdownTimer = mLoop.After(detail::kIdleCheckPeriod, [this] { StopWhenIdle(); });
+    return;
+  }
+  LogEvent("shutdown_complete");
+  mLoop.Stop();
+}
+
+} // namespace lovagerock::node
--- /dev/null
+++ b/src/node/Node.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "admin/AdminApi.h"
+#include "base/EventLoop.h"
+#include "base/Random.h"
+#include "configstore/ConfigStore.h"
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+#include "jobs/JobApi.h"
+#include "jobs/JobCoordinator.h"
+#include "kv/ConsulStore.h"
+#include "membership/Membership.h"
+#include "membership/VmList.h"
+#include "node/NodeMetrics.h"
+#include "node/NodeSettings.h"
+#include "peer/NghttpTransport.h"
+#include "routing/RequestApi.h"
+#include "routing/Router.h"
+#include "routing/RoutingMetrics.h"
+#include "workers/HttpWorkerApi.h"
+#include "workers/WorkerMonitor.h"
+
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+
+namespace lovagerock::node {
+
+// An entry node: builds all modules and passes their messages on. Belongs to its loop.
+class Node
+{
+public:
+  Node(EventLoop& aLoop, NodeSettings aSettings, std::uint64_t aSeed);
+
+  // Opens the listening sockets.
+  std::error_code Start();
+  // Leaves gracefully and then stops the loop. A second call stops it at once.
+  void Shutdown();
+
+private:
+  using Transport = peer::NghttpTransport;
+  using Membership = membership::Membership<Transport>;
+  using Config = configstore::ConfigStore<kv::ConsulStore, Transport>;
+  using Router = routing::Router<kv::ConsulStore, Transport, workers::HttpWorkerApi>;
+  using JobStore = jobs::JobStore<kv::ConsulStore>;
+  using Coordinator = jobs::JobCoordinator<kv::ConsulStore, workers::HttpWorkerApi>;
+
+  void WireMembership();
+  void WireConfig();
+  void WireJobs();
+  void RegisterApis();
+  admin::AdminHooks MakeAdminHooks();
+
+  void OnVmList(const std::vector<membership::Vm>& aVms);
+  void OnWorkerChange(const workers::WorkerChange& aChange);
+  void OnConfig(const std::shared_ptr<const configstore::AcceptedConfig>& aConfig);
+  // Takes or gives up the planner role as the membership says.
+  void CheckPlannerRole();
+  bool AllWorkersHeard() const;
+  NodeId PlannerNode();
+  // The peer address of a live node; nothing if it isn't known.
+  std::optional<SocketAddress> PeerAddress(const NodeId& aNode);
+  void NotifyPlanner(const JobId& aJob, int aTriesLeft);
+
+  // Why new work is refused at present; nothing if it is accepted.
+  std::optional<std::string> Gate();
+  std::optional<std::string> NotReady();
+  std::optional<AccountId> Authenticate(const http::Request& aRequest) const;
+
+  Json LocalPlannerView(const std::string& aView, const std::string& aJob) const;
+  void PlannerView(const std::string& aView, const std::string& aJob,
+                   const std::function<void(std::optional<Json>)>& aCallback);
+  Json DescribeNodes();
+  http::Response ShowConfig() const;
+  http::Response CheckFile(const std::string& aText) const;
+  http::Response DiffFile(const std::string& aText) const;
+  void ApplyFile(const admin::ApplyRequest& aRequest, const admin::ReplyCallback& aReply);
+  void FindChange(const ChangeId& aChange, const admin::ReplyCallback& aReply);
+  std::string CollectMetrics();
+
+  void StopAccepting();
+  void StopWhenIdle();
+
+  EventLoop& mLoop;
+  NodeSettings mSettings;
+  Random mRandom;
+  prometheus::Registry mRegistry;
+  // Requests and control use different clients, so that neither holds up the other.
+  http::HttpClient mRequestClient;
+  http::HttpClient mControlClient;
+  kv::ConsulStore mStore;
+  // Waiting calls of callers, which must not use up the calls in flight of the other store.
+  kv::ConsulStore mWatchStore;
+  Transport mTransport;
+  Membership mMembership;
+  Config mConfig;
+  std::shared_ptr<const config::Document> mDocument;
+  workers::HttpWorkerApi mWorkerApi;
+  Mailbox<workers::WorkerChange> mWorkerChanges;
+  workers::WorkerMonitor<workers::HttpWorkerApi> mMonitor;
+  routing::RoutingMetrics mRoutingMetrics;
+  Router mRouter;
+  JobStore mJobStore;
+  JobStore mJobWatches;
+  jobs::AnswerStore<kv::ConsulStore> mAnswers;
+  Coordinator mCoordinator;
+  NodeMetrics mMetrics;
+  routing::RequestApi mRequestApi;
+  jobs::JobApi<kv::ConsulStore> mJobApi;
+  admin::AdminApi mAdminApi;
+  http::HttpServer mServer;
+  http::HttpServer mAdminServer;
+  membership::VmList mVmList;
+  std::size_t mListedWorkers = 0;
+  TimePoint mStarted;
+  // The planner role isn't taken again before this time after another planner's fence was seen.
+  TimePoint mPlannerNotBefore;
+  bool mShuttingDown = false;
+  Timer mRoleTimer;
+  Timer mShutdownTimer;
+};
+
+} // namespace lovagerock::node
--- /dev/null
+++ b/src/node/NodeMetrics.cpp
@@ -0,0 +1,82 @@
+#include "node/NodeMetrics.h"
+
+#include <algorithm>
+
+namespace lovagerock::node {
+
+namespace detail {
+namespace {
+
+prometheus::Gauge&
+AddGauge(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(aRegistry).Add({});
+}
+
+} // namespace
+} // namespace detail
+
+NodeMetrics::NodeMetrics(prometheus::Registry& aRegistry)
+  : mConfigVersion(detail::AddGauge(aRegistry, "lovagerock_config_version",
+                                    "Version of the configuration in force"))
+  , mAcceptsWork(detail::AddGauge(aRegistry, "lovagerock_accepts_work",
+                                  "1 while the node knows its configuration to be current"))
+  , mLiveMembers(
+      detail::AddGauge(aRegistry, "lovagerock_live_members", "Live entry nodes, this one included"))
+  , mPlannerActive(
+      detail::AddGauge(aRegistry, "lovagerock_planner_active", "1 while this node plans"))
+  , mPlannerEpoch(
+      detail::AddGauge(aRegistry, "lovagerock_planner_epoch", "Fencing epoch of this node"))
+  , mQueuedJobs(detail::AddGauge(aRegistry, "lovagerock_jobs_queued", "Jobs waiting for capacity"))
+  , mRunningJobs(detail::AddGauge(aRegistry, "lovagerock_jobs_running", "Jobs that are started"))
+  , mFragmentation(detail::AddGauge(aRegistry, "lovagerock_fragmentation",
+                                    "Share of free accelerators in partly used racks, 0 to 1"))
+  , mLiveWorkers(detail::AddGauge(aRegistry, "lovagerock_workers_live", "Live workers"))
+  , mKvCalls(
+      detail::AddGauge(aRegistry, "lovagerock_kv_calls", "Calls to the key-value service so far"))
+{
+}
+
+void
+NodeMetrics::SetConfig(ConfigVersion aVersion, bool aMayAcceptWork)
+{
+  mConfigVersion.Set(static_cast<double>(aVersion.Value()));
+  mAcceptsWork.Set(aMayAcceptWork ? 1 : 0);
+}
+
+void
+NodeMetrics::SetMembers(std::size_t aLive)
+{
+  mLiveMembers.Set(static_cast<double>(aLive));
+}
+
+void
+NodeMetrics::SetPlanner(bool aActive, std::uint64_t aEpoch, const jobs::ManagedJobs& aJobs,
+                        const placement::Plan& aPlan)
+{
+  const auto queued = std::count_if(aJobs.begin(), aJobs.end(), [](const auto& aJob) {
+    return aJob.second.mPhase == jobs::JobPhase::Queued;
+  });
+  mPlannerActive.Set(aActive ? 1 : 0);
+  mPlannerEpoch.Set(static_cast<double>(aEpoch));
+  mQueuedJobs.Set(static_cast<double>(queued));
+  mRunningJobs.Set(static_cast<double>(static_cast<std::ptrdiff_t>(aJobs.size()) - queued));
+  mFragmentation.Set(aActive ? aPlan.mFragmentation : 0);
+}
+
+void
+NodeMetrics::SetWorkers(const jobs::WorkerViews& aWorkers)
+{
+  const auto live = std::count_if(aWorkers.begin(), aWorkers.end(), [](const auto& aWorker) {
+    return aWorker.second.Health() == workers::WorkerHealth::Live;
+  });
+  mLiveWorkers.Set(static_cast<double>(live));
+}
+
+void
+NodeMetrics::SetKvCalls(std::size_t aCalls)
+{
+  mKvCalls.Set(static_cast<double>(aCalls));
+}
+
+} // namespace lovagerock::node
--- /dev/null
+++ b/src/node/NodeMetrics.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "jobs/SnapshotBuilder.h"
+#include "peer/NghttpTransport.h"
+#include "placement/Plan.h"
+
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+namespace lovagerock::node {
+
+// Metrics of the control part of a node, brought up to date at each collection.
+class NodeMetrics
+{
+public:
+  explicit NodeMetrics(prometheus::Registry& aRegistry);
+
+  void SetConfig(ConfigVersion aVersion, bool aMayAcceptWork);
+  void SetMembers(std::size_t aLive);
+  void SetPlanner(bool aActive, std::uint64_t aEpoch, const jobs::ManagedJobs& aJobs,
+                  const placement::Plan& aPlan);
+  void SetWorkers(const jobs::WorkerViews& aWorkers);
+  void SetKvCalls(std::size_t aCalls);
+
+private:
+  prometheus::Gauge& mConfigVersion;
+  prometheus::Gauge& mAcceptsWork;
+  prometheus::Gauge& mLiveMembers;
+  prometheus::Gauge& mPlannerActive;
+  prometheus::Gauge& mPlannerEpoch;
+  prometheus::Gauge& mQueuedJobs;
+  prometheus::Gauge& mRunningJobs;
+  prometheus::Gauge& mFragmentation;
+  prometheus::Gauge& mLiveWorkers;
+  prometheus::Gauge& mKvCalls;
+};
+
+} // namespace lovagerock::node
--- /dev/null
+++ b/src/node/NodeSettings.cpp
@@ -0,0 +1,61 @@
+#include "node/NodeSettings.h"
+
+namespace lovagerock::node {
+
+namespace detail {
+namespace {
+
+// A body must fit into memory several times over, so that a few callers can't exhaust it.
+constexpr std::int64_t kLargestBody = std::int64_t{ 64 } * 1024 * 1024;
+constexpr std::int64_t kLargestBuffer = std::int64_t{ 1024 } * 1024 * 1024;
+
+void
+AddAddresses(CLI::App& aApp, NodeSettings& aSettings)
+{
+  AddSetting(aApp, "--listen", aSettings.mListen, "Address for callers")->required();
+  AddSetting(aApp, "--peer-listen", aSettings.mPeerListen, "Address for the other entry nodes")
+    ->required();
+  AddSetting(aApp, "--admin-listen", aSettings.mAdminListen, "Address for operators and metrics")
+    ->required();
+  AddSetting(aApp, "--kv", aSettings.mKv, "Key-value service")->required();
+  AddSetting(aApp, "--vm-list", aSettings.mVmList, "VM list")->required();
+}
+
+void
+AddLimits(CLI::App& aApp, NodeSettings& aSettings)
+{
+  AddSetting(aApp, "--max-body", aSettings.mMaxBody, "Largest request body in bytes")
+    ->check(CLI::Range(std::int64_t{ 1 }, kLargestBody));
+  AddSetting(aApp, "--max-buffered", aSettings.mMaxBuffered,
+             "Request bodies held at once, in bytes")
+    ->check(CLI::Range(std::int64_t{ 1 }, kLargestBuffer));
+  AddSetting(aApp, "--read-timeout-ms", aSettings.mReadTimeout,
+             "Time without a byte from a caller while its request is read", Duration(1000));
+  AddSetting(aApp, "--drain-accept-ms", aSettings.mDrainAccept,
+             "Time to go on accepting after SIGTERM, until the balancer has noticed");
+  AddSetting(aApp, "--reclaim-deadline-ms", aSettings.mReclaimDeadline,
+             "Time for a borrower to checkpoint and stop when its capacity is reclaimed",
+             Duration(1));
+}
+
+} // namespace
+} // namespace detail
+
+void
+AddNodeSettings(CLI::App& aApp, NodeSettings& aSettings)
+{
+  AddSetting(aApp, "--node-id", aSettings.mNode, "Id of this node, unique in the deployment")
+    ->required();
+  AddSetting(aApp, "--region", aSettings.mRegion, "Region of this node")->required();
+  AddSetting(aApp, "--zone", aSettings.mZone, "Availability zone of this node")->required();
+  detail::AddAddresses(aApp, aSettings);
+  AddSetting(aApp, "--kv-prefix", aSettings.mKvPrefix, "Prefix of all keys");
+  AddSetting(aApp, "--isolated-mode", aSettings.mIsolatedMode,
+             "New work while it is unknown whether the configuration is current: refuse or serve")
+    ->check(CLI::IsMember({ "refuse", "serve" }));
+  detail::AddLimits(aApp, aSettings);
+  AddSetting(aApp, "--log-level", aSettings.mLogLevel, "debug, info, warning or error");
+  AddSetting(aApp, "--seed", aSettings.mSeed, "Seed of the random numbers; 0 for a random one");
+}
+
+} // namespace lovagerock::node
--- /dev/null
+++ b/src/node/NodeSettings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/Settings.h"
+
+#include <cstdint>
+#include <string>
+
+namespace lovagerock::node {
+
+// The settings of an entry node, by flag or environment variable.
+struct NodeSettings
+{
+  NodeId mNode;
+  RegionId mRegion;
+  ZoneId mZone;
+  SocketAddress mListen;
+  SocketAddress mPeerListen;
+  SocketAddress mAdminListen;
+  SocketAddress mKv;
+  SocketAddress mVmList;
+  std::string mKvPrefix = "lovagerock/";
+  std::string mIsolatedMode = "refuse";
+  std::int64_t mMaxBody = 8 * 1024 * 1024;
+  std::int64_t mMaxBuffered = 64 * 1024 * 1024;
+  Duration mReadTimeout{ 10000 };
+  Duration mDrainAccept{ 2000 };
+  Duration mReclaimDeadline{ 2000 };
+  LogLevel mLogLevel = LogLevel::Info;
+  // 0 takes a seed from the operating system.
+  std::uint64_t mSeed = 0;
+};
+
+// Registers all settings.
+void
+AddNodeSettings(CLI::App& aApp, NodeSettings& aSettings);
+
+} // namespace lovagerock::node
--- /dev/null
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -0,0 +1,215 @@
+#include "JobFixture.h"
+
+using namespace lovagerock;
+using namespace lovagerock::jobs;
+
+namespace {
+
+constexpr const char* kShort = R"({"run_ms":30,"answer":"42"})";
+constexpr const char* kLong = R"({"run_ms":20000,"answer":"42"})";
+
+int
+TotalStarts(const Cluster& aCluster)
+{
+  int n = 0;
+  for (const auto& it : aCluster.Starts()) {
+    n += it.get<int>();
+  }
+  return n;
+}
+
+} // namespace
+
+Test(JobCoordinator, runs_a_gang_and_stores_its_answers)
+{
+  Cluster cluster(2);
+  Planner planner(cluster, "n1");
+  planner.mCoordinator.Activate();
+  const auto job = cluster.Submit(cluster.Job("k", 12, kShort));
+  planner.mCoordinator.OnJobChanged(job.mJob);
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Finished);
+  cr_assert_eq(done.mAnswers.size(), 12);
+  cr_assert_eq(done.mAttempt, 1, "a gang whose leases a worker had not reported yet was restarted");
+  cr_assert_eq(TotalStarts(cluster), 12);
+}
+
+// Guards against parts of a gang that run although one member could not be reserved.
+Test(JobCoordinator, starts_no_part_of_a_gang_that_does_not_fit)
+{
+  Cluster cluster(2);
+  Planner planner(cluster, "n1");
+  cluster.SetFaults(1, R"({"freeze":true})");
+  planner.mCoordinator.Activate();
+  const auto job = cluster.Submit(cluster.Job("k", 16, kShort));
+  planner.mCoordinator.OnJobChanged(job.mJob);
+  // The frozen worker was seen live, so the first plan uses it.
+  cluster.Until([&] {
+    const auto it = planner.mCoordinator.Jobs().find(job.mJob);
+    return it != planner.mCoordinator.Jobs().end() && it->second.mNotBefore != TimePoint();
+  });
+  cr_assert_eq(TotalStarts(cluster), 0);
+  cluster.SetFaults(1, R"({"freeze":false})");
+  cr_assert_eq(cluster.UntilDone(job.mJob).mState, JobState::Finished);
+}
+
+// Guards against an answer that is lost when the store is down at the job's end.
+Test(JobCoordinator, keeps_the_answer_through_an_outage_of_the_store)
+{
+  Cluster cluster(1);
+  Planner planner(cluster, "n1");
+  planner.mCoordinator.Activate();
+  const auto job = cluster.Submit(cluster.Job("k", 1, R"({"run_ms":300,"answer":"42"})"));
+  planner.mCoordinator.OnJobChanged(job.mJob);
+  cluster.Until([&] { return planner.IsRunning(job.mJob); });
+  cluster.mStore.SetAvailable(false);
+  const auto calls = cluster.mStore.Calls();
+  cluster.Until([&] { return cluster.mStore.Calls() > calls + 1; });
+  cluster.mStore.SetAvailable(true);
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Finished);
+  cr_assert_eq(TotalStarts(cluster), 1);
+}
+
+// Guards against a running gang that is lost or started again when the planner changes.
+Test(JobCoordinator, takes_over_a_running_gang)
+{
+  Cluster cluster(1);
+  Planner first(cluster, "n1");
+  Planner second(cluster, "n2");
+  first.mCoordinator.Activate();
+  const auto job = cluster.Submit(cluster.Job("k", 4, R"({"run_ms":500,"answer":"42"})"));
+  first.mCoordinator.OnJobChanged(job.mJob);
+  cluster.Until([&] { return first.IsRunning(job.mJob); });
+  second.mCoordinator.Activate();
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Finished);
+  cr_assert_eq(done.mAttempt, 1);
+  cr_assert_eq(TotalStarts(cluster), 4);
+  cluster.Until([&] { return !first.mCoordinator.IsActive(); });
+}
+
+// Guards against an old planner that resumes after a pause and commands workers.
+Test(JobCoordinator, steps_down_when_a_worker_refuses_its_fence)
+{
+  Cluster cluster(1);
+  Planner first(cluster, "n1");
+  Planner second(cluster, "n2");
+  first.mCoordinator.Activate();
+  cluster.Until(
+    [&] { return second.mCoordinator.Views().begin()->second.mState->mFence.mEpoch == 1; });
+  second.mCoordinator.Activate();
+  cluster.Until([&] { return !first.mCoordinator.IsActive(); });
+  cr_assert(second.mCoordinator.IsActive());
+  cr_assert_gt(second.mCoordinator.GetFence(), first.mCoordinator.GetFence());
+}
+
+// Guards against a task error that ends the caller's job although it may succeed elsewhere.
+Test(JobCoordinator, runs_a_failed_idempotent_job_on_another_worker)
+{
+  Cluster cluster(2);
+  Planner planner(cluster, "n1");
+  cluster.SetFaults(0, R"({"fail_all":true})");
+  planner.mCoordinator.Activate();
+  const auto job = cluster.Submit(cluster.Job("k", 8, kShort));
+  planner.mCoordinator.OnJobChanged(job.mJob);
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Finished);
+}
+
+// Guards against a second run of a job that must run at most once.
+Test(JobCoordinator, does_not_run_an_interrupted_non_idempotent_job_again)
+{
+  Cluster cluster(1);
+  Planner planner(cluster, "n1");
+  planner.mCoordinator.Activate();
+  auto record = cluster.Job("k", 2, kLong);
+  record.mSpec.mIdempotent = false;
+  const auto job = cluster.Submit(record);
+  planner.mCoordinator.OnJobChanged(job.mJob);
+  cluster.Until([&] { return planner.IsRunning(job.mJob); });
+  // The worker restarts and knows nothing of its former leases.
+  const auto address = cluster.mWorkers[0]->Address();
+  cluster.mWorkers[0].reset();
+  standin::WorkerSettings settings;
+  settings.mWorker = WorkerId("w0");
+  settings.mRegion = RegionId("r");
+  settings.mIncarnation = "second";
+  settings.mCapacity = { Slots(8), Accelerators(8), Cores(64), MemoryMiB(1024) };
+  cluster.mWorkers[0] = std::make_unique<standin::WorkerServer>(cluster.mLoop, settings,
+                                                                cluster.mCounters, cluster.mTrace);
+  cr_assert_not(cluster.mWorkers[0]->Listen(address));
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Interrupted);
+  cr_assert_eq(done.mRan, Ran::Partly);
+  cr_assert_eq(TotalStarts(cluster), 2);
+}
+
+// Guards against a start by a planner that can't know whether its commit took effect.
+Test(JobCoordinator, does_not_start_when_the_commit_is_uncertain)
+{
+  Cluster cluster(1);
+  Planner planner(cluster, "n1");
+  planner.mCoordinator.Activate();
+  auto record = cluster.Job("k", 2, kShort);
+  record.mSpec.mIdempotent = false;
+  const auto job = cluster.Submit(record);
+  // The commit takes effect and its answer is lost; reading it back tells that it is our own.
+  cluster.mStore.LoseAnswers(1);
+  planner.mCoordinator.OnJobChanged(job.mJob);
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Finished);
+  cr_assert_eq(TotalStarts(cluster), 2);
+}
+
+Test(JobCoordinator, cancels_queued_and_running_jobs)
+{
+  Cluster cluster(1);
+  Planner planner(cluster, "n1");
+  planner.mCoordinator.Activate();
+  const auto running = cluster.Submit(cluster.Job("k1", 8, kLong));
+  planner.mCoordinator.OnJobChanged(running.mJob);
+  cluster.Until([&] { return planner.IsRunning(running.mJob); });
+  const auto queued = cluster.Submit(cluster.Job("k2", 8, kLong));
+  planner.mCoordinator.OnJobChanged(queued.mJob);
+  cluster.Until([&] { return planner.mCoordinator.Jobs().contains(queued.mJob); });
+  for (const auto& id : { queued.mJob, running.mJob }) {
+    auto record = cluster.Load(id);
+    record.mCancelRequested = true;
+    bool done = false;
+    cluster.mJobStore.Update(record, [&](std::error_code aError, const JobRecord&) {
+      cr_assert_not(aError);
+      done = true;
+    });
+    cluster.Until([&] { return done; });
+    planner.mCoordinator.OnJobChanged(id);
+    cr_assert_eq(cluster.UntilDone(id).mState, JobState::Cancelled);
+  }
+  cr_assert_eq(cluster.Load(queued.mJob).mRan, Ran::No);
+  cr_assert_eq(cluster.Load(running.mJob).mRan, Ran::Partly);
+}
+
+// Guards against capacity that is held for ever by leases that no job wants.
+Test(JobCoordinator, releases_leases_without_a_job)
+{
+  Cluster cluster(1);
+  Planner planner(cluster, "n1");
+  workers::LeaseRequest request;
+  request.mLease = LeaseId("j-lost.token.0");
+  request.mFence = { 1, NodeId("n0") };
+  request.mTtl = Duration(60000);
+  request.mJob = JobId("j-lost");
+  request.mResources = { Slots(1), Accelerators(1), Cores(0), MemoryMiB(0) };
+  bool reserved = false;
+  cluster.mApi.Reserve(cluster.mList[0].mAddress, request,
+                       [&](std::error_code aError, const workers::LeaseState&) {
+                         cr_assert_not(aError);
+                         reserved = true;
+                       });
+  cluster.Until([&] { return reserved; });
+  planner.mCoordinator.Activate();
+  cluster.Until([&] {
+    const auto& state = *planner.mCoordinator.Views().begin()->second.mState;
+    return state.mFence == planner.mCoordinator.GetFence() && state.mLeases.empty();
+  });
+}
--- /dev/null
+++ b/tests/jobs/JobFixture.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "jobs/JobCoordinator.h"
+#include "kv/MemoryStore.h"
+#include "standin/worker/WorkerServer.h"
+#include "workers/HttpWorkerApi.h"
+#include "workers/WorkerMonitor.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lovagerock::jobs {
+
+// Stand-in workers with the real worker protocol, and a key-value store with faults.
+struct Cluster
+{
+  EventLoop mLoop;
+  Random mRandom{ 11 };
+  kv::MemoryStore mStore{ mLoop };
+  standin::Counters mCounters;
+  standin::TraceFile mTrace;
+  std::vector<std::unique_ptr<standin::WorkerServer>> mWorkers;
+  std::vector<workers::ListedWorker> mList;
+  http::HttpClient mClient{ mLoop };
+  workers::HttpWorkerApi mApi{ mClient };
+  JobStore<kv::MemoryStore> mJobStore{ mStore, RegionId("r"), mRandom };
+  AnswerStore<kv::MemoryStore> mAnswers{ mStore };
+  Timer mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
+
+  explicit Cluster(int aWorkers)
+  {
+    for (int i = 0; i < aWorkers; ++i) {
+      standin::WorkerSettings settings;
+      settings.mWorker = WorkerId("w" + std::to_string(i));
+      settings.mRegion = RegionId("r");
+      settings.mZone = ZoneId("z");
+      settings.mRack = RackId("rack");
+      settings.mIncarnation = "first";
+      settings.mCapacity = { Slots(8), Accelerators(8), Cores(64), MemoryMiB(1024) };
+      mWorkers.push_back(
+        std::make_unique<standin::WorkerServer>(mLoop, settings, mCounters, mTrace));
+      cr_assert_not(mWorkers.back()->Listen(SocketAddress("127.0.0.1", 0)));
+      mList.push_back({ mWorkers.back()->Address(), false });
+    }
+  }
+
+  // Runs the loop until the condition holds.
+  void Until(const std::function<bool()>& aCondition)
+  {
+    const auto check = mLoop.Every(Duration(5), [&] {
+      if (aCondition()) {
+        mLoop.Stop();
+      }
+    });
+    mLoop.Run();
+  }
+
+  JobRecord Job(const std::string& aKey, int aTasks, const std::string& aPayload) const
+  {
+    JobRecord record;
+    record.mAccount = AccountId("a");
+    record.mJob = MakeJobId(record.mAccount, aKey);
+    record.mDigest = HashText(aPayload);
+    record.mSpec.mTasks = aTasks;
+    record.mSpec.mPerTask = { Slots(1), Accelerators(1), Cores(0), MemoryMiB(0) };
+    record.mSpec.mPayloads = { aPayload };
+    return record;
+  }
+
+  JobRecord Submit(const JobRecord& aRecord)
+  {
+    JobRecord stored;
+    bool done = false;
+    mJobStore.Submit(aRecord, [&](std::error_code aError, JobRecord aStored) {
+      cr_assert_not(aError);
+      stored = std::move(aStored);
+      done = true;
+    });
+    Until([&] { return done; });
+    return stored;
+  }
+
+  // The job's record as stored.
+  JobRecord Load(const JobId& aJob)
+  {
+    JobRecord found;
+    bool done = false;
+    mJobStore.Load(aJob, [&](std::error_code, JobRecord aRecord) {
+      found = std::move(aRecord);
+      done = true;
+    });
+    Until([&] { return done; });
+    return found;
+  }
+
+  JobRecord UntilDone(const JobId& aJob)
+  {
+    JobRecord record;
+    bool done = false;
+    const std::function<void()> wait = [&] {
+      mJobStore.AwaitDone(aJob, Duration(200), [&](std::error_code aError, JobRecord aRecord) {
+        done = !aError && aRecord.IsDone();
+        record = std::move(aRecord);
+        if (!done) {
+          const auto pause = std::make_shared<Timer>();
+          *pause = mLoop.After(Duration(20), [&wait, pause] { wait(); });
+        }
+      });
+    };
+    wait();
+    Until([&] { return done; });
+    return record;
+  }
+
+  void SetFaults(std::size_t aWorker, const std::string& aFaults)
+  {
+    http::ClientRequest request;
+    request.mServer = mWorkers[aWorker]->Address();
+    request.mMethod = http::Method::Post;
+    request.mTarget = "/v1/faults";
+    request.mBody = aFaults;
+    bool done = false;
+    mClient.Send(request, [&](std::error_code, const http::Response&) { done = true; });
+    Until([&] { return done; });
+  }
+
+  // Number of starts of each task attempt, over all workers.
+  Json Starts() const { return mCounters.Read().at("tasks"); }
+};
+
+// A node's planner with its own view of the workers.
+struct Planner
+{
+  Cluster& mCluster;
+  JobCoordinator<kv::MemoryStore, workers::HttpWorkerApi> mCoordinator;
+  Mailbox<workers::WorkerChange> mChanges;
+  workers::WorkerMonitor<workers::HttpWorkerApi> mMonitor;
+
+  Planner(Cluster& aCluster, const char* aNode)
+    : mCluster(aCluster)
+    , mCoordinator(aCluster.mLoop, aCluster.mApi, aCluster.mJobStore, aCluster.mAnswers,
+                   aCluster.mRandom, NodeId(aNode))
+    , mChanges(
+        aCluster.mLoop,
+        [this](const workers::WorkerChange& aChange) { mCoordinator.OnWorkerChange(aChange); })
+    , mMonitor(aCluster.mLoop, aCluster.mApi, aCluster.mRandom, mChanges.GetAddress())
+  {
+    PolicyInput policy;
+    policy.mAccounts.push_back({ AccountId("a"), 1, {}, {} });
+    mCoordinator.SetPolicy(policy);
+    mCoordinator.SetComplete(true);
+    mMonitor.SetWorkers(mCluster.mList);
+    mCluster.Until([this] { return mCoordinator.Views().size() == mCluster.mList.size(); });
+  }
+
+  bool IsRunning(const JobId& aJob) const
+  {
+    const auto it = mCoordinator.Jobs().find(aJob);
+    return it != mCoordinator.Jobs().end() && it->second.mPhase == JobPhase::Running;
+  }
+};
+
+} // namespace lovagerock::jobs
--- /dev/null
+++ b/tests/jobs/JobStoreTests.cpp
@@ -0,0 +1,136 @@
+#include "JobFixture.h"
+
+using namespace lovagerock;
+using namespace lovagerock::jobs;
+
+namespace {
+
+std::error_code
+Update(Cluster& aCluster, const JobRecord& aRecord)
+{
+  std::error_code ec;
+  bool done = false;
+  aCluster.mJobStore.Update(aRecord, [&](std::error_code aError, const JobRecord&) {
+    ec = aError;
+    done = true;
+  });
+  aCluster.Until([&] { return done; });
+  return ec;
+}
+
+std::error_code
+Finish(Cluster& aCluster, const JobRecord& aRecord)
+{
+  std::error_code ec;
+  bool done = false;
+  aCluster.mJobStore.MoveToDone(aRecord, [&](std::error_code aError, const JobRecord&) {
+    ec = aError;
+    done = true;
+  });
+  aCluster.Until([&] { return done; });
+  return ec;
+}
+
+} // namespace
+
+// Guards against a job that runs twice because its caller submitted it again after a lost answer.
+Test(JobStore, gives_the_same_job_for_a_repeated_submission)
+{
+  Cluster cluster(0);
+  cluster.mStore.LoseAnswers(1);
+  const auto first = cluster.Submit(cluster.Job("k", 1, "x"));
+  const auto second = cluster.Submit(cluster.Job("k", 1, "x"));
+  cr_assert_eq(first.mWriteToken, second.mWriteToken);
+  cr_assert(first.mModifyIndex != 0);
+}
+
+// Guards against an answer that belongs to another job under the same key.
+Test(JobStore, refuses_another_job_under_the_same_key)
+{
+  Cluster cluster(0);
+  cluster.Submit(cluster.Job("k", 1, "x"));
+  std::error_code ec;
+  bool done = false;
+  cluster.mJobStore.Submit(cluster.Job("k", 1, "y"), [&](std::error_code aError, const JobRecord&) {
+    ec = aError;
+    done = true;
+  });
+  cluster.Until([&] { return done; });
+  cr_assert_eq(ec, make_error_code(JobError::KeyReused));
+}
+
+// Guards against "not run" for a submission that took effect.
+Test(JobStore, reports_an_unsettled_submission_as_unknown)
+{
+  Cluster cluster(0);
+  cluster.mStore.SetAvailable(false);
+  std::error_code ec;
+  bool done = false;
+  cluster.mJobStore.Submit(cluster.Job("k", 1, "x"), [&](std::error_code aError, const JobRecord&) {
+    ec = aError;
+    done = true;
+  });
+  cluster.Until([&] { return done; });
+  cr_assert_eq(ec, make_error_code(JobError::StoreUnavailable));
+}
+
+// Guards against two planners that both commit an attempt.
+Test(JobStore, lets_one_of_two_writers_win)
+{
+  Cluster cluster(0);
+  const auto stored = cluster.Submit(cluster.Job("k", 1, "x"));
+  cr_assert_not(Update(cluster, stored));
+  cr_assert_eq(Update(cluster, stored), make_error_code(JobError::Conflict));
+}
+
+// Guards against a second answer by a late attempt.
+Test(JobStore, ends_a_job_once)
+{
+  Cluster cluster(0);
+  auto stored = cluster.Submit(cluster.Job("k", 1, "x"));
+  stored.mState = JobState::Finished;
+  cluster.mStore.LoseAnswers(1);
+  cr_assert_not(Finish(cluster, stored));
+  cr_assert_eq(Finish(cluster, stored), make_error_code(JobError::Conflict));
+}
+
+// Guards against pieces that are cut or joined wrongly.
+Test(AnswerStore, reads_back_a_large_answer)
+{
+  Cluster cluster(0);
+  std::string answer(static_cast<std::size_t>(kPieceSize.Value()) * 2 + 1, 'a');
+  answer.back() = 'z';
+  AnswerInfo info;
+  bool done = false;
+  cluster.mAnswers.Write(JobId("j"), 1, 0, answer, [&](std::error_code aError, AnswerInfo aInfo) {
+    cr_assert_not(aError);
+    info = aInfo;
+    done = true;
+  });
+  cluster.Until([&] { return done; });
+  cr_assert_eq(info.mPieces, 3);
+  std::string read;
+  for (int i = 0; i < info.mPieces; ++i) {
+    done = false;
+    cluster.mAnswers.ReadPiece(JobId("j"), 1, 0, i,
+                               [&](std::error_code, const std::string& aPiece) {
+                                 read += aPiece;
+                                 done = true;
+                               });
+    cluster.Until([&] { return done; });
+  }
+  cr_assert(read == answer);
+}
+
+// Guards against a misspelled option that is ignored.
+Test(JobSpec, names_each_invalid_field)
+{
+  std::vector<SpecProblem> problems;
+  const auto json = ParseJson(R"({"tasks":513,"resources":{"gpus":1},"adjacency":"near"})");
+  cr_assert_not(ReadJobSpec(*json, problems).has_value());
+  std::string fields;
+  for (const auto& it : problems) {
+    fields += it.mField + " ";
+  }
+  cr_assert_eq(fields, std::string("tasks resources.gpus adjacency "));
+}
