--- /dev/null
+++ b/src/configstore/Confirmation.cpp
@@ -0,0 +1,180 @@
+#include "configstore/Confirmation.h"
+
+#include <algorithm>
+
+namespace lovagerock::configstore {
+
+namespace detail {
+namespace {
+
+// Rounded up, so that an age is never told too low.
+std::optional<Duration>
+AgeOf(const std::optional<TimePoint>& aAt, TimePoint aNow)
+{
+  if (!aAt) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<Duration>(aNow - *aAt);
+}
+
+std::optional<TimePoint>
+TimeOf(const std::optional<Duration>& aAge, TimePoint aSent)
+{
+  return aAge ? std::optional(aSent - *aAge) : std::nullopt;
+}
+
+} // namespace
+} // namespace detail
+
+const char*
+ToString(ConfirmationState aState)
+{
+  switch (aState) {
+    case ConfirmationState::None:
+      return "none";
+    case ConfirmationState::Confirmed:
+      return "confirmed";
+    case ConfirmationState::ServiceDown:
+      return "service_down";
+    case ConfirmationState::Isolated:
+      return "isolated";
+  }
+  return "unknown";
+}
+
+Confirmation::Confirmation(const ConfirmationSettings& aSettings, TimePoint aStart)
+  : mSettings(aSettings)
+  , mStart(aStart)
+{
+}
+
+void
+Confirmation::SetInForce(ConfigVersion aVersion)
+{
+  mInForce = std::max(mInForce, aVersion);
+  if (const auto at = ConfirmedAt()) {
+    std::erase_if(mReads, [this](const auto& aEntry) { return aEntry.first <= mInForce; });
+    mReads[mInForce] = *at;
+  }
+}
+
+void
+Confirmation::NoteDirectRead(ConfigVersion aVersion, TimePoint aSent)
+{
+  if (!mDirectAt || aSent >= *mDirectAt) {
+    mDirectAt = aSent;
+    mDirectVersion = aVersion;
+  }
+  NoteRead(aVersion, aSent);
+}
+
+void
+Confirmation::NoteReport(const NodeId& aMember, const MemberReport& aReport, TimePoint aSent)
+{
+  auto& received = mReports[aMember];
+  if (received.mSent > aSent) {
+    return;
+  }
+  received = { aReport, aSent };
+  mHighestHeard = std::max(mHighestHeard, aReport.mVersion);
+  if (const auto at = detail::TimeOf(aReport.mDirectAge, aSent)) {
+    NoteRead(aReport.mDirectVersion, *at);
+  }
+  std::erase_if(mReports, [aSent](const auto& aEntry) {
+    return aSent - aEntry.second.mSent > std::chrono::hours(1);
+  });
+}
+
+ConfirmationState
+Confirmation::State(TimePoint aNow, std::size_t aKnown, ConfigVersion aOpenPromise) const
+{
+  if (mInForce == ConfigVersion()) {
+    return ConfirmationState::None;
+  }
+  if (IsRecent(ConfirmedAt(), aNow)) {
+    return ConfirmationState::Confirmed;
+  }
+  return MayGoOn(aNow, aKnown, aOpenPromise) ? ConfirmationState::ServiceDown
+                                             : ConfirmationState::Isolated;
+}
+
+void
+Confirmation::FillReport(MemberReport& aReport, TimePoint aNow) const
+{
+  aReport.mDirectAge = detail::AgeOf(mDirectAt, aNow);
+  aReport.mDirectVersion = mDirectVersion;
+  aReport.mConfirmedAge = detail::AgeOf(ConfirmedAt(), aNow);
+  aReport.mConfirmedOnce = WasConfirmedOnce();
+}
+
+const MemberReport*
+Confirmation::ReportOf(const NodeId& aMember) const
+{
+  const auto it = mReports.find(aMember);
+  return it == mReports.end() ? nullptr : &it->second.mReport;
+}
+
+bool
+Confirmation::IsMemberConfirmed(const NodeId& aMember, TimePoint aNow) const
+{
+  const auto it = mReports.find(aMember);
+  return it != mReports.end() && it->second.mReport.mVersion > ConfigVersion() &&
+         IsRecent(detail::TimeOf(it->second.mReport.mConfirmedAge, it->second.mSent), aNow);
+}
+
+void
+Confirmation::NoteRead(ConfigVersion aVersion, TimePoint aAt)
+{
+  mHighestHeard = std::max(mHighestHeard, aVersion);
+  const auto version = std::max(aVersion, mInForce);
+  const auto it = mReads.try_emplace(version, aAt).first;
+  it->second = std::max(it->second, aAt);
+}
+
+std::optional<TimePoint>
+Confirmation::ConfirmedAt() const
+{
+  std::optional<TimePoint> latest;
+  for (const auto& [version, at] : mReads) {
+    if (version <= mInForce && (!latest || at > *latest)) {
+      latest = at;
+    }
+  }
+  return latest;
+}
+
+bool
+Confirmation::WasConfirmedOnce() const
+{
+  const auto at = ConfirmedAt();
+  return mInForce > ConfigVersion() && at && *at - mStart >= mSettings.mSettleTime;
+}
+
+bool
+Confirmation::IsRecent(const std::optional<TimePoint>& aAt, TimePoint aNow) const
+{
+  return aAt && aNow - *aAt < mSettings.mConfirmedFor;
+}
+
+bool
+Confirmation::MayGoOn(TimePoint aNow, std::size_t aKnown, ConfigVersion aOpenPromise) const
+{
+  if (!WasConfirmedOnce() || aOpenPromise > mInForce || mHighestHeard > mInForce) {
+    return false;
+  }
+  std::size_t counted = 1;
+  for (const auto& [node, received] : mReports) {
+    if (aNow - received.mSent >= mSettings.mHeardFor) {
+      continue;
+    }
+    const auto& report = received.mReport;
+    // The members that promised a change may be heard only by this one of the majority.
+    if (report.mOpenPromise > mInForce || IsMemberConfirmed(node, aNow)) {
+      return false;
+    }
+    counted += report.mConfirmedOnce ? 1 : 0;
+  }
+  return 2 * counted > aKnown;
+}
+
+} // namespace lovagerock::configstore
