Remove string concatenations that the linter reports in the verifier

Cause: performance-inefficient-string-concatenation in Verifier.cpp. Ruled out: a suppression. Change: append() in place of operator+ in three messages. The linter was not run again. Conclusion: scripts/lint.sh remains to be run.

--- a/src/load/Verifier.cpp
+++ b/src/load/Verifier.cpp
@@ -179,7 +179,8 @@
     for (const auto& it : JsonValue(line, client_trace::kAttempts, Json::array())) {
       const auto id = detail::Text(it, client_trace::kId);
       if (detail::Text(it, client_trace::kRan) == "no" && StartsOf(id) > 0) {
-        Break(detail::kNotRunButRan, "request " + id + " of key " + key);
+        Break(detail::kNotRunButRan,
+              std::string("request ").append(id).append(" of key ").append(key));
       }
       ids.insert(id);
     }
@@ -204,7 +205,7 @@
     const auto name = "job " + job + " of key " + detail::Text(line, client_trace::kKey);
     if (job.empty()) {
       if (!detail::IsAnswer(line)) {
-        Break(detail::kNotAnsweredOnce, name + ": " + outcome);
+        Break(detail::kNotAnsweredOnce, std::string(name).append(": ").append(outcome));
       }
       continue;
     }
@@ -212,7 +213,7 @@
     const bool whole =
       JsonValue(line, client_trace::kAnswers, 0) == JsonValue(line, client_trace::kTasks, 1);
     if (++lines[job] > 1 || !detail::IsAnswer(line) || (finished && !whole)) {
-      Break(detail::kNotAnsweredOnce, name + ": " + outcome);
+      Break(detail::kNotAnsweredOnce, std::string(name).append(": ").append(outcome));
     }
   }
 }
