Find second runs of a payload under any request id

Cause: verify matched runs by request ids, so a second run by a node that died before it told the caller its id was not found. Change: the stand-in worker writes the payload's token and a task's idempotent mark to its trace; verify counts starts by token.

--- a/src/load/TraceFields.h
+++ b/src/load/TraceFields.h
@@ -4,11 +4,12 @@
 
 namespace lovagerock::load::worker_trace {
 
-inline constexpr const char* kTime = "time";
+inline constexpr const char* kTime = "time_ms";
 inline constexpr const char* kEvent = "event";
 inline constexpr const char* kStart = "start";
 inline constexpr const char* kEnd = "end";
 inline constexpr const char* kRequest = "request";
+inline constexpr const char* kToken = "token";
 inline constexpr const char* kJob = "job";
 inline constexpr const char* kTask = "task";
 inline constexpr const char* kTasks = "tasks";
--- a/src/load/Verifier.cpp
+++ b/src/load/Verifier.cpp
@@ -188,6 +188,11 @@
     for (const auto& it : ids) {
       starts += StartsOf(it);
     }
+    // Also finds runs under ids that the caller was never told.
+    const auto token = mRuns.mTokenStarts.find(detail::Text(line, client_trace::kToken));
+    if (token != mRuns.mTokenStarts.end()) {
+      starts = std::max(starts, token->second);
+    }
     if (!JsonValue(line, client_trace::kIdempotent, true) && starts > 1) {
       Break(detail::kRanTwice, "key " + key + " is not idempotent and its requests started " +
                                  std::to_string(starts) + " times");
--- a/src/load/WorkerRuns.cpp
+++ b/src/load/WorkerRuns.cpp
@@ -34,6 +34,9 @@
   }
   auto& runs = RunsOf(aRuns, aLine);
   if (event == field::kStart) {
+    if (const auto token = JsonValue(aLine, field::kToken, std::string()); !token.empty()) {
+      ++aRuns.mTokenStarts[token];
+    }
     runs.push_back({ time, WorkerRun::kOpen, "", JsonValue(aLine, field::kIdempotent, true),
                      JsonValue(aLine, field::kTasks, 1) });
     return true;
--- a/src/load/WorkerRuns.h
+++ b/src/load/WorkerRuns.h
@@ -30,6 +30,8 @@
   // By request id as the workers know it: the id that the entry node tells its caller, with
   // ".<attempt>" appended.
   std::map<std::string, std::vector<WorkerRun>> mRequests;
+  // Number of starts by the token of the payload, over all request ids and entry nodes.
+  std::map<std::string, std::size_t> mTokenStarts;
   // By job, attempt and task.
   std::map<std::string, std::map<std::int64_t, std::map<int, std::vector<WorkerRun>>>> mJobs;
 
--- a/src/standin/worker/RequestTable.cpp
+++ b/src/standin/worker/RequestTable.cpp
@@ -1,5 +1,6 @@
 #include "standin/worker/RequestTable.h"
 
+#include "base/Json.h"
 #include "standin/worker/LeaseTable.h"
 #include "standin/worker/TaskSpec.h"
 
@@ -18,6 +19,14 @@
   return { 503, aNotRun, std::string(R"({"error":")") + aError + R"("})" };
 }
 
+// The member "token" of a JSON body; empty if there is none.
+std::string
+TokenOf(const std::string& aBody)
+{
+  const auto json = ParseJson(aBody);
+  return json ? JsonValue(*json, "token", std::string()) : std::string();
+}
+
 } // namespace
 } // namespace detail
 
@@ -72,7 +81,7 @@
   entry.mReplies.push_back(std::move(aReply));
   mDue.emplace(std::min(entry.mEnds, entry.mTimeout), aId);
   ++mRunning;
-  mObserver({ aId, aLease, true, {} });
+  mObserver({ aId, aLease, true, {}, detail::TokenOf(aBody) });
   Advance(aNow);
 }
 
@@ -91,10 +100,13 @@
     mDue.erase(it);
   }
   const auto& result = aEntry.mResult;
-  mObserver({ aId, aEntry.mLease, false,
+  mObserver({ aId,
+              aEntry.mLease,
+              false,
               result.mStatus == 200   ? "done"
               : result.mStatus == 503 ? "cancelled"
-                                      : "failed" });
+                                      : "failed",
+              {} });
   mLeave(aEntry.mLease);
   for (const auto& reply : std::exchange(aEntry.mReplies, {})) {
     reply(result);
--- a/src/standin/worker/RequestTable.h
+++ b/src/standin/worker/RequestTable.h
@@ -36,6 +36,8 @@
   bool mStarted = false;
   // "done", "failed" or "cancelled" at the end.
   std::string mOutcome;
+  // At the start: the member "token" of a JSON body, by which a test finds all runs of a payload.
+  std::string mToken;
 };
 
 // Limits against unbounded memory.
--- a/src/standin/worker/TraceFile.cpp
+++ b/src/standin/worker/TraceFile.cpp
@@ -31,9 +31,13 @@
     return;
   }
   const bool started = aEvent.mKind == LeaseEvent::Kind::Started;
-  Json line{ { "lease", lease.mLease.Value() }, { "job", lease.mJob.Value() },
-             { "task", lease.mTask },           { "tasks", lease.mTasks },
-             { "attempt", lease.mAttempt },     { "account", lease.mAccount.Value() } };
+  Json line{ { "lease", lease.mLease.Value() },
+             { "job", lease.mJob.Value() },
+             { "task", lease.mTask },
+             { "tasks", lease.mTasks },
+             { "attempt", lease.mAttempt },
+             { "account", lease.mAccount.Value() },
+             { "idempotent", lease.mIdempotent } };
   if (!started) {
     line["outcome"] = workers::LeasePhaseName(lease.mPhase);
   }
@@ -44,7 +48,9 @@
 TraceFile::Record(const WorkerId& aWorker, const RequestEvent& aEvent)
 {
   Json line{ { "lease", aEvent.mLease.Value() }, { "request", aEvent.mRequest.Value() } };
-  if (!aEvent.mStarted) {
+  if (aEvent.mStarted) {
+    line["token"] = aEvent.mToken;
+  } else {
     line["outcome"] = aEvent.mOutcome;
   }
   Write(aWorker, aEvent.mStarted, std::move(line));
--- a/tests/load/VerifierTests.cpp
+++ b/tests/load/VerifierTests.cpp
@@ -33,7 +33,7 @@
 Request(double aTime, const std::string& aEvent, const std::string& aId)
 {
   std::ostringstream line;
-  line << R"({"time":)" << aTime << R"(,"event":")" << aEvent << R"(","request":")" << aId
+  line << R"({"time_ms":)" << aTime << R"(,"event":")" << aEvent << R"(","request":")" << aId
        << R"(","idempotent":false,"outcome":"finished"})" << '\n';
   return line.str();
 }
@@ -44,8 +44,8 @@
      int aAttempt = 1, bool aIdempotent = true)
 {
   std::ostringstream line;
-  line << R"({"time":)" << aTime << R"(,"event":")" << aEvent << R"(","job":"j1","task":)" << aTask
-       << R"(,"tasks":2,"attempt":)" << aAttempt << R"(,"idempotent":)"
+  line << R"({"time_ms":)" << aTime << R"(,"event":")" << aEvent << R"(","job":"j1","task":)"
+       << aTask << R"(,"tasks":2,"attempt":)" << aAttempt << R"(,"idempotent":)"
        << (aIdempotent ? "true" : "false") << R"(,"outcome":")" << aOutcome << R"("})" << '\n';
   return line.str();
 }
@@ -86,6 +86,17 @@
   cr_assert(IsOnly(Check(workers, ""), "ran_twice"));
 }
 
+// Guards against a second run by a node that died before it told the caller its request id.
+Test(Verifier, reports_a_payload_that_ran_under_two_ids)
+{
+  const std::string start = R"("event":"start","token":"t1","request":)";
+  const auto workers = R"({"time_ms":1,)" + start + R"("n1-1.1"})" + "\n" + R"({"time_ms":2,)" +
+                       start + R"("n2-1.1"})" + "\n";
+  const std::string client =
+    R"({"kind":"request","key":"k","token":"t1","idempotent":false,"outcome":"ok","attempts":[]})";
+  cr_assert(IsOnly(Check(workers, client + "\n"), "ran_twice"));
+}
+
 // Guards against a retry with the same key that runs under another request id.
 Test(Verifier, reports_a_key_that_ran_twice)
 {
