--- a/src/standin/worker/LeaseTable.cpp
+++ b/src/standin/worker/LeaseTable.cpp
@@ -167,9 +167,7 @@
     End(aLease, LeasePhase::Failed, "task failed");
     return;
   }
-  const auto& state = aLease.mState;
-  aLease.mAnswer =
-    aLease.mSpec.mAnswer.value_or(state.mJob.Value() + "/" + std::to_string(state.mTask));
+  aLease.mAnswer = aLease.mSpec.mAnswer.value_or(aLease.mPayload);
   End(aLease, LeasePhase::Finished);
 }
 
--- a/src/standin/worker/TaskSpec.h
+++ b/src/standin/worker/TaskSpec.h
@@ -13,7 +13,7 @@
 {
   // Time that the work takes at full speed.
   Duration mRun{ 0 };
-  // The answer; the default depends on the kind of work.
+  // The answer; by default the payload itself.
   std::optional<std::string> mAnswer;
   // Ends with an error after its run time.
   bool mFail = false;
