--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -29,7 +29,7 @@
     worker_cores=64 worker_memory=131072
     service=assessment caller=theory-marking
     once_service=certificate once_caller=certificates
-    owner=practical-scoring borrower=theory-marking
+    owner=practical-scoring borrower=drill-review
     ;;
   *)
     echo "usage: $0 [saryarka|zarqa]" >&2
@@ -77,14 +77,15 @@
 load gang64 "$owner" jobs --count 1 --tasks 64 --adjacency rack --run-ms 300
 
 step "$borrower borrows what is idle; $owner reclaims its guaranteed shape with an urgent gang"
-load borrowed "$borrower" jobs --count 8 --tasks 16 --adjacency zone --run-ms 4000 >"$work/borrowed.txt" &
+load borrowed "$borrower" jobs --count 40 --tasks 8 --adjacency zone --run-ms 6000 >"$work/borrowed.txt" &
 borrow_pid=$!
-borrowed_runs() { operator 1 show placements | grep -q "$borrower.*borrowed.*running"; }
+borrowed_runs() { [ "$(operator 1 show placements | grep -c "$borrower.*running")" -ge 300 ]; }
 await "borrowed work" borrowed_runs
 load reclaim "$owner" jobs --count 1 --tasks 64 --adjacency rack --urgent --run-ms 300
 wait "$borrow_pid"
 cat "$work/borrowed.txt"
-cat "$work"/node-*.log | grep -o 'event=reclaim .*' | head -3 || true
+echo "reclaimed borrowers:"
+grep -ho 'event=reclaim .*' "$work"/node-*.log
 
 step "stop node 2 gracefully and kill node 3 under load"
 load faults "$caller" requests --service "$service" --count 6000 --connections 16 --run-ms 5 &
