Let reservations reclaim only smaller work, and keep several

Cause: a reservation reclaimed every borrower that had started after the reservation was made, on the assumption that it was backfill. A gang that started elsewhere in the meantime counted as such. In the overnight trace the small job screens-55 reclaimed battery-1 (64 accelerators), battery-1 reclaimed the small jobs in turn, and so on every 4 minutes from minute 86; in the term-end trace drills-9 and scoring-1 did the same. One reservation at a time also made the second gang wait until the first had started, and a hold ended after 15 minutes even while its capacity was being freed.

Change: a reservation records the backfill it let in and reclaims that, or smaller borrowers. Up to four reservations, by size times waiting time. The 15 minutes count from the last progress. Earlier borrowers are reclaimed once the idle accelerator time exceeds the lost progress, if their account keeps the higher share. A rack in which no job of the same size runs comes first. An overrun job is expected to run as long again. Backfill must fit three times into the time left.

--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -207,7 +207,7 @@
       ++largeCount;
     }
   }
-  std::printf("%-14s %-10s mean_completion_min=%.1f large_gang_completion_min=%.1f unfinished=%d "
+  std::printf("%-14s %-12s mean_completion_min=%.1f large_gang_completion_min=%.1f unfinished=%d "
               "mean_fragmentation=%.3f\n",
               aTrace.c_str(), aPolicy, all / static_cast<double>(aResult.mJobs.size()),
               large / std::max(largeCount, 1), unfinished, aResult.mMeanFragmentation);
@@ -236,11 +236,16 @@
   for (const std::string name : { "overnight.txt", "term-end.txt" }) {
     const auto trace = tests::ReadTrace(std::string(TRACE_DIRECTORY) + "/" + name);
     Report("first-fit", name, tests::Replay(trace, FirstFit, 1440));
-    PlannerState state;
-    Report("lovagerock", name,
-           tests::Replay(
-             trace, [&](const ClusterSnapshot& aSnapshot) { return ComputePlan(aSnapshot, state); },
-             1440));
+    for (const double completion : { 0.9, 0.5, 0.1 }) {
+      PlannerState state;
+      const auto policy = [&](ClusterSnapshot aSnapshot) {
+        aSnapshot.mWeights = { completion, 1 - completion };
+        return ComputePlan(aSnapshot, state);
+      };
+      char label[32];
+      std::snprintf(label, sizeof label, "ours %.1f/%.1f", completion, 1 - completion);
+      Report(label, name, tests::Replay(trace, policy, 1440));
+    }
   }
   return 0;
 }
--- a/src/placement/ClusterModel.cpp
+++ b/src/placement/ClusterModel.cpp
@@ -171,8 +171,7 @@
   borrower.mUrgent = borrower.mUrgent || lease.mUrgent;
   borrower.mStopping = borrower.mStopping || lease.mPhase == LeasePhase::Stopping;
   borrower.mStarted = std::min(borrower.mStarted, lease.mStarted);
-  borrower.mSize += std::max(
-    { 1, held.mResources[ResourceVector::kSlots], held.mResources[ResourceVector::kAccelerators] });
+  borrower.mSize += held.mResources.Size();
 }
 
 void
@@ -268,14 +267,20 @@
 ClusterModel::AddUse(int aAccount, const ResourceVector& aAmount)
 {
   mUsed[aAccount] += aAmount;
+  mShare[aAccount] = ShareWith(aAccount, ResourceVector());
+}
+
+double
+ClusterModel::ShareWith(int aAccount, const ResourceVector& aMore) const
+{
+  const auto used = mUsed[aAccount] + aMore;
   double share = 0;
   for (int i = 0; i < ResourceVector::kSize; ++i) {
     if (mTotal[i] > 0) {
-      share =
-        std::max(share, static_cast<double>(mUsed[aAccount][i]) / static_cast<double>(mTotal[i]));
+      share = std::max(share, static_cast<double>(used[i]) / static_cast<double>(mTotal[i]));
     }
   }
-  mShare[aAccount] = share / std::max(mSnapshot.mAccounts[aAccount].mWeight, 1e-6);
+  return share / std::max(mSnapshot.mAccounts[aAccount].mWeight, 1e-6);
 }
 
 void
--- a/src/placement/ClusterModel.h
+++ b/src/placement/ClusterModel.h
@@ -115,6 +115,8 @@
   const ResourceVector& Used(int aAccount) const { return mUsed[aAccount]; }
   // Dominant share of the whole cluster over the account's weight.
   double ShareOfAccount(int aAccount) const { return mShare[aAccount]; }
+  // The same with this on top of the account's use.
+  double ShareWith(int aAccount, const ResourceVector& aMore) const;
 
   // Takes capacity for new work that starts now.
   void TakeGuaranteed(int aWorker, int aAccount, const ResourceVector& aAmount);
--- a/src/placement/PlanBuilder.cpp
+++ b/src/placement/PlanBuilder.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr std::size_t kWorkersToFail = 3;
+// Declared run times are often far off, so backfill must be expected to end well before the
+// reservation.
+constexpr int kDistrust = 3;
 
 } // namespace
 } // namespace detail
@@ -58,7 +61,7 @@
   reservations.KeepCapacity();
   ShareOut(true);
   mContext.mModel.ClearHolds();
-  reservations.Continue(FindReserved());
+  reservations.Continue([this](const JobId& aJob) { return FindQueued(aJob); });
   ShareOut(false);
   MakeReservation();
   for (const auto* it : mWithoutCapacity) {
@@ -277,14 +280,11 @@
 }
 
 QueuedJob*
-PlanBuilder::FindReserved()
+PlanBuilder::FindQueued(const JobId& aJob)
 {
-  if (!mContext.mState.mReservation) {
-    return nullptr;
-  }
   for (auto& queue : mQueues) {
     for (auto& it : queue) {
-      if (it.mJob->mJob == mContext.mState.mReservation->mJob) {
+      if (it.mJob->mJob == aJob) {
         return &it;
       }
     }
@@ -292,6 +292,13 @@
   return nullptr;
 }
 
+bool
+PlanBuilder::HasReservation(const JobId& aJob) const
+{
+  return std::ranges::find(mContext.mState.mReservations, aJob, &Reservation::mJob) !=
+         mContext.mState.mReservations.end();
+}
+
 void
 PlanBuilder::ShareOut(bool aUrgent)
 {
@@ -303,8 +310,7 @@
     auto& i = next[aAccount];
     // An urgent job with the reservation is started by ReservationPlanner.
     while (i < queue.size() && (queue[i].mIsSettled || queue[i].mJob->mUrgent != aUrgent ||
-                                (mContext.mState.mReservation &&
-                                 mContext.mState.mReservation->mJob == queue[i].mJob->mJob))) {
+                                HasReservation(queue[i].mJob->mJob))) {
       ++i;
     }
     return i < queue.size();
@@ -343,13 +349,13 @@
   if (aJob.mJob->mUrgent && ReclaimForUrgent(aJob)) {
     return;
   }
-  found = mContext.mState.mReservation ? FindBorrowed(aJob, true) : Placement();
+  found = mContext.mState.mReservations.empty() ? Placement() : FindBorrowed(aJob, true);
   if (!found.empty() && MayBackfill(aJob)) {
-    mContext.Start(aJob, found, CapacityClass::Borrowed);
+    Backfill(aJob, found);
   } else if (!found.empty()) {
     mContext.Wait(aJob, WaitReason::ReservedForLargerJob,
                   "free capacity is reserved for job " +
-                    mContext.mState.mReservation->mJob.Value());
+                    mContext.mState.mReservations.front().mJob.Value());
   } else {
     mWithoutCapacity.push_back(&aJob);
   }
@@ -372,9 +378,27 @@
 bool
 PlanBuilder::MayBackfill(const QueuedJob& aJob) const
 {
+  const auto& reservations = mContext.mState.mReservations;
+  const auto latest = mContext.mSnapshot.mNow + aJob.mJob->mEstimate * detail::kDistrust;
   return !aJob.mNeed.mIsPinned && aJob.mJob->mEstimate.count() > 0 &&
-         mContext.mSnapshot.mNow + aJob.mJob->mEstimate <=
-           mContext.mState.mReservation->mExpectedStart;
+         std::ranges::all_of(reservations, [&](const Reservation& aReservation) {
+           return latest <= aReservation.mExpectedStart;
+         });
+}
+
+void
+PlanBuilder::Backfill(QueuedJob& aJob, const Placement& aPlacement)
+{
+  mContext.Start(aJob, aPlacement, CapacityClass::Borrowed);
+  for (auto& reservation : mContext.mState.mReservations) {
+    if (std::ranges::any_of(aPlacement, [&](int aWorker) {
+          return std::ranges::find(reservation.mWorkers,
+                                   mContext.mSnapshot.mWorkers[aWorker].mWorker) !=
+                 reservation.mWorkers.end();
+        })) {
+      reservation.mBackfill.insert(aJob.mJob->mJob);
+    }
+  }
 }
 
 bool
@@ -425,14 +449,13 @@
 void
 PlanBuilder::MakeReservation()
 {
-  if (mContext.mState.mReservation) {
-    return;
-  }
   std::vector<QueuedJob*> large;
   std::ranges::copy_if(mWithoutCapacity, std::back_inserter(large),
                        [&](const QueuedJob* aJob) { return IsLarge(*aJob); });
-  std::ranges::sort(large, {}, [](const QueuedJob* aJob) {
-    return std::tuple(aJob->mJob->mSubmitted, aJob->mJob->mJob);
+  std::ranges::sort(large, {}, [&](const QueuedJob* aJob) {
+    return std::tuple(-ReservationPlanner::Priority(aJob->mTotal.Size(), aJob->mJob->mSubmitted,
+                                                    mContext.mSnapshot.mNow),
+                      aJob->mJob->mJob);
   });
   ReservationPlanner(mContext).Make(large);
 }
--- a/src/placement/PlanBuilder.h
+++ b/src/placement/PlanBuilder.h
@@ -46,12 +46,14 @@
   bool StartOnOwn(QueuedJob& aJob);
   bool StartOnOwnWith(QueuedJob& aJob, const GangNeed& aNeed);
   bool FitsOwnAssignment(const QueuedJob& aJob);
-  QueuedJob* FindReserved();
+  QueuedJob* FindQueued(const JobId& aJob);
+  bool HasReservation(const JobId& aJob) const;
   void ShareOut(bool aUrgent);
   // Starts the job or gives it a reason to wait.
   void Borrow(QueuedJob& aJob);
   Placement FindBorrowed(const QueuedJob& aJob, bool aMayUseHeld);
   bool MayBackfill(const QueuedJob& aJob) const;
+  void Backfill(QueuedJob& aJob, const Placement& aPlacement);
   bool ReclaimForUrgent(QueuedJob& aJob);
   void MakeReservation();
   bool IsLarge(const QueuedJob& aJob) const;
--- a/src/placement/PlannerState.h
+++ b/src/placement/PlannerState.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -25,8 +26,18 @@
   JobId mJob;
   // The worker of each task.
   std::vector<WorkerId> mWorkers;
+  Resources mResourcesPerTask;
+  TimePoint mSubmitted;
   TimePoint mMadeAt;
   TimePoint mExpectedStart;
+  // The tasks that had no room at the last plan, and when that number last fell.
+  int mMissing = 0;
+  TimePoint mLastProgress;
+  // When the last plan was made, and the accelerator-seconds kept idle until then.
+  TimePoint mLastPlan;
+  double mIdle = 0;
+  // Jobs that were started on the kept capacity in the meantime.
+  std::set<JobId> mBackfill;
 };
 
 // What is remembered of a worker's task failures.
@@ -59,7 +70,8 @@
   int Failures(const WorkerId& aWorker) const;
 
   std::vector<AssignedCopy> mAssignment;
-  std::optional<Reservation> mReservation;
+  // By falling priority; an earlier one goes before a later one.
+  std::vector<Reservation> mReservations;
   // Jobs whose reservation could not complete get no other one before this time.
   std::map<JobId, TimePoint> mNoReservationBefore;
 
--- a/src/placement/ReservationPlanner.cpp
+++ b/src/placement/ReservationPlanner.cpp
@@ -16,102 +16,195 @@
 } // namespace
 } // namespace detail
 
+double
+ReservationPlanner::Priority(int aSize, TimePoint aSubmitted, TimePoint aNow)
+{
+  // The added minute makes a new gang go before a new small job.
+  const std::chrono::duration<double> waited = aNow - aSubmitted + std::chrono::minutes(1);
+  return aSize * waited.count();
+}
+
+double
+ReservationPlanner::PriorityOf(const Reservation& aReservation) const
+{
+  const auto total =
+    ResourceVector(aReservation.mResourcesPerTask) * static_cast<int>(aReservation.mWorkers.size());
+  return Priority(total.Size(), aReservation.mSubmitted, mContext.mSnapshot.mNow);
+}
+
 void
-ReservationPlanner::KeepCapacity()
+ReservationPlanner::HoldAll(const Reservation& aReservation)
 {
-  const auto it = std::ranges::find_if(mContext.mSnapshot.mJobs, [&](const PendingJob& aJob) {
-    return mContext.mState.mReservation && aJob.mJob == mContext.mState.mReservation->mJob;
-  });
-  if (it == mContext.mSnapshot.mJobs.end()) {
-    return;
+  for (const int it : PlacementOf(aReservation).value_or(Placement())) {
+    mContext.mModel.Hold(it, ResourceVector(aReservation.mResourcesPerTask));
   }
-  for (const int worker : PlacementNow().value_or(Placement())) {
-    mContext.mModel.Hold(worker, ResourceVector(it->mResourcesPerTask));
+}
+
+void
+ReservationPlanner::KeepCapacity()
+{
+  for (const auto& it : mContext.mState.mReservations) {
+    HoldAll(it);
   }
 }
 
 void
-ReservationPlanner::Continue(QueuedJob* aJob)
+ReservationPlanner::DropBelow(double aPriority)
 {
-  auto& state = mContext.mState;
-  if (!state.mReservation) {
-    return;
+  const auto dropped =
+    std::erase_if(mContext.mState.mReservations, [&](const Reservation& aReservation) {
+      return PriorityOf(aReservation) < aPriority;
+    });
+  if (dropped > 0) {
+    mContext.mModel.ClearHolds();
+    KeepCapacity();
   }
+}
+
+void
+ReservationPlanner::Continue(const FindJob& aFindJob)
+{
+  auto& reservations = mContext.mState.mReservations;
+  std::ranges::stable_sort(reservations, std::greater<>(), [this](const Reservation& aReservation) {
+    return PriorityOf(aReservation);
+  });
+  std::erase_if(reservations, [&](Reservation& aReservation) {
+    return !ContinueOne(aFindJob(aReservation.mJob), aReservation);
+  });
+}
+
+bool
+ReservationPlanner::ContinueOne(QueuedJob* aJob, Reservation& aReservation)
+{
   if (!aJob || aJob->mIsSettled || !mContext.IsWithinQuota(aJob->mNeed.mAccount, aJob->mTotal)) {
-    state.mReservation.reset();
-    return;
+    return false;
   }
-  if (const auto found = mContext.mSearch.FindFree(aJob->mNeed, true); !found.empty()) {
+  // The holds at this point are those of the earlier reservations.
+  if (const auto found = mContext.mSearch.FindFree(aJob->mNeed, false); !found.empty()) {
     mContext.Start(*aJob, found, CapacityClass::Borrowed);
-    state.mReservation.reset();
-    return;
+    return false;
   }
-  const auto placement = PlacementNow();
+  const auto placement = PlacementOf(aReservation);
   if (!placement || !IsPossible(aJob->mNeed, *placement)) {
-    state.mReservation.reset();
-    return;
+    return false;
+  }
+  RecordProgress(aReservation, aJob->mNeed, *placement);
+  return ReclaimFor(*aJob, aReservation, *placement) || Hold(*aJob, aReservation, *placement);
+}
+
+int
+ReservationPlanner::FreeTasks(const GangNeed& aNeed, const Placement& aPlacement) const
+{
+  std::map<int, int> counts;
+  for (const int it : aPlacement) {
+    ++counts[it];
   }
-  Hold(*aJob, *placement);
+  int n = 0;
+  for (const auto& [worker, count] : counts) {
+    n += ResourceVector::Positive(mContext.mModel.Free(worker) - mContext.mModel.Held(worker))
+           .Fits(aNeed.mPerTask, count);
+  }
+  return n;
 }
 
 void
-ReservationPlanner::Hold(QueuedJob& aJob, const Placement& aPlacement)
+ReservationPlanner::RecordProgress(Reservation& aReservation, const GangNeed& aNeed,
+                                   const Placement& aPlacement)
 {
-  auto& model = mContext.mModel;
-  auto& reservation = *mContext.mState.mReservation;
   const auto now = mContext.mSnapshot.mNow;
-  ReclaimSearch search(model, now);
-  const auto choice = search.FindOn(
-    aJob.mNeed, aPlacement, [&](const Borrower& aBorrower) { return MayReclaim(aJob, aBorrower); });
-  if (choice) {
-    mContext.ReclaimAll(choice->mBorrowers, ReclaimReason::Reservation, aJob.mJob->mJob,
-                        ServiceId());
-    for (const int it : aPlacement) {
-      model.Await(it, aJob.mNeed.mPerTask);
+  const int free = FreeTasks(aNeed, aPlacement);
+  const int missing = aNeed.mTasks - free;
+  const std::chrono::duration<double> passed = now - aReservation.mLastPlan;
+  aReservation.mIdle += static_cast<double>(aNeed.mPerTask.Size()) * free * passed.count();
+  aReservation.mLastPlan = now;
+  if (missing < aReservation.mMissing) {
+    aReservation.mMissing = missing;
+    aReservation.mLastProgress = now;
+  }
+}
+
+bool
+ReservationPlanner::ReclaimFor(QueuedJob& aJob, Reservation& aReservation,
+                               const Placement& aPlacement)
+{
+  ReclaimSearch search(mContext.mModel, mContext.mSnapshot.mNow);
+  auto choice = search.FindOn(aJob.mNeed, aPlacement, [&](const Borrower& aBorrower) {
+    return MayReclaim(aJob, aReservation, aBorrower);
+  });
+  if (!choice) {
+    choice = search.FindOn(aJob.mNeed, aPlacement, [&](const Borrower& aBorrower) {
+      return MayReclaim(aJob, aReservation, aBorrower) || StaysAhead(aJob, aBorrower);
+    });
+    const auto& weights = mContext.mSnapshot.mWeights;
+    if (!choice ||
+        choice->mCost * weights.mCompletionTime > aReservation.mIdle * weights.mFragmentation) {
+      return false;
     }
-    mContext.Wait(aJob, WaitReason::WaitingForReclaim, "its reserved capacity is being reclaimed");
-    return;
   }
-  if (now >= reservation.mMadeAt + kLongestHold) {
+  mContext.ReclaimAll(choice->mBorrowers, ReclaimReason::Reservation, aJob.mJob->mJob, ServiceId());
+  for (const int it : aPlacement) {
+    mContext.mModel.Await(it, aJob.mNeed.mPerTask);
+  }
+  mContext.Wait(aJob, WaitReason::WaitingForReclaim, "its reserved capacity is being reclaimed");
+  return true;
+}
+
+bool
+ReservationPlanner::Hold(QueuedJob& aJob, Reservation& aReservation, const Placement& aPlacement)
+{
+  const auto now = mContext.mSnapshot.mNow;
+  if (now >= aReservation.mLastProgress + kLongestHold) {
     mContext.mState.mNoReservationBefore[aJob.mJob->mJob] = now + kLongestHold;
-    mContext.mState.mReservation.reset();
-    return;
+    return false;
   }
-  reservation.mExpectedStart = now;
+  aReservation.mExpectedStart = now;
   for (const int it : aPlacement) {
-    reservation.mExpectedStart = std::max(reservation.mExpectedStart, ReadyAt(it));
-    model.Hold(it, aJob.mNeed.mPerTask);
+    aReservation.mExpectedStart = std::max(aReservation.mExpectedStart, ReadyAt(it));
+    mContext.mModel.Hold(it, aJob.mNeed.mPerTask);
   }
-  reservation.mExpectedStart =
-    std::min(reservation.mExpectedStart, reservation.mMadeAt + kLongestHold);
   const auto seconds =
-    std::chrono::duration_cast<std::chrono::seconds>(reservation.mExpectedStart - now).count();
+    std::chrono::duration_cast<std::chrono::seconds>(aReservation.mExpectedStart - now).count();
   mContext.Wait(aJob, WaitReason::NoCapacityNow,
-                "has the reservation, expected to start within " + std::to_string(seconds) + " s");
+                "has a reservation, expected to start within " + std::to_string(seconds) + " s");
+  return true;
 }
 
 bool
-ReservationPlanner::MayReclaim(const QueuedJob& aJob, const Borrower& aBorrower) const
+ReservationPlanner::MayReclaim(const QueuedJob& aJob, const Reservation& aReservation,
+                               const Borrower& aBorrower) const
 {
   if (aBorrower.mUrgent) {
     return false;
   }
-  const auto& reservation = *mContext.mState.mReservation;
-  if (aBorrower.mStarted >= reservation.mMadeAt) {
+  if (aReservation.mBackfill.contains(aBorrower.mFirst->mJob)) {
     return true;
   }
+  if (aBorrower.mSize >= aJob.mTotal.Size()) {
+    return false;
+  }
   const int account = aJob.mNeed.mAccount;
-  return mContext.mSnapshot.mNow >= reservation.mMadeAt + kLongestHold &&
+  return mContext.mSnapshot.mNow >= aReservation.mLastProgress + kLongestHold &&
          aBorrower.mAccount != account &&
          (aBorrower.mAccount < 0 || mContext.mModel.ShareOfAccount(aBorrower.mAccount) >
                                       mContext.mModel.ShareOfAccount(account));
 }
 
+bool
+ReservationPlanner::StaysAhead(const QueuedJob& aJob, const Borrower& aBorrower) const
+{
+  const int account = aJob.mNeed.mAccount;
+  if (aBorrower.mUrgent || aBorrower.mAccount == account || aBorrower.mSize >= aJob.mTotal.Size()) {
+    return false;
+  }
+  return aBorrower.mAccount < 0 || mContext.mModel.ShareOfAccount(aBorrower.mAccount) >=
+                                     mContext.mModel.ShareWith(account, aJob.mTotal);
+}
+
 std::optional<Placement>
-ReservationPlanner::PlacementNow() const
+ReservationPlanner::PlacementOf(const Reservation& aReservation) const
 {
   Placement placement;
-  for (const auto& it : mContext.mState.mReservation->mWorkers) {
+  for (const auto& it : aReservation.mWorkers) {
     const auto worker = mContext.mModel.FindWorker(it);
     if (!worker) {
       return std::nullopt;
@@ -137,12 +230,13 @@
 ResourceVector
 ReservationPlanner::Reachable(const GangNeed& aNeed, int aWorker) const
 {
-  const auto reachable = mContext.mModel.Reclaimable(aWorker);
+  const auto reachable =
+    ResourceVector::Positive(mContext.mModel.Reclaimable(aWorker) - mContext.mModel.Held(aWorker));
   return aNeed.mIsPinned ? ResourceVector::Min(reachable, mContext.mModel.Unpinned(aWorker))
                          : reachable;
 }
 
-const QueuedJob*
+void
 ReservationPlanner::Make(const std::vector<QueuedJob*>& aJobs)
 {
   auto& state = mContext.mState;
@@ -157,20 +251,31 @@
     if (++attempts > detail::kMostAttempts) {
       break;
     }
+    DropBelow(Priority(it->mTotal.Size(), it->mJob->mSubmitted, now));
+    if (state.mReservations.size() >= kMostReservations) {
+      break;
+    }
     const auto option = BestOption(it->mNeed);
     if (!option) {
       continue;
     }
-    Reservation reservation{
-      it->mJob->mJob, {}, now, std::min(option->mStart, now + kLongestHold)
-    };
+    Reservation reservation{ it->mJob->mJob,
+                             {},
+                             it->mJob->mResourcesPerTask,
+                             it->mJob->mSubmitted,
+                             now,
+                             option->mStart,
+                             option->mMissing,
+                             now,
+                             now,
+                             0,
+                             {} };
     for (const int worker : option->mPlacement) {
       reservation.mWorkers.push_back(mContext.mSnapshot.mWorkers[worker].mWorker);
+      mContext.mModel.Hold(worker, it->mNeed.mPerTask);
     }
-    state.mReservation = std::move(reservation);
-    return it;
+    state.mReservations.push_back(std::move(reservation));
   }
-  return nullptr;
 }
 
 std::optional<ReservationPlanner::Option>
@@ -179,7 +284,8 @@
   std::optional<Option> best;
   for (const auto& it : mContext.mModel.GetTopology().Domains(aNeed.mAdjacency)) {
     auto option = OptionIn(aNeed, it);
-    if (option && (!best || option->mStart < best->mStart)) {
+    if (option && (!best || std::tie(option->mBlocked, option->mStart, option->mMissing) <
+                              std::tie(best->mBlocked, best->mStart, best->mMissing))) {
       best = std::move(option);
     }
   }
@@ -191,8 +297,9 @@
 {
   const auto& model = mContext.mModel;
   const auto now = mContext.mSnapshot.mNow;
-  // Ready time, whether the capacity is lent, worker and number of tasks.
-  std::vector<std::tuple<TimePoint, bool, int, int>> ready;
+  // Whether it waits for a job that is not smaller, ready time, whether the capacity is lent,
+  // worker and number of tasks.
+  std::vector<std::tuple<bool, TimePoint, bool, int, int>> ready;
   int reachable = 0;
   for (const int it : aWorkers) {
     const int n = Reachable(aNeed, it).Fits(aNeed.mPerTask, aNeed.mTasks);
@@ -200,13 +307,14 @@
       continue;
     }
     reachable += n;
-    const int nowFree = std::min(n, model.Free(it).Fits(aNeed.mPerTask, n));
+    const int nowFree = std::min(
+      n, ResourceVector::Positive(model.Free(it) - model.Held(it)).Fits(aNeed.mPerTask, n));
     const bool isLent = !aNeed.mPerTask.FitsInto(model.Unassigned(it));
     if (nowFree > 0) {
-      ready.emplace_back(now, isLent, it, nowFree);
+      ready.emplace_back(false, now, isLent, it, nowFree);
     }
     if (n > nowFree) {
-      ready.emplace_back(ReadyAt(it), isLent, it, n - nowFree);
+      ready.emplace_back(IsBlocked(aNeed, it), ReadyAt(it), isLent, it, n - nowFree);
     }
   }
   if (reachable < aNeed.mTasks) {
@@ -214,10 +322,13 @@
   }
   std::ranges::sort(ready);
   Option option;
-  for (const auto& [at, isLent, worker, n] : ready) {
+  option.mStart = now;
+  for (const auto& [isBlocked, at, isLent, worker, n] : ready) {
     const int left = aNeed.mTasks - static_cast<int>(option.mPlacement.size());
     option.mPlacement.insert(option.mPlacement.end(), std::min(n, left), worker);
-    option.mStart = at;
+    option.mStart = std::max(option.mStart, at);
+    option.mBlocked += isBlocked ? std::min(n, left) : 0;
+    option.mMissing += at > now ? std::min(n, left) : 0;
     if (n >= left) {
       break;
     }
@@ -225,6 +336,16 @@
   return option;
 }
 
+bool
+ReservationPlanner::IsBlocked(const GangNeed& aNeed, int aWorker) const
+{
+  const auto size = (aNeed.mPerTask * aNeed.mTasks).Size();
+  return std::ranges::any_of(mContext.mModel.Leases(aWorker), [&](const HeldLease& aLease) {
+    return !aLease.mGuaranteed && !aLease.mIsComing &&
+           mContext.mModel.Borrowers()[aLease.mBorrower].mSize >= size;
+  });
+}
+
 TimePoint
 ReservationPlanner::ReadyAt(int aWorker) const
 {
@@ -235,8 +356,13 @@
       continue;
     }
     const auto& lease = *it.mLease;
-    at = std::max(at, lease.mEstimate.count() > 0 ? lease.mStarted + lease.mEstimate
-                                                  : now + kLongestHold);
+    if (lease.mEstimate.count() == 0) {
+      at = std::max(at, now + kLongestHold);
+      continue;
+    }
+    // A lease that has overrun its estimate is expected to run as long again.
+    const auto ran = now - lease.mStarted;
+    at = std::max(at, ran < lease.mEstimate ? lease.mStarted + lease.mEstimate : now + ran);
   }
   return at;
 }
--- a/src/placement/ResourceVector.h
+++ b/src/placement/ResourceVector.h
@@ -67,6 +67,9 @@
            mValues[2] <= aOther.mValues[2] && mValues[3] <= aOther.mValues[3];
   }
 
+  // The larger of slots and accelerators, at least 1.
+  int Size() const { return std::max({ 1, mValues[kSlots], mValues[kAccelerators] }); }
+
   bool IsZero() const { return *this == ResourceVector(); }
 
   // The smaller value of each component.
--- a/tests/placement/PlannerTests.cpp
+++ b/tests/placement/PlannerTests.cpp
@@ -174,7 +174,7 @@
   fake.Step();
   fake.Submit("b", 8, 8, Adjacency::Rack);
   fake.Step();
-  cr_assert(fake.mState.mReservation.has_value());
+  cr_assert_eq(fake.mState.mReservations.size(), 1U);
   const auto small = fake.Submit("a", 1, 4).mJob;
   fake.Step();
   cr_assert_not(fake.Runs(small));
