--- a/src/placement/ReclaimSearch.cpp
+++ b/src/placement/ReclaimSearch.cpp
@@ -152,6 +152,7 @@
     }
   }
   std::vector<std::pair<double, int>> order;
+  order.reserve(freed.size());
   for (const auto& it : freed) {
     order.emplace_back(CostOf(it.first), it.first);
   }
