Test the whole system with real processes

Cause: the guarantees for dying, stopped and frozen nodes hold between processes, so tests within one process can't show them.

Ruled out: Criterion's assertions inside the tests, because they skip destructors and leave processes behind; a TestFailure exception ends a test. Equal seeds for each start of a node, because request ids come from the seed and a worker takes a known id for a repetition.

Change: tests/integration starts the stand-ins, workers, nodes and, where asked for, fault proxies on free ports, and checks the workers' traces. Requests: answered through each node and through proxies; a node killed or stopped under load. Gangs: restart of all nodes; a frozen planner.

--- /dev/null
+++ b/tests/integration/LocalSystem.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "base/Json.h"
+#include "base/SocketAddress.h"
+#include "integration/HttpCaller.h"
+#include "integration/Process.h"
+#include "integration/Trace.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lovagerock::integration {
+
+// The shape of a LocalSystem.
+struct SystemOptions
+{
+  int mNodes = 3;
+  int mZones = 3;
+  int mWorkersPerZone = 3;
+  // Puts a fault proxy between the nodes and each worker.
+  bool mProxyWorkers = false;
+  // Puts a fault proxy between the nodes and the key-value service.
+  bool mProxyKv = false;
+};
+
+// The token of the account "tester", which the configuration of a LocalSystem holds, and its
+// service "echo" with 12 slots.
+inline constexpr const char* kToken = "token-tester";
+
+// A whole system of real processes on loopback addresses, with a configuration in force. All
+// functions end the test on failure. The destructor ends all processes.
+class LocalSystem
+{
+public:
+  // Starts everything and waits until all nodes are ready.
+  explicit LocalSystem(const SystemOptions& aOptions = {});
+  ~LocalSystem();
+  LocalSystem(const LocalSystem&) = delete;
+  LocalSystem& operator=(const LocalSystem&) = delete;
+
+  int NodeCount() const { return static_cast<int>(mNodes.size()); }
+  // The address of a node for callers and for operators. Nodes count from 0.
+  const SocketAddress& NodeAddress(int aNode) const { return NodeAt(aNode).mListen; }
+  const SocketAddress& AdminAddress(int aNode) const { return NodeAt(aNode).mAdmin; }
+  Process& NodeProcess(int aNode) { return *mNodes.at(static_cast<std::size_t>(aNode)).mProcess; }
+
+  // Starts a node that has ended again, with the same settings.
+  void RestartNode(int aNode);
+  // Waits until the node answers that it is ready.
+  void AwaitReady(int aNode);
+  // Waits until each of the given nodes sees aLive live nodes.
+  void AwaitLiveNodes(const std::vector<int>& aNodes, int aLive);
+  // The index of the planner as the given node sees it, or -1.
+  int PlannerSeenBy(int aNode);
+
+  // Changes the faults between the nodes and the workers, or the key-value service.
+  void SetWorkerFaults(const Json& aFaults);
+  void SetKvFaults(const Json& aFaults);
+
+  Trace ReadTrace() const;
+  // The ends of the logs of all processes.
+  std::string LogTails() const;
+  HttpCaller& Caller() { return mCaller; }
+
+private:
+  struct Node
+  {
+    SocketAddress mListen;
+    SocketAddress mPeer;
+    SocketAddress mAdmin;
+    std::unique_ptr<Process> mProcess;
+  };
+
+  const Node& NodeAt(int aNode) const { return mNodes.at(static_cast<std::size_t>(aNode)); }
+  std::unique_ptr<Process> Start(const std::string& aName, const std::string& aProgram,
+                                 const std::vector<std::string>& aArguments);
+  void StartKv();
+  void StartWorkers();
+  void StartProxies();
+  void StartVmList();
+  void StartNodes();
+  void StartNode(int aNode);
+  void ApplyConfiguration();
+  void SetFaults(const SocketAddress& aMap, const Json& aFaults);
+  Json DescribeNodes(int aNode);
+
+  SystemOptions mOptions;
+  std::string mDirectory;
+  SocketAddress mKv;
+  SocketAddress mKvForNodes;
+  SocketAddress mVmList;
+  SocketAddress mControl;
+  std::vector<std::string> mTraceFiles;
+  // The workers' addresses as the VM list gives them, by zone.
+  std::vector<std::vector<SocketAddress>> mWorkers;
+  std::vector<Node> mNodes;
+  // Number of starts of nodes.
+  int mStarts = 0;
+  std::vector<std::unique_ptr<Process>> mOthers;
+  HttpCaller mCaller;
+};
+
+// Runs the test with a fresh system. A TestFailure ends all processes, prints the ends of their
+// logs and fails the Criterion test.
+void
+RunWithSystem(const SystemOptions& aOptions, const std::function<void(LocalSystem&)>& aTest);
+
+} // namespace lovagerock::integration
