Return the requests of a load by move

Cause: the linter reports a const local that can't be moved.

Ruled out: nothing else was reported for the new files.

Change: the local is not const.

--- a/tests/integration/RequestTests.cpp
+++ b/tests/integration/RequestTests.cpp
@@ -33,7 +33,7 @@
       aSystem.NodeProcess(0).Kill();
     }
   });
-  const auto requests = load.Run();
+  auto requests = load.Run();
   Require(killed, "the load ended before the kill");
   return requests;
 }
