--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -42,7 +42,7 @@
   self.mIncarnation = NewIncarnation();
   self.mZone = aSettings.mZone;
   self.mRegion = aSettings.mRegion;
-  self.mAddress = aSettings.mPeerListen;
+  self.mAddress = aSettings.PeerAddress();
   return self;
 }
 
@@ -70,7 +70,7 @@
   routing::RouterOptions options;
   options.mNode = aSettings.mNode;
   options.mIncarnation = std::to_string(aIncarnation);
-  options.mPeer = aSettings.mPeerListen;
+  options.mPeer = aSettings.PeerAddress();
   options.mZone = aSettings.mZone;
   options.mMaxBuffered = Bytes(aSettings.mMaxBuffered);
   // The store adds the prefix of all keys.
@@ -110,6 +110,7 @@
   : mLoop(aLoop)
   , mSettings(std::move(aSettings))
   , mRandom(aSeed)
+  , mIdRandom(Random::SystemSeed())
   , mRequestClient(aLoop)
   , mControlClient(aLoop)
   , mStore(aLoop, detail::MakeKvSettings(mSettings, 64))
@@ -124,10 +125,10 @@
   , mRoutingMetrics(mRegistry)
   , mRouter(aLoop, mRequestClient, mStore, mTransport, mWorkerApi, mRandom, mRoutingMetrics,
             detail::MakeRouterOptions(mSettings, mMembership.Self().mIncarnation))
-  , mJobStore(mStore, mSettings.mRegion, mRandom)
-  , mJobWatches(mWatchStore, mSettings.mRegion, mRandom)
+  , mJobStore(mStore, mSettings.mRegion, mIdRandom)
+  , mJobWatches(mWatchStore, mSettings.mRegion, mIdRandom)
   , mAnswers(mStore)
-  , mCoordinator(aLoop, mWorkerApi, mJobStore, mAnswers, mRandom, mSettings.mNode,
+  , mCoordinator(aLoop, mWorkerApi, mJobStore, mAnswers, mIdRandom, mSettings.mNode,
                  detail::MakeCoordinatorTimes(mSettings))
   , mMetrics(mRegistry)
   , mRequestApi(
@@ -135,7 +136,7 @@
       [this](routing::RouteRequest aRequest, const http::Responder& aResponder) {
         mRouter.Submit(std::move(aRequest), aResponder);
       },
-      mRandom)
+      mIdRandom)
   , mJobApi(mJobStore, mJobWatches, mAnswers,
             { [this](const http::Request& aRequest) { return Authenticate(aRequest); },
               [this] { return Gate(); },
@@ -513,7 +514,8 @@
 Node::Shutdown()
 {
   if (mShuttingDown) {
-    LogEvent("shutdown_forced", LogLevel::Warning);
+    LogEvent("shutdown_forced", LogLevel::Warning)
+      .With("active_requests", mServer.ActiveRequests());
     mLoop.Stop();
     return;
   }
@@ -540,7 +542,7 @@
     mShutdownTimer = mLoop.After(detail::kIdleCheckPeriod, [this] { StopWhenIdle(); });
     return;
   }
-  LogEvent("shutdown_complete");
+  LogEvent("shutdown_complete").With("listen", mSettings.mListen.ToString());
   mLoop.Stop();
 }
 
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -88,6 +88,9 @@
   EventLoop& mLoop;
   NodeSettings mSettings;
   Random mRandom;
+  // Ids and tokens must never repeat, so they don't depend on the seed of the settings: a node that
+  // restarts with the same seed would give its old request ids to new requests.
+  Random mIdRandom;
   prometheus::Registry mRegistry;
   // Requests and control use different clients, so that neither holds up the other.
   http::HttpClient mRequestClient;
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -15,6 +15,8 @@
   AddSetting(aApp, "--listen", aSettings.mListen, "Address for callers")->required();
   AddSetting(aApp, "--peer-listen", aSettings.mPeerListen, "Address for the other entry nodes")
     ->required();
+  AddSetting(aApp, "--peer-advertise", aSettings.mPeerAdvertise,
+             "Where the other nodes reach this one, if not at --peer-listen");
   AddSetting(aApp, "--admin-listen", aSettings.mAdminListen, "Address for operators and metrics")
     ->required();
   AddSetting(aApp, "--kv", aSettings.mKv, "Key-value service")->required();
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -15,6 +15,8 @@
   ZoneId mZone;
   SocketAddress mListen;
   SocketAddress mPeerListen;
+  // Where other nodes reach mPeerListen, if that differs.
+  SocketAddress mPeerAdvertise;
   SocketAddress mAdminListen;
   SocketAddress mKv;
   SocketAddress mVmList;
@@ -28,6 +30,12 @@
   LogLevel mLogLevel = LogLevel::Info;
   // 0 takes a seed from the operating system.
   std::uint64_t mSeed = 0;
+
+  // The peer address to tell other nodes.
+  const SocketAddress& PeerAddress() const
+  {
+    return mPeerAdvertise.Ip().empty() ? mPeerListen : mPeerAdvertise;
+  }
 };
 
 // Registers all settings.
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -39,6 +39,6 @@
   loop.OnSignal(SIGTERM, [&entry] { entry.Shutdown(); });
   loop.OnSignal(SIGINT, [&entry] { entry.Shutdown(); });
   loop.Run();
-  LogEvent("node_stopped");
+  LogEvent("node_stopped").With("seed", seed);
   return EXIT_SUCCESS;
 }
