--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -4,7 +4,7 @@
 
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
   libevent-dev libnghttp2-dev prometheus-cpp-dev libcli11-dev libeasyloggingpp-dev
-  libcriterion-dev libyaml-cpp-dev nlohmann-json3-dev libxxhash-dev libssl-dev)
+  curl libcriterion-dev libyaml-cpp-dev nlohmann-json3-dev libxxhash-dev libssl-dev)
 
 missing=()
 for package in "${packages[@]}"; do
