Serve sockets between calls that post themselves

Cause: the load tool's open loop never sent an answer on: EventLoop::Post used event_active(), and libevent runs events that are activated from a callback before it looks at sockets again. Ruled out: a slow worker (the tool used 27 s of processor time in 30 s and no call ended). Change: Post() adds a timer of zero length; the benchmark script uses the worker's present flags. Measured: before, an open loop of 1 s did not end in 30 s; after, base tests 10 of 10 with a new one that hung before. Conclusion: a task that posts to itself can't starve the loop any more.

--- a/scripts/benchmark.sh
+++ b/scripts/benchmark.sh
@@ -66,7 +66,8 @@
   local fence='"fence":{"epoch":1,"node":"bench"},"ttl_ms":3600000'
   request PUT "http://$worker/v1/leases/$lease" "{$fence,\"kind\":\"service\",\"resources\":
     {\"slots\":128,\"accelerators\":0,\"cores\":0,\"memory_mb\":0},\"reclaimable\":true,
-    \"idempotent\":true,\"account\":\"bench\",\"service\":\"$service\"}"
+    \"idempotent\":true,\"account\":\"bench\",\"service\":\"$service\",\"job\":\"\",\"task\":0,
+    \"tasks\":1,\"attempt\":1}"
   request POST "http://$worker/v1/leases/$lease/start" "{$fence}"
 }
 
@@ -149,8 +150,8 @@
   exit 1
 fi
 # shellcheck disable=SC2206 # The flags are separate words.
-worker_flags=(${BENCH_WORKER_FLAGS:---worker-id bench-worker --region bench --zone bench
-  --rack bench --slots 1024 --connections 1024})
+worker_flags=(${BENCH_WORKER_FLAGS:---worker-prefix bench --region bench --zone bench
+  --rack-prefix bench --slots 1024 --connections 1024})
 start lovagerock-worker "$worker" --listen "$worker" "${worker_flags[@]}"
 reserve_direct_lease
 start lovagerock-passthrough "$passthrough" --listen "$passthrough" --target "$worker"
--- a/src/base/EventLoop.cpp
+++ b/src/base/EventLoop.cpp
@@ -134,9 +134,7 @@
 {
   evthread_use_pthreads();
   mState->mBase.reset(event_base_new());
-  mState->mWakeup.reset(
-    event_new(mState->mBase.get(), -1, EV_PERSIST, detail::RunPosted, mState.get()));
-  event_add(mState->mWakeup.get(), nullptr);
+  mState->mWakeup.reset(event_new(mState->mBase.get(), -1, 0, detail::RunPosted, mState.get()));
   // A pending event keeps event_base_dispatch() running while nothing else is registered.
   mState->mKeepAlive.reset(
     event_new(mState->mBase.get(), -1, EV_PERSIST, detail::IgnoreEvent, nullptr));
@@ -153,7 +151,11 @@
     const std::lock_guard lock(mState->mMutex);
     mState->mPosted.push_back(std::move(aTask));
   }
-  event_active(mState->mWakeup.get(), EV_TIMEOUT, 0);
+  // A timer of zero length in place of event_active(): libevent runs events that are activated
+  // from a callback before it looks at sockets again, so a call that posts itself would starve
+  // them.
+  constexpr timeval kAtOnce{ 0, 0 };
+  event_add(mState->mWakeup.get(), &kAtOnce);
 }
 
 Timer
--- a/tests/base/EventLoopTests.cpp
+++ b/tests/base/EventLoopTests.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -23,6 +24,16 @@
   cr_assert_eq(order, "ab");
 }
 
+// Guards against sockets and timers that are starved by a call that posts itself again.
+Test(EventLoop, serves_timers_while_a_call_posts_itself)
+{
+  EventLoop loop;
+  std::function<void()> again = [&] { loop.Post(again); };
+  again();
+  const auto timer = loop.After(Duration(1), [&] { loop.Stop(); });
+  loop.Run();
+}
+
 // Guards against a use after free when a timer's callback destroys the timer.
 Test(EventLoop, lets_a_timer_destroy_itself)
 {
