Record when a configuration change was written

Cause: change records are kept for 7 days, but they held no time. Ruled out: the time of the version in the service; it gives none. Change: ChangeRecord has mAppliedMs (JSON applied_ms); records of older releases read as 0. WallClockMs() in base gives the time. Conclusion: the records can expire.

--- a/src/configstore/ChangeWriter.h
+++ b/src/configstore/ChangeWriter.h
@@ -3,6 +3,7 @@
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
 #include "base/Random.h"
+#include "base/WallClock.h"
 #include "configstore/ChangeOutcome.h"
 #include "configstore/ConfigStoreSettings.h"
 #include "configstore/HeadWatcher.h"
@@ -165,7 +166,7 @@
   {
     using Kind = kv::Operation::Kind;
     const auto& head = aAttempt->mConfig.mHead;
-    const auto record = WriteChange({ head.mVersion, head.mHash });
+    const auto record = WriteChange({ head.mVersion, head.mHash, WallClockMs() });
     mStore.Transact(
       { { Kind::CompareAndSet, kHeadKey, DumpJson(WriteHead(head)), aAttempt->mHeadIndex },
         { Kind::Set, kBodyKey, aAttempt->mText, 0 },
--- a/src/configstore/ConfigRecord.cpp
+++ b/src/configstore/ConfigRecord.cpp
@@ -41,7 +41,9 @@
 Json
 WriteChange(const ChangeRecord& aRecord)
 {
-  return { { "version", aRecord.mVersion.Value() }, { "hash", aRecord.mHash } };
+  return { { "version", aRecord.mVersion.Value() },
+           { "hash", aRecord.mHash },
+           { "applied_ms", aRecord.mAppliedMs } };
 }
 
 std::optional<ChangeRecord>
@@ -49,7 +51,8 @@
 {
   const auto json = ParseJson(aText).value_or(Json());
   const ChangeRecord record{ ConfigVersion(JsonValue<std::int64_t>(json, "version", 0)),
-                             JsonValue<std::string>(json, "hash", "") };
+                             JsonValue<std::string>(json, "hash", ""),
+                             JsonValue<std::int64_t>(json, "applied_ms", 0) };
   return record.mVersion.Value() > 0 ? std::optional(record) : std::nullopt;
 }
 
--- a/src/configstore/ConfigRecord.h
+++ b/src/configstore/ConfigRecord.h
@@ -5,6 +5,7 @@
 #include "base/Units.h"
 #include "config/Document.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,6 +38,9 @@
 {
   ConfigVersion mVersion;
   std::string mHash;
+  // When the record was written, in milliseconds since 1970; 0 in records of older releases.
+  // Records are deleted 7 days after it.
+  std::int64_t mAppliedMs = 0;
 };
 
 // A whole accepted configuration.
--- a/src/configstore/ConfigStore.h
+++ b/src/configstore/ConfigStore.h
@@ -3,6 +3,7 @@
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
 #include "base/Random.h"
+#include "base/WallClock.h"
 #include "config/CanonicalJson.h"
 #include "config/DocumentReader.h"
 #include "configstore/ChangeOutcome.h"
@@ -366,7 +367,7 @@
     LogEvent("config_write_back", LogLevel::Warning)
       .With("version", head.mVersion)
       .With("service_version", VersionOf(aReading.mHead));
-    const auto record = WriteChange({ head.mVersion, head.mHash });
+    const auto record = WriteChange({ head.mVersion, head.mHash, WallClockMs() });
     mStore.Transact({ { Kind::CompareAndSet, kHeadKey, DumpJson(WriteHead(head)), aReading.mIndex },
                       { Kind::Set, kBodyKey, DumpJson(mInForce->mBody), 0 },
                       { Kind::Set, ChangeKey(head.mChange), DumpJson(record), 0 } },
