Delete expired keys on the planner node

Cause: claims, change records, done jobs and answer pieces were never deleted. Ruled out: deletes without a comparison, which could remove a claim that was taken anew; a listing per job, which makes thousands of calls a run. The listing of answers/ returns all values and exceeds the client's limit of 64 MiB at about 90 full pieces.

--- /dev/null
+++ b/src/retention/Deletion.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "kv/KeyValueStore.h"
+
+#include <string>
+
+namespace lovagerock::retention {
+
+// What an expired key holds.
+enum class DeletionKind
+{
+  Claim,
+  Change,
+  // An answer piece of an expired job.
+  Piece,
+  // An answer piece that no record refers to.
+  Orphan,
+  // The record of an expired job.
+  Job,
+};
+
+// An expired key, to be deleted if it still has the version that was read.
+struct Deletion
+{
+  DeletionKind mKind = DeletionKind::Claim;
+  std::string mKey;
+  kv::ModifyIndex mModifyIndex = 0;
+  // The job of a record or piece.
+  std::string mJob;
+};
+
+} // namespace lovagerock::retention
--- /dev/null
+++ b/tests/retention/RetentionFixture.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include "configstore/ConfigRecord.h"
+#include "jobs/JobRecord.h"
+#include "kv/KvError.h"
+#include "kv/MemoryStore.h"
+#include "retention/Sweeper.h"
+#include "routing/Claim.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagerock::retention {
+
+constexpr std::int64_t kDay = 24 * 60 * 60 * 1000;
+constexpr std::int64_t kNow = 100 * kDay;
+
+// A memory store that counts calls and lets a test act between a listing and a delete.
+struct ObservedStore
+{
+  explicit ObservedStore(EventLoop& aLoop)
+    : mMemory(aLoop)
+  {
+  }
+
+  void Get(const std::string& aKey, kv::GetCallback aCallback)
+  {
+    mMemory.Get(aKey, std::move(aCallback));
+  }
+  void List(const std::string& aPrefix, kv::ListCallback aCallback)
+  {
+    ++mLists;
+    if (aPrefix == mFailedList) {
+      mMemory.List(aPrefix, [aCallback](std::error_code, const std::vector<kv::Entry>&) {
+        aCallback(kv::KvError::BadAnswer, {});
+      });
+      return;
+    }
+    mMemory.List(aPrefix, std::move(aCallback));
+  }
+  void Transact(std::vector<kv::Operation> aOperations, kv::TransactCallback aCallback)
+  {
+    if (mBeforeTransact) {
+      mBeforeTransact();
+    }
+    ++mTransactions;
+    for (const auto& it : aOperations) {
+      mDeletes.push_back(it.mKey);
+    }
+    cr_assert_leq(aOperations.size(), kv::kMaxOperations);
+    mMemory.Transact(std::move(aOperations), std::move(aCallback));
+  }
+  void
+  Watch(const std::string& aKey, kv::ModifyIndex aSince, Duration aWait, kv::GetCallback aCallback)
+  {
+    mMemory.Watch(aKey, aSince, aWait, std::move(aCallback));
+  }
+
+  kv::MemoryStore mMemory;
+  std::function<void()> mBeforeTransact;
+  std::string mFailedList;
+  // The keys of all deletes that were asked for.
+  std::vector<std::string> mDeletes;
+  std::size_t mLists = 0;
+  std::size_t mTransactions = 0;
+};
+
+// A sweeper with short delays over a store that tests fill.
+struct Fixture
+{
+  explicit Fixture(Duration aPeriod = Duration(2))
+    : mPeriod(aPeriod)
+  {
+  }
+
+  Duration mPeriod;
+  EventLoop mLoop;
+  Random mRandom{ 7 };
+  ObservedStore mStore{ mLoop };
+  std::int64_t mNow = kNow;
+  kv::ModifyIndex mLastIndex = 0;
+  Timer mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
+  Sweeper<ObservedStore> mSweeper{
+    mLoop, mStore, mRandom, RegionId("r"), Settings(mPeriod), [this] { return mNow; }
+  };
+
+  static SweeperSettings Settings(Duration aPeriod)
+  {
+    SweeperSettings settings;
+    settings.mFirstDelay = Duration(4);
+    settings.mTransactionPeriod = aPeriod;
+    settings.mRetryDelay = Duration(4);
+    return settings;
+  }
+
+  void Put(const std::string& aKey, const std::string& aValue)
+  {
+    mStore.mMemory.Restore(aKey, aValue, ++mLastIndex);
+  }
+
+  void PutClaim(const std::string& aKey, std::int64_t aCreated)
+  {
+    routing::Claim claim;
+    claim.mPeer = SocketAddress("127.0.0.1", 1);
+    claim.mCreatedMs = aCreated;
+    Put(aKey, routing::WriteClaim(claim));
+  }
+
+  void PutChange(const std::string& aChange, std::int64_t aApplied)
+  {
+    Put(configstore::ChangeKey(ChangeId(aChange)),
+        DumpJson(configstore::WriteChange({ ConfigVersion(1), "h", aApplied })));
+  }
+
+  void PutJob(const std::string& aKey, jobs::JobState aState, int aAttempt, std::int64_t aEnded)
+  {
+    jobs::JobRecord record;
+    record.mJob = JobId(aKey.substr(aKey.rfind('/') + 1));
+    record.mSpec.mTasks = 1;
+    record.mSpec.mPerTask = { Slots(1), Accelerators(1), Cores(0), MemoryMiB(0) };
+    record.mSpec.mPayloads = { "x" };
+    record.mState = aState;
+    record.mAttempt = aAttempt;
+    record.mEndedMs = aEnded;
+    const auto value = jobs::WriteJobRecord(record);
+    cr_assert(jobs::ReadJobRecord({ aKey, value, 1 }).has_value());
+    Put(aKey, value);
+  }
+
+  void PutExpiredJob(int aPieces)
+  {
+    for (int i = 0; i < aPieces; ++i) {
+      Put("answers/j/1." + std::to_string(i) + "/0", "x");
+    }
+    PutJob("done/r/j", jobs::JobState::Finished, 1, kNow - 8 * kDay);
+  }
+
+  // Runs the loop until the condition holds.
+  void Until(const std::function<bool()>& aCondition)
+  {
+    const auto check = mLoop.Every(Duration(2), [&] {
+      if (aCondition()) {
+        mLoop.Stop();
+      }
+    });
+    mLoop.Run();
+  }
+
+  // Takes the role, waits for one run and gives the role back.
+  SweepReport RunOnce()
+  {
+    const auto lists = mStore.mLists;
+    mSweeper.Start();
+    Until([&] { return mStore.mLists > lists && !mSweeper.IsRunning(); });
+    mSweeper.Stop();
+    return *mSweeper.LastReport();
+  }
+
+  // Runs so many turns of the loop.
+  void Turns(int aCount)
+  {
+    const std::function<void()> turn = [&] {
+      if (--aCount > 0) {
+        mLoop.Post(turn);
+      } else {
+        mLoop.Stop();
+      }
+    };
+    mLoop.Post(turn);
+    mLoop.Run();
+  }
+
+  std::set<std::string> Keys()
+  {
+    std::set<std::string> keys;
+    bool done = false;
+    mStore.mMemory.List("", [&](std::error_code, const std::vector<kv::Entry>& aEntries) {
+      for (const auto& it : aEntries) {
+        keys.insert(it.mKey);
+      }
+      done = true;
+    });
+    Until([&] { return done; });
+    return keys;
+  }
+};
+
+} // namespace lovagerock::retention
