Count the heard workers in place of copying all views

Cause: the node asks on every change of a worker whether all listed workers were heard, and the answer copied the views of all workers. A start of a gang of 512 makes a change per worker, so the cost grew with the square of the fleet.

Ruled out: asking less often, because the planner role depends on the answer as soon as the last worker is heard.

Change: the monitor counts the entries that have a state; AllHeard() and Watched() take the same time for any number of workers.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -271,10 +271,7 @@
 bool
 Node::AllWorkersHeard() const
 {
-  const auto views = mMonitor.Views();
-  const bool heard = std::all_of(views.begin(), views.end(),
-                                 [](const auto& aView) { return aView.mState != nullptr; });
-  return heard && !views.empty() && views.size() >= mListedWorkers;
+  return mMonitor.AllHeard() && mMonitor.Watched() >= mListedWorkers;
 }
 
 void
--- a/src/workers/WorkerMonitor.h
+++ b/src/workers/WorkerMonitor.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <system_error>
@@ -92,6 +93,12 @@
     return views;
   }
 
+  // Whether there are workers and each of them was heard at least once. Takes the same time for any
+  // number of workers, because it is asked on every change.
+  bool AllHeard() const { return mHeard > 0 && mHeard == mEntries.size(); }
+  // Number of workers that are watched.
+  std::size_t Watched() const { return mEntries.size(); }
+
 private:
   struct Entry
   {
@@ -123,6 +130,7 @@
 
   void Remove(EntryPtr aEntry)
   {
+    mHeard -= aEntry->mView.mState ? 1 : 0;
     mEntries.erase(aEntry->mView.mAddress);
     LogEvent("worker_unwatched").With("address", aEntry->mView.mAddress.ToString());
     mListener.Send({ WorkerChange::Kind::Removed, aEntry->mView });
@@ -181,6 +189,7 @@
       ReportHealth(aEntry, aBefore, "answered");
       return;
     }
+    mHeard += old ? 0 : 1;
     aEntry->mView.mState = std::make_shared<const WorkerState>(std::move(aState));
     if (restarted) {
       LogEvent("worker_started")
@@ -248,6 +257,8 @@
   Listener mListener;
   MonitorSettings mSettings;
   std::map<SocketAddress, EntryPtr> mEntries;
+  // Entries with a state.
+  std::size_t mHeard = 0;
 };
 
 } // namespace lovagerock::workers
--- a/tests/workers/WorkerTests.cpp
+++ b/tests/workers/WorkerTests.cpp
@@ -182,3 +182,32 @@
   f.Post(R"({"freeze":false})");
   f.Wait([&] { return f.HasHealth(WorkerHealth::Live); });
 }
+
+// Guards against a count of heard workers that counts a restart twice or keeps a removed worker:
+// the planner would then take the cluster for complete too early, or never.
+Test(WorkerMonitor, counts_each_watched_worker_once_as_heard)
+{
+  Fixture f;
+  cr_assert_not(f.mMonitor.AllHeard());
+  const SocketAddress silent("127.0.0.1", 1);
+  f.mMonitor.SetWorkers({ { f.mAddress, false }, { silent, false } });
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Live); });
+  cr_assert_not(f.mMonitor.AllHeard());
+  f.mWorker.reset();
+  f.StartWorker("second");
+  f.Wait([&] {
+    const auto& last = f.mChanges.back();
+    return last.mKind == WorkerChange::Kind::Restarted &&
+           last.mView.mState->mIncarnation == "second";
+  });
+  cr_assert_eq(f.mMonitor.Watched(), 2U);
+  cr_assert_not(f.mMonitor.AllHeard());
+  // A suspected worker is removed at once, a live one when its polls fail.
+  f.mMonitor.SetWorkers({ { f.mAddress, false } });
+  cr_assert_eq(f.mMonitor.Watched(), 1U);
+  cr_assert(f.mMonitor.AllHeard());
+  f.mWorker.reset();
+  f.mMonitor.SetWorkers({});
+  f.Wait([&] { return f.mMonitor.Watched() == 0; });
+  cr_assert_not(f.mMonitor.AllHeard());
+}
