Send a patch when a change follows within a heartbeat period

Cause: the accepting node sent a patch only if the last heartbeat of the peer named the previous version. A heartbeat comes once a second, so at several changes a second most pushes carried the whole configuration.

Ruled out: a shorter heartbeat period, because it costs every member traffic all the time.

Change: the answer to a push, which names the version of the peer, counts as well. A peer that has another base refuses the patch and gets the whole body, as before.

--- a/src/configstore/ConfigPush.h
+++ b/src/configstore/ConfigPush.h
@@ -8,6 +8,7 @@
 #include "peer/PeerTransport.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <system_error>
@@ -40,10 +41,7 @@
       if (it.mMember.mNode == mMembership.Self().mNode) {
         continue;
       }
-      const auto* report = aReports.ReportOf(it.mMember.mNode);
-      const bool hasBase = aBase && report && report->mVersion == aBase->mHead.mVersion &&
-                           report->mHash == aBase->mHead.mHash;
-      if (hasBase) {
+      if (aBase && HasBase(it.mMember, *aBase, aReports)) {
         SendPatch(it.mMember.mAddress, patch, aNext);
       } else {
         SendWhole(it.mMember.mAddress, *aNext);
@@ -56,6 +54,20 @@
   std::uint64_t WholeBodies() const { return mWholeBodies; }
 
 private:
+  // Whether the member probably has the base. Its answer to the last push is newer than its last
+  // heartbeat when changes follow each other within a heartbeat period. A wrong guess is safe,
+  // because a member refuses a patch of another base and then gets the whole body.
+  bool HasBase(const membership::Member& aMember, const AcceptedConfig& aBase,
+               const Confirmation& aReports) const
+  {
+    const auto answered = mAnswered.find(aMember.mAddress);
+    if (answered != mAnswered.end() && answered->second == aBase.mHead.mVersion.Value()) {
+      return true;
+    }
+    const auto* report = aReports.ReportOf(aMember.mNode);
+    return report && report->mVersion == aBase.mHead.mVersion && report->mHash == aBase.mHead.mHash;
+  }
+
   void SendPatch(const SocketAddress& aPeer, const Json& aPatch, const Pointer& aNext)
   {
     ++mPatches;
@@ -64,7 +76,11 @@
       [weak = std::weak_ptr(mAlive), aPeer, aNext](std::error_code aError, const Json& aAnswer) {
         const auto self = weak.lock();
         const auto version = JsonValue<std::int64_t>(aAnswer, "version", 0);
-        if (self && !aError && version < aNext->mHead.mVersion.Value()) {
+        if (!self || aError) {
+          return;
+        }
+        (*self)->mAnswered[aPeer] = version;
+        if (version < aNext->mHead.mVersion.Value()) {
           (*self)->SendWhole(aPeer, *aNext);
         }
       });
@@ -74,13 +90,21 @@
   void SendWhole(const SocketAddress& aPeer, const AcceptedConfig& aConfig)
   {
     ++mWholeBodies;
-    mTransport.Call(aPeer, kMethod, WriteWhole(aConfig), mTimeout,
-                    [](std::error_code, const Json&) {});
+    mTransport.Call(
+      aPeer, kMethod, WriteWhole(aConfig), mTimeout,
+      [weak = std::weak_ptr(mAlive), aPeer](std::error_code aError, const Json& aAnswer) {
+        const auto self = weak.lock();
+        if (self && !aError) {
+          (*self)->mAnswered[aPeer] = JsonValue<std::int64_t>(aAnswer, "version", 0);
+        }
+      });
   }
 
   Transport& mTransport;
   membership::Membership<Transport>& mMembership;
   Duration mTimeout;
+  // The version that each member answered to its last push, 0 for none.
+  std::map<SocketAddress, std::int64_t> mAnswered;
   std::uint64_t mPatches = 0;
   std::uint64_t mWholeBodies = 0;
   std::shared_ptr<ConfigPush*> mAlive = std::make_shared<ConfigPush*>(this);
--- a/tests/configstore/ConfigStoreTests.cpp
+++ b/tests/configstore/ConfigStoreTests.cpp
@@ -279,3 +279,20 @@
   cr_assert(c.Apply(0, 2, "third", 5).mKind == Kind::Applied);
   c.WaitUntil([&] { return refused == 11; });
 }
+
+// Guards against the whole body for each change when changes follow each other faster than
+// heartbeats, which made the traffic of a change grow with the size of the configuration.
+Test(ConfigPush, sends_patches_between_heartbeats)
+{
+  Cluster c(2);
+  c.ApplyFirst();
+  const auto& pushes = c.mNodes[0]->mConfig.Pushes();
+  const auto whole = pushes.WholeBodies();
+  for (int i = 0; i < 10; ++i) {
+    const auto change = "change-" + std::to_string(i);
+    cr_assert(c.Apply(0, 1 + i, change, 4 + i).mKind == Kind::Applied);
+    c.WaitUntilAllHave(2 + i);
+  }
+  cr_assert_eq(pushes.Patches(), 10);
+  cr_assert_eq(pushes.WholeBodies(), whole);
+}
