Run the retention sweeper on the planner node

Cause: claims, change records and done jobs were never deleted. Change: the node starts the sweeper with the planner role and stops it with it.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -130,6 +130,7 @@
   , mAnswers(mStore)
   , mCoordinator(aLoop, mWorkerApi, mJobStore, mAnswers, mIdRandom, mSettings.mNode,
                  detail::MakeCoordinatorTimes(mSettings))
+  , mSweeper(aLoop, mStore, mRandom, mSettings.mRegion, {})
   , mMetrics(mRegistry)
   , mRequestApi(
       ToAccountDirectory(&mDocument), [this] { return Gate(); },
@@ -192,6 +193,7 @@
 Node::WireJobs()
 {
   mCoordinator.OnFenced([this] {
+    mSweeper.Stop();
     mPlannerNotBefore = std::chrono::steady_clock::now() + mRandom.Jitter(detail::kFencedBackoff);
   });
   mTransport.Handle("job.changed", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
@@ -282,15 +284,23 @@
   const bool owner =
     !mShuttingDown && mDocument && !mMembership.IsUnsure() && PlannerNode() == mSettings.mNode;
   if (!owner) {
-    mCoordinator.Deactivate("not_owner");
+    GiveUpPlannerRole("not_owner");
     return;
   }
   const bool ready = AllWorkersHeard() || now - mStarted > detail::kWorkerWait;
   if (ready && now >= mPlannerNotBefore) {
     mCoordinator.Activate();
+    mSweeper.Start();
   }
 }
 
+void
+Node::GiveUpPlannerRole(const char* aReason)
+{
+  mCoordinator.Deactivate(aReason);
+  mSweeper.Stop();
+}
+
 NodeId
 Node::PlannerNode()
 {
@@ -518,7 +528,7 @@
   }
   mShuttingDown = true;
   LogEvent("shutdown_started").With("active_requests", mServer.ActiveRequests());
-  mCoordinator.Deactivate("leaving");
+  GiveUpPlannerRole("leaving");
   mMembership.SetLeaving();
   mServer.SetDraining();
   // The balancer needs time to notice before connections are refused.
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -14,6 +14,7 @@
 #include "node/NodeMetrics.h"
 #include "node/NodeSettings.h"
 #include "peer/NghttpTransport.h"
+#include "retention/Sweeper.h"
 #include "routing/RequestApi.h"
 #include "routing/Router.h"
 #include "routing/RoutingMetrics.h"
@@ -60,6 +61,7 @@
   void OnConfig(const std::shared_ptr<const configstore::AcceptedConfig>& aConfig);
   // Takes or gives up the planner role as the membership says.
   void CheckPlannerRole();
+  void GiveUpPlannerRole(const char* aReason);
   bool AllWorkersHeard() const;
   NodeId PlannerNode();
   // The peer address of a live node; nothing if it isn't known.
@@ -111,6 +113,7 @@
   JobStore mJobWatches;
   jobs::AnswerStore<kv::ConsulStore> mAnswers;
   Coordinator mCoordinator;
+  retention::Sweeper<kv::ConsulStore> mSweeper;
   NodeMetrics mMetrics;
   routing::RequestApi mRequestApi;
   jobs::JobApi<kv::ConsulStore> mJobApi;
