--- a/tests/integration/HttpCaller.cpp
+++ b/tests/integration/HttpCaller.cpp
@@ -14,13 +14,24 @@
 CallResult
 HttpCaller::Call(const http::ClientRequest& aRequest)
 {
-  CallResult result;
-  mClient.Send(aRequest, [&](std::error_code aError, http::Response aResponse) {
-    result = { aError, std::move(aResponse) };
-    mLoop.Stop();
-  });
+  return CallAll({ aRequest }).front();
+}
+
+std::vector<CallResult>
+HttpCaller::CallAll(const std::vector<http::ClientRequest>& aRequests)
+{
+  std::vector<CallResult> results(aRequests.size());
+  std::size_t open = aRequests.size();
+  for (std::size_t i = 0; i < aRequests.size(); ++i) {
+    mClient.Send(aRequests[i], [&, i](std::error_code aError, http::Response aResponse) {
+      results[i] = { aError, std::move(aResponse) };
+      if (--open == 0) {
+        mLoop.Stop();
+      }
+    });
+  }
   mLoop.Run();
-  return result;
+  return results;
 }
 
 CallResult
@@ -40,6 +51,13 @@
 CallResult
 HttpCaller::Post(const SocketAddress& aServer, const std::string& aTarget, const std::string& aBody,
                  const http::Headers& aHeaders)
+{
+  return Call(MakePost(aServer, aTarget, aBody, aHeaders));
+}
+
+http::ClientRequest
+HttpCaller::MakePost(const SocketAddress& aServer, const std::string& aTarget,
+                     const std::string& aBody, const http::Headers& aHeaders)
 {
   http::ClientRequest request;
   request.mServer = aServer;
@@ -49,7 +67,7 @@
   request.mBody = aBody;
   request.mDeadline = kWaitLimit;
   request.mNewConnection = true;
-  return Call(request);
+  return request;
 }
 
 } // namespace lovagerock::integration
--- a/tests/integration/HttpCaller.h
+++ b/tests/integration/HttpCaller.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <system_error>
+#include <vector>
 
 namespace lovagerock::integration {
 
@@ -27,11 +28,17 @@
 {
 public:
   CallResult Call(const http::ClientRequest& aRequest);
+  // Makes the calls at once and waits for all answers, which are in the order of the requests.
+  std::vector<CallResult> CallAll(const std::vector<http::ClientRequest>& aRequests);
   CallResult
   Get(const SocketAddress& aServer, const std::string& aTarget, const http::Headers& aHeaders = {});
   CallResult Post(const SocketAddress& aServer, const std::string& aTarget,
                   const std::string& aBody, const http::Headers& aHeaders = {});
 
+  // The request that Post() sends.
+  static http::ClientRequest MakePost(const SocketAddress& aServer, const std::string& aTarget,
+                                      const std::string& aBody, const http::Headers& aHeaders = {});
+
 private:
   EventLoop mLoop;
   http::HttpClient mClient{ mLoop };
--- a/tests/integration/LocalSystem.cpp
+++ b/tests/integration/LocalSystem.cpp
@@ -40,10 +40,24 @@
   return name;
 }
 
+Json
+Target(const SocketAddress& aAddress, const std::string& aRole, const std::string& aZone,
+       const std::string& aNode)
+{
+  Json labels{ { "role", aRole }, { "state", "live" }, { "zone", aZone }, { "region", kRegion } };
+  if (!aNode.empty()) {
+    labels["node"] = aNode;
+  }
+  return { { "targets", { aAddress.ToString() } }, { "labels", labels } };
+}
+
+} // namespace
+} // namespace detail
+
 // The service is non-idempotent, so that its slots are on capacity that can't be reclaimed: other
 // slots take no non-idempotent requests.
 std::string
-Configuration()
+Configuration(int aWeight)
 {
   return R"(format: 1
 deployment: local
@@ -52,7 +66,8 @@
   - name: tester
     token_sha256: ")" +
          Sha256Hex(kToken) + R"("
-    weight: 1
+    weight: )" +
+         std::to_string(aWeight) + R"(
     quota: {accelerators: 200, slots: 200}
     guarantees:
       - {name: main, count: 4, workers: 1, accelerators_per_worker: 8, adjacency: worker}
@@ -62,20 +77,6 @@
 )";
 }
 
-Json
-Target(const SocketAddress& aAddress, const std::string& aRole, const std::string& aZone,
-       const std::string& aNode)
-{
-  Json labels{ { "role", aRole }, { "state", "live" }, { "zone", aZone }, { "region", kRegion } };
-  if (!aNode.empty()) {
-    labels["node"] = aNode;
-  }
-  return { { "targets", { aAddress.ToString() } }, { "labels", labels } };
-}
-
-} // namespace
-} // namespace detail
-
 LocalSystem::LocalSystem(const SystemOptions& aOptions)
   : mOptions(aOptions)
   , mDirectory(detail::MakeDirectory())
@@ -102,6 +103,7 @@
 {
   // The nodes go first, so that their logs aren't full of lost services.
   mNodes.clear();
+  mWorkerProcesses.clear();
   mOthers.clear();
   std::error_code ec;
   std::filesystem::remove_all(mDirectory, ec);
@@ -130,7 +132,7 @@
     const auto name = detail::ZoneName(zone);
     const auto first = FreeAddress(mOptions.mWorkersPerZone);
     mTraceFiles.push_back(mDirectory + "/" + name + ".jsonl");
-    mOthers.push_back(
+    mWorkerProcesses.push_back(
       Start("workers-" + name, "lovagerock-worker",
             { "--listen", first.ToString(), "--count", std::to_string(mOptions.mWorkersPerZone),
               "--zone", name, "--region", detail::kRegion, "--seed", std::to_string(zone + 1),
@@ -140,6 +142,7 @@
       workers.emplace_back(first.Ip(), static_cast<std::uint16_t>(first.Port() + i));
     }
   }
+  mDirectWorkers = mWorkers;
 }
 
 void
@@ -230,7 +233,7 @@
   AwaitTrue("configuration accepted", [this] {
     const auto result =
       mCaller.Post(AdminAddress(0), "/v1/config/apply?base=0&change=first&operator=test",
-                   detail::Configuration());
+                   mOptions.mConfiguration.empty() ? Configuration() : mOptions.mConfiguration);
     return result.Is(200) || (result.Is(409) && result.Body().value("change", "") == "first");
   });
 }
@@ -244,11 +247,42 @@
   });
 }
 
+Json
+LocalSystem::GetArray(int aNode, const std::string& aTarget, const std::string& aMember)
+{
+  const auto result = mCaller.Get(AdminAddress(aNode), aTarget);
+  return result.Is(200) ? JsonValue(result.Body(), aMember, Json::array()) : Json::array();
+}
+
 Json
 LocalSystem::DescribeNodes(int aNode)
 {
-  const auto result = mCaller.Get(AdminAddress(aNode), "/v1/nodes");
-  return result.Is(200) ? JsonValue(result.Body(), "nodes", Json::array()) : Json::array();
+  return GetArray(aNode, "/v1/nodes", "nodes");
+}
+
+Json
+LocalSystem::DescribePlacements(int aNode)
+{
+  return GetArray(aNode, "/v1/placements", "placements");
+}
+
+Json
+LocalSystem::ConfigInForce(int aNode)
+{
+  const auto result = mCaller.Get(AdminAddress(aNode), "/v1/config");
+  return result.Is(200) ? result.Body() : Json();
+}
+
+void
+LocalSystem::AwaitInForce(int aVersion, const std::string& aChange)
+{
+  for (int i = 0; i < NodeCount(); ++i) {
+    AwaitTrue(aChange + " in force on " + detail::NodeName(i), [&] {
+      const auto config = ConfigInForce(i);
+      return JsonValue(config, "version", 0) == aVersion &&
+             JsonValue<std::string>(config, "change", "") == aChange;
+    });
+  }
 }
 
 void
@@ -303,6 +337,67 @@
   SetFaults(mKvForNodes, aFaults);
 }
 
+void
+LocalSystem::SetServiceFaults(const SocketAddress& aService, const Json& aFaults)
+{
+  const auto result = mCaller.Post(aService, "/v1/faults", DumpJson(aFaults));
+  Require(result.Is(200), "faults refused: " + result.Describe());
+}
+
+void
+LocalSystem::SetKvServiceFaults(const Json& aFaults)
+{
+  SetServiceFaults(mKv, aFaults);
+}
+
+std::vector<std::string>
+LocalSystem::WorkerIds(int aZone) const
+{
+  std::vector<std::string> ids;
+  for (const auto& it : mDirectWorkers.at(static_cast<std::size_t>(aZone))) {
+    ids.push_back(detail::ZoneName(aZone) + "-" + it.Ip() + "-" + std::to_string(it.Port()));
+  }
+  return ids;
+}
+
+void
+LocalSystem::SetWorkerServiceFaults(const std::string& aWorker, const Json& aFaults)
+{
+  for (int zone = 0; zone < mOptions.mZones; ++zone) {
+    const auto ids = WorkerIds(zone);
+    const auto it = std::find(ids.begin(), ids.end(), aWorker);
+    if (it != ids.end()) {
+      const auto& workers = mDirectWorkers.at(static_cast<std::size_t>(zone));
+      SetServiceFaults(workers.at(static_cast<std::size_t>(it - ids.begin())), aFaults);
+      return;
+    }
+  }
+  Require(false, "unknown worker " + aWorker);
+}
+
+void
+LocalSystem::AwaitConfirmedStart(const std::string& aJob, int aTasks)
+{
+  // Above the 5 s of a start that isn't confirmed yet.
+  constexpr int kLongTtlMs = 10000;
+  AwaitTrue("confirmed start of job " + aJob, [&] {
+    int n = 0;
+    for (const auto& zone : mDirectWorkers) {
+      for (const auto& worker : zone) {
+        const auto state = mCaller.Get(worker, "/v1/state").Body();
+        for (const auto& it : JsonValue(state, "leases", Json::array())) {
+          n += JsonValue<std::string>(it, "job", "") == aJob &&
+                   JsonValue<std::string>(it, "phase", "") == "running" &&
+                   JsonValue(it, "expires_in_ms", 0) > kLongTtlMs
+                 ? 1
+                 : 0;
+        }
+      }
+    }
+    return n == aTasks;
+  });
+}
+
 Trace
 LocalSystem::ReadTrace() const
 {
@@ -319,6 +414,9 @@
   for (const auto& it : mOthers) {
     add(*it);
   }
+  for (const auto& it : mWorkerProcesses) {
+    add(*it);
+  }
   for (const auto& it : mNodes) {
     if (it.mProcess) {
       add(*it.mProcess);
--- a/tests/integration/LocalSystem.h
+++ b/tests/integration/LocalSystem.h
@@ -23,8 +23,15 @@
   bool mProxyWorkers = false;
   // Puts a fault proxy between the nodes and the key-value service.
   bool mProxyKv = false;
+  // The configuration's file; the one of Configuration() if empty.
+  std::string mConfiguration;
 };
 
+// The file of a LocalSystem's first configuration. Another weight of the account makes another
+// file that changes no placement.
+std::string
+Configuration(int aWeight = 1);
+
 // The token of the account "tester", which the configuration of a LocalSystem holds, and its
 // service "echo" with 12 slots.
 inline constexpr const char* kToken = "token-tester";
@@ -58,6 +65,28 @@
   // Changes the faults between the nodes and the workers, or the key-value service.
   void SetWorkerFaults(const Json& aFaults);
   void SetKvFaults(const Json& aFaults);
+  // Changes the faults of the key-value service itself, and of one worker itself.
+  void SetKvServiceFaults(const Json& aFaults);
+  void SetWorkerServiceFaults(const std::string& aWorker, const Json& aFaults);
+  const SocketAddress& KvAddress() const { return mKv; }
+  // The process with all workers of a zone. Zones count from 0.
+  Process& WorkerProcess(int aZone)
+  {
+    return *mWorkerProcesses.at(static_cast<std::size_t>(aZone));
+  }
+  // The ids of the workers of a zone.
+  std::vector<std::string> WorkerIds(int aZone) const;
+  // Waits until the leases of all running tasks of a job have the long time to live that follows
+  // the confirmed start.
+  void AwaitConfirmedStart(const std::string& aJob, int aTasks);
+
+  // The entries of GET /v1/nodes or GET /v1/placements at a node; empty without an answer.
+  Json DescribeNodes(int aNode);
+  Json DescribePlacements(int aNode);
+  // The change in force on a node, or null; see GET /v1/config.
+  Json ConfigInForce(int aNode);
+  // Waits until all nodes have the version of the change in force.
+  void AwaitInForce(int aVersion, const std::string& aChange);
 
   Trace ReadTrace() const;
   // The ends of the logs of all processes.
@@ -84,7 +113,8 @@
   void StartNode(int aNode);
   void ApplyConfiguration();
   void SetFaults(const SocketAddress& aMap, const Json& aFaults);
-  Json DescribeNodes(int aNode);
+  void SetServiceFaults(const SocketAddress& aService, const Json& aFaults);
+  Json GetArray(int aNode, const std::string& aTarget, const std::string& aMember);
 
   SystemOptions mOptions;
   std::string mDirectory;
@@ -95,10 +125,13 @@
   std::vector<std::string> mTraceFiles;
   // The workers' addresses as the VM list gives them, by zone.
   std::vector<std::vector<SocketAddress>> mWorkers;
+  // The same without fault proxies.
+  std::vector<std::vector<SocketAddress>> mDirectWorkers;
   std::vector<Node> mNodes;
   // Number of starts of nodes.
   int mStarts = 0;
   std::vector<std::unique_ptr<Process>> mOthers;
+  std::vector<std::unique_ptr<Process>> mWorkerProcesses;
   HttpCaller mCaller;
 };
 
--- a/tests/integration/Trace.cpp
+++ b/tests/integration/Trace.cpp
@@ -2,6 +2,7 @@
 
 #include "integration/TestFailure.h"
 
+#include <algorithm>
 #include <fstream>
 
 namespace lovagerock::integration {
@@ -24,16 +25,25 @@
 Trace::Add(const Json& aLine)
 {
   const bool started = aLine.at("event") == "start";
+  const auto worker = aLine.at("worker").get<std::string>();
   if (aLine.contains("request")) {
     mRequestStarts[aLine.at("request").get<std::string>()] += started ? 1 : 0;
+    mWorkerRequests[worker] += started ? 1 : 0;
     return;
   }
   const auto job = aLine.at("job").get<std::string>();
+  const auto time = aLine.at("time_ms").get<std::int64_t>();
+  auto& attempt = mAttempts[{ job, aLine.at("attempt").get<int>() }];
+  mRunning[worker] += started ? 1 : -1;
+  mMostRunning[worker] = std::max(mMostRunning[worker], mRunning[worker]);
   if (!started) {
+    ++attempt.mEnded;
+    attempt.mFinished += aLine.at("outcome") == "finished" ? 1 : 0;
+    attempt.mLastEndMs = std::max(attempt.mLastEndMs, time);
     ++mEnds[{ job, aLine.at("outcome").get<std::string>() }];
     return;
   }
-  auto& attempt = mAttempts[{ job, aLine.at("attempt").get<int>() }];
+  attempt.mFirstStartMs = std::min(attempt.mFirstStartMs, time);
   attempt.mTasks = aLine.at("tasks").get<int>();
   attempt.mStarted.push_back(aLine.at("task").get<int>());
 }
@@ -55,6 +65,52 @@
   return it == mEnds.end() ? 0 : it->second;
 }
 
+int
+Trace::JobCount() const
+{
+  std::set<std::string> jobs;
+  for (const auto& it : mAttempts) {
+    jobs.insert(it.first.first);
+  }
+  return static_cast<int>(jobs.size());
+}
+
+int
+Trace::RequestStartsAt(const std::string& aWorkerPrefix) const
+{
+  int n = 0;
+  for (const auto& [worker, starts] : mWorkerRequests) {
+    n += worker.starts_with(aWorkerPrefix) ? starts : 0;
+  }
+  return n;
+}
+
+void
+Trace::RequireWithinCapacity(int aAccelerators) const
+{
+  for (const auto& [worker, most] : mMostRunning) {
+    Require(most <= aAccelerators, worker + " ran " + std::to_string(most) + " tasks at once");
+  }
+}
+
+void
+Trace::RequireAttemptsInOrder(const std::string& aJob) const
+{
+  const Attempt* previous = nullptr;
+  for (const auto& [key, attempt] : mAttempts) {
+    if (key.first != aJob) {
+      continue;
+    }
+    const auto name = "job " + aJob + " attempt " + std::to_string(key.second);
+    Require(attempt.mEnded == attempt.mTasks, name + " has tasks without an end");
+    Require(!previous || previous->mLastEndMs <= attempt.mFirstStartMs,
+            name + " started before the end of the attempt before");
+    previous = &attempt;
+  }
+  Require(previous && previous->mFinished == previous->mTasks,
+          "the last attempt of job " + aJob + " didn't finish");
+}
+
 void
 Trace::RequireNoRequestTwice() const
 {
--- a/tests/integration/Trace.h
+++ b/tests/integration/Trace.h
@@ -2,6 +2,8 @@
 
 #include "base/Json.h"
 
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -24,6 +26,16 @@
   int TaskEnds(const std::string& aJob, const std::string& aOutcome) const;
   // Ends the test if a request was started more than once.
   void RequireNoRequestTwice() const;
+  // Number of jobs with a start.
+  int JobCount() const;
+  // Number of starts of requests at workers of which the id begins with the text.
+  int RequestStartsAt(const std::string& aWorkerPrefix) const;
+  // Ends the test if more tasks ran at once on a worker than it has accelerators, for tasks with
+  // one accelerator each.
+  void RequireWithinCapacity(int aAccelerators) const;
+  // Ends the test unless all tasks of an attempt have ended before the next attempt starts, and
+  // the last attempt ended with all tasks finished.
+  void RequireAttemptsInOrder(const std::string& aJob) const;
   // Ends the test if an attempt of any job started some of its tasks only, or a task twice.
   void RequireWholeGangs() const;
 
@@ -32,6 +44,10 @@
   {
     int mTasks = 0;
     std::vector<int> mStarted;
+    int mEnded = 0;
+    int mFinished = 0;
+    std::int64_t mFirstStartMs = std::numeric_limits<std::int64_t>::max();
+    std::int64_t mLastEndMs = 0;
   };
 
   void Add(const Json& aLine);
@@ -39,6 +55,10 @@
   std::map<std::string, int> mRequestStarts;
   std::map<std::pair<std::string, int>, Attempt> mAttempts;
   std::map<std::pair<std::string, std::string>, int> mEnds;
+  std::map<std::string, int> mWorkerRequests;
+  // By worker, the tasks that run at this line of its file, and the most that ran at once.
+  std::map<std::string, int> mRunning;
+  std::map<std::string, int> mMostRunning;
 };
 
 } // namespace lovagerock::integration
