Cut a connection before its answer when a handler aborts at once

Cause: two routing tests failed once Post() no longer ran before sockets were served: their worker started an answer and aborted, and the header now reached the caller first, after which an answer may not be retried. The tests mean a connection that closes before an answer. Ruled out: a fault of the router; a partly streamed answer must not be retried.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -354,6 +354,9 @@
   if (!aExchange->mRequest || !server) {
     return;
   }
+  // Nothing more is sent, in particular no 500 when the responder is dropped.
+  aExchange->mStarted = true;
+  aExchange->mEnded = true;
   server->mLoop->Post([aExchange] {
     auto* connection =
       aExchange->mRequest ? evhttp_request_get_connection(aExchange->mRequest) : nullptr;
--- a/src/http/Responder.h
+++ b/src/http/Responder.h
@@ -28,7 +28,8 @@
   void Write(std::string_view aData, std::function<void()> aDrained = nullptr) const;
   // Ends an answer started with Start().
   void End() const;
-  // Closes the connection without completing the started answer, so that the caller notices.
+  // Closes the connection without an answer, or without completing the started one, so that the
+  // caller notices.
   void Abort() const;
   // Whether an answer was started or sent.
   bool IsStarted() const;
--- a/tests/http/HttpTests.cpp
+++ b/tests/http/HttpTests.cpp
@@ -150,6 +150,16 @@
   cr_assert_eq(ec, make_error_code(HttpError::NoAnswer));
 }
 
+// Guards against an answer to a caller whose connection was to be cut without one.
+Test(HttpClient, reports_a_connection_closed_before_the_answer_as_an_error)
+{
+  Fixture f;
+  f.mServer->Handle(Method::Get, "/a", [](const http::Request&, const Responder& aResponder) {
+    aResponder.Abort();
+  });
+  cr_assert_eq(f.Call(f.Request(Method::Get, "/a")).first, make_error_code(HttpError::NoAnswer));
+}
+
 // Guards against a request that is called sent when no connection was made: such a request is
 // safe to run elsewhere.
 Test(HttpClient, reports_a_refused_connection_as_not_sent)
