--- a/src/jobs/JobApi.h
+++ b/src/jobs/JobApi.h
@@ -34,6 +34,8 @@
   {
     // Finds the client account of a request by its token.
     std::function<std::optional<AccountId>(const http::Request&)> mAuthenticate;
+    // Whether there is a configuration, without which no token is known.
+    std::function<bool()> mIsConfigured;
     // Why new jobs are refused at present; nothing if they are accepted.
     std::function<std::optional<std::string>()> mGate;
     // Tells the region's planner that a job was submitted or its cancellation requested.
@@ -74,15 +76,15 @@
 private:
   void Submit(const http::Request& aRequest, const http::Responder& aResponder)
   {
+    if (const auto reason = mHooks.mGate()) {
+      aResponder.Send(RefuseJob(503, *reason, "this node accepts no new work", "no", true));
+      return;
+    }
     const auto account = mHooks.mAuthenticate(aRequest);
     if (!account) {
       aResponder.Send(RefuseUnauthorized());
       return;
     }
-    if (const auto reason = mHooks.mGate()) {
-      aResponder.Send(RefuseJob(503, *reason, "this node accepts no new work", "no", true));
-      return;
-    }
     const auto key = aRequest.mHeaders.Get("Idempotency-Key");
     if (key.empty() || key.size() > kMaxKey) {
       aResponder.Send(RefuseJob(400, "bad_idempotency_key",
@@ -135,6 +137,11 @@
   template<typename Next>
   void WithJob(const http::Request& aRequest, const http::Responder& aResponder, Next aNext)
   {
+    if (!mHooks.mIsConfigured()) {
+      aResponder.Send(
+        RefuseJob(503, "no_configuration", "this node has no configuration yet", "unknown", true));
+      return;
+    }
     const auto account = mHooks.mAuthenticate(aRequest);
     if (!account) {
       aResponder.Send(RefuseUnauthorized());
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -140,7 +140,7 @@
       mIdRandom)
   , mJobApi(mJobStore, mJobWatches, mAnswers,
             { [this](const http::Request& aRequest) { return Authenticate(aRequest); },
-              [this] { return Gate(); },
+              [this] { return mDocument != nullptr; }, [this] { return Gate(); },
               [this](const JobId& aJob) { NotifyPlanner(aJob, detail::kNotifyTries); } })
   , mAdminApi(MakeAdminHooks())
   , mServer(aLoop, detail::MakeLimits(mSettings))
