--- a/tests/http/HttpTests.cpp
+++ b/tests/http/HttpTests.cpp
@@ -154,9 +154,8 @@
 Test(HttpClient, reports_a_connection_closed_before_the_answer_as_an_error)
 {
   Fixture f;
-  f.mServer->Handle(Method::Get, "/a", [](const http::Request&, const Responder& aResponder) {
-    aResponder.Abort();
-  });
+  f.mServer->Handle(Method::Get, "/a",
+                    [](const http::Request&, const Responder& aResponder) { aResponder.Abort(); });
   cr_assert_eq(f.Call(f.Request(Method::Get, "/a")).first, make_error_code(HttpError::NoAnswer));
 }
 
