--- a/scripts/benchmark.sh
+++ b/scripts/benchmark.sh
@@ -185,30 +185,40 @@
   best=$(awk -v a="$best" -v b="${rate[passthrough.$n]}" 'BEGIN { print (a > b ? a : b) }')
 done
 
-half=$(awk -v a="$best" 'BEGIN { printf "%.0f", a / 2 }')
-echo
-echo "open loop at $half requests/s, half of the pass-through's maximum; added is over direct"
-for ((round = 0; round < rounds; ++round)); do
+# Prints the latency of all variants in an open loop. Usage: open_loop RATE DESCRIPTION
+open_loop() {
+  local rate=$1
+  echo
+  echo "open loop at $rate requests/s, $2; added is over direct"
+  rm -f "$scratch"/p50.* "$scratch"/p99.*
+  for ((round = 0; round < rounds; ++round)); do
+    for variant in "${variants[@]}"; do
+      load "$variant" --rate "$rate" --connections 64
+      for name in p50 p99; do
+        field "$name" >>"$scratch/$name.$variant"
+      done
+    done
+  done
+  printf '%-12s %10s %10s %14s %14s %18s\n' variant p50_ms p99_ms added_p50_ms added_p99_ms \
+    added_p50/baseline
+  declare -gA latency
   for variant in "${variants[@]}"; do
-    load "$variant" --rate "$half" --connections 64
     for name in p50 p99; do
-      field "$name" >>"$scratch/$name.$variant"
+      latency[$name.$variant]=$(median <"$scratch/$name.$variant")
     done
   done
-done
-printf '%-12s %10s %10s %14s %14s %18s\n' variant p50_ms p99_ms added_p50_ms added_p99_ms \
-  added_p50/baseline
-declare -A latency
-for variant in "${variants[@]}"; do
-  for name in p50 p99; do
-    latency[$name.$variant]=$(median <"$scratch/$name.$variant")
+  for variant in "${variants[@]}"; do
+    printf '%-12s %10.3f %10.3f %14s %14s %18s\n' "$variant" "${latency[p50.$variant]}" \
+      "${latency[p99.$variant]}" "$(added p50 "$variant")" "$(added p99 "$variant")" \
+      "$(divide "$(added p50 "$variant")" "$(added p50 passthrough)")"
   done
-done
+}
 added() {
   awk -v a="${latency[$1.$2]}" -v b="${latency[$1.direct]}" 'BEGIN { printf "%.3f", a - b }'
 }
-for variant in "${variants[@]}"; do
-  printf '%-12s %10.3f %10.3f %14s %14s %18s\n' "$variant" "${latency[p50.$variant]}" \
-    "${latency[p99.$variant]}" "$(added p50 "$variant")" "$(added p99 "$variant")" \
-    "$(divide "$(added p50 "$variant")" "$(added p50 passthrough)")"
-done
+
+half_of() { awk -v a="$1" 'BEGIN { printf "%.0f", a / 2 }'; }
+open_loop "$(half_of "$best")" "half of the pass-through's maximum"
+if [ -n "${rate[node.16]:-}" ]; then
+  open_loop "$(half_of "${rate[node.16]}")" "half of the node's rate with 16 connections"
+fi
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -22,4 +22,4 @@
   touch "$cache/$key"
 }
 export -f lint_unit
-printf '%s\n' "${units[@]}" | xargs -P 6 -I{} bash -c 'lint_unit {}'
+printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_unit {}'
--- a/src/standin/worker/Main.cpp
+++ b/src/standin/worker/Main.cpp
@@ -144,7 +144,7 @@
 
   void StopAtDeadline()
   {
-    LogEvent("leave_deadline_reached", LogLevel::Warning);
+    LogEvent("leave_deadline_reached", LogLevel::Warning).With("workers", mServers.size());
     for (const auto& it : mServers) {
       it->StopAll();
     }
--- a/tests/integration/ConfigurationTests.cpp
+++ b/tests/integration/ConfigurationTests.cpp
@@ -25,6 +25,7 @@
 Versions(LocalSystem& aSystem)
 {
   std::vector<int> versions;
+  versions.reserve(static_cast<std::size_t>(aSystem.NodeCount()));
   for (int i = 0; i < aSystem.NodeCount(); ++i) {
     versions.push_back(JsonValue(aSystem.ConfigInForce(i), "version", -1));
   }
--- a/tests/integration/WorkerFaultTests.cpp
+++ b/tests/integration/WorkerFaultTests.cpp
@@ -188,6 +188,7 @@
     AwaitTrue("replicas", [&] { return !WorkerWithReplica(aSystem).empty(); });
     aSystem.SetWorkerServiceFaults(WorkerWithReplica(aSystem), { { "fail_all", true } });
     std::vector<std::string> jobs;
+    jobs.reserve(kJobs);
     for (int i = 0; i < kJobs; ++i) {
       jobs.push_back(
         SubmitJob(aSystem, i % aSystem.NodeCount(), "job " + std::to_string(i),
