--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -43,6 +43,9 @@
   void Shutdown();
 
 private:
+  // Limit of a call to another node on behalf of a caller or operator.
+  static constexpr Duration kPeerTimeout{ 2000 };
+
   using Transport = peer::NghttpTransport;
   using Membership = membership::Membership<Transport>;
   using Config = configstore::ConfigStore<kv::ConsulStore, Transport>;
