Test the uncertain writes that two jobs tests only named

Cause: reading the change once more, two tests did not prove their names. 'An unsettled submission is unknown' ran with the store down before the write, and 'does not start when the commit is uncertain' read its own commit back at once, so neither reached the uncertain case. Ruled out: dropping the old cases; they stay under names of their own. Change: MemoryStore::GoDownAfterWrite() applies one write, loses its answer and goes down; both tests use it, and the cases that they covered before are separate tests. One conversion to sockaddr_in in place of four copies. A comment in PlannerViews.cpp says what it means. Conclusion: the product needed no change for the uncertain cases; they are proved now.

--- a/src/base/SocketAddress.cpp
+++ b/src/base/SocketAddress.cpp
@@ -40,4 +40,14 @@
   return mIp + ":" + std::to_string(mPort);
 }
 
+sockaddr_in
+SocketAddress::ToNative() const
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(mPort);
+  inet_pton(AF_INET, mIp.c_str(), &address.sin_addr);
+  return address;
+}
+
 } // namespace lovagerock
--- a/src/base/SocketAddress.h
+++ b/src/base/SocketAddress.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <netinet/in.h>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
   const std::string& Ip() const { return mIp; }
   std::uint16_t Port() const { return mPort; }
   std::string ToString() const;
+  // The form that the socket calls take.
+  sockaddr_in ToNative() const;
 
   // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
   auto operator<=>(const SocketAddress&) const = default; // NOLINT(modernize-use-nullptr)
--- a/src/kv/MemoryStore.cpp
+++ b/src/kv/MemoryStore.cpp
@@ -57,6 +57,10 @@
     }
     NotifyWaiters();
   }
+  if (!ec && std::exchange(mDownAfterWrite, false)) {
+    mLostAnswers = 1;
+    SetAvailable(false);
+  }
   if (!ec && mLostAnswers > 0) {
     --mLostAnswers;
     ec = KvError::OutcomeUnknown;
--- a/src/kv/MemoryStore.h
+++ b/src/kv/MemoryStore.h
@@ -26,6 +26,9 @@
   void SetAvailable(bool aAvailable);
   // The next transactions take effect, but their callers get OutcomeUnknown.
   void LoseAnswers(int aCount);
+  // The next transaction takes effect, its caller gets OutcomeUnknown, and the store is unavailable
+  // from then on.
+  void GoDownAfterWrite() { mDownAfterWrite = true; }
   // Number of calls so far.
   std::size_t Calls() const { return mCalls; }
   // Writes a value directly, as a restored backup would.
@@ -53,6 +56,7 @@
   ModifyIndex mLastIndex = 0;
   std::size_t mCalls = 0;
   int mLostAnswers = 0;
+  bool mDownAfterWrite = false;
   bool mAvailable = true;
 };
 
--- a/src/node/PlannerViews.cpp
+++ b/src/node/PlannerViews.cpp
@@ -54,8 +54,8 @@
          aLease.mPhase == workers::LeasePhase::Stopping;
 }
 
-// Whether the lease is on capacity assigned to its account; services tell it by being reclaimable
-// or not only in part, so "borrowed" is shown for reclaimable ones.
+// Whether the lease is on capacity that is assigned to its account. The record of a job says so; a
+// service lease has no record, and counts as guaranteed if it can't be reclaimed.
 bool
 IsGuaranteed(const jobs::ManagedJobs& aJobs, const workers::LeaseState& aLease)
 {
--- a/src/peer/PeerLink.cpp
+++ b/src/peer/PeerLink.cpp
@@ -70,10 +70,7 @@
   if (mReconnect.IsPending()) {
     return;
   }
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(mPeer.Port());
-  inet_pton(AF_INET, mPeer.Ip().c_str(), &address.sin_addr);
+  auto address = mPeer.ToNative();
   auto* buf = bufferevent_socket_new(mLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
   Http2Events events;
   events.mOnConnected = [this] {
--- a/src/peer/PeerListener.cpp
+++ b/src/peer/PeerListener.cpp
@@ -62,10 +62,7 @@
 std::error_code
 PeerListener::Listen(const SocketAddress& aAddress)
 {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.Port());
-  inet_pton(AF_INET, aAddress.Ip().c_str(), &address.sin_addr);
+  auto address = aAddress.ToNative();
   mListener = evconnlistener_new_bind(mLoop.Base(), detail::OnAccept, this,
                                       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, detail::kBacklog,
                                       reinterpret_cast<sockaddr*>(&address), sizeof address);
--- a/src/standin/faultproxy/FaultProxy.cpp
+++ b/src/standin/faultproxy/FaultProxy.cpp
@@ -25,16 +25,6 @@
   return { errno, std::generic_category() };
 }
 
-sockaddr_in
-ListenAddress(const SocketAddress& aAddress)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.Port());
-  inet_pton(AF_INET, aAddress.Ip().c_str(), &address.sin_addr);
-  return address;
-}
-
 } // namespace
 } // namespace detail
 
@@ -71,7 +61,7 @@
   const int on = 1;
   setsockopt(mReservation, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   setsockopt(mReservation, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
-  auto address = detail::ListenAddress(aAddress);
+  auto address = aAddress.ToNative();
   socklen_t n = sizeof address;
   if (bind(mReservation, reinterpret_cast<sockaddr*>(&address), n) != 0 ||
       getsockname(mReservation, reinterpret_cast<sockaddr*>(&address), &n) != 0) {
@@ -84,7 +74,7 @@
 std::error_code
 FaultProxy::StartListening()
 {
-  auto address = detail::ListenAddress(mAddress);
+  auto address = mAddress.ToNative();
   constexpr unsigned kFlags =
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE | LEV_OPT_REUSEABLE_PORT;
   mListener.reset(evconnlistener_new_bind(mLoop.Base(), OnAccept, this, kFlags, detail::kBacklog,
--- a/src/standin/faultproxy/ProxiedConnection.cpp
+++ b/src/standin/faultproxy/ProxiedConnection.cpp
@@ -14,22 +14,6 @@
 
 namespace lovagerock::standin {
 
-namespace detail {
-namespace {
-
-sockaddr_in
-ToSockaddr(const SocketAddress& aAddress)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.Port());
-  inet_pton(AF_INET, aAddress.Ip().c_str(), &address.sin_addr);
-  return address;
-}
-
-} // namespace
-} // namespace detail
-
 void
 ProxiedConnection::Free::operator()(bufferevent* aEvent) const
 {
@@ -52,7 +36,7 @@
     bufferevent_setcb(it, OnRead, OnWritten, OnEvent, this);
     bufferevent_enable(it, EV_READ | EV_WRITE);
   }
-  auto address = detail::ToSockaddr(aTarget);
+  auto address = aTarget.ToNative();
   if (bufferevent_socket_connect(mTarget.get(), reinterpret_cast<sockaddr*>(&address),
                                  sizeof address) != 0) {
     mConnectFailed = aLoop.After(Duration(0), [this] { Close(); });
--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -145,8 +145,9 @@
   cr_assert_eq(TotalStarts(cluster), 2);
 }
 
-// Guards against a start by a planner that can't know whether its commit took effect.
-Test(JobCoordinator, does_not_start_when_the_commit_is_uncertain)
+// Guards against a start by a planner that can't know whether its commit took effect, and against a
+// job that is called interrupted although its start was never sent.
+Test(JobCoordinator, does_not_start_while_the_commit_is_uncertain)
 {
   Cluster cluster(1);
   Planner planner(cluster, "n1");
@@ -154,7 +155,29 @@
   auto record = cluster.Job("k", 2, kShort);
   record.mSpec.mIdempotent = false;
   const auto job = cluster.Submit(record);
-  // The commit takes effect and its answer is lost; reading it back tells that it is our own.
+  cluster.mStore.GoDownAfterWrite();
+  planner.mCoordinator.OnJobChanged(job.mJob);
+  // Reading the record fails from the uncertain commit on.
+  const auto isUncertain = [&] {
+    const auto it = planner.mCoordinator.Jobs().find(job.mJob);
+    return it != planner.mCoordinator.Jobs().end() && it->second.mPhase == JobPhase::Writing;
+  };
+  cluster.Until(isUncertain);
+  cr_assert_eq(TotalStarts(cluster), 0);
+  cluster.mStore.SetAvailable(true);
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Finished);
+  cr_assert_eq(done.mAttempt, 2);
+  cr_assert_eq(TotalStarts(cluster), 2);
+}
+
+// Guards against a commit that is given up although the record shows that it is this planner's.
+Test(JobCoordinator, starts_when_a_lost_commit_is_read_back)
+{
+  Cluster cluster(1);
+  Planner planner(cluster, "n1");
+  planner.mCoordinator.Activate();
+  const auto job = cluster.Submit(cluster.Job("k", 2, kShort));
   cluster.mStore.LoseAnswers(1);
   planner.mCoordinator.OnJobChanged(job.mJob);
   const auto done = cluster.UntilDone(job.mJob);
--- a/tests/jobs/JobStoreTests.cpp
+++ b/tests/jobs/JobStoreTests.cpp
@@ -18,6 +18,20 @@
   return ec;
 }
 
+std::error_code
+SubmitError(Cluster& aCluster)
+{
+  std::error_code ec;
+  bool done = false;
+  aCluster.mJobStore.Submit(aCluster.Job("k", 1, "x"),
+                            [&](std::error_code aError, const JobRecord&) {
+                              ec = aError;
+                              done = true;
+                            });
+  aCluster.Until([&] { return done; });
+  return ec;
+}
+
 std::error_code
 Finish(Cluster& aCluster, const JobRecord& aRecord)
 {
@@ -61,17 +75,20 @@
 
 // Guards against "not run" for a submission that took effect.
 Test(JobStore, reports_an_unsettled_submission_as_unknown)
+{
+  Cluster cluster(0);
+  cluster.mStore.GoDownAfterWrite();
+  cr_assert_eq(SubmitError(cluster), make_error_code(JobError::OutcomeUnknown));
+  cluster.mStore.SetAvailable(true);
+  cr_assert_eq(cluster.Load(MakeJobId(AccountId("a"), "k")).mState, JobState::Pending);
+}
+
+// Guards against "unknown" where a retry may safely be told "not run".
+Test(JobStore, reports_a_submission_that_was_not_written_as_unavailable)
 {
   Cluster cluster(0);
   cluster.mStore.SetAvailable(false);
-  std::error_code ec;
-  bool done = false;
-  cluster.mJobStore.Submit(cluster.Job("k", 1, "x"), [&](std::error_code aError, const JobRecord&) {
-    ec = aError;
-    done = true;
-  });
-  cluster.Until([&] { return done; });
-  cr_assert_eq(ec, make_error_code(JobError::StoreUnavailable));
+  cr_assert_eq(SubmitError(cluster), make_error_code(JobError::StoreUnavailable));
 }
 
 // Guards against two planners that both commit an attempt.
