Settle a gang start that another planner commits during a takeover

The former planner reserved and committed the gang, and its start was fenced. The new planner had read the record before the commit. It saw the reserved leases, read the record, found the commit, and ignored it because it already had the job in its queue. Its own commit failed 5 s later, when the reservations had lapsed, so the adopted attempt had no tasks. Ruled out: a wrong fence (each refusal was right) and a lost write. Also found on this path: leases were released before a commit on the older version was made impossible, and a fenced start stopped the tasks that the newer planner was about to complete. Change: a planner adopts a committed attempt of a job that waits in its queue, also after a refused reservation. Before it releases leases of a record that is still pending, it writes the record, so that a later commit conflicts. A start that is fenced leaves its tasks to the newer planner; their 5 s TTL ends them if nobody completes the gang. Conclusion: a takeover during a gang start ends with the gang running whole under one attempt.

--- a/src/jobs/CoordinatorGangs.h
+++ b/src/jobs/CoordinatorGangs.h
@@ -48,8 +48,8 @@
   LogStart(aStart, *job);
   auto start = std::make_shared<GangStart<S, A>>(
     mLoop, mApi, mJobStore, record, mFence, mTimes.mGang,
-    InTerm([this](GangOutcome aOutcome, Record aRecord, const std::vector<WorkerId>&) {
-      OnGangStart(aOutcome, std::move(aRecord));
+    InTerm([this](GangOutcome aOutcome, Record aRecord, const std::vector<WorkerId>& aRefused) {
+      OnGangStart(aOutcome, std::move(aRecord), aRefused);
     }));
   start->Run();
 }
@@ -75,7 +75,8 @@
 
 template<kv::KeyValueStore S, workers::WorkerApi A>
 void
-JobCoordinator<S, A>::OnGangStart(GangOutcome aOutcome, Record aRecord)
+JobCoordinator<S, A>::OnGangStart(GangOutcome aOutcome, Record aRecord,
+                                  const std::vector<WorkerId>& aRefused)
 {
   auto* job = Find(aRecord.mJob);
   if (!job) {
@@ -95,6 +96,7 @@
       job->mPhase = JobPhase::Queued;
       job->mNotBefore = Now() + mRandom.Jitter(2 * mTimes.mStartRetry);
       CheckCancel(*job);
+      CheckRefusals(aRefused);
       break;
     case GangOutcome::Fenced:
       StepDown();
@@ -114,6 +116,18 @@
   PlanSoon();
 }
 
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::CheckRefusals(const std::vector<WorkerId>& aWorkers)
+{
+  for (const auto& it : std::set<WorkerId>(aWorkers.begin(), aWorkers.end())) {
+    const auto view = mViews.find(it);
+    if (view != mViews.end() && mRecordsLoaded) {
+      CheckOrphans(view->second);
+    }
+  }
+}
+
 template<kv::KeyValueStore S, workers::WorkerApi A>
 void
 JobCoordinator<S, A>::CheckLeases(const workers::WorkerView& aView)
--- a/src/jobs/CoordinatorRecords.h
+++ b/src/jobs/CoordinatorRecords.h
@@ -240,15 +240,56 @@
                    if (aError && aError != make_error_code(JobError::NotFound)) {
                      return;
                    }
-                   const bool known = !aError && !aRecord.IsDone() &&
-                                      mAttempts.Prefix(TaskLease(aRecord, 0)) == aPrefix;
-                   if (!known) {
-                     LogEvent("attempt_orphaned").With("leases", aPrefix);
-                     mAttempts.ReleaseSeen(aPrefix);
-                   } else if (!Find(aRecord.mJob)) {
-                     Adopt(aRecord);
+                   const bool live = !aError && !aRecord.IsDone();
+                   if (live && mAttempts.Prefix(TaskLease(aRecord, 0)) == aPrefix) {
+                     AdoptCommitted(aRecord);
+                   } else if (live && aRecord.mState == JobState::Pending) {
+                     FenceRecord(aPrefix, aRecord);
+                   } else {
+                     ReleaseOrphan(aPrefix);
                    }
                  }));
 }
 
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::AdoptCommitted(const Record& aRecord)
+{
+  const auto* job = Find(aRecord.mJob);
+  // A start in progress here conflicts with the commit, and the record is read then.
+  if (!job || job->mPhase == JobPhase::Queued) {
+    Adopt(aRecord);
+  }
+}
+
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::FenceRecord(const std::string& aPrefix, const Record& aRecord)
+{
+  auto* job = Find(aRecord.mJob);
+  if (job && job->mPhase != JobPhase::Queued) {
+    // This planner's own commit has the same effect.
+    return;
+  }
+  if (job) {
+    job->mPhase = JobPhase::Writing;
+  }
+  mJobStore.Update(aRecord, InTerm([this, aPrefix](std::error_code aError, const Record& aWritten) {
+                     if (aError) {
+                       Reload(aWritten.mJob);
+                       return;
+                     }
+                     ReleaseOrphan(aPrefix);
+                     Adopt(aWritten);
+                   }));
+}
+
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::ReleaseOrphan(const std::string& aPrefix)
+{
+  LogEvent("attempt_orphaned").With("leases", aPrefix);
+  mAttempts.ReleaseSeen(aPrefix);
+}
+
 } // namespace lovagerock::jobs
--- a/src/jobs/GangStart.h
+++ b/src/jobs/GangStart.h
@@ -23,7 +23,8 @@
   Started,
   // Nothing was committed and all reservations were released; the gang may be tried again.
   NotReserved,
-  // A worker is commanded by a newer planner.
+  // A worker is commanded by a newer planner. If the attempt was committed, that planner completes
+  // the start.
   Fenced,
   // The record was changed by another node, or its version is unknown; it must be read again.
   NotCommitted,
@@ -188,7 +189,12 @@
     if (mFinished) {
       return;
     }
-    mFenced = mFenced || aError == make_error_code(workers::WorkerError::Fenced);
+    if (aError == make_error_code(workers::WorkerError::Fenced)) {
+      // The newer planner finds the committed record and starts the rest. A stop from here would
+      // end the tasks that run already; if nobody completes the start, their TTL ends them.
+      Finish(GangOutcome::Fenced);
+      return;
+    }
     if (aError) {
       OnStartFailed();
       return;
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -118,12 +118,22 @@
   // Looks at the worker's leases that belong to no managed job.
   void CheckOrphans(const workers::WorkerView& aView);
   void CheckAttempt(const std::string& aPrefix, const JobId& aJob);
+  // Takes an attempt that another planner committed after this one had read the record.
+  void AdoptCommitted(const Record& aRecord);
+  // Writes the record as it is, so that another planner's commit on the version read before fails,
+  // and then releases the attempt's leases. A commit after the release would leave a started record
+  // without tasks, and a non-idempotent job would end as interrupted although it never ran.
+  void FenceRecord(const std::string& aPrefix, const Record& aRecord);
+  void ReleaseOrphan(const std::string& aPrefix);
 
   // Gangs (CoordinatorGangs.h).
   GangLimits Limits() const;
   void StartGang(const placement::GangStart& aStart);
   void LogStart(const placement::GangStart& aStart, const ManagedJob& aJob) const;
-  void OnGangStart(GangOutcome aOutcome, Record aRecord);
+  void OnGangStart(GangOutcome aOutcome, Record aRecord, const std::vector<WorkerId>& aRefused);
+  // Looks at the leases that may have taken the capacity of a refused reservation. They belong to
+  // another planner's attempt if their state was seen while this planner's start was in progress.
+  void CheckRefusals(const std::vector<WorkerId>& aWorkers);
   // Looks at every job that has a lease on the worker, and at leases without a job.
   void CheckLeases(const workers::WorkerView& aView);
   // Reads the state of the job's tasks and takes the next step.
--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -18,6 +18,82 @@
   return n;
 }
 
+// Reserves a gang's leases on one worker as another planner with an older fence does, and gives the
+// record that this planner would commit.
+JobRecord
+ReserveElsewhere(Cluster& aCluster, const JobRecord& aSubmitted)
+{
+  auto record = aSubmitted;
+  record.mStartToken = "elsewhere";
+  record.mAttempt = 1;
+  int open = record.mSpec.mTasks;
+  for (int i = 0; i < record.mSpec.mTasks; ++i) {
+    record.mPlacements.push_back({ WorkerId("w0"), aCluster.mList[0].mAddress, false });
+    workers::LeaseRequest request;
+    request.mLease = TaskLease(record, i);
+    request.mFence = { 0, NodeId("n0") };
+    request.mTtl = Duration(60000);
+    request.mJob = record.mJob;
+    request.mTask = i;
+    request.mTasks = record.mSpec.mTasks;
+    request.mAttempt = 1;
+    request.mResources = record.mSpec.mPerTask;
+    request.mPayload = record.mSpec.PayloadOf(i);
+    aCluster.mApi.Reserve(aCluster.mList[0].mAddress, request,
+                          [&](std::error_code aError, const workers::LeaseState&) {
+                            cr_assert_not(aError);
+                            --open;
+                          });
+  }
+  aCluster.Until([&] { return open == 0; });
+  record.mState = JobState::Started;
+  record.mRan = Ran::Partly;
+  return record;
+}
+
+// Commits a record, and gives the error.
+std::error_code
+Commit(Cluster& aCluster, const JobRecord& aRecord)
+{
+  std::error_code ec;
+  bool done = false;
+  aCluster.mJobStore.Update(aRecord, [&](std::error_code aError, const JobRecord&) {
+    ec = aError;
+    done = true;
+  });
+  aCluster.Until([&] { return done; });
+  return ec;
+}
+
+// A non-idempotent job for all slots of one worker.
+JobRecord
+SubmitWholeWorker(Cluster& aCluster)
+{
+  auto record = aCluster.Job("k", 8, kShort);
+  record.mSpec.mIdempotent = false;
+  return aCluster.Submit(record);
+}
+
+// Before each start, makes a newer planner known to one worker.
+struct TakenOverApi : workers::HttpWorkerApi
+{
+  using HttpWorkerApi::HttpWorkerApi;
+
+  SocketAddress mTakenOver;
+
+  void Start(const SocketAddress& aWorker, const LeaseId& aLease, const workers::Fence& aFence,
+             Duration aTtl, workers::DoneCallback aCallback)
+  {
+    const workers::Fence newer{ aFence.mEpoch + 1, NodeId("newer") };
+    Renew(mTakenOver, newer, Duration(1000), {},
+          [this, aWorker, aLease, aFence, aTtl, aCallback](std::error_code aError,
+                                                           const std::vector<LeaseId>&) {
+            cr_assert_not(aError);
+            HttpWorkerApi::Start(aWorker, aLease, aFence, aTtl, aCallback);
+          });
+  }
+};
+
 } // namespace
 
 Test(JobCoordinator, runs_a_gang_and_stores_its_answers)
@@ -185,6 +261,80 @@
   cr_assert_eq(TotalStarts(cluster), 2);
 }
 
+// Guards against a job that is called interrupted although it never ran: its former planner commits
+// a start after the new one has read the record, and can't send the start.
+Test(JobCoordinator, completes_a_start_that_was_committed_after_it_read_the_record)
+{
+  Cluster cluster(1);
+  const auto workers = std::exchange(cluster.mList, {});
+  Planner planner(cluster, "n1");
+  // No worker is listed yet, and that is no reason to refuse the job.
+  planner.mCoordinator.SetComplete(false);
+  const auto job = SubmitWholeWorker(cluster);
+  planner.mCoordinator.Activate();
+  cluster.Until([&] { return planner.mCoordinator.Jobs().contains(job.mJob); });
+  cluster.mList = workers;
+  cr_assert_not(Commit(cluster, ReserveElsewhere(cluster, job)));
+  planner.mMonitor.SetWorkers(cluster.mList);
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Finished);
+  cr_assert_eq(done.mAttempt, 1);
+  cr_assert_eq(TotalStarts(cluster), 8);
+}
+
+// Guards against a former planner's commit that takes effect after its reservations were released:
+// the record would be started without any task.
+Test(JobCoordinator, makes_a_commit_fail_before_it_releases_the_reservations)
+{
+  Cluster cluster(1);
+  const auto job = SubmitWholeWorker(cluster);
+  const auto record = ReserveElsewhere(cluster, job);
+  Planner planner(cluster, "n1");
+  // Without the account the job can't be placed here, so no commit of this planner interferes.
+  planner.mCoordinator.SetPolicy({});
+  planner.mCoordinator.Activate();
+  cluster.Until(
+    [&] { return planner.mCoordinator.Views().begin()->second.mState->mLeases.empty(); });
+  cr_assert_eq(Commit(cluster, record), make_error_code(JobError::Conflict));
+  PolicyInput policy;
+  policy.mAccounts.push_back({ AccountId("a"), 1, {}, {} });
+  planner.mCoordinator.SetPolicy(policy);
+  cr_assert_eq(cluster.UntilDone(job.mJob).mState, JobState::Finished);
+  cr_assert_eq(TotalStarts(cluster), 8);
+}
+
+// Guards against a former planner that stops the tasks which it started while a newer planner
+// completes the gang.
+Test(JobCoordinator, completes_a_gang_that_a_former_planner_started_in_part)
+{
+  Cluster cluster(2);
+  const auto job = cluster.Submit(cluster.Job("k", 16, kShort));
+  auto record = job;
+  record.mStartToken = "former";
+  for (int i = 0; i < 16; ++i) {
+    const auto worker = static_cast<std::size_t>(i / 8);
+    record.mPlacements.push_back(
+      { WorkerId("w" + std::to_string(worker)), cluster.mList[worker].mAddress, false });
+  }
+  TakenOverApi api(cluster.mClient);
+  api.mTakenOver = cluster.mList[1].mAddress;
+  bool ended = false;
+  const auto start = std::make_shared<GangStart<kv::MemoryStore, TakenOverApi>>(
+    cluster.mLoop, api, cluster.mJobStore, record, workers::Fence{ 1, NodeId("n0") }, GangTimes(),
+    [&](GangOutcome aOutcome, const JobRecord&, const std::vector<WorkerId>&) {
+      cr_assert_eq(aOutcome, GangOutcome::Fenced);
+      ended = true;
+    });
+  start->Run();
+  cluster.Until([&] { return ended; });
+  Planner planner(cluster, "n1");
+  planner.mCoordinator.Activate();
+  const auto done = cluster.UntilDone(job.mJob);
+  cr_assert_eq(done.mState, JobState::Finished);
+  cr_assert_eq(done.mAttempt, 1);
+  cr_assert_eq(TotalStarts(cluster), 16);
+}
+
 Test(JobCoordinator, cancels_queued_and_running_jobs)
 {
   Cluster cluster(1);
