Give each test process ports of its own

Cause: a worker of one test could not listen because another test program had taken its port, and the fault proxy before it then led to the foreign worker. Ports were probed from the kernel's range for outgoing connections, so any connection could take one between its choice and its use, and each test process kept its own list of the ports given out. Ruled out: waiting longer; the port stays taken. LOVAGEROCK_KEEP_LOGS keeps the logs of a test's processes. Conclusion: the collision is ruled out by construction.

--- a/tests/integration/FreePorts.h
+++ b/tests/integration/FreePorts.h
@@ -4,9 +4,9 @@
 
 namespace lovagerock::integration {
 
-// A loopback address whose port, and the aCount - 1 ports above it, were free just now. The system
-// picks the first port, so that test programs that run at the same time rarely collide. Ports
-// already handed out by this process are not given again.
+// A loopback address whose port, and the aCount - 1 ports above it, were free just now. The ports
+// come from blocks that belong to one test process each and lie outside the ports of outgoing
+// connections, so that programs of tests that run at the same time never meet.
 SocketAddress
 FreeAddress(int aCount = 1);
 
--- a/tests/integration/LocalSystem.cpp
+++ b/tests/integration/LocalSystem.cpp
@@ -105,8 +105,10 @@
   mNodes.clear();
   mWorkerProcesses.clear();
   mOthers.clear();
-  std::error_code ec;
-  std::filesystem::remove_all(mDirectory, ec);
+  if (std::getenv("LOVAGEROCK_KEEP_LOGS") == nullptr) {
+    std::error_code ec;
+    std::filesystem::remove_all(mDirectory, ec);
+  }
 }
 
 std::unique_ptr<Process>
