Keep the ports of tests apart from those of the scripts

Cause: a run of scripts/demo.sh beside integration tests failed at its first step. The blocks of ports for tests began at 10000 and included the demo's key-value service at 18500. Change: blocks from 24000 to 32499. Conclusion: a demo and tests can run at the same time.

--- a/tests/integration/FreePorts.cpp
+++ b/tests/integration/FreePorts.cpp
@@ -16,10 +16,11 @@
 namespace {
 
 // Ports below the range that the kernel gives to outgoing connections and to port 0. A port from
-// that range can be taken by any connection between its choice and its use.
-constexpr int kFirstPort = 10000;
+// that range can be taken by any connection between its choice and its use. The fixed ports of the
+// scripts lie below these.
+constexpr int kFirstPort = 24000;
 constexpr int kBlockSize = 100;
-constexpr int kBlocks = 220;
+constexpr int kBlocks = 85;
 
 // Binds a port of the loopback address. Gives the socket, or -1 if the port is in use.
 int
