Move the routes of the HTTP server to a file of their own

Change: RouteTable holds the handlers and matches paths; ParseQuery moves with it. No change of behavior.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpServer.h"
 
 #include "http/HttpError.h"
+#include "http/RouteTable.h"
 #include "http/SocketOptions.h"
 
 #include <event2/buffer.h>
@@ -9,11 +10,9 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 
-#include <array>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <utility>
-#include <vector>
 
 namespace lovagerock::http {
 
@@ -24,26 +23,13 @@
   void operator()(evhttp* aServer) const { evhttp_free(aServer); }
 };
 
-struct UriFree
-{
-  void operator()(evhttp_uri* aUri) const { evhttp_uri_free(aUri); }
-};
-using UriPtr = std::unique_ptr<evhttp_uri, UriFree>;
-
-struct Route
-{
-  Method mMethod;
-  std::vector<std::string> mSegments;
-  HttpServer::Handler mHandler;
-};
-
 struct ServerState
 {
   EventLoop* mLoop = nullptr;
   std::unique_ptr<evhttp, EvhttpFree> mServer;
   evhttp_bound_socket* mSocket = nullptr;
   SocketAddress mAddress;
-  std::vector<Route> mRoutes;
+  RouteTable mRoutes;
   std::size_t mActive = 0;
   bool mDraining = false;
 };
@@ -107,102 +93,6 @@
   }
 }
 
-std::vector<std::string>
-SplitPath(std::string_view aPath)
-{
-  std::vector<std::string> segments;
-  std::size_t start = 0;
-  while (start < aPath.size()) {
-    if (aPath[start] == '/') {
-      ++start;
-      continue;
-    }
-    const auto end = std::min(aPath.find('/', start), aPath.size());
-    segments.emplace_back(aPath.substr(start, end - start));
-    start = end;
-  }
-  return segments;
-}
-
-std::string
-DecodeComponent(const std::string& aText, bool aPlusIsSpace)
-{
-  std::size_t n = 0;
-  char* decoded = evhttp_uridecode(aText.c_str(), aPlusIsSpace ? 1 : 0, &n);
-  if (!decoded) {
-    return aText;
-  }
-  std::string text(decoded, n);
-  free(decoded);
-  return text;
-}
-
-bool
-IsParameter(const std::string& aSegment)
-{
-  return aSegment.size() > 2 && aSegment.front() == '{' && aSegment.back() == '}';
-}
-
-std::string
-JoinFrom(const std::vector<std::string>& aSegments, std::size_t aFirst)
-{
-  std::string joined;
-  for (std::size_t i = aFirst; i < aSegments.size(); ++i) {
-    joined += (joined.empty() ? "" : "/") + DecodeComponent(aSegments[i], false);
-  }
-  return joined;
-}
-
-bool
-MatchRoute(const Route& aRoute, const std::vector<std::string>& aPath, Request& aRequest)
-{
-  aRequest.mPathParameters.clear();
-  const auto& pattern = aRoute.mSegments;
-  for (std::size_t i = 0; i < pattern.size(); ++i) {
-    const auto& segment = pattern[i];
-    if (IsParameter(segment) && segment[segment.size() - 2] == '*') {
-      aRequest.mPathParameters[segment.substr(1, segment.size() - 3)] = JoinFrom(aPath, i);
-      return true;
-    }
-    if (i >= aPath.size()) {
-      return false;
-    }
-    if (IsParameter(segment)) {
-      aRequest.mPathParameters[segment.substr(1, segment.size() - 2)] =
-        DecodeComponent(aPath[i], false);
-    } else if (segment != aPath[i]) {
-      return false;
-    }
-  }
-  return aPath.size() == pattern.size();
-}
-
-void
-ReadQuery(const char* aQuery, Request& aRequest)
-{
-  if (!aQuery) {
-    return;
-  }
-  evkeyvalq fields{};
-  if (evhttp_parse_query_str(aQuery, &fields) == 0) {
-    for (auto* it = fields.tqh_first; it; it = it->next.tqe_next) {
-      aRequest.mQuery[it->key] = it->value;
-    }
-  } else {
-    // evhttp rejects a parameter without "=", such as Consul's "?recurse".
-    std::string_view rest(aQuery);
-    while (!rest.empty()) {
-      const auto item = rest.substr(0, rest.find('&'));
-      rest.remove_prefix(std::min(rest.size(), item.size() + 1));
-      const auto equals = item.find('=');
-      const auto value =
-        equals == std::string_view::npos ? std::string() : std::string(item.substr(equals + 1));
-      aRequest.mQuery[std::string(item.substr(0, equals))] = DecodeComponent(value, true);
-    }
-  }
-  evhttp_clear_headers(&fields);
-}
-
 bool
 ReadMethod(evhttp_request* aRequest, Method& aMethod)
 {
@@ -248,28 +138,6 @@
   return JsonResponse(aStatus, std::string(R"({"error":")") + aError + R"(","ran":"no"})");
 }
 
-void
-Dispatch(const std::shared_ptr<ServerState>& aState, Request aRequest, const char* aPath,
-         const Responder& aResponder)
-{
-  const auto path = SplitPath(aPath);
-  bool pathKnown = false;
-  for (const auto& it : aState->mRoutes) {
-    if (!MatchRoute(it, path, aRequest)) {
-      continue;
-    }
-    pathKnown = true;
-    if (it.mMethod == aRequest.mMethod) {
-      // A copy, because the handler may register routes or destroy the server.
-      const auto handler = it.mHandler;
-      handler(std::move(aRequest), aResponder);
-      return;
-    }
-  }
-  aResponder.Send(pathKnown ? ErrorResponse(405, "method_not_allowed")
-                            : ErrorResponse(404, "unknown_path"));
-}
-
 void
 OnRequest(evhttp_request* aRequest, void* aArgument)
 {
@@ -289,9 +157,17 @@
     return;
   }
   request.mPath = path;
-  ReadQuery(evhttp_uri_get_query(uri), request);
+  ParseQuery(evhttp_uri_get_query(uri), request);
   ReadRequest(aRequest, request);
-  Dispatch(shared, std::move(request), path, responder);
+  const auto match = shared->mRoutes.Find(path, request);
+  if (!match.mHandler) {
+    responder.Send(match.mPathKnown ? ErrorResponse(405, "method_not_allowed")
+                                    : ErrorResponse(404, "unknown_path"));
+    return;
+  }
+  // A copy, because the handler may register routes or destroy the server.
+  const auto handler = *match.mHandler;
+  handler(std::move(request), responder);
 }
 
 bufferevent*
@@ -405,7 +281,7 @@
 void
 HttpServer::Handle(Method aMethod, std::string_view aPattern, Handler aHandler)
 {
-  mState->mRoutes.push_back({ aMethod, detail::SplitPath(aPattern), std::move(aHandler) });
+  mState->mRoutes.Add(aMethod, aPattern, std::move(aHandler));
 }
 
 std::error_code
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -5,6 +5,7 @@
 #include "base/Units.h"
 #include "http/HttpMessage.h"
 #include "http/Responder.h"
+#include "http/RouteTable.h"
 
 #include <cstddef>
 #include <functional>
@@ -32,7 +33,7 @@
 class HttpServer
 {
 public:
-  using Handler = std::function<void(Request, Responder)>;
+  using Handler = RouteHandler;
 
   HttpServer(EventLoop& aLoop, const ServerLimits& aLimits = {});
   ~HttpServer();
