Limit callers' connections and the bytes of requests being received

Cause: evhttp hands a request over only when its body is whole, and nothing limited the connections, so each connection could hold a whole body. Ruled out: a fixed part of the budget for each connection, which refuses large bodies while most of the budget is free; a whole body for each connection ahead of reading, because its size isn't known before evhttp has read the request; a read watermark, because evhttp moves chunked bodies to another buffer while it reads them. Change: CallerConnections owns the socket of each connection. Room for one largest request is kept apart for the first in line. ClosingSockets drops what a refused caller still sends, so that the 503 isn't lost with a reset.

--- /dev/null
+++ b/src/http/CallerConnections.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "http/ClosingSockets.h"
+#include "http/ReceiveBudget.h"
+#include "http/ServerLimits.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+struct bufferevent;
+struct event;
+struct evhttp_connection;
+
+namespace lovagerock::http {
+
+// What a server holds for its callers.
+struct CallerCounts
+{
+  std::size_t mConnections = 0;
+  // Connections that are not read because the receive budget is used up.
+  std::size_t mWaiting = 0;
+  // Bytes of the receive budget that are held.
+  Bytes mReceiving;
+  // Connections that were closed because of a limit, by its name in logs.
+  std::map<std::string, std::uint64_t> mClosed;
+};
+
+namespace detail {
+struct CallerConnection;
+} // namespace detail
+
+// The open connections of an evhttp server. Limits their number and the bytes of requests that are
+// being received: a connection whose share of the receive budget is used up is not read until it
+// gets more. Beyond a limit the caller gets 503 and the connection is closed before a request of it
+// was handed over. Belongs to its loop; must outlive the evhttp server.
+class CallerConnections
+{
+public:
+  using Closed = std::function<void()>;
+
+  CallerConnections(EventLoop& aLoop, const ServerLimits& aLimits);
+  ~CallerConnections();
+  CallerConnections(const CallerConnections&) = delete;
+  CallerConnections& operator=(const CallerConnections&) = delete;
+
+  // Makes the socket of a connection that evhttp is about to accept.
+  bufferevent* Accept();
+  // Notes that a whole request was read and is about to be answered. aClosed is called once if the
+  // connection ends before OnAnswered().
+  void OnRequest(evhttp_connection* aConnection, Closed aClosed);
+  // Notes that the answer was written.
+  void OnAnswered(evhttp_connection* aConnection);
+
+  CallerCounts Counts() const;
+
+private:
+  using Connection = detail::CallerConnection;
+
+  static void OnAccepted(int aSocket, short aWhat, void* aArgument);
+  static void OnClosed(evhttp_connection* aHttp, void* aArgument);
+  void Add(bufferevent* aSocket);
+  void Remove(Connection& aConnection);
+  void OnBytes(Connection& aConnection, std::size_t aCount);
+  void Resume(Connection& aConnection);
+  // Answers with the status and closes; not to be called from a callback of evhttp.
+  void Refuse(evhttp_connection* aHttp, const std::string& aAddress, int aStatus,
+              std::string_view aError);
+  Connection* Find(evhttp_connection* aHttp) const;
+
+  EventLoop& mLoop;
+  const ServerLimits mLimits;
+  ReceiveBudget mBudget;
+  ClosingSockets mClosing;
+  std::vector<bufferevent*> mAccepted;
+  event* mAcceptedEvent;
+  std::unordered_map<evhttp_connection*, std::unique_ptr<Connection>> mConnections;
+  std::unordered_map<ReceiveBudget::Holder, Connection*> mByNumber;
+  std::unordered_map<std::string, std::size_t> mByAddress;
+  ReceiveBudget::Holder mLastNumber = 0;
+  std::map<std::string, std::uint64_t> mClosedCounts;
+
+  friend struct detail::CallerConnection;
+};
+
+} // namespace lovagerock::http
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpServer.h"
 
+#include "http/CallerConnections.h"
 #include "http/HttpError.h"
 #include "http/RouteTable.h"
 #include "http/SocketOptions.h"
@@ -26,6 +27,8 @@
 struct ServerState
 {
   EventLoop* mLoop = nullptr;
+  // Before the server, whose end closes the connections.
+  std::unique_ptr<CallerConnections> mConnections;
   std::unique_ptr<evhttp, EvhttpFree> mServer;
   evhttp_bound_socket* mSocket = nullptr;
   SocketAddress mAddress;
@@ -63,21 +66,15 @@
 
 namespace {
 
-void
-OnConnectionClosed(evhttp_connection*, void* aArgument)
-{
-  auto* exchange = static_cast<Exchange*>(aArgument);
-  const auto self = exchange->shared_from_this();
-  exchange->Detach();
-}
-
 void
 OnAnswerComplete(evhttp_request* aRequest, void* aArgument)
 {
   auto* exchange = static_cast<Exchange*>(aArgument);
   const auto self = exchange->shared_from_this();
-  if (auto* connection = evhttp_request_get_connection(aRequest)) {
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  auto* connection = evhttp_request_get_connection(aRequest);
+  const auto server = exchange->mServer.lock();
+  if (connection && server) {
+    server->mConnections->OnAnswered(connection);
   }
   exchange->Detach();
 }
@@ -146,7 +143,10 @@
   exchange->mSelf = exchange;
   evhttp_request_set_on_complete_cb(aRequest, OnAnswerComplete, exchange.get());
   if (auto* connection = evhttp_request_get_connection(aRequest)) {
-    evhttp_connection_set_closecb(connection, OnConnectionClosed, exchange.get());
+    shared->mConnections->OnRequest(connection, [aExchange = exchange.get()] {
+      const auto self = aExchange->shared_from_this();
+      aExchange->Detach();
+    });
   }
   const Responder responder(exchange);
   Request request;
@@ -171,9 +171,9 @@
 }
 
 bufferevent*
-NewConnection(event_base* aBase, void*)
+NewConnection(event_base*, void* aConnections)
 {
-  return bufferevent_socket_new(aBase, -1, BEV_OPT_CLOSE_ON_FREE);
+  return static_cast<CallerConnections*>(aConnections)->Accept();
 }
 
 } // namespace
@@ -264,6 +264,7 @@
   : mState(std::make_shared<detail::ServerState>())
 {
   mState->mLoop = &aLoop;
+  mState->mConnections = std::make_unique<CallerConnections>(aLoop, aLimits);
   mState->mServer.reset(evhttp_new(aLoop.Base()));
   auto* server = mState->mServer.get();
   evhttp_set_max_headers_size(server, aLimits.mMaxHeaders.Value());
@@ -272,7 +273,7 @@
   evhttp_set_allowed_methods(server,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
   evhttp_set_default_content_type(server, nullptr);
-  evhttp_set_bevcb(server, detail::NewConnection, nullptr);
+  evhttp_set_bevcb(server, detail::NewConnection, mState->mConnections.get());
   evhttp_set_gencb(server, detail::OnRequest, &mState);
 }
 
@@ -329,6 +330,12 @@
   return mState->mActive;
 }
 
+CallerCounts
+HttpServer::Callers() const
+{
+  return mState->mConnections->Counts();
+}
+
 Responder::Responder(std::shared_ptr<detail::Exchange> aExchange)
   : mExchange(aExchange.get(),
               [exchange = aExchange](detail::Exchange*) { detail::OnResponderDropped(exchange); })
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -2,10 +2,11 @@
 
 #include "base/EventLoop.h"
 #include "base/SocketAddress.h"
-#include "base/Units.h"
+#include "http/CallerConnections.h"
 #include "http/HttpMessage.h"
 #include "http/Responder.h"
 #include "http/RouteTable.h"
+#include "http/ServerLimits.h"
 
 #include <cstddef>
 #include <functional>
@@ -19,15 +20,6 @@
 struct ServerState;
 } // namespace detail
 
-// Limits of a server against hostile or broken callers.
-struct ServerLimits
-{
-  Bytes mMaxHeaders{ 16 * 1024 };
-  Bytes mMaxBody{ 8 * 1024 * 1024 };
-  // Time without a byte from the caller while a request is being read.
-  Duration mReadTimeout{ 10000 };
-};
-
 // An HTTP/1.1 server on evhttp. Handlers run on the loop and answer at once or later through the
 // Responder. Unknown paths get 404, known paths with another method 405.
 class HttpServer
@@ -53,6 +45,8 @@
   void StopListening();
   // Number of requests that have no complete answer yet.
   std::size_t ActiveRequests() const;
+  // What is held for callers at present.
+  CallerCounts Callers() const;
 
 private:
   std::shared_ptr<detail::ServerState> mState;
--- /dev/null
+++ b/src/http/ServerLimits.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/Units.h"
+
+#include <cstddef>
+
+namespace lovagerock::http {
+
+// Limits of a server against hostile or broken callers. A limit of 0 is none.
+struct ServerLimits
+{
+  Bytes mMaxHeaders{ 16 * 1024 };
+  Bytes mMaxBody{ 8 * 1024 * 1024 };
+  // Time without a byte from the caller while a request is being read.
+  Duration mReadTimeout{ 10000 };
+  // Open connections, in all and from one address.
+  std::size_t mMaxConnections = 0;
+  std::size_t mMaxConnectionsPerAddress = 0;
+  // Bytes of requests that are being received, over all connections. The first kFreeBytes of each
+  // request don't count. At least LargestRequest().
+  Bytes mMaxReceiving;
+
+  // Small requests never wait for the budget. Larger than the largest header, so that a request
+  // whose size is refused never waits either.
+  static constexpr Bytes kFreeBytes{ 32 * 1024 };
+  // The bytes that a connection asks the budget for at a time.
+  static constexpr Bytes kReceiveStep{ 64 * 1024 };
+
+  // The largest request with its headers and the rounding to whole steps.
+  static constexpr Bytes LargestRequest(Bytes aMaxBody)
+  {
+    return aMaxBody + kReceiveStep + kReceiveStep;
+  }
+};
+
+} // namespace lovagerock::http
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -86,6 +86,9 @@
   http::ServerLimits limits;
   limits.mMaxBody = Bytes(aSettings.mMaxBody);
   limits.mReadTimeout = aSettings.mReadTimeout;
+  limits.mMaxConnections = static_cast<std::size_t>(aSettings.mMaxConnections);
+  limits.mMaxConnectionsPerAddress = static_cast<std::size_t>(aSettings.mMaxConnectionsPerAddress);
+  limits.mMaxReceiving = Bytes(aSettings.mMaxReceiving);
   return limits;
 }
 
--- a/src/node/NodeMetrics.cpp
+++ b/src/node/NodeMetrics.cpp
@@ -34,6 +34,16 @@
   , mLiveWorkers(detail::AddGauge(aRegistry, "lovagerock_workers_live", "Live workers"))
   , mKvCalls(
       detail::AddGauge(aRegistry, "lovagerock_kv_calls", "Calls to the key-value service so far"))
+  , mConnections(
+      detail::AddGauge(aRegistry, "lovagerock_caller_connections", "Open connections of callers"))
+  , mReceiving(detail::AddGauge(aRegistry, "lovagerock_caller_receiving_bytes",
+                                "Bytes held of the budget for requests that are being received"))
+  , mReceiveWaiting(detail::AddGauge(aRegistry, "lovagerock_caller_receive_waiting",
+                                     "Connections that wait for the budget for requests"))
+  , mConnectionsClosed(prometheus::BuildCounter()
+                         .Name("lovagerock_caller_connections_closed_total")
+                         .Help("Connections of callers that were closed because of a limit")
+                         .Register(aRegistry))
 {
 }
 
@@ -73,6 +83,18 @@
   mLiveWorkers.Set(static_cast<double>(live));
 }
 
+void
+NodeMetrics::SetCallers(const http::CallerCounts& aCallers)
+{
+  mConnections.Set(static_cast<double>(aCallers.mConnections));
+  mReceiving.Set(static_cast<double>(aCallers.mReceiving.Value()));
+  mReceiveWaiting.Set(static_cast<double>(aCallers.mWaiting));
+  for (const auto& it : aCallers.mClosed) {
+    auto& counter = mConnectionsClosed.Add({ { "reason", it.first } });
+    counter.Increment(static_cast<double>(it.second) - counter.Value());
+  }
+}
+
 void
 NodeMetrics::SetKvCalls(std::size_t aCalls)
 {
--- a/src/node/NodeMetrics.h
+++ b/src/node/NodeMetrics.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "http/CallerConnections.h"
 #include "jobs/SnapshotBuilder.h"
 #include "peer/NghttpTransport.h"
 #include "placement/Plan.h"
 
+#include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
@@ -21,6 +23,7 @@
   void SetPlanner(bool aActive, std::uint64_t aEpoch, const jobs::ManagedJobs& aJobs,
                   const placement::Plan& aPlan);
   void SetWorkers(const jobs::WorkerViews& aWorkers);
+  void SetCallers(const http::CallerCounts& aCallers);
   void SetKvCalls(std::size_t aCalls);
 
 private:
@@ -34,6 +37,10 @@
   prometheus::Gauge& mFragmentation;
   prometheus::Gauge& mLiveWorkers;
   prometheus::Gauge& mKvCalls;
+  prometheus::Gauge& mConnections;
+  prometheus::Gauge& mReceiving;
+  prometheus::Gauge& mReceiveWaiting;
+  prometheus::Family<prometheus::Counter>& mConnectionsClosed;
 };
 
 } // namespace lovagerock::node
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -1,5 +1,7 @@
 #include "node/NodeSettings.h"
 
+#include "http/ServerLimits.h"
+
 namespace lovagerock::node {
 
 namespace detail {
@@ -8,6 +10,7 @@
 // A body must fit into memory several times over, so that a few callers can't exhaust it.
 constexpr std::int64_t kLargestBody = std::int64_t{ 64 } * 1024 * 1024;
 constexpr std::int64_t kLargestBuffer = std::int64_t{ 1024 } * 1024 * 1024;
+constexpr std::int64_t kMostConnections = 100000;
 
 void
 AddAddresses(CLI::App& aApp, NodeSettings& aSettings)
@@ -23,6 +26,30 @@
   AddSetting(aApp, "--vm-list", aSettings.mVmList, "VM list")->required();
 }
 
+void
+AddCallerLimits(CLI::App& aApp, NodeSettings& aSettings)
+{
+  AddSetting(aApp, "--max-connections", aSettings.mMaxConnections, "Open connections of callers")
+    ->check(CLI::Range(std::int64_t{ 1 }, kMostConnections));
+  AddSetting(aApp, "--max-connections-per-address", aSettings.mMaxConnectionsPerAddress,
+             "Open connections of callers from one address")
+    ->check(CLI::Range(std::int64_t{ 1 }, kMostConnections));
+  AddSetting(aApp, "--max-receiving", aSettings.mMaxReceiving,
+             "Bytes of requests that are being received, over all connections")
+    ->check(CLI::Range(std::int64_t{ 1 }, kLargestBuffer));
+}
+
+// The largest request must fit into the bytes for receiving, or it could never be completed.
+void
+CheckLimits(const NodeSettings& aSettings)
+{
+  const auto least = http::ServerLimits::LargestRequest(Bytes(aSettings.mMaxBody));
+  if (Bytes(aSettings.mMaxReceiving) < least) {
+    throw CLI::ValidationError("--max-receiving", "must be at least --max-body and 131072 more, " +
+                                                    std::to_string(least.Value()));
+  }
+}
+
 void
 AddLimits(CLI::App& aApp, NodeSettings& aSettings)
 {
@@ -33,6 +60,7 @@
     ->check(CLI::Range(std::int64_t{ 1 }, kLargestBuffer));
   AddSetting(aApp, "--read-timeout-ms", aSettings.mReadTimeout,
              "Time without a byte from a caller while its request is read", Duration(1000));
+  AddCallerLimits(aApp, aSettings);
   AddSetting(aApp, "--drain-accept-ms", aSettings.mDrainAccept,
              "Time to go on accepting after SIGTERM, until the balancer has noticed");
   AddSetting(aApp, "--reclaim-deadline-ms", aSettings.mReclaimDeadline,
@@ -56,6 +84,7 @@
              "New work while it is unknown whether the configuration is current: refuse or serve")
     ->check(CLI::IsMember({ "refuse", "serve" }));
   detail::AddLimits(aApp, aSettings);
+  aApp.parse_complete_callback([&aSettings] { detail::CheckLimits(aSettings); });
   AddSetting(aApp, "--log-level", aSettings.mLogLevel, "debug, info, warning or error");
   AddSetting(aApp, "--seed", aSettings.mSeed, "Seed of the random numbers; 0 for a random one");
 }
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -25,6 +25,10 @@
   std::int64_t mMaxBody = 8 * 1024 * 1024;
   std::int64_t mMaxBuffered = 64 * 1024 * 1024;
   Duration mReadTimeout{ 10000 };
+  // Below the 1024 open files that a process usually may have, with room for the calls to workers.
+  std::int64_t mMaxConnections = 640;
+  std::int64_t mMaxConnectionsPerAddress = 512;
+  std::int64_t mMaxReceiving = 32 * 1024 * 1024;
   Duration mDrainAccept{ 2000 };
   Duration mReclaimDeadline{ 2000 };
   LogLevel mLogLevel = LogLevel::Info;
--- /dev/null
+++ b/tests/http/CallerLimitTests.cpp
@@ -0,0 +1,205 @@
+#include "base/EventLoop.h"
+#include "http/HttpServer.h"
+#include "http/ReceiveBudget.h"
+
+#include <criterion/criterion.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+using namespace lovagerock;
+using namespace lovagerock::http;
+
+namespace {
+
+constexpr std::int64_t kBody = 512 * 1024;
+
+// A caller's socket that never blocks the loop.
+class RawCaller
+{
+public:
+  explicit RawCaller(const SocketAddress& aServer)
+    : mSocket(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aServer.Port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    cr_assert_eq(connect(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    fcntl(mSocket, F_SETFL, O_NONBLOCK);
+  }
+  ~RawCaller() { close(mSocket); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  void Append(const std::string& aText) { mUnsent += aText; }
+  void AppendPost(std::int64_t aLength, std::int64_t aSent)
+  {
+    Append("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(aLength) +
+           "\r\n\r\n" + std::string(static_cast<std::size_t>(aSent), 'x'));
+  }
+  // Sends and reads what is possible now.
+  void Step()
+  {
+    const auto n = send(mSocket, mUnsent.data(), mUnsent.size(), MSG_NOSIGNAL);
+    mUnsent.erase(0, n > 0 ? static_cast<std::size_t>(n) : 0);
+    char buf[4096];
+    const auto got = recv(mSocket, buf, sizeof buf, 0);
+    mAnswer.append(buf, got > 0 ? static_cast<std::size_t>(got) : 0);
+    mClosed = mClosed || got == 0;
+  }
+  bool HasStatus(const std::string& aStatus) const
+  {
+    return mAnswer.starts_with("HTTP/1.1 " + aStatus);
+  }
+
+  int mSocket;
+  std::string mUnsent;
+  std::string mAnswer;
+  bool mClosed = false;
+};
+
+struct Fixture
+{
+  EventLoop mLoop;
+  HttpServer mServer;
+  std::vector<std::unique_ptr<RawCaller>> mCallers;
+  int mHandled = 0;
+
+  explicit Fixture(const ServerLimits& aLimits)
+    : mServer(mLoop, aLimits)
+  {
+    cr_assert_not(mServer.Listen(SocketAddress("127.0.0.1", 0)));
+    mServer.Handle(Method::Post, "/a", [this](const http::Request&, const Responder& aResponder) {
+      ++mHandled;
+      aResponder.Send({});
+    });
+  }
+  RawCaller& Connect()
+  {
+    return *mCallers.emplace_back(std::make_unique<RawCaller>(mServer.Address()));
+  }
+  // Runs the loop until the condition holds.
+  void Await(const std::function<bool()>& aCondition)
+  {
+    const auto limit = mLoop.After(Duration(60000), [] { cr_assert_fail("condition not met"); });
+    const auto check = mLoop.Every(Duration(2), [&] {
+      for (const auto& it : mCallers) {
+        it->Step();
+      }
+      if (aCondition()) {
+        mLoop.Stop();
+      }
+    });
+    mLoop.Run();
+  }
+};
+
+ServerLimits
+SmallLimits()
+{
+  ServerLimits limits;
+  limits.mMaxBody = Bytes(kBody);
+  limits.mMaxReceiving = ServerLimits::LargestRequest(limits.mMaxBody) + Bytes(kBody);
+  return limits;
+}
+
+} // namespace
+
+// Guards against connections that hold bytes and block each other, and against bytes that are not
+// given back.
+Test(ReceiveBudget, lets_the_first_in_line_finish_and_serves_in_order)
+{
+  std::vector<ReceiveBudget::Holder> granted;
+  ReceiveBudget budget(Bytes(300), Bytes(100),
+                       [&](ReceiveBudget::Holder aHolder) { granted.push_back(aHolder); });
+  cr_assert(budget.Take(1, Bytes(100)));
+  cr_assert(budget.Take(2, Bytes(100)));
+  cr_assert(budget.Take(2, Bytes(60)), "the kept part is free");
+  cr_assert(budget.Take(2, Bytes(40)), "its user goes on");
+  cr_assert_not(budget.Take(1, Bytes(50)));
+  cr_assert_not(budget.Take(3, Bytes(50)));
+  cr_assert_eq(budget.Held(), Bytes(300));
+  budget.Release(2);
+  cr_assert_eq(granted, (std::vector<ReceiveBudget::Holder>{ 1, 3 }));
+  cr_assert_eq(budget.Waiting(), 0);
+  budget.Release(1);
+  budget.Release(3);
+  cr_assert_eq(budget.Held(), Bytes(0));
+}
+
+// Guards against unbounded connections, against a refused caller that learns nothing, and against
+// a place that isn't free again after a close.
+Test(CallerConnections, are_refused_with_503_over_the_limit_until_one_closes)
+{
+  for (const bool perAddress : { false, true }) {
+    ServerLimits limits;
+    (perAddress ? limits.mMaxConnectionsPerAddress : limits.mMaxConnections) = 2;
+    Fixture f(limits);
+    f.Connect();
+    f.Connect();
+    f.Await([&] { return f.mServer.Callers().mConnections == 2; });
+    auto& refused = f.Connect();
+    refused.AppendPost(kBody, kBody);
+    f.Await([&] { return refused.mClosed; });
+    cr_assert(refused.HasStatus("503"));
+    cr_assert_neq(refused.mAnswer.find("Retry-After: 1"), std::string::npos);
+    cr_assert_neq(refused.mAnswer.find(R"("ran":"no")"), std::string::npos);
+    f.mCallers.erase(f.mCallers.begin());
+    f.Await([&] { return f.mServer.Callers().mConnections == 1; });
+    auto& next = f.Connect();
+    next.AppendPost(1, 1);
+    f.Await([&] { return next.HasStatus("200"); });
+    cr_assert_eq(f.mHandled, 1);
+  }
+}
+
+// Guards against stalled uploads that hold a whole body each, and against a budget that they use
+// up for good: small requests pass, and the stalled ones go on once others end.
+Test(CallerConnections, hold_stalled_uploads_within_the_budget)
+{
+  const auto limits = SmallLimits();
+  Fixture f(limits);
+  constexpr int kStalled = 12;
+  for (int i = 0; i < kStalled; ++i) {
+    f.Connect().AppendPost(kBody, kBody - 1);
+  }
+  f.Await([&] { return f.mServer.Callers().mWaiting > 0; });
+  auto& small = f.Connect();
+  small.AppendPost(1000, 1000);
+  f.Await([&] { return small.HasStatus("200"); });
+  cr_assert_leq(f.mServer.Callers().mReceiving, limits.mMaxReceiving);
+  for (int i = 0; i < kStalled; ++i) {
+    f.mCallers[static_cast<std::size_t>(i)]->Append("x");
+  }
+  f.Await([&] { return f.mHandled == kStalled + 1; });
+  cr_assert_eq(f.mServer.Callers().mReceiving, Bytes(0));
+}
+
+// Guards against a body of unknown size that passes by the budget, because evhttp moves it to
+// another buffer while it is read.
+Test(CallerConnections, count_chunked_bodies)
+{
+  const auto limits = SmallLimits();
+  Fixture f(limits);
+  const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+  for (int i = 0; i < 6; ++i) {
+    auto& caller = f.Connect();
+    caller.Append("POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int n = 0; n < 30; ++n) {
+      caller.Append(chunk);
+    }
+  }
+  f.Await([&] { return f.mServer.Callers().mWaiting > 0; });
+  cr_assert_leq(f.mServer.Callers().mReceiving, limits.mMaxReceiving);
+  for (const auto& it : f.mCallers) {
+    it->Append("0\r\n\r\n");
+  }
+  f.Await([&] { return f.mHandled == 6; });
+}
