Limit the time for receiving a request

Cause: evhttp limits only the time between two bytes, so a sender of single bytes held its connection and its share of the receive budget for ever. Ruled out: one fixed time for all requests, which cuts large requests of slow but steady callers; a rate over a sliding window, which needs a history for each connection and cuts a steady sender after one short stall.

--- a/src/http/CallerConnections.cpp
+++ b/src/http/CallerConnections.cpp
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 
+#include <chrono>
 #include <limits>
 #include <unistd.h>
 #include <utility>
@@ -26,8 +27,22 @@
   Bytes mReceived;
   Bytes mAllowed = ServerLimits::kFreeBytes;
   bool mPaused = false;
+  // Whether a request was handed over and its answer isn't written yet.
+  bool mAnswering = false;
+  // When the first byte of the request came, and how long the connection was not read since.
+  TimePoint mStarted;
+  TimePoint mPausedAt;
+  TimePoint::duration mWaited{ 0 };
   CallerConnections::Closed mClosed;
 
+  bool IsLate(const ServerLimits& aLimits, TimePoint aNow) const
+  {
+    if (mPaused) {
+      return mWaited + (aNow - mPausedAt) > aLimits.mReceiveLimit;
+    }
+    const Duration earned(mReceived.Value() * 1000 / aLimits.mMinReceiveRate.Value());
+    return aNow - mStarted - mWaited > aLimits.mReceiveLimit + earned;
+  }
   static void OnInput(evbuffer*, const evbuffer_cb_info* aInfo, void* aArgument)
   {
     auto* connection = static_cast<CallerConnection*>(aArgument);
@@ -39,6 +54,7 @@
 
 namespace {
 
+constexpr Duration kTimeCheckPeriod{ 250 };
 // libevent reads at most this much at a time.
 constexpr Bytes kLargestRead{ 16 * 1024 };
 
@@ -70,6 +86,9 @@
   , mClosing(aLoop)
   , mAcceptedEvent(event_new(aLoop.Base(), -1, 0, OnAccepted, this))
 {
+  if (mLimits.mReceiveLimit > Duration(0)) {
+    mTimeCheck = mLoop.Every(detail::kTimeCheckPeriod, [this] { CheckTimes(); });
+  }
 }
 
 CallerConnections::~CallerConnections()
@@ -172,6 +191,10 @@
 void
 CallerConnections::OnBytes(Connection& aConnection, std::size_t aCount)
 {
+  if (aConnection.mReceived == Bytes(0)) {
+    aConnection.mStarted = std::chrono::steady_clock::now();
+    aConnection.mWaited = {};
+  }
   aConnection.mReceived += Bytes(static_cast<std::int64_t>(aCount));
   while (!aConnection.mPaused &&
          aConnection.mReceived + detail::kLargestRead > aConnection.mAllowed) {
@@ -179,6 +202,7 @@
       aConnection.mAllowed += ServerLimits::kReceiveStep;
     } else {
       aConnection.mPaused = true;
+      aConnection.mPausedAt = std::chrono::steady_clock::now();
       bufferevent_disable(aConnection.mSocket, EV_READ);
     }
   }
@@ -189,6 +213,7 @@
 {
   aConnection.mAllowed += ServerLimits::kReceiveStep;
   aConnection.mPaused = false;
+  aConnection.mWaited += std::chrono::steady_clock::now() - aConnection.mPausedAt;
   bufferevent_enable(aConnection.mSocket, EV_READ);
 }
 
@@ -200,6 +225,7 @@
     return;
   }
   connection->mClosed = std::move(aClosed);
+  connection->mAnswering = true;
   const auto left = evbuffer_get_length(bufferevent_get_input(connection->mSocket));
   connection->mReceived = Bytes(static_cast<std::int64_t>(left));
   // A next request that was sent ahead stays within what one read brings, because evhttp doesn't
@@ -216,6 +242,10 @@
 {
   if (auto* connection = Find(aConnection)) {
     connection->mClosed = nullptr;
+    connection->mAnswering = false;
+    // A next request that was sent ahead starts now.
+    connection->mStarted = std::chrono::steady_clock::now();
+    connection->mWaited = {};
   }
 }
 
@@ -243,6 +273,30 @@
   evhttp_connection_free(aHttp);
 }
 
+void
+CallerConnections::CheckTimes()
+{
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<Connection*> late;
+  for (const auto& [http, connection] : mConnections) {
+    if (!connection->mAnswering && connection->mReceived > Bytes(0) &&
+        connection->IsLate(mLimits, now)) {
+      late.push_back(connection.get());
+    }
+  }
+  for (auto* it : late) {
+    // Closing one may let another go on, but removes no other.
+    if (!it->IsLate(mLimits, now)) {
+      continue;
+    }
+    if (it->mPaused) {
+      Refuse(it->mHttp, it->mAddress, 503, "receive_budget_used_up");
+    } else {
+      Refuse(it->mHttp, it->mAddress, 408, "request_timeout");
+    }
+  }
+}
+
 CallerConnections::Connection*
 CallerConnections::Find(evhttp_connection* aHttp) const
 {
--- a/src/http/CallerConnections.h
+++ b/src/http/CallerConnections.h
@@ -37,10 +37,10 @@
 struct CallerConnection;
 } // namespace detail
 
-// The open connections of an evhttp server. Limits their number and the bytes of requests that are
-// being received: a connection whose share of the receive budget is used up is not read until it
-// gets more. Beyond a limit the caller gets 503 and the connection is closed before a request of it
-// was handed over. Belongs to its loop; must outlive the evhttp server.
+// The open connections of an evhttp server. Limits their number, and the bytes and the time of
+// requests that are being received: a connection whose share of the receive budget is used up is
+// not read until it gets more. Beyond a limit the caller gets 503 and the connection is closed
+// before a request of it was handed over. Belongs to its loop; must outlive the evhttp server.
 class CallerConnections
 {
 public:
@@ -73,6 +73,8 @@
   // Answers with the status and closes; not to be called from a callback of evhttp.
   void Refuse(evhttp_connection* aHttp, const std::string& aAddress, int aStatus,
               std::string_view aError);
+  // Closes the connections that are over the time for receiving a request.
+  void CheckTimes();
   Connection* Find(evhttp_connection* aHttp) const;
 
   EventLoop& mLoop;
@@ -86,6 +88,7 @@
   std::unordered_map<std::string, std::size_t> mByAddress;
   ReceiveBudget::Holder mLastNumber = 0;
   std::map<std::string, std::uint64_t> mClosedCounts;
+  Timer mTimeCheck;
 
   friend struct detail::CallerConnection;
 };
--- a/src/http/ServerLimits.h
+++ b/src/http/ServerLimits.h
@@ -19,6 +19,11 @@
   // Bytes of requests that are being received, over all connections. The first kFreeBytes of each
   // request don't count. At least LargestRequest().
   Bytes mMaxReceiving;
+  // Time for receiving a request with its headers, from its first byte. Each mMinReceiveRate bytes
+  // that were received add a second, so that a steady sender of this rate is never cut. Time that
+  // the connection waits for mMaxReceiving doesn't count, but has the same limit by itself.
+  Duration mReceiveLimit{ 0 };
+  Bytes mMinReceiveRate{ 16 * 1024 };
 
   // Small requests never wait for the budget. Larger than the largest header, so that a request
   // whose size is refused never waits either.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -89,6 +89,8 @@
   limits.mMaxConnections = static_cast<std::size_t>(aSettings.mMaxConnections);
   limits.mMaxConnectionsPerAddress = static_cast<std::size_t>(aSettings.mMaxConnectionsPerAddress);
   limits.mMaxReceiving = Bytes(aSettings.mMaxReceiving);
+  limits.mReceiveLimit = aSettings.mReceiveLimit;
+  limits.mMinReceiveRate = Bytes(aSettings.mMinReceiveRate);
   return limits;
 }
 
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -37,6 +37,11 @@
   AddSetting(aApp, "--max-receiving", aSettings.mMaxReceiving,
              "Bytes of requests that are being received, over all connections")
     ->check(CLI::Range(std::int64_t{ 1 }, kLargestBuffer));
+  AddSetting(aApp, "--receive-limit-ms", aSettings.mReceiveLimit,
+             "Time for receiving a request, without the time that its size allows", Duration(1000));
+  AddSetting(aApp, "--min-receive-rate", aSettings.mMinReceiveRate,
+             "Bytes a second that a caller must reach over the time for receiving a request")
+    ->check(CLI::Range(std::int64_t{ 1 }, kLargestBuffer));
 }
 
 // The largest request must fit into the bytes for receiving, or it could never be completed.
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -29,6 +29,8 @@
   std::int64_t mMaxConnections = 640;
   std::int64_t mMaxConnectionsPerAddress = 512;
   std::int64_t mMaxReceiving = 32 * 1024 * 1024;
+  Duration mReceiveLimit{ 30000 };
+  std::int64_t mMinReceiveRate = 16 * 1024;
   Duration mDrainAccept{ 2000 };
   Duration mReclaimDeadline{ 2000 };
   LogLevel mLogLevel = LogLevel::Info;
--- a/tests/http/CallerLimitTests.cpp
+++ b/tests/http/CallerLimitTests.cpp
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <functional>
@@ -203,3 +204,59 @@
   }
   f.Await([&] { return f.mHandled == 6; });
 }
+
+// Guards against a sender of single bytes that holds its connection for ever.
+Test(CallerConnections, cut_a_sender_below_the_least_rate)
+{
+  ServerLimits limits;
+  limits.mReceiveLimit = Duration(50);
+  limits.mMinReceiveRate = Bytes(1024 * 1024);
+  Fixture f(limits);
+  auto& caller = f.Connect();
+  caller.AppendPost(kBody, 0);
+  f.Await([&] {
+    caller.Append("x");
+    return caller.mClosed;
+  });
+  cr_assert(caller.HasStatus("408"));
+  cr_assert_eq(f.mHandled, 0);
+}
+
+// Guards against cutting a slow sender that keeps to the least rate, which here allows a second
+// for each byte.
+Test(CallerConnections, dont_cut_a_slow_sender_above_the_least_rate)
+{
+  ServerLimits limits;
+  limits.mReceiveLimit = Duration(1);
+  limits.mMinReceiveRate = Bytes(1);
+  Fixture f(limits);
+  constexpr int kBytes = 500;
+  auto& caller = f.Connect();
+  caller.AppendPost(kBytes, 0);
+  int sent = 0;
+  f.Await([&] {
+    if (sent++ < kBytes) {
+      caller.Append("x");
+    }
+    return !caller.mAnswer.empty();
+  });
+  cr_assert(caller.HasStatus("200"));
+}
+
+// Guards against callers that wait without end behind stalled ones.
+Test(CallerConnections, refuse_callers_that_waited_too_long)
+{
+  auto limits = SmallLimits();
+  limits.mReceiveLimit = Duration(50);
+  // The stalled uploads themselves stay.
+  limits.mMinReceiveRate = Bytes(1);
+  Fixture f(limits);
+  for (int i = 0; i < 12; ++i) {
+    f.Connect().AppendPost(kBody, kBody - 1);
+  }
+  f.Await([&] {
+    return std::any_of(f.mCallers.begin(), f.mCallers.end(),
+                       [](const auto& aCaller) { return aCaller->HasStatus("503"); });
+  });
+  cr_assert_gt(f.mServer.Callers().mClosed.at("receive_budget_used_up"), 0);
+}
