Notice callers that close their connection while their answer is pending

Cause: evhttp doesn't read while an answer is pending, so a request whose caller was gone ran to its end and kept its place in the queue. Ruled out: taking the end of the caller's sending direction for a close, which ends requests of half-closed callers that still wait for the answer; EV_CLOSED alone, which misses a reset because libevent reports errors as readable and writable only, so that the loop would spin; keeping the event while the caller has sent a next request ahead, for the same reason. Change: HangUpWatch watches the socket until the answer starts. After the end of the sending direction it sends an interim 100 answer, which the host of a closed connection answers with a reset, and then checks every 100 ms. The router ends a request that waits and was not run, and drops a sent one at the worker if it is idempotent and has no key. Keyed and non-idempotent requests that were sent go on, and so do those that another caller joined. Conclusion: half-closed HTTP/1.1 callers are not affected, but for the interim answer.

--- a/src/http/CallerConnections.cpp
+++ b/src/http/CallerConnections.cpp
@@ -84,6 +84,7 @@
   , mBudget(detail::BudgetBytes(aLimits), ServerLimits::LargestRequest(aLimits.mMaxBody),
             [this](ReceiveBudget::Holder aHolder) { Resume(*mByNumber.at(aHolder)); })
   , mClosing(aLoop)
+  , mHangUps(aLoop, [this](evhttp_connection* aHttp) { OnHungUp(aHttp); })
   , mAcceptedEvent(event_new(aLoop.Base(), -1, 0, OnAccepted, this))
 {
   if (mLimits.mReceiveLimit > Duration(0)) {
@@ -174,6 +175,7 @@
 CallerConnections::Remove(Connection& aConnection)
 {
   evbuffer_remove_cb(bufferevent_get_input(aConnection.mSocket), Connection::OnInput, &aConnection);
+  mHangUps.Stop(aConnection.mHttp);
   const auto address = mByAddress.find(aConnection.mAddress);
   if (--address->second == 0) {
     mByAddress.erase(address);
@@ -241,6 +243,7 @@
 CallerConnections::OnAnswered(evhttp_connection* aConnection)
 {
   if (auto* connection = Find(aConnection)) {
+    mHangUps.Stop(aConnection);
     connection->mClosed = nullptr;
     connection->mAnswering = false;
     // A next request that was sent ahead starts now.
@@ -249,10 +252,34 @@
   }
 }
 
+void
+CallerConnections::Watch(evhttp_connection* aConnection, bool aKnowsInterim)
+{
+  if (const auto* connection = Find(aConnection)) {
+    mHangUps.Start(aConnection, bufferevent_getfd(connection->mSocket), aKnowsInterim);
+  }
+}
+
+void
+CallerConnections::Unwatch(evhttp_connection* aConnection)
+{
+  mHangUps.Stop(aConnection);
+}
+
+void
+CallerConnections::OnHungUp(evhttp_connection* aHttp)
+{
+  ++mHungUpCount;
+  if (const auto* connection = Find(aHttp)) {
+    LogEvent("caller_hung_up").With("address", connection->mAddress);
+  }
+  evhttp_connection_free(aHttp);
+}
+
 CallerCounts
 CallerConnections::Counts() const
 {
-  return { mConnections.size(), mBudget.Waiting(), mBudget.Held(), mClosedCounts };
+  return { mConnections.size(), mBudget.Waiting(), mBudget.Held(), mClosedCounts, mHungUpCount };
 }
 
 void
--- a/src/http/CallerConnections.h
+++ b/src/http/CallerConnections.h
@@ -2,6 +2,7 @@
 
 #include "base/EventLoop.h"
 #include "http/ClosingSockets.h"
+#include "http/HangUpWatch.h"
 #include "http/ReceiveBudget.h"
 #include "http/ServerLimits.h"
 
@@ -31,6 +32,8 @@
   Bytes mReceiving;
   // Connections that were closed because of a limit, by its name in logs.
   std::map<std::string, std::uint64_t> mClosed;
+  // Callers that were noticed to have closed their connection while their answer was pending.
+  std::uint64_t mHungUp = 0;
 };
 
 namespace detail {
@@ -59,6 +62,11 @@
   // Notes that the answer was written.
   void OnAnswered(evhttp_connection* aConnection);
 
+  // Watches for the caller's closing the connection while its answer is pending, until
+  // Unwatch() or OnAnswered(); see HangUpWatch.
+  void Watch(evhttp_connection* aConnection, bool aKnowsInterim);
+  void Unwatch(evhttp_connection* aConnection);
+
   CallerCounts Counts() const;
 
 private:
@@ -69,6 +77,7 @@
   void Add(bufferevent* aSocket);
   void Remove(Connection& aConnection);
   void OnBytes(Connection& aConnection, std::size_t aCount);
+  void OnHungUp(evhttp_connection* aHttp);
   void Resume(Connection& aConnection);
   // Answers with the status and closes; not to be called from a callback of evhttp.
   void Refuse(evhttp_connection* aHttp, const std::string& aAddress, int aStatus,
@@ -81,6 +90,7 @@
   const ServerLimits mLimits;
   ReceiveBudget mBudget;
   ClosingSockets mClosing;
+  HangUpWatch mHangUps;
   std::vector<bufferevent*> mAccepted;
   event* mAcceptedEvent;
   std::unordered_map<evhttp_connection*, std::unique_ptr<Connection>> mConnections;
@@ -88,6 +98,7 @@
   std::unordered_map<std::string, std::size_t> mByAddress;
   ReceiveBudget::Holder mLastNumber = 0;
   std::map<std::string, std::uint64_t> mClosedCounts;
+  std::uint64_t mHungUpCount = 0;
   Timer mTimeCheck;
 
   friend struct detail::CallerConnection;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 
@@ -52,12 +53,16 @@
   ~Exchange();
 
   void Detach();
+  void OnClosed();
   void AddHeaders(const Headers& aHeaders) const;
   void SendWhole(const Response& aResponse);
+  // Ends the watch for a caller that closes its connection.
+  void Unwatch();
 
   evhttp_request* mRequest;
   std::weak_ptr<ServerState> mServer;
   std::function<void()> mDrained;
+  std::function<void()> mHungUp;
   // Keeps the exchange alive until evhttp is done with it.
   std::shared_ptr<Exchange> mSelf;
   bool mStarted = false;
@@ -145,7 +150,7 @@
   if (auto* connection = evhttp_request_get_connection(aRequest)) {
     shared->mConnections->OnRequest(connection, [aExchange = exchange.get()] {
       const auto self = aExchange->shared_from_this();
-      aExchange->Detach();
+      aExchange->OnClosed();
     });
   }
   const Responder responder(exchange);
@@ -194,6 +199,27 @@
   mSelf.reset();
 }
 
+void
+Exchange::OnClosed()
+{
+  auto hungUp = std::exchange(mHungUp, nullptr);
+  Detach();
+  const auto server = mServer.lock();
+  // Posted, because the connection is still being closed.
+  if (hungUp && server) {
+    server->mLoop->Post(std::move(hungUp));
+  }
+}
+
+void
+Exchange::Unwatch()
+{
+  const auto server = mServer.lock();
+  if (std::exchange(mHungUp, nullptr) && server) {
+    server->mConnections->Unwatch(evhttp_request_get_connection(mRequest));
+  }
+}
+
 void
 Exchange::AddHeaders(const Headers& aHeaders) const
 {
@@ -212,6 +238,7 @@
 {
   mStarted = true;
   mEnded = true;
+  Unwatch();
   AddHeaders(aResponse.mHeaders);
   auto* buf = evbuffer_new();
   evbuffer_add(buf, aResponse.mBody.data(), aResponse.mBody.size());
@@ -358,6 +385,7 @@
     return;
   }
   mExchange->mStarted = true;
+  mExchange->Unwatch();
   mExchange->AddHeaders(aHeaders);
   evhttp_send_reply_start(mExchange->mRequest, aStatus, nullptr);
 }
@@ -392,6 +420,23 @@
   detail::AbortLater(mExchange->shared_from_this());
 }
 
+void
+Responder::OnHungUp(std::function<void()> aHungUp) const
+{
+  const auto server = mExchange->mServer.lock();
+  if (!server || mExchange->mStarted) {
+    return;
+  }
+  auto* request = mExchange->mRequest;
+  if (!request) {
+    server->mLoop->Post(std::move(aHungUp));
+    return;
+  }
+  mExchange->mHungUp = std::move(aHungUp);
+  server->mConnections->Watch(evhttp_request_get_connection(request),
+                              request->major == 1 && request->minor >= 1);
+}
+
 bool
 Responder::IsStarted() const
 {
--- a/src/http/Responder.h
+++ b/src/http/Responder.h
@@ -31,6 +31,9 @@
   // Closes the connection without an answer, or without completing the started one, so that the
   // caller notices.
   void Abort() const;
+  // Calls back once, on the loop, if the caller closes its connection before an answer was started.
+  // A caller that closes only its sending direction is not taken for a closed one.
+  void OnHungUp(std::function<void()> aHungUp) const;
   // Whether an answer was started or sent.
   bool IsStarted() const;
 
--- a/src/node/NodeMetrics.cpp
+++ b/src/node/NodeMetrics.cpp
@@ -44,6 +44,11 @@
                          .Name("lovagerock_caller_connections_closed_total")
                          .Help("Connections of callers that were closed because of a limit")
                          .Register(aRegistry))
+  , mHungUp(prometheus::BuildCounter()
+              .Name("lovagerock_caller_hangups_total")
+              .Help("Callers that closed their connection while their answer was pending")
+              .Register(aRegistry)
+              .Add({}))
 {
 }
 
@@ -89,6 +94,7 @@
   mConnections.Set(static_cast<double>(aCallers.mConnections));
   mReceiving.Set(static_cast<double>(aCallers.mReceiving.Value()));
   mReceiveWaiting.Set(static_cast<double>(aCallers.mWaiting));
+  mHungUp.Increment(static_cast<double>(aCallers.mHungUp) - mHungUp.Value());
   for (const auto& it : aCallers.mClosed) {
     auto& counter = mConnectionsClosed.Add({ { "reason", it.first } });
     counter.Increment(static_cast<double>(it.second) - counter.Value());
--- a/src/node/NodeMetrics.h
+++ b/src/node/NodeMetrics.h
@@ -41,6 +41,7 @@
   prometheus::Gauge& mReceiving;
   prometheus::Gauge& mReceiveWaiting;
   prometheus::Family<prometheus::Counter>& mConnectionsClosed;
+  prometheus::Counter& mHungUp;
 };
 
 } // namespace lovagerock::node
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -123,6 +123,7 @@
   void OnWake(RequestNumber aNumber);
   void OnDue(RequestTask& aTask, TimePoint aNow);
   void OnDeadline(RequestTask& aTask);
+  void OnCallerGone(RequestTask& aTask);
   void Retry(RequestTask& aTask, std::string aReason, bool aNotRun);
   void ReleaseReplica(RequestTask& aTask);
   void Refuse(RequestTask& aTask, const Refusal& aRefusal);
--- a/src/routing/RouterRequests.h
+++ b/src/routing/RouterRequests.h
@@ -49,6 +49,11 @@
                     true, Duration(1000) });
     return;
   }
+  aResponder.OnHungUp(Guarded([this, number = task->mNumber] {
+    if (const auto gone = Find(number)) {
+      OnCallerGone(*gone);
+    }
+  }));
   mBudget.AddRequest();
   Schedule(*task, std::min(task->mDeadline, task->mStarted + mOptions.mProbeInterval));
   if (!request.mKey.empty() && JoinByKey(*task)) {
@@ -302,6 +307,33 @@
                   Ran::Unknown, aTask.mRequest.mIdempotent, Duration(0) });
 }
 
+// Ends a request whose answer nobody can get any more. Goes on with a keyed request that may run,
+// because a retry may fetch its answer, and with a non-idempotent one that may run, because half of
+// its effect may do more harm than all of it.
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::OnCallerGone(RequestTask& aTask)
+{
+  const auto state = aTask.State();
+  const bool waits = state == RequestState::Queued || state == RequestState::Retrying;
+  const bool notRun = waits && !aTask.mMayHaveRun;
+  const bool wanted = !aTask.mRequest.mKey.empty() || !aTask.mRequest.mIdempotent;
+  const bool ends = aTask.mJoiners.empty() && (notRun || !wanted);
+  LogEvent("request_caller_gone")
+    .With("request", aTask.mRequest.mId)
+    .With("state", RequestStateName(state))
+    .With("goes_on", !ends);
+  if (!ends) {
+    return;
+  }
+  if (aTask.IsAtWorker()) {
+    DropAtWorker(aTask);
+    CloseCall(aTask);
+  }
+  Refuse(aTask, { 503, "caller_gone", "the caller closed its connection",
+                  notRun ? Ran::No : Ran::Unknown, true, Duration(0) });
+}
+
 // Gives the attempt up and plans another one; aNotRun tells that the attempt is known not to run.
 template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
 void
--- a/tests/http/CallerLimitTests.cpp
+++ b/tests/http/CallerLimitTests.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -260,3 +261,60 @@
   });
   cr_assert_gt(f.mServer.Callers().mClosed.at("receive_budget_used_up"), 0);
 }
+
+// Guards against requests that run to their end for callers that are gone, whether these closed
+// normally or with a reset.
+Test(CallerConnections, notice_a_caller_that_closes_while_its_answer_is_pending)
+{
+  for (const bool reset : { false, true }) {
+    Fixture f({});
+    bool gone = false;
+    std::optional<Responder> held;
+    f.mServer.Handle(Method::Post, "/b", [&](const http::Request&, const Responder& aResponder) {
+      held = aResponder;
+      aResponder.OnHungUp([&] { gone = true; });
+    });
+    f.Connect().Append("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    f.Await([&] { return held.has_value(); });
+    if (reset) {
+      const linger now{ 1, 0 };
+      setsockopt(f.mCallers.front()->mSocket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    }
+    f.mCallers.clear();
+    f.Await([&] { return gone; });
+    cr_assert_eq(f.mServer.Callers().mConnections, 0);
+    cr_assert_eq(f.mServer.Callers().mHungUp, 1);
+    held.reset();
+    cr_assert_eq(f.mServer.ActiveRequests(), 0);
+  }
+}
+
+// Guards against taking a caller for gone that has only closed its sending direction, or that has
+// sent its next request ahead.
+Test(CallerConnections, answer_a_caller_that_is_half_closed_or_sends_ahead)
+{
+  const std::string post = "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  for (const bool halfClosed : { true, false }) {
+    Fixture f({});
+    std::optional<Responder> held;
+    f.mServer.Handle(Method::Post, "/b", [&](const http::Request&, const Responder& aResponder) {
+      held = aResponder;
+      aResponder.OnHungUp([] { cr_assert_fail("the caller is live"); });
+    });
+    auto& caller = f.Connect();
+    caller.Append(post);
+    f.Await([&] { return held.has_value(); });
+    if (halfClosed) {
+      shutdown(caller.mSocket, SHUT_WR);
+      f.Await([&] { return caller.HasStatus("100"); });
+    } else {
+      caller.Append(post);
+    }
+    // Several rounds of the periodic check.
+    int rounds = 0;
+    const auto wait = f.mLoop.Every(Duration(100), [&] { ++rounds; });
+    f.Await([&] { return rounds >= 4; });
+    held->Send({});
+    f.Await([&] { return caller.mAnswer.find("HTTP/1.1 200") != std::string::npos; });
+  }
+}
--- a/tests/routing/RoutingFixture.h
+++ b/tests/routing/RoutingFixture.h
@@ -237,6 +237,7 @@
   std::optional<std::string> mGate;
   ServicePolicy mPolicy;
   std::vector<std::unique_ptr<TestNode>> mNodes;
+  http::CallHandle mLastCall;
   Timer mLimit;
 
   explicit Fixture(int aWorkers = 1)
@@ -282,7 +283,7 @@
     request.mBody = aBody;
     request.mDeadline = Duration(60000);
     auto outcome = std::make_shared<Outcome>();
-    mClient.Send(request, [outcome](std::error_code aError, http::Response aResponse) {
+    mLastCall = mClient.Send(request, [outcome](std::error_code aError, http::Response aResponse) {
       *outcome = { true, aError, std::move(aResponse) };
     });
     return outcome;
