--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,19 +1,20 @@
 #include "http/HttpServer.h"
 
+#include "http/CallerConnections.h"
 #include "http/HttpError.h"
+#include "http/RouteTable.h"
 #include "http/SocketOptions.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 
-#include <array>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <utility>
-#include <vector>
 
 namespace lovagerock::http {
 
@@ -24,26 +25,15 @@
   void operator()(evhttp* aServer) const { evhttp_free(aServer); }
 };
 
-struct UriFree
-{
-  void operator()(evhttp_uri* aUri) const { evhttp_uri_free(aUri); }
-};
-using UriPtr = std::unique_ptr<evhttp_uri, UriFree>;
-
-struct Route
-{
-  Method mMethod;
-  std::vector<std::string> mSegments;
-  HttpServer::Handler mHandler;
-};
-
 struct ServerState
 {
   EventLoop* mLoop = nullptr;
+  // Before the server, whose end closes the connections.
+  std::unique_ptr<CallerConnections> mConnections;
   std::unique_ptr<evhttp, EvhttpFree> mServer;
   evhttp_bound_socket* mSocket = nullptr;
   SocketAddress mAddress;
-  std::vector<Route> mRoutes;
+  RouteTable mRoutes;
   std::size_t mActive = 0;
   bool mDraining = false;
 };
@@ -63,12 +53,16 @@
   ~Exchange();
 
   void Detach();
+  void OnClosed();
   void AddHeaders(const Headers& aHeaders) const;
   void SendWhole(const Response& aResponse);
+  // Ends the watch for a caller that closes its connection.
+  void Unwatch();
 
   evhttp_request* mRequest;
   std::weak_ptr<ServerState> mServer;
   std::function<void()> mDrained;
+  std::function<void()> mHungUp;
   // Keeps the exchange alive until evhttp is done with it.
   std::shared_ptr<Exchange> mSelf;
   bool mStarted = false;
@@ -77,21 +71,15 @@
 
 namespace {
 
-void
-OnConnectionClosed(evhttp_connection*, void* aArgument)
-{
-  auto* exchange = static_cast<Exchange*>(aArgument);
-  const auto self = exchange->shared_from_this();
-  exchange->Detach();
-}
-
 void
 OnAnswerComplete(evhttp_request* aRequest, void* aArgument)
 {
   auto* exchange = static_cast<Exchange*>(aArgument);
   const auto self = exchange->shared_from_this();
-  if (auto* connection = evhttp_request_get_connection(aRequest)) {
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  auto* connection = evhttp_request_get_connection(aRequest);
+  const auto server = exchange->mServer.lock();
+  if (connection && server) {
+    server->mConnections->OnAnswered(connection);
   }
   exchange->Detach();
 }
@@ -107,102 +95,6 @@
   }
 }
 
-std::vector<std::string>
-SplitPath(std::string_view aPath)
-{
-  std::vector<std::string> segments;
-  std::size_t start = 0;
-  while (start < aPath.size()) {
-    if (aPath[start] == '/') {
-      ++start;
-      continue;
-    }
-    const auto end = std::min(aPath.find('/', start), aPath.size());
-    segments.emplace_back(aPath.substr(start, end - start));
-    start = end;
-  }
-  return segments;
-}
-
-std::string
-DecodeComponent(const std::string& aText, bool aPlusIsSpace)
-{
-  std::size_t n = 0;
-  char* decoded = evhttp_uridecode(aText.c_str(), aPlusIsSpace ? 1 : 0, &n);
-  if (!decoded) {
-    return aText;
-  }
-  std::string text(decoded, n);
-  free(decoded);
-  return text;
-}
-
-bool
-IsParameter(const std::string& aSegment)
-{
-  return aSegment.size() > 2 && aSegment.front() == '{' && aSegment.back() == '}';
-}
-
-std::string
-JoinFrom(const std::vector<std::string>& aSegments, std::size_t aFirst)
-{
-  std::string joined;
-  for (std::size_t i = aFirst; i < aSegments.size(); ++i) {
-    joined += (joined.empty() ? "" : "/") + DecodeComponent(aSegments[i], false);
-  }
-  return joined;
-}
-
-bool
-MatchRoute(const Route& aRoute, const std::vector<std::string>& aPath, Request& aRequest)
-{
-  aRequest.mPathParameters.clear();
-  const auto& pattern = aRoute.mSegments;
-  for (std::size_t i = 0; i < pattern.size(); ++i) {
-    const auto& segment = pattern[i];
-    if (IsParameter(segment) && segment[segment.size() - 2] == '*') {
-      aRequest.mPathParameters[segment.substr(1, segment.size() - 3)] = JoinFrom(aPath, i);
-      return true;
-    }
-    if (i >= aPath.size()) {
-      return false;
-    }
-    if (IsParameter(segment)) {
-      aRequest.mPathParameters[segment.substr(1, segment.size() - 2)] =
-        DecodeComponent(aPath[i], false);
-    } else if (segment != aPath[i]) {
-      return false;
-    }
-  }
-  return aPath.size() == pattern.size();
-}
-
-void
-ReadQuery(const char* aQuery, Request& aRequest)
-{
-  if (!aQuery) {
-    return;
-  }
-  evkeyvalq fields{};
-  if (evhttp_parse_query_str(aQuery, &fields) == 0) {
-    for (auto* it = fields.tqh_first; it; it = it->next.tqe_next) {
-      aRequest.mQuery[it->key] = it->value;
-    }
-  } else {
-    // evhttp rejects a parameter without "=", such as Consul's "?recurse".
-    std::string_view rest(aQuery);
-    while (!rest.empty()) {
-      const auto item = rest.substr(0, rest.find('&'));
-      rest.remove_prefix(std::min(rest.size(), item.size() + 1));
-      const auto equals = item.find('=');
-      const auto value =
-        equals == std::string_view::npos ? std::string() : std::string(item.substr(equals + 1));
-      aRequest.mQuery[std::string(item.substr(0, equals))] = DecodeComponent(value, true);
-    }
-  }
-  evhttp_clear_headers(&fields);
-}
-
 bool
 ReadMethod(evhttp_request* aRequest, Method& aMethod)
 {
@@ -248,28 +140,6 @@
   return JsonResponse(aStatus, std::string(R"({"error":")") + aError + R"(","ran":"no"})");
 }
 
-void
-Dispatch(const std::shared_ptr<ServerState>& aState, Request aRequest, const char* aPath,
-         const Responder& aResponder)
-{
-  const auto path = SplitPath(aPath);
-  bool pathKnown = false;
-  for (const auto& it : aState->mRoutes) {
-    if (!MatchRoute(it, path, aRequest)) {
-      continue;
-    }
-    pathKnown = true;
-    if (it.mMethod == aRequest.mMethod) {
-      // A copy, because the handler may register routes or destroy the server.
-      const auto handler = it.mHandler;
-      handler(std::move(aRequest), aResponder);
-      return;
-    }
-  }
-  aResponder.Send(pathKnown ? ErrorResponse(405, "method_not_allowed")
-                            : ErrorResponse(404, "unknown_path"));
-}
-
 void
 OnRequest(evhttp_request* aRequest, void* aArgument)
 {
@@ -278,7 +148,10 @@
   exchange->mSelf = exchange;
   evhttp_request_set_on_complete_cb(aRequest, OnAnswerComplete, exchange.get());
   if (auto* connection = evhttp_request_get_connection(aRequest)) {
-    evhttp_connection_set_closecb(connection, OnConnectionClosed, exchange.get());
+    shared->mConnections->OnRequest(connection, [aExchange = exchange.get()] {
+      const auto self = aExchange->shared_from_this();
+      aExchange->OnClosed();
+    });
   }
   const Responder responder(exchange);
   Request request;
@@ -289,15 +162,23 @@
     return;
   }
   request.mPath = path;
-  ReadQuery(evhttp_uri_get_query(uri), request);
+  ParseQuery(evhttp_uri_get_query(uri), request);
   ReadRequest(aRequest, request);
-  Dispatch(shared, std::move(request), path, responder);
+  const auto match = shared->mRoutes.Find(path, request);
+  if (!match.mHandler) {
+    responder.Send(match.mPathKnown ? ErrorResponse(405, "method_not_allowed")
+                                    : ErrorResponse(404, "unknown_path"));
+    return;
+  }
+  // A copy, because the handler may register routes or destroy the server.
+  const auto handler = *match.mHandler;
+  handler(std::move(request), responder);
 }
 
 bufferevent*
-NewConnection(event_base* aBase, void*)
+NewConnection(event_base*, void* aConnections)
 {
-  return bufferevent_socket_new(aBase, -1, BEV_OPT_CLOSE_ON_FREE);
+  return static_cast<CallerConnections*>(aConnections)->Accept();
 }
 
 } // namespace
@@ -318,6 +199,27 @@
   mSelf.reset();
 }
 
+void
+Exchange::OnClosed()
+{
+  auto hungUp = std::exchange(mHungUp, nullptr);
+  Detach();
+  const auto server = mServer.lock();
+  // Posted, because the connection is still being closed.
+  if (hungUp && server) {
+    server->mLoop->Post(std::move(hungUp));
+  }
+}
+
+void
+Exchange::Unwatch()
+{
+  const auto server = mServer.lock();
+  if (std::exchange(mHungUp, nullptr) && server) {
+    server->mConnections->Unwatch(evhttp_request_get_connection(mRequest));
+  }
+}
+
 void
 Exchange::AddHeaders(const Headers& aHeaders) const
 {
@@ -336,6 +238,7 @@
 {
   mStarted = true;
   mEnded = true;
+  Unwatch();
   AddHeaders(aResponse.mHeaders);
   auto* buf = evbuffer_new();
   evbuffer_add(buf, aResponse.mBody.data(), aResponse.mBody.size());
@@ -388,6 +291,7 @@
   : mState(std::make_shared<detail::ServerState>())
 {
   mState->mLoop = &aLoop;
+  mState->mConnections = std::make_unique<CallerConnections>(aLoop, aLimits);
   mState->mServer.reset(evhttp_new(aLoop.Base()));
   auto* server = mState->mServer.get();
   evhttp_set_max_headers_size(server, aLimits.mMaxHeaders.Value());
@@ -396,7 +300,7 @@
   evhttp_set_allowed_methods(server,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
   evhttp_set_default_content_type(server, nullptr);
-  evhttp_set_bevcb(server, detail::NewConnection, nullptr);
+  evhttp_set_bevcb(server, detail::NewConnection, mState->mConnections.get());
   evhttp_set_gencb(server, detail::OnRequest, &mState);
 }
 
@@ -405,7 +309,7 @@
 void
 HttpServer::Handle(Method aMethod, std::string_view aPattern, Handler aHandler)
 {
-  mState->mRoutes.push_back({ aMethod, detail::SplitPath(aPattern), std::move(aHandler) });
+  mState->mRoutes.Add(aMethod, aPattern, std::move(aHandler));
 }
 
 std::error_code
@@ -453,6 +357,12 @@
   return mState->mActive;
 }
 
+CallerCounts
+HttpServer::Callers() const
+{
+  return mState->mConnections->Counts();
+}
+
 Responder::Responder(std::shared_ptr<detail::Exchange> aExchange)
   : mExchange(aExchange.get(),
               [exchange = aExchange](detail::Exchange*) { detail::OnResponderDropped(exchange); })
@@ -475,6 +385,7 @@
     return;
   }
   mExchange->mStarted = true;
+  mExchange->Unwatch();
   mExchange->AddHeaders(aHeaders);
   evhttp_send_reply_start(mExchange->mRequest, aStatus, nullptr);
 }
@@ -509,6 +420,23 @@
   detail::AbortLater(mExchange->shared_from_this());
 }
 
+void
+Responder::OnHungUp(std::function<void()> aHungUp) const
+{
+  const auto server = mExchange->mServer.lock();
+  if (!server || mExchange->mStarted) {
+    return;
+  }
+  auto* request = mExchange->mRequest;
+  if (!request) {
+    server->mLoop->Post(std::move(aHungUp));
+    return;
+  }
+  mExchange->mHungUp = std::move(aHungUp);
+  server->mConnections->Watch(evhttp_request_get_connection(request),
+                              request->major == 1 && request->minor >= 1);
+}
+
 bool
 Responder::IsStarted() const
 {
