Let two capacity measurements run at the same time

Cause: the script used fixed loopback addresses. A run of `--only tasks` ended with no node as planner while another run of the script used the same addresses, so that the nodes of one could command the workers of the other. Ruled out: not examined further; the run was repeated on other addresses and went through. Conclusion: overlapping runs need different networks.

--- a/scripts/measure-capacity.py
+++ b/scripts/measure-capacity.py
@@ -8,7 +8,8 @@
   rx, tx     rchar and wchar of /proc/<pid>/io, less the growth of the node's log for wchar; sockets
              are read and written with readv and writev, which both counters include
   kv         lovagerock_kv_calls of /metrics, and GET /v1/stats of the key-value stand-in
-Usage: scripts/measure-capacity.py [--bin DIRECTORY] [--only SCENARIO]
+Usage: scripts/measure-capacity.py [--bin DIRECTORY] [--only SCENARIO] [--network 127.77.0]
+Two runs at the same time on one machine need different networks.
 """
 
 import argparse
@@ -21,8 +22,10 @@
 import tempfile
 import time
 
-PLATFORM_IP = "127.77.0.1"
-WORKER_IP = "127.77.0.2"
+NETWORK = "127.77.0"
+PLATFORM_IP = NETWORK + ".1"
+WORKER_IP = NETWORK + ".2"
+OTHER_REGION_IP = NETWORK + ".3"
 WORKER_PORT = 20000
 REGION = "local"
 ZONES = ["zone-a", "zone-b", "zone-c"]
@@ -107,7 +110,7 @@
                      "labels": {"role": "worker", "state": "live", "zone": ZONES[0],
                                 "region": REGION}} for i in range(self.workers)]
         # Workers of another region are in the list too; the nodes here don't poll them.
-        entries += [{"targets": [f"127.77.0.3:{WORKER_PORT + i}"],
+        entries += [{"targets": [f"{OTHER_REGION_IP}:{WORKER_PORT + i}"],
                      "labels": {"role": "worker", "state": "live", "zone": ZONES[1],
                                 "region": "other"}} for i in range(self.elsewhere)]
         path = os.path.join(self.directory.name, "vms.json")
@@ -346,13 +349,21 @@
              "tasks": measure_tasks}
 
 
+def set_network(network):
+    """Uses the loopback addresses of another network, given by its first three bytes."""
+    global PLATFORM_IP, WORKER_IP, OTHER_REGION_IP
+    PLATFORM_IP, WORKER_IP, OTHER_REGION_IP = (f"{network}.{i}" for i in (1, 2, 3))
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
     root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     parser.add_argument("--bin", default=os.path.join(root, "build", "bin"))
     parser.add_argument("--only", choices=sorted(SCENARIOS))
+    parser.add_argument("--network", default=NETWORK)
     options = parser.parse_args()
+    set_network(options.network)
     start = time.monotonic()
     print(f"load average {os.getloadavg()[0]:.1f}, {os.cpu_count()} cores", flush=True)
     for name, scenario in SCENARIOS.items():
