Close HTTP connections that no call used for 30 s

Cause: the client kept every connection that a burst of calls had opened, up to 64 for each server. A start of a gang opens one for each task on a worker, and later calls use one or two of them. Ruled out: that idle connections are most of the planner's memory per task. Change: connections that were idle for longer than the limit are closed, checked every 5 s. The limit is longer than the period of lease renewals. The peak of a burst is another cause.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -9,6 +9,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
+#include <chrono>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -21,6 +23,9 @@
 // evhttp's own inactivity timeout must never fire before the deadline of a call.
 constexpr int kInactivityTimeoutSeconds = 24 * 3600;
 constexpr std::size_t kMaxIdlePerServer = 64;
+// An idle connection costs about 7 KiB. A gang's start opens one for each of its tasks on a worker,
+// of which later calls use only one or two.
+constexpr Duration kIdleCheckPeriod{ 5000 };
 
 // Frees an evhttp connection. evhttp still uses a connection after its callbacks return, so it is
 // only freed from the loop.
@@ -42,20 +47,35 @@
   SocketAddress mServer;
   bufferevent* mBuffer;
   evhttp_connection* mConnection;
+  TimePoint mIdleSince;
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
 
 struct ClientState
 {
-  explicit ClientState(EventLoop& aLoop)
+  ClientState(EventLoop& aLoop, Duration aIdleLimit)
     : mLoop(aLoop)
+    , mIdleLimit(aIdleLimit)
+    , mIdleTimer(aLoop.Every(std::min(aIdleLimit, kIdleCheckPeriod), [this] { CloseUnused(); }))
   {
   }
 
+  // Closes connections that were idle for longer than the limit.
+  void CloseUnused()
+  {
+    const auto limit = std::chrono::steady_clock::now() - mIdleLimit;
+    for (auto& [server, idle] : mIdle) {
+      std::erase_if(idle, [limit](const auto& aIdle) { return aIdle->mIdleSince < limit; });
+    }
+    std::erase_if(mIdle, [](const auto& aServer) { return aServer.second.empty(); });
+  }
+
   EventLoop& mLoop;
+  Duration mIdleLimit;
   std::unordered_map<SocketAddress, std::vector<ConnectionPtr>> mIdle;
   std::unordered_set<std::shared_ptr<CallState>> mCalls;
+  Timer mIdleTimer;
 };
 
 struct CallState : std::enable_shared_from_this<CallState>
@@ -97,6 +117,7 @@
 {
   auto& idle = aClient.mIdle[aConnection->mServer];
   if (idle.size() < kMaxIdlePerServer) {
+    aConnection->mIdleSince = std::chrono::steady_clock::now();
     idle.push_back(std::move(aConnection));
   }
 }
@@ -385,8 +406,8 @@
   return call && call->mSent;
 }
 
-HttpClient::HttpClient(EventLoop& aLoop)
-  : mState(std::make_shared<detail::ClientState>(aLoop))
+HttpClient::HttpClient(EventLoop& aLoop, Duration aIdleLimit)
+  : mState(std::make_shared<detail::ClientState>(aLoop, aIdleLimit))
 {
 }
 
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -83,7 +83,9 @@
 public:
   using Callback = std::function<void(std::error_code aError, Response aResponse)>;
 
-  explicit HttpClient(EventLoop& aLoop);
+  // Connections that no call used for the idle limit are closed. The default is longer than the
+  // period of lease renewals, so that these reuse their connections.
+  explicit HttpClient(EventLoop& aLoop, Duration aIdleLimit = Duration(30000));
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/tests/http/HttpTests.cpp
+++ b/tests/http/HttpTests.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <memory>
 #include <optional>
@@ -192,6 +193,33 @@
   cr_assert_eq(f.mClient->IdleConnections(), 1);
 }
 
+// Guards against connections of a burst of calls that stay open for as long as the client lives.
+Test(HttpClient, closes_connections_that_are_not_used)
+{
+  Fixture f;
+  f.mClient = std::make_unique<HttpClient>(f.mLoop, Duration(50));
+  f.mServer->Handle(Method::Get, "/a", [](const http::Request&, const Responder& aResponder) {
+    aResponder.Send({ 200, {}, "x" });
+  });
+  int open = 8;
+  std::size_t most = 0;
+  for (int i = 0; i < 8; ++i) {
+    f.mClient->Send(f.Request(Method::Get, "/a"), [&](std::error_code aError, const Response&) {
+      cr_assert_not(aError);
+      most = std::max(most, f.mClient->IdleConnections());
+      --open;
+    });
+  }
+  const auto check = f.mLoop.Every(Duration(5), [&] {
+    if (open == 0 && f.mClient->IdleConnections() == 0) {
+      f.mLoop.Stop();
+    }
+  });
+  f.mLoop.Run();
+  cr_assert_gt(most, 0);
+  cr_assert_eq(f.Call(f.Request(Method::Get, "/a")).second.mBody, "x");
+}
+
 Test(HttpClient, does_not_call_back_after_cancel)
 {
   Fixture f;
