Limit the tasks of gang starts in progress to 512

Cause: a plan starts all gangs that fit, and each task holds an open call: the request, a connection, timers and buffers. A heap profile of the planner (200 workers, 1,200 tasks in one burst) showed a peak of 7.3 MB, of which the largest parts were the requests, connections and buffers of 1,200 open reservations; 4.1 MB were in use some time later. The process keeps the pages of the peak. Ruled out: state kept per running task as the cause of 11 KiB a task. Parsed worker states cost a member 0.4 KiB a task. Change: a gang that isn't urgent waits for a later plan while the starts in progress have 512 tasks with it. A gang may always start alone, so a gang of any size starts. A plan that becomes due while one is computed is made after it; before, it waited for the next change or second. Conclusion: the memory per task that was measured was mostly that of starting many tasks at once.

--- a/src/jobs/CoordinatorGangs.h
+++ b/src/jobs/CoordinatorGangs.h
@@ -27,7 +27,7 @@
 JobCoordinator<S, A>::StartGang(const placement::GangStart& aStart)
 {
   auto* job = Find(aStart.mJob);
-  if (!job || job->mPhase != JobPhase::Queued) {
+  if (!job || job->mPhase != JobPhase::Queued || MustWait(*job, aStart.mWorkers.size())) {
     return;
   }
   auto record = job->mRecord;
@@ -54,6 +54,20 @@
   start->Run();
 }
 
+template<kv::KeyValueStore S, workers::WorkerApi A>
+bool
+JobCoordinator<S, A>::MustWait(const ManagedJob& aJob, std::size_t aTasks) const
+{
+  if (aJob.mRecord.mSpec.mUrgent) {
+    return false;
+  }
+  std::size_t starting = 0;
+  for (const auto& [id, job] : mJobs) {
+    starting += job.mPhase == JobPhase::Starting ? job.mRecord.mPlacements.size() : 0;
+  }
+  return starting > 0 && starting + aTasks > mTimes.mMaxStartingTasks;
+}
+
 template<kv::KeyValueStore S, workers::WorkerApi A>
 void
 JobCoordinator<S, A>::LogStart(const placement::GangStart& aStart, const ManagedJob& aJob) const
--- a/src/jobs/CoordinatorPlans.h
+++ b/src/jobs/CoordinatorPlans.h
@@ -44,7 +44,11 @@
 void
 JobCoordinator<S, A>::MakePlan()
 {
-  if (!mActive || !mRecordsLoaded || mPlanThread.IsBusy()) {
+  if (!mActive || !mRecordsLoaded) {
+    return;
+  }
+  if (mPlanThread.IsBusy()) {
+    mPlanAgain = true;
     return;
   }
   const auto now = Now();
@@ -58,6 +62,9 @@
   mSuccesses.clear();
   mPlanThread.Compute(BuildSnapshot(mPolicy, mViews, mJobs, mComplete, now), std::move(mState),
                       [this, term = mTerm](placement::Plan aPlan, placement::PlannerState aState) {
+                        if (std::exchange(mPlanAgain, false)) {
+                          PlanSoon();
+                        }
                         if (!mActive || term != mTerm) {
                           return;
                         }
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -35,6 +35,9 @@
   // All records are read again this often, in case a notification was lost.
   Duration mRelistPeriod{ 60000 };
   Duration mStoreRetry{ 1000 };
+  // Gangs that aren't urgent start only while the starts in progress have at most this many tasks
+  // together, because each call that is open costs about 4 KiB. One gang may always start.
+  std::size_t mMaxStartingTasks = 512;
   // A job isn't planned again for this time after a start that was not possible.
   Duration mStartRetry{ 200 };
 };
@@ -129,6 +132,8 @@
   // Gangs (CoordinatorGangs.h).
   GangLimits Limits() const;
   void StartGang(const placement::GangStart& aStart);
+  // Whether the start would exceed the limit of starts in progress; a later plan contains it again.
+  bool MustWait(const ManagedJob& aJob, std::size_t aTasks) const;
   void LogStart(const placement::GangStart& aStart, const ManagedJob& aJob) const;
   void OnGangStart(GangOutcome aOutcome, Record aRecord, const std::vector<WorkerId>& aRefused);
   // Looks at the leases that may have taken the capacity of a refused reservation. They belong to
@@ -203,6 +208,8 @@
   bool mActive = false;
   bool mRecordsLoaded = false;
   bool mComplete = false;
+  // A plan was due while the one before was in progress.
+  bool mPlanAgain = false;
   PlanThread mPlanThread;
 };
 
--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -180,6 +180,44 @@
   cr_assert_gt(second.mCoordinator.GetFence(), first.mCoordinator.GetFence());
 }
 
+// Guards against starts of many gangs at once, whose open calls took more memory than all else that
+// the planner keeps.
+Test(JobCoordinator, limits_the_tasks_of_starts_in_progress)
+{
+  Cluster cluster(2);
+  CoordinatorTimes times;
+  times.mMaxStartingTasks = 4;
+  Planner planner(cluster, "n1", times);
+  // Reservations stay open for a while at a frozen worker, which was seen live.
+  cluster.SetFaults(0, R"({"freeze":true})");
+  cluster.SetFaults(1, R"({"freeze":true})");
+  planner.mCoordinator.Activate();
+  std::vector<JobId> jobs;
+  for (const char* it : { "k1", "k2", "k3" }) {
+    jobs.push_back(cluster.Submit(cluster.Job(it, 4, kShort)).mJob);
+    planner.mCoordinator.OnJobChanged(jobs.back());
+  }
+  // Larger than the limit; starts alone.
+  jobs.push_back(cluster.Submit(cluster.Job("k4", 5, kShort)).mJob);
+  planner.mCoordinator.OnJobChanged(jobs.back());
+  std::size_t refused = 0;
+  cluster.Until([&] {
+    std::size_t starting = 0;
+    refused = 0;
+    for (const auto& [id, job] : planner.mCoordinator.Jobs()) {
+      starting += job.mPhase == JobPhase::Starting ? 1 : 0;
+      refused += job.mNotBefore != TimePoint() ? 1 : 0;
+    }
+    cr_assert_leq(starting, 1);
+    return refused > 0;
+  });
+  cluster.SetFaults(0, R"({"freeze":false})");
+  cluster.SetFaults(1, R"({"freeze":false})");
+  for (const auto& it : jobs) {
+    cr_assert_eq(cluster.UntilDone(it).mState, JobState::Finished);
+  }
+}
+
 // Guards against a task error that ends the caller's job although it may succeed elsewhere.
 Test(JobCoordinator, runs_a_failed_idempotent_job_on_another_worker)
 {
--- a/tests/jobs/JobFixture.h
+++ b/tests/jobs/JobFixture.h
@@ -141,10 +141,10 @@
   Mailbox<workers::WorkerChange> mChanges;
   workers::WorkerMonitor<workers::HttpWorkerApi> mMonitor;
 
-  Planner(Cluster& aCluster, const char* aNode)
+  Planner(Cluster& aCluster, const char* aNode, const CoordinatorTimes& aTimes = {})
     : mCluster(aCluster)
     , mCoordinator(aCluster.mLoop, aCluster.mApi, aCluster.mJobStore, aCluster.mAnswers,
-                   aCluster.mRandom, NodeId(aNode))
+                   aCluster.mRandom, NodeId(aNode), aTimes)
     , mChanges(
         aCluster.mLoop,
         [this](const workers::WorkerChange& aChange) { mCoordinator.OnWorkerChange(aChange); })
