Find the jobs of a changed worker by an index, and collapse checks

Cause: on each change of a worker the coordinator looked at the placements of all jobs, and then read the whole status of each gang that had a task there. A start of a gang of 512 brings several changes of each of its workers, so the status of 512 tasks was read for each of them. Ruled out: not profiled; plans made during the start are part of the remaining time. Change: WorkerJobs keeps which jobs are placed on which worker. Every change of a record's placements passes SetRecord() or EraseJob(), which keep it. Changes of workers within 10 ms lead to one check of each gang that they concern. Conclusion: the cost of a change doesn't grow with the number of running tasks any more. The end of a gang may be noticed 10 ms later.

--- a/src/jobs/CoordinatorGangs.h
+++ b/src/jobs/CoordinatorGangs.h
@@ -41,7 +41,7 @@
       { it, view->second.mAddress, aStart.mClass == placement::CapacityClass::Guaranteed });
   }
   record.mStartToken = mRandom.Token().substr(0, 16);
-  job->mRecord = record;
+  SetRecord(*job, record);
   job->mReclaimable = aStart.mReclaimable;
   job->mPhase = JobPhase::Starting;
   job->mStartedAt = Now();
@@ -98,7 +98,7 @@
   }
   switch (aOutcome) {
     case GangOutcome::Started:
-      job->mRecord = std::move(aRecord);
+      SetRecord(*job, std::move(aRecord));
       job->mPhase = JobPhase::Running;
       job->mStartedAt = Now();
       job->mObservation = { Now(), {} };
@@ -121,7 +121,7 @@
       Reload(aRecord.mJob);
       break;
     case GangOutcome::StartFailed:
-      job->mRecord = std::move(aRecord);
+      SetRecord(*job, std::move(aRecord));
       job->mPhase = JobPhase::Running;
       job->mObservation = { Now(), {} };
       StopGang(*job, StopReason::StartFailed, Duration(0));
@@ -146,31 +146,34 @@
 void
 JobCoordinator<S, A>::CheckLeases(const workers::WorkerView& aView)
 {
-  std::set<JobId> jobs;
-  for (const auto& [id, job] : mJobs) {
-    const bool running = job.mPhase == JobPhase::Running || job.mPhase == JobPhase::Stopping;
-    const auto& placements = job.mRecord.mPlacements;
-    const bool here = std::any_of(placements.begin(), placements.end(), [&](const auto& aPlace) {
-      return aPlace.mWorker == aView.mState->mWorker;
-    });
-    if (running && here) {
-      jobs.insert(id);
-    }
+  const auto& jobs = mWorkerJobs.On(aView.mState->mWorker);
+  mChanged.insert(jobs.begin(), jobs.end());
+  if (!mChanged.empty() && !mCheckSoon.IsPending()) {
+    mCheckSoon = mLoop.After(mTimes.mCheckDelay, [this] { CheckChanged(); });
+  }
+  if (mRecordsLoaded) {
+    CheckOrphans(aView);
   }
-  for (const auto& it : jobs) {
+}
+
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::CheckChanged()
+{
+  for (const auto& it : std::exchange(mChanged, {})) {
     if (auto* job = Find(it)) {
       CheckGang(*job);
     }
   }
-  if (mRecordsLoaded) {
-    CheckOrphans(aView);
-  }
 }
 
 template<kv::KeyValueStore S, workers::WorkerApi A>
 void
 JobCoordinator<S, A>::CheckGang(ManagedJob& aJob)
 {
+  if (aJob.mPhase != JobPhase::Running && aJob.mPhase != JobPhase::Stopping) {
+    return;
+  }
   const auto status = ReadGangStatus(aJob.mRecord, mViews, aJob.mObservation, Limits(), Now());
   if (aJob.mPhase == JobPhase::Stopping) {
     if (status.HasEnded()) {
@@ -179,9 +182,6 @@
     }
     return;
   }
-  if (aJob.mPhase != JobPhase::Running) {
-    return;
-  }
   if (status.mFailedTask >= 0) {
     RecordFailure(aJob, status);
     StopGang(aJob, StopReason::TaskFailed, Duration(0));
--- a/src/jobs/CoordinatorRecords.h
+++ b/src/jobs/CoordinatorRecords.h
@@ -85,7 +85,7 @@
   auto& job = mJobs[aRecord.mJob];
   const auto queuedAt = job.mQueuedAt == TimePoint() ? QueuedAt(aRecord) : job.mQueuedAt;
   job = {};
-  job.mRecord = aRecord;
+  SetRecord(job, aRecord);
   job.mQueuedAt = queuedAt;
   job.mStartedAt = Now();
   job.mObservation.mSince = Now();
@@ -127,11 +127,27 @@
 {
   if (auto* job = Find(aJob)) {
     mAttempts.Release(job->mRecord);
-    mJobs.erase(aJob);
+    EraseJob(aJob);
     PlanSoon();
   }
 }
 
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::SetRecord(ManagedJob& aJob, Record aRecord)
+{
+  mWorkerJobs.Set(aRecord.mJob, aRecord.mPlacements);
+  aJob.mRecord = std::move(aRecord);
+}
+
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::EraseJob(const JobId& aJob)
+{
+  mWorkerJobs.Remove(aJob);
+  mJobs.erase(aJob);
+}
+
 template<kv::KeyValueStore S, workers::WorkerApi A>
 void
 JobCoordinator<S, A>::CheckCancel(ManagedJob& aJob)
@@ -195,7 +211,7 @@
           .With("total_ms", record.mEndedMs - record.mSubmittedMs);
         // The worker keeps its answer until here, so that an outage of the store loses none.
         mAttempts.Release(old);
-        mJobs.erase(old.mJob);
+        EraseJob(old.mJob);
         PlanSoon();
       });
     }));
--- a/src/jobs/CoordinatorRole.h
+++ b/src/jobs/CoordinatorRole.h
@@ -65,10 +65,13 @@
   mRelistTimer.Cancel();
   mPlanTimer.Cancel();
   mPlanSoon.Cancel();
+  mCheckSoon.Cancel();
   mRetryTimer.Cancel();
   mRetries.clear();
   mAttempts.Clear();
   mJobs.clear();
+  mWorkerJobs.Clear();
+  mChanged.clear();
   mState = {};
   LogEvent("planner_inactive").With("epoch", mFence.mEpoch).With("reason", aReason);
 }
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -10,6 +10,7 @@
 #include "jobs/PlanThread.h"
 #include "jobs/ServiceLeases.h"
 #include "jobs/SnapshotBuilder.h"
+#include "jobs/WorkerJobs.h"
 
 #include <chrono>
 #include <functional>
@@ -28,6 +29,8 @@
   Duration mRenewPeriod{ 20000 };
   // A borrower must have stopped after this time, checkpoint included.
   Duration mReclaimDeadline{ 2000 };
+  // Changes of workers within this time lead to one look at each gang that they concern.
+  Duration mCheckDelay{ 10 };
   // Changes within this time lead to one plan.
   Duration mPlanDelay{ 20 };
   // A plan is made at least this often, because some rules depend on time alone.
@@ -113,6 +116,9 @@
   void Adopt(const Record& aRecord);
   static TimePoint QueuedAt(const Record& aRecord);
   void ForgetJob(const JobId& aJob);
+  // Every change of a record's placements goes through these two, which keep the index.
+  void SetRecord(ManagedJob& aJob, Record aRecord);
+  void EraseJob(const JobId& aJob);
   void CheckCancel(ManagedJob& aJob);
   void Requeue(ManagedJob& aJob, Ran aRan);
   void End(ManagedJob& aJob, JobState aState, Ran aRan, const std::string& aError);
@@ -139,8 +145,11 @@
   // Looks at the leases that may have taken the capacity of a refused reservation. They belong to
   // another planner's attempt if their state was seen while this planner's start was in progress.
   void CheckRefusals(const std::vector<WorkerId>& aWorkers);
-  // Looks at every job that has a lease on the worker, and at leases without a job.
+  // Notes every job that has a task on the worker for CheckChanged(), and looks at leases without a
+  // job.
   void CheckLeases(const workers::WorkerView& aView);
+  // Looks at the noted jobs.
+  void CheckChanged();
   // Reads the state of the job's tasks and takes the next step.
   void CheckGang(ManagedJob& aJob);
   void RecordFailure(ManagedJob& aJob, const GangStatus& aStatus);
@@ -190,6 +199,9 @@
   WorkerViews mViews;
   AttemptReleases<Api> mAttempts;
   ManagedJobs mJobs;
+  WorkerJobs mWorkerJobs;
+  // Jobs with a change at one of their workers since the last check.
+  std::set<JobId> mChanged;
   placement::PlannerState mState;
   placement::Plan mLastPlan;
   std::vector<Failure> mFailures;
@@ -201,6 +213,7 @@
   Timer mRelistTimer;
   Timer mPlanTimer;
   Timer mPlanSoon;
+  Timer mCheckSoon;
   Timer mRetryTimer;
   std::vector<std::function<void()>> mRetries;
   // Grows with each change of the role, so that callbacks of a former term have no effect.
--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -218,6 +218,29 @@
   }
 }
 
+// Guards against a change at a worker that reaches no job, because the index of workers misses an
+// attempt that was started, started again or adopted. Nothing else looks at the gangs here.
+Test(JobCoordinator, sees_the_end_of_each_attempt_by_changes_alone)
+{
+  Cluster cluster(2);
+  CoordinatorTimes times;
+  times.mPlanPeriod = Duration(3600000);
+  times.mRelistPeriod = Duration(3600000);
+  Planner first(cluster, "n1", times);
+  Planner second(cluster, "n2", times);
+  cluster.SetFaults(0, R"({"fail_all":true})");
+  first.mCoordinator.Activate();
+  const auto again = cluster.Submit(cluster.Job("again", 8, kShort));
+  first.mCoordinator.OnJobChanged(again.mJob);
+  cr_assert_eq(cluster.UntilDone(again.mJob).mState, JobState::Finished);
+  cluster.SetFaults(0, R"({"fail_all":false})");
+  const auto adopted = cluster.Submit(cluster.Job("k", 4, R"({"run_ms":500,"answer":"42"})"));
+  first.mCoordinator.OnJobChanged(adopted.mJob);
+  cluster.Until([&] { return first.IsRunning(adopted.mJob); });
+  second.mCoordinator.Activate();
+  cr_assert_eq(cluster.UntilDone(adopted.mJob).mState, JobState::Finished);
+}
+
 // Guards against a task error that ends the caller's job although it may succeed elsewhere.
 Test(JobCoordinator, runs_a_failed_idempotent_job_on_another_worker)
 {
