Measure the planner at the workers and tasks of one region

Cause: the planner's memory at the design size was computed from slopes of bursts of starts, which hold connections and buffers that a running task doesn't need. Change: `--only design` runs 2,300 workers and 11,000 tasks and reports 5 and 45 s after the last start.

--- a/scripts/measure-capacity.py
+++ b/scripts/measure-capacity.py
@@ -345,8 +345,25 @@
               f"{after[name]['kv'] - before[name]['kv']:.0f}")
 
 
+def measure_design(options):
+    """The planner's memory with the workers and tasks of one region at the design size."""
+    with System(options, 2300, 3) as system:
+        time.sleep(5)
+        show("workers=2300 tasks=0", system.measure(10))
+        jobs = 0
+        while jobs * 20 < 11000:
+            submit(system, jobs, 20)
+            jobs += 1
+        await_condition("11000 tasks placed", lambda: sum(
+            system.metric(i, "lovagerock_jobs_running") for i in range(3)) == jobs)
+        time.sleep(5)
+        show("workers=2300 tasks=11000, after 5 s", system.measure(10))
+        time.sleep(30)
+        show("workers=2300 tasks=11000, after 45 s", system.measure(10))
+
+
 SCENARIOS = {"workers": measure_workers, "list": measure_list, "nodes": measure_nodes, "accounts": measure_accounts,
-             "tasks": measure_tasks}
+             "tasks": measure_tasks, "design": measure_design}
 
 
 def set_network(network):
--- a/tests/jobs/WorkerJobsTests.cpp
+++ b/tests/jobs/WorkerJobsTests.cpp
@@ -15,6 +15,7 @@
 Places(const std::vector<std::string>& aWorkers)
 {
   std::vector<TaskPlacement> places;
+  places.reserve(aWorkers.size());
   for (const auto& it : aWorkers) {
     places.push_back({ WorkerId(it), SocketAddress("127.0.0.1", 1), false });
   }
