--- a/scripts/measure-capacity.py
+++ b/scripts/measure-capacity.py
@@ -8,7 +8,8 @@
   rx, tx     rchar and wchar of /proc/<pid>/io, less the growth of the node's log for wchar; sockets
              are read and written with readv and writev, which both counters include
   kv         lovagerock_kv_calls of /metrics, and GET /v1/stats of the key-value stand-in
-Usage: scripts/measure-capacity.py [--bin DIRECTORY] [--only SCENARIO]
+Usage: scripts/measure-capacity.py [--bin DIRECTORY] [--only SCENARIO] [--network 127.77.0]
+Two runs at the same time on one machine need different networks.
 """
 
 import argparse
@@ -21,8 +22,10 @@
 import tempfile
 import time
 
-PLATFORM_IP = "127.77.0.1"
-WORKER_IP = "127.77.0.2"
+NETWORK = "127.77.0"
+PLATFORM_IP = NETWORK + ".1"
+WORKER_IP = NETWORK + ".2"
+OTHER_REGION_IP = NETWORK + ".3"
 WORKER_PORT = 20000
 REGION = "local"
 ZONES = ["zone-a", "zone-b", "zone-c"]
@@ -107,7 +110,7 @@
                      "labels": {"role": "worker", "state": "live", "zone": ZONES[0],
                                 "region": REGION}} for i in range(self.workers)]
         # Workers of another region are in the list too; the nodes here don't poll them.
-        entries += [{"targets": [f"127.77.0.3:{WORKER_PORT + i}"],
+        entries += [{"targets": [f"{OTHER_REGION_IP}:{WORKER_PORT + i}"],
                      "labels": {"role": "worker", "state": "live", "zone": ZONES[1],
                                 "region": "other"}} for i in range(self.elsewhere)]
         path = os.path.join(self.directory.name, "vms.json")
@@ -342,8 +345,31 @@
               f"{after[name]['kv'] - before[name]['kv']:.0f}")
 
 
+def measure_design(options):
+    """The planner's memory with the workers and tasks of one region at the design size."""
+    with System(options, 2300, 3) as system:
+        time.sleep(5)
+        show("workers=2300 tasks=0", system.measure(10))
+        jobs = 0
+        while jobs * 20 < 11000:
+            submit(system, jobs, 20)
+            jobs += 1
+        await_condition("11000 tasks placed", lambda: sum(
+            system.metric(i, "lovagerock_jobs_running") for i in range(3)) == jobs)
+        time.sleep(5)
+        show("workers=2300 tasks=11000, after 5 s", system.measure(10))
+        time.sleep(30)
+        show("workers=2300 tasks=11000, after 45 s", system.measure(10))
+
+
 SCENARIOS = {"workers": measure_workers, "list": measure_list, "nodes": measure_nodes, "accounts": measure_accounts,
-             "tasks": measure_tasks}
+             "tasks": measure_tasks, "design": measure_design}
+
+
+def set_network(network):
+    """Uses the loopback addresses of another network, given by its first three bytes."""
+    global PLATFORM_IP, WORKER_IP, OTHER_REGION_IP
+    PLATFORM_IP, WORKER_IP, OTHER_REGION_IP = (f"{network}.{i}" for i in (1, 2, 3))
 
 
 def main():
@@ -352,7 +378,9 @@
     root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     parser.add_argument("--bin", default=os.path.join(root, "build", "bin"))
     parser.add_argument("--only", choices=sorted(SCENARIOS))
+    parser.add_argument("--network", default=NETWORK)
     options = parser.parse_args()
+    set_network(options.network)
     start = time.monotonic()
     print(f"load average {os.getloadavg()[0]:.1f}, {os.cpu_count()} cores", flush=True)
     for name, scenario in SCENARIOS.items():
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -10,9 +10,11 @@
 #include "jobs/PlanThread.h"
 #include "jobs/ServiceLeases.h"
 #include "jobs/SnapshotBuilder.h"
+#include "jobs/WorkerJobs.h"
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -28,6 +30,8 @@
   Duration mRenewPeriod{ 20000 };
   // A borrower must have stopped after this time, checkpoint included.
   Duration mReclaimDeadline{ 2000 };
+  // Changes of workers within this time lead to one look at each gang that they concern.
+  Duration mCheckDelay{ 10 };
   // Changes within this time lead to one plan.
   Duration mPlanDelay{ 20 };
   // A plan is made at least this often, because some rules depend on time alone.
@@ -35,6 +39,9 @@
   // All records are read again this often, in case a notification was lost.
   Duration mRelistPeriod{ 60000 };
   Duration mStoreRetry{ 1000 };
+  // Gangs that aren't urgent start only while the starts in progress have at most this many tasks
+  // together, because each call that is open costs about 4 KiB. One gang may always start.
+  std::size_t mMaxStartingTasks = 512;
   // A job isn't planned again for this time after a start that was not possible.
   Duration mStartRetry{ 200 };
 };
@@ -110,6 +117,9 @@
   void Adopt(const Record& aRecord);
   static TimePoint QueuedAt(const Record& aRecord);
   void ForgetJob(const JobId& aJob);
+  // Every change of a record's placements goes through these two, which keep the index.
+  void SetRecord(ManagedJob& aJob, Record aRecord);
+  void EraseJob(const JobId& aJob);
   void CheckCancel(ManagedJob& aJob);
   void Requeue(ManagedJob& aJob, Ran aRan);
   void End(ManagedJob& aJob, JobState aState, Ran aRan, const std::string& aError);
@@ -129,13 +139,18 @@
   // Gangs (CoordinatorGangs.h).
   GangLimits Limits() const;
   void StartGang(const placement::GangStart& aStart);
+  // Whether the start would exceed the limit of starts in progress; a later plan contains it again.
+  bool MustWait(const ManagedJob& aJob, std::size_t aTasks) const;
   void LogStart(const placement::GangStart& aStart, const ManagedJob& aJob) const;
   void OnGangStart(GangOutcome aOutcome, Record aRecord, const std::vector<WorkerId>& aRefused);
   // Looks at the leases that may have taken the capacity of a refused reservation. They belong to
   // another planner's attempt if their state was seen while this planner's start was in progress.
   void CheckRefusals(const std::vector<WorkerId>& aWorkers);
-  // Looks at every job that has a lease on the worker, and at leases without a job.
+  // Notes every job that has a task on the worker for CheckChanged(), and looks at leases without a
+  // job.
   void CheckLeases(const workers::WorkerView& aView);
+  // Looks at the noted jobs.
+  void CheckChanged();
   // Reads the state of the job's tasks and takes the next step.
   void CheckGang(ManagedJob& aJob);
   void RecordFailure(ManagedJob& aJob, const GangStatus& aStatus);
@@ -147,11 +162,25 @@
   void EndAttempt(ManagedJob& aJob);
 
   // Answers (CoordinatorAnswers.h).
-  // Stores the answers of finished tasks one after the other, and ends the job after the last.
+  // Answers of one gang on their way from the workers to the store.
+  struct AnswerBatch
+  {
+    Record mRecord;
+    // The finished tasks, of which mAnswers has the first ones.
+    std::vector<int> mTasks;
+    std::vector<TaskAnswer> mAnswers;
+    std::size_t mBytes = 0;
+  };
+  using AnswerBatchPtr = std::shared_ptr<AnswerBatch>;
+
+  // Stores the answers of finished tasks in batches, and ends the job after the last.
   void CollectAnswers(ManagedJob& aJob, const GangStatus& aStatus);
-  void FetchAnswer(const Record& aRecord, std::size_t aTask);
-  void OnCollected(const Record& aRecord, std::size_t aTask, std::error_code aError,
-                   const AnswerInfo& aInfo);
+  // Fetches the next answer of the batch, or stores those that were fetched.
+  void FetchAnswers(const AnswerBatchPtr& aBatch);
+  // Stores what was fetched. After a failed fetch the rest is tried again later.
+  void StoreAnswers(const AnswerBatchPtr& aBatch, std::error_code aFetchError);
+  void OnCollected(const AnswerBatch& aBatch, std::error_code aError,
+                   const std::vector<AnswerInfo>& aInfos);
 
   // Plans (CoordinatorPlans.h).
   void OnTick();
@@ -185,6 +214,9 @@
   WorkerViews mViews;
   AttemptReleases<Api> mAttempts;
   ManagedJobs mJobs;
+  WorkerJobs mWorkerJobs;
+  // Jobs with a change at one of their workers since the last check.
+  std::set<JobId> mChanged;
   placement::PlannerState mState;
   placement::Plan mLastPlan;
   std::vector<Failure> mFailures;
@@ -196,6 +228,7 @@
   Timer mRelistTimer;
   Timer mPlanTimer;
   Timer mPlanSoon;
+  Timer mCheckSoon;
   Timer mRetryTimer;
   std::vector<std::function<void()>> mRetries;
   // Grows with each change of the role, so that callbacks of a former term have no effect.
@@ -203,6 +236,8 @@
   bool mActive = false;
   bool mRecordsLoaded = false;
   bool mComplete = false;
+  // A plan was due while the one before was in progress.
+  bool mPlanAgain = false;
   PlanThread mPlanThread;
 };
 
--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -147,6 +147,48 @@
   cr_assert_eq(TotalStarts(cluster), 1);
 }
 
+// Guards against answers of a batch that are lost or mixed up, and against tasks that run again,
+// when the outcome of a batch is unknown or the store goes down between two batches.
+Test(JobCoordinator, stores_batches_of_answers_through_lost_answers_and_an_outage)
+{
+  for (const bool outage : { false, true }) {
+    Cluster cluster(9);
+    Planner planner(cluster, "n1");
+    planner.mCoordinator.Activate();
+    auto record = cluster.Job("k", 70, kShort);
+    record.mSpec.mPayloads.clear();
+    for (int i = 0; i < 70; ++i) {
+      record.mSpec.mPayloads.push_back(R"({"run_ms":300,"answer":"answer )" + std::to_string(i) +
+                                       R"("})");
+    }
+    const auto job = cluster.Submit(record);
+    planner.mCoordinator.OnJobChanged(job.mJob);
+    cluster.Until([&] { return planner.IsRunning(job.mJob); });
+    if (outage) {
+      cluster.mStore.GoDownAfterWrite();
+      const auto calls = cluster.mStore.Calls();
+      cluster.Until([&] { return cluster.mStore.Calls() > calls + 2; });
+      cluster.mStore.SetAvailable(true);
+    } else {
+      cluster.mStore.LoseAnswers(2);
+    }
+    const auto done = cluster.UntilDone(job.mJob);
+    cr_assert_eq(done.mState, JobState::Finished);
+    cr_assert_eq(done.mAnswers.size(), 70);
+    cr_assert_eq(TotalStarts(cluster), 70);
+    for (int i = 0; i < 70; ++i) {
+      bool read = false;
+      cluster.mAnswers.ReadPiece(
+        job.mJob, done.mAttempt, i, 0, [&](std::error_code, const std::string& aPiece) {
+          cr_assert_eq(HashText(aPiece), done.mAnswers[static_cast<std::size_t>(i)].mHash);
+          cr_assert_neq(aPiece.find("answer " + std::to_string(i)), std::string::npos);
+          read = true;
+        });
+      cluster.Until([&] { return read; });
+    }
+  }
+}
+
 // Guards against a running gang that is lost or started again when the planner changes.
 Test(JobCoordinator, takes_over_a_running_gang)
 {
@@ -180,6 +222,67 @@
   cr_assert_gt(second.mCoordinator.GetFence(), first.mCoordinator.GetFence());
 }
 
+// Guards against starts of many gangs at once, whose open calls took more memory than all else that
+// the planner keeps.
+Test(JobCoordinator, limits_the_tasks_of_starts_in_progress)
+{
+  Cluster cluster(2);
+  CoordinatorTimes times;
+  times.mMaxStartingTasks = 4;
+  Planner planner(cluster, "n1", times);
+  // Reservations stay open for a while at a frozen worker, which was seen live.
+  cluster.SetFaults(0, R"({"freeze":true})");
+  cluster.SetFaults(1, R"({"freeze":true})");
+  planner.mCoordinator.Activate();
+  std::vector<JobId> jobs;
+  for (const char* it : { "k1", "k2", "k3" }) {
+    jobs.push_back(cluster.Submit(cluster.Job(it, 4, kShort)).mJob);
+    planner.mCoordinator.OnJobChanged(jobs.back());
+  }
+  // Larger than the limit; starts alone.
+  jobs.push_back(cluster.Submit(cluster.Job("k4", 5, kShort)).mJob);
+  planner.mCoordinator.OnJobChanged(jobs.back());
+  std::size_t refused = 0;
+  cluster.Until([&] {
+    std::size_t starting = 0;
+    refused = 0;
+    for (const auto& [id, job] : planner.mCoordinator.Jobs()) {
+      starting += job.mPhase == JobPhase::Starting ? 1 : 0;
+      refused += job.mNotBefore != TimePoint() ? 1 : 0;
+    }
+    cr_assert_leq(starting, 1);
+    return refused > 0;
+  });
+  cluster.SetFaults(0, R"({"freeze":false})");
+  cluster.SetFaults(1, R"({"freeze":false})");
+  for (const auto& it : jobs) {
+    cr_assert_eq(cluster.UntilDone(it).mState, JobState::Finished);
+  }
+}
+
+// Guards against a change at a worker that reaches no job, because the index of workers misses an
+// attempt that was started, started again or adopted. Nothing else looks at the gangs here.
+Test(JobCoordinator, sees_the_end_of_each_attempt_by_changes_alone)
+{
+  Cluster cluster(2);
+  CoordinatorTimes times;
+  times.mPlanPeriod = Duration(3600000);
+  times.mRelistPeriod = Duration(3600000);
+  Planner first(cluster, "n1", times);
+  Planner second(cluster, "n2", times);
+  cluster.SetFaults(0, R"({"fail_all":true})");
+  first.mCoordinator.Activate();
+  const auto again = cluster.Submit(cluster.Job("again", 8, kShort));
+  first.mCoordinator.OnJobChanged(again.mJob);
+  cr_assert_eq(cluster.UntilDone(again.mJob).mState, JobState::Finished);
+  cluster.SetFaults(0, R"({"fail_all":false})");
+  const auto adopted = cluster.Submit(cluster.Job("k", 4, R"({"run_ms":500,"answer":"42"})"));
+  first.mCoordinator.OnJobChanged(adopted.mJob);
+  cluster.Until([&] { return first.IsRunning(adopted.mJob); });
+  second.mCoordinator.Activate();
+  cr_assert_eq(cluster.UntilDone(adopted.mJob).mState, JobState::Finished);
+}
+
 // Guards against a task error that ends the caller's job although it may succeed elsewhere.
 Test(JobCoordinator, runs_a_failed_idempotent_job_on_another_worker)
 {
