Measure an idle deployment, on a network that no other run uses

Measured: a second run on the same network ends with 'Address already in use' and starts nothing. Conclusion: runs at the same time need different networks.

--- a/scripts/measure-capacity.py
+++ b/scripts/measure-capacity.py
@@ -8,7 +8,8 @@
   rx, tx     rchar and wchar of /proc/<pid>/io, less the growth of the node's log for wchar; sockets
              are read and written with readv and writev, which both counters include
   kv         lovagerock_kv_calls of /metrics, and GET /v1/stats of the key-value stand-in
-Usage: scripts/measure-capacity.py [--bin DIRECTORY] [--only SCENARIO]
+Usage: scripts/measure-capacity.py [--bin DIRECTORY] [--only SCENARIO] [--network 127.A.B]
+Two runs at once need different networks: nodes that find a service of another run would join it.
 """
 
 import argparse
@@ -17,12 +18,11 @@
 import http.client
 import json
 import os
+import socket
 import subprocess
 import tempfile
 import time
 
-PLATFORM_IP = "127.77.0.1"
-WORKER_IP = "127.77.0.2"
 WORKER_PORT = 20000
 REGION = "local"
 ZONES = ["zone-a", "zone-b", "zone-c"]
@@ -78,6 +78,9 @@
 
     def __init__(self, options, workers, nodes, accounts=4, elsewhere=0):
         self.bin = options.bin
+        self.platform_ip = options.network + ".1"
+        self.worker_ip = options.network + ".2"
+        self.elsewhere_ip = options.network + ".3"
         self.workers = workers
         self.elsewhere = elsewhere
         self.nodes = nodes
@@ -85,11 +88,11 @@
         self.version = 0
         self.processes = {}
         self.directory = tempfile.TemporaryDirectory(prefix="measure-capacity-")
-        self.kv = f"{PLATFORM_IP}:18500"
-        self.vm_list = f"{PLATFORM_IP}:18600"
+        self.kv = f"{self.platform_ip}:18500"
+        self.vm_list = f"{self.platform_ip}:18600"
 
     def admin(self, node):
-        return f"{PLATFORM_IP}:{18200 + node}"
+        return f"{self.platform_ip}:{18200 + node}"
 
     def launch(self, name, program, *arguments):
         with open(self.log(name), "wb") as log:
@@ -100,14 +103,14 @@
         return os.path.join(self.directory.name, name + ".log")
 
     def write_vm_list(self):
-        entries = [{"targets": [f"{PLATFORM_IP}:{18100 + i}"],
+        entries = [{"targets": [f"{self.platform_ip}:{18100 + i}"],
                     "labels": {"role": "entry", "state": "live", "zone": ZONES[i % 3],
                                "region": REGION, "node": f"n{i}"}} for i in range(self.nodes)]
-        entries += [{"targets": [f"{WORKER_IP}:{WORKER_PORT + i}"],
+        entries += [{"targets": [f"{self.worker_ip}:{WORKER_PORT + i}"],
                      "labels": {"role": "worker", "state": "live", "zone": ZONES[0],
                                 "region": REGION}} for i in range(self.workers)]
         # Workers of another region are in the list too; the nodes here don't poll them.
-        entries += [{"targets": [f"127.77.0.3:{WORKER_PORT + i}"],
+        entries += [{"targets": [f"{self.elsewhere_ip}:{WORKER_PORT + i}"],
                      "labels": {"role": "worker", "state": "live", "zone": ZONES[1],
                                 "region": "other"}} for i in range(self.elsewhere)]
         path = os.path.join(self.directory.name, "vms.json")
@@ -123,21 +126,37 @@
             raise
         return self
 
+    def check_free(self):
+        """Refuses to start where another run listens, before any process is started."""
+        addresses = [(self.platform_ip, port) for port in (18500, 18600)]
+        addresses += [(self.platform_ip, base + i) for base in (18000, 18100, 18200)
+                      for i in range(self.nodes)]
+        addresses += [(self.worker_ip, WORKER_PORT + i) for i in range(self.workers)]
+        for address in addresses:
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(address)
+                except OSError as error:
+                    raise SystemExit(f"{address[0]}:{address[1]}: {error}; "
+                                     "is another run using this network?") from error
+
     def start(self):
+        self.check_free()
         self.launch("kv", "lovagerock-kv", "--listen", self.kv, "--writes-per-second", "400",
                     "--reads-per-second", "2000")
         self.launch("vmlist", "lovagerock-vmlist", "--listen", self.vm_list, "--file",
                     self.write_vm_list())
         for first in range(0, self.workers, 250):
             self.launch(f"workers-{first}", "lovagerock-worker", "--listen",
-                        f"{WORKER_IP}:{WORKER_PORT + first}", "--count",
+                        f"{self.worker_ip}:{WORKER_PORT + first}", "--count",
                         str(min(250, self.workers - first)), "--zone", ZONES[0], "--region",
                         REGION, "--rack-prefix", f"rack-{first}")
         await_condition("kv", lambda: call(self.kv, "GET", "/v1/stats")[0] == 200)
         for i in range(self.nodes):
             self.launch(f"node-{i}", "lovagerock-node", "--node-id", f"n{i}", "--region", REGION,
-                        "--zone", ZONES[i % 3], "--listen", f"{PLATFORM_IP}:{18000 + i}",
-                        "--peer-listen", f"{PLATFORM_IP}:{18100 + i}", "--admin-listen",
+                        "--zone", ZONES[i % 3], "--listen", f"{self.platform_ip}:{18000 + i}",
+                        "--peer-listen", f"{self.platform_ip}:{18100 + i}", "--admin-listen",
                         self.admin(i), "--kv", self.kv, "--vm-list", self.vm_list)
         await_condition("workers live", lambda: all(
             self.metric(i, "lovagerock_workers_live") == self.workers for i in range(self.nodes)))
@@ -184,7 +203,7 @@
         """The state of each worker as the nodes read it: body and bytes."""
         with concurrent.futures.ThreadPoolExecutor(16) as pool:
             answers = list(pool.map(
-                lambda i: call(f"{WORKER_IP}:{WORKER_PORT + i}", "GET",
+                lambda i: call(f"{self.worker_ip}:{WORKER_PORT + i}", "GET",
                                "/v1/state?since=0&wait_ms=0"), range(self.workers)))
         return [(json.loads(data), size) for _, data, size in answers]
 
@@ -268,6 +287,14 @@
             show(f"workers=50 nodes={nodes}", system.measure(8))
 
 
+def measure_idle(options):
+    """The deployment of today without tasks: three runs in a row, to show the spread."""
+    with System(options, 50, 6) as system:
+        time.sleep(5)
+        for run in range(1, 4):
+            show(f"idle workers=50 nodes=6 run={run}", system.measure(10))
+
+
 def measure_accounts(options):
     for accounts in (4, 50, 200):
         with System(options, 50, 3, accounts) as system:
@@ -297,7 +324,7 @@
             "payload": {"run_ms": 3600000}}
     headers = {"Authorization": f"Bearer token-{job % system.accounts}",
                "Idempotency-Key": f"job-{job}", "Content-Type": "application/json"}
-    status, data, _ = call(f"{PLATFORM_IP}:18000", "POST", "/v1/jobs", json.dumps(body), headers)
+    status, data, _ = call(f"{system.platform_ip}:18000", "POST", "/v1/jobs", json.dumps(body), headers)
     if status != 202:
         raise SystemExit(f"submission refused: {status} {data[:200]}")
 
@@ -342,8 +369,8 @@
               f"{after[name]['kv'] - before[name]['kv']:.0f}")
 
 
-SCENARIOS = {"workers": measure_workers, "list": measure_list, "nodes": measure_nodes, "accounts": measure_accounts,
-             "tasks": measure_tasks}
+SCENARIOS = {"workers": measure_workers, "list": measure_list, "nodes": measure_nodes,
+             "idle": measure_idle, "accounts": measure_accounts, "tasks": measure_tasks}
 
 
 def main():
@@ -352,6 +379,7 @@
     root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     parser.add_argument("--bin", default=os.path.join(root, "build", "bin"))
     parser.add_argument("--only", choices=sorted(SCENARIOS))
+    parser.add_argument("--network", default="127.77.0", help="first three numbers of the addresses")
     options = parser.parse_args()
     start = time.monotonic()
     print(f"load average {os.getloadavg()[0]:.1f}, {os.cpu_count()} cores", flush=True)
