Name the state in the answer to a quiet poll

Cause: an answer 204 said nothing, so that a node read the whole state again after 5 quiet polls, for fear of a restart that it had missed. Ruled out: leaving out headers of polls. The client sends Host alone, and libevent's server adds Date. Change: the 204 carries an entity tag of incarnation and sequence. Another state than the known one is read at once; without a tag the old rule stays. The stand-in's incarnation has 16 characters in place of 32. Tests of workers and routing pass.

--- a/src/routing/RouterAttempts.h
+++ b/src/routing/RouterAttempts.h
@@ -289,11 +289,12 @@
   aTask.mProbeOpen = true;
   mWorkers.Poll(aTask.mReplica->mHost->mAddress, 0, Duration(0),
                 ForCall(aTask, [this](RequestTask& aCurrent, std::error_code aError,
-                                      const std::optional<workers::WorkerState>& aState) {
+                                      const workers::PollAnswer& aAnswer) {
                   aCurrent.mProbeOpen = false;
-                  if (aError || !aState) {
+                  const auto& state = aAnswer.mState;
+                  if (aError || !state) {
                     OnSilent(aCurrent);
-                  } else if (aState->mIncarnation == aCurrent.mReplica->mHost->mIncarnation) {
+                  } else if (state->mIncarnation == aCurrent.mReplica->mHost->mIncarnation) {
                     Retry(aCurrent, "unknown_at_worker", true);
                   } else {
                     CloseCall(aCurrent);
--- a/src/standin/worker/Main.cpp
+++ b/src/standin/worker/Main.cpp
@@ -77,7 +77,8 @@
   settings.mRegion = aOptions.mRegion;
   settings.mZone = aOptions.mZone;
   settings.mRack = RackId(rack + "-" + std::to_string(aIndex / aOptions.mRackSize));
-  settings.mIncarnation = aRandom.Token();
+  // Half a token tells the restarts of one worker apart; each quiet poll carries it.
+  settings.mIncarnation = aRandom.Token().substr(0, 16);
   settings.mCapacity = { Slots(aOptions.mSlots), Accelerators(aOptions.mAccelerators),
                          Cores(aOptions.mCores), MemoryMiB(aOptions.mMemoryMb) };
   settings.mConnections = aOptions.mConnections;
--- a/src/standin/worker/WorkerServer.cpp
+++ b/src/standin/worker/WorkerServer.cpp
@@ -272,7 +272,8 @@
   const auto id = mNextPoll++;
   auto timeout = mLoop->After(std::min(wait, detail::kMaxPoll), [this, id] {
     const auto node = mPolls.extract(id);
-    mReplies.Send(node.mapped().mResponder, { 204, {}, {} }, false);
+    const auto tag = workers::WriteStateTag({ mSettings.mIncarnation, Sequence() });
+    mReplies.Send(node.mapped().mResponder, { 204, { { "ETag", tag } }, {} }, false);
   });
   mPolls.emplace(id, Poll{ aResponder, static_cast<std::uint64_t>(since), std::move(timeout) });
 }
--- a/src/workers/HttpWorkerApi.cpp
+++ b/src/workers/HttpWorkerApi.cpp
@@ -158,17 +158,19 @@
   const auto target =
     "/v1/state?since=" + std::to_string(aSince) + "&wait_ms=" + std::to_string(aWait.count());
   const auto request = detail::MakeRequest(aWorker, http::Method::Get, target, aWait + kPollMargin);
-  Call(request,
-       [callback = std::move(aCallback)](std::error_code aError, const http::Response& aResponse) {
-         if (aError || aResponse.mStatus == 204) {
-           callback(aError, std::nullopt);
-           return;
-         }
-         const auto json = ParseJson(aResponse.mBody);
-         auto state = json ? ReadWorkerState(*json) : std::nullopt;
-         const auto ec = state ? std::error_code() : make_error_code(WorkerError::BadAnswer);
-         callback(ec, std::move(state));
-       });
+  Call(request, [callback = std::move(aCallback)](std::error_code aError,
+                                                  const http::Response& aResponse) {
+    PollAnswer answer;
+    if (aError || aResponse.mStatus == 204) {
+      answer.mVersion = ReadStateTag(aResponse.mHeaders.Get("ETag"));
+      callback(aError, std::move(answer));
+      return;
+    }
+    const auto json = ParseJson(aResponse.mBody);
+    answer.mState = json ? ReadWorkerState(*json) : std::nullopt;
+    const auto ec = answer.mState ? std::error_code() : make_error_code(WorkerError::BadAnswer);
+    callback(ec, std::move(answer));
+  });
 }
 
 void
--- a/src/workers/WorkerApi.h
+++ b/src/workers/WorkerApi.h
@@ -19,8 +19,17 @@
   Done,
 };
 
+// What a poll found.
+struct PollAnswer
+{
+  // The state; nothing if it did not change during the wait.
+  std::optional<WorkerState> mState;
+  // The version of an unchanged state; nothing if the worker does not name it.
+  std::optional<StateVersion> mVersion;
+};
+
 using DoneCallback = std::function<void(std::error_code)>;
-using PollCallback = std::function<void(std::error_code, std::optional<WorkerState>)>;
+using PollCallback = std::function<void(std::error_code, PollAnswer)>;
 using LeaseCallback = std::function<void(std::error_code, LeaseState)>;
 // Receives the leases that the worker doesn't know.
 using RenewCallback = std::function<void(std::error_code, std::vector<LeaseId>)>;
@@ -36,7 +45,7 @@
                              std::uint64_t aSince, Duration aDuration, bool aCheckpoint,
                              int aPercent)
 {
-  // Reads the state once its sequence is above aSince; no state after the wait.
+  // Reads the state once its sequence is above aSince; no state after the wait, only its version.
   aApi.Poll(aWorker, aSince, aDuration, PollCallback());
   // Reserves capacity; the same lease id again gives the same answer.
   aApi.Reserve(aWorker, aRequest, LeaseCallback());
--- a/src/workers/WorkerMonitor.h
+++ b/src/workers/WorkerMonitor.h
@@ -31,8 +31,8 @@
   Duration mLongestRetry{ 2000 };
   // Failed polls in a row that make a worker suspected.
   int mFailureLimit = 2;
-  // Polls without news after which the whole state is read again. A worker that restarted between
-  // two polls counts from a low sequence and would otherwise seem unchanged.
+  // Polls without news and without a version after which the whole state is read again. A worker
+  // that restarted between two polls counts from a low sequence and would otherwise seem unchanged.
   int mQuietLimit = 5;
 };
 
@@ -139,14 +139,14 @@
   void Ask(const EntryPtr& aEntry)
   {
     aEntry->mAsked = std::chrono::steady_clock::now();
-    mApi->Poll(aEntry->mView.mAddress, aEntry->mSince, mSettings.mWait,
-               [this, weak = std::weak_ptr<Entry>(aEntry)](std::error_code aError,
-                                                           std::optional<WorkerState> aState) {
-                 // The monitor owns the entries, so a live entry means a live monitor.
-                 if (const auto entry = weak.lock()) {
-                   OnPolled(entry, aError, std::move(aState));
-                 }
-               });
+    mApi->Poll(
+      aEntry->mView.mAddress, aEntry->mSince, mSettings.mWait,
+      [this, weak = std::weak_ptr<Entry>(aEntry)](std::error_code aError, PollAnswer aAnswer) {
+        // The monitor owns the entries, so a live entry means a live monitor.
+        if (const auto entry = weak.lock()) {
+          OnPolled(entry, aError, std::move(aAnswer));
+        }
+      });
   }
 
   void AskLater(const EntryPtr& aEntry, Duration aDelay)
@@ -158,7 +158,7 @@
     });
   }
 
-  void OnPolled(const EntryPtr& aEntry, std::error_code aError, std::optional<WorkerState> aState)
+  void OnPolled(const EntryPtr& aEntry, std::error_code aError, PollAnswer aAnswer)
   {
     if (aError) {
       OnFailure(aEntry, aError);
@@ -168,18 +168,29 @@
     aEntry->mFailures = 0;
     aEntry->mView.mSuspected = false;
     aEntry->mView.mHeard = std::chrono::steady_clock::now();
-    if (!aState) {
-      aEntry->mSince = ++aEntry->mQuiet >= mSettings.mQuietLimit ? 0 : aEntry->mSince;
+    if (!aAnswer.mState) {
+      CheckVersion(*aEntry, aAnswer.mVersion);
       ReportHealth(aEntry, before, "answered");
       AskLater(aEntry, mSettings.mPause);
       return;
     }
     aEntry->mQuiet = 0;
-    aEntry->mSince = aState->mSequence;
-    OnState(aEntry, before, std::move(*aState));
+    aEntry->mSince = aAnswer.mState->mSequence;
+    OnState(aEntry, before, std::move(*aAnswer.mState));
     AskLater(aEntry, mSettings.mPause);
   }
 
+  // Makes the next poll read the whole state unless the unchanged state is surely the known one.
+  void CheckVersion(Entry& aEntry, const std::optional<StateVersion>& aVersion)
+  {
+    const auto& state = aEntry.mView.mState;
+    const bool known = aVersion && state && state->Version() == *aVersion;
+    aEntry.mQuiet = known ? 0 : aEntry.mQuiet + 1;
+    if (!known && (aVersion || aEntry.mQuiet >= mSettings.mQuietLimit)) {
+      aEntry.mSince = 0;
+    }
+  }
+
   void OnState(const EntryPtr& aEntry, WorkerHealth aBefore, WorkerState aState)
   {
     const auto& old = aEntry->mView.mState;
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 
 namespace lovagerock::workers {
@@ -253,4 +254,24 @@
   return detail::TryParse([&] { return detail::ParseWorkerState(aJson); });
 }
 
+std::string
+WriteStateTag(const StateVersion& aVersion)
+{
+  return '"' + aVersion.mIncarnation + '.' + std::to_string(aVersion.mSequence) + '"';
+}
+
+std::optional<StateVersion>
+ReadStateTag(std::string_view aTag)
+{
+  const auto dot = aTag.rfind('.');
+  if (aTag.size() < 2 || aTag.front() != '"' || aTag.back() != '"' || dot == aTag.npos) {
+    return std::nullopt;
+  }
+  StateVersion version;
+  version.mIncarnation = aTag.substr(1, dot - 1);
+  const auto* end = aTag.data() + aTag.size() - 1;
+  const auto result = std::from_chars(aTag.data() + dot + 1, end, version.mSequence);
+  return result.ec == std::errc() && result.ptr == end ? std::optional(version) : std::nullopt;
+}
+
 } // namespace lovagerock::workers
--- a/src/workers/WorkerState.h
+++ b/src/workers/WorkerState.h
@@ -92,6 +92,15 @@
   std::string mError;
 };
 
+// Names one state of a worker.
+struct StateVersion
+{
+  std::string mIncarnation;
+  std::uint64_t mSequence = 0;
+
+  bool operator==(const StateVersion&) const = default;
+};
+
 // A worker's own report of itself.
 struct WorkerState
 {
@@ -112,6 +121,8 @@
   Accelerators mBusyAccelerators;
   Duration mUsageLag{ 0 };
   std::vector<LeaseState> mLeases;
+
+  StateVersion Version() const { return { mIncarnation, mSequence }; }
 };
 
 // Names on the wire, as in docs/design.md.
@@ -139,4 +150,11 @@
 std::optional<WorkerState>
 ReadWorkerState(const Json& aJson);
 
+// Conversions to and from the entity tag of an answer without a state. Reading gives nothing if the
+// tag is missing or malformed.
+std::string
+WriteStateTag(const StateVersion& aVersion);
+std::optional<StateVersion>
+ReadStateTag(std::string_view aTag);
+
 } // namespace lovagerock::workers
--- a/tests/routing/RoutingFixture.h
+++ b/tests/routing/RoutingFixture.h
@@ -120,7 +120,9 @@
   void Poll(const SocketAddress& aWorker, std::uint64_t, Duration, workers::PollCallback aCallback)
   {
     const auto& worker = At(aWorker);
-    mLoop.Post([=, ec = Error(worker), state = worker.State(1, false)] { aCallback(ec, state); });
+    mLoop.Post([=, ec = Error(worker), state = worker.State(1, false)] {
+      aCallback(ec, { state, {} });
+    });
   }
 };
 
--- a/tests/workers/WorkerTests.cpp
+++ b/tests/workers/WorkerTests.cpp
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <memory>
 
 using namespace lovagerock;
@@ -86,8 +87,94 @@
   }
 };
 
+// Notes what the monitor asks, and may replace the versions that quiet polls name.
+struct RecordingApi : HttpWorkerApi
+{
+  using HttpWorkerApi::HttpWorkerApi;
+
+  std::vector<std::uint64_t> mSince;
+  std::function<void(PollAnswer&)> mChange;
+
+  void
+  Poll(const SocketAddress& aWorker, std::uint64_t aSince, Duration aWait, PollCallback aCallback)
+  {
+    mSince.push_back(aSince);
+    HttpWorkerApi::Poll(
+      aWorker, aSince, aWait,
+      [this, callback = std::move(aCallback)](std::error_code aError, PollAnswer aAnswer) {
+        if (mChange && !aAnswer.mState) {
+          mChange(aAnswer);
+        }
+        callback(aError, std::move(aAnswer));
+      });
+  }
+  long WholeReads() const { return std::count(mSince.begin(), mSince.end(), 0U); }
+};
+
+// A monitor with short polls of the fixture's worker, which has a sequence above 0.
+struct QuietFixture : Fixture
+{
+  RecordingApi mRecording{ mClient };
+  WorkerMonitor<RecordingApi> mQuietMonitor{ mLoop,
+                                             mRecording,
+                                             mRandom,
+                                             mMailbox.GetAddress(),
+                                             { .mWait = Duration(10), .mPause = Duration(1) } };
+
+  // Runs until the number of polls was sent.
+  void Poll(std::size_t aPolls)
+  {
+    mQuietMonitor.SetWorkers({ { mAddress, false } });
+    const auto timer = mLoop.Every(Duration(1), [&] {
+      if (mRecording.mSince.size() >= aPolls) {
+        mLoop.Stop();
+      }
+    });
+    mLoop.Run();
+  }
+};
+
 } // namespace
 
+// Guards against a version that another one is taken for, or that a broken tag makes up.
+Test(WorkerState, reads_only_whole_tags)
+{
+  const StateVersion version{ "a.b", 7 };
+  cr_assert(ReadStateTag(WriteStateTag(version)) == version);
+  for (const auto* it : { "", "\"", "\"a\"", "a.7", "\"a.\"", "\"a.7x\"", "\"a.-7\"" }) {
+    cr_assert_not(ReadStateTag(it), "%s", it);
+  }
+}
+
+// Guards against quiet polls that read the whole state again and again.
+Test(WorkerMonitor, reads_a_quiet_worker_once)
+{
+  QuietFixture f;
+  f.Poll(20);
+  cr_assert_eq(f.mRecording.WholeReads(), 1);
+}
+
+// Guards against a restarted worker that goes unnoticed because its polls are quiet.
+Test(WorkerMonitor, reads_the_state_again_if_a_quiet_poll_names_another)
+{
+  for (const auto& other : { StateVersion{ "second", 1 }, StateVersion{ "first", 0 } }) {
+    QuietFixture f;
+    f.mRecording.mChange = [&](PollAnswer& aAnswer) { aAnswer.mVersion = other; };
+    f.Poll(3);
+    const std::vector<std::uint64_t> expected{ 0, 1, 0 };
+    cr_assert(f.mRecording.mSince == expected);
+  }
+}
+
+// Guards against a restart that is never noticed at a worker that names no version.
+Test(WorkerMonitor, reads_the_state_again_after_quiet_polls_without_a_version)
+{
+  QuietFixture f;
+  f.mRecording.mChange = [](PollAnswer& aAnswer) { aAnswer.mVersion.reset(); };
+  f.Poll(20);
+  cr_assert_gt(f.mRecording.WholeReads(), 1);
+}
+
 Test(WorkerState, survives_the_wire)
 {
   WorkerState state;
