Share the watching of the workers among the nodes of a region

Cause: each node polled each worker, so polls grew with nodes x workers and were most of the idle traffic. Change: the live member with the highest rendezvous hash watches a worker and pushes its changes to the others in numbered batches; heartbeats assure them. A node rests its polls only while an assured watcher offers the worker. The planner polls all workers itself. A new planner starts work after its own polls of all workers ended. With the report of lapsed watchers taken out, Sharing/polls_itself_without_heartbeats_or_after_a_lost_relay fails.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration kRoleCheckPeriod{ 500 };
+// A new planner looks again after this time whether its own polls of all workers were answered.
+constexpr Duration kPolledCheckDelay{ 50 };
 // A planner waits this long after its start for workers that don't answer.
 constexpr Duration kWorkerWait{ 3000 };
 constexpr Duration kFencedBackoff{ 2000 };
@@ -116,6 +118,12 @@
   , mWorkerApi(mControlClient)
   , mWorkerChanges(aLoop, [this](const workers::WorkerChange& aChange) { OnWorkerChange(aChange); })
   , mMonitor(aLoop, mWorkerApi, mRandom, mWorkerChanges.GetAddress())
+  , mRelay(aLoop, mTransport, mSettings.mNode, mMembership.Self().mIncarnation,
+           { [this] { return RegionPeers(); }, [this] { return mMonitor.IsTimely(); },
+             [this](const NodeId& aWatcher, const workers::RelayedChange& aChange) {
+               mMonitor.OnRelayed(aWatcher, aChange);
+             },
+             [this](const NodeId& aWatcher) { mMonitor.OnLapsed(aWatcher); } })
   , mRoutingMetrics(mRegistry)
   , mRouter(aLoop, mRequestClient, mStore, mTransport, mWorkerApi, mRandom, mRoutingMetrics,
             detail::MakeRouterOptions(mSettings, mMembership.Self().mIncarnation))
@@ -144,6 +152,7 @@
   , mStarted(std::chrono::steady_clock::now())
 {
   WireMembership();
+  WireWatching();
   WireConfig();
   WireJobs();
   RegisterApis();
@@ -167,11 +176,57 @@
   mMembership.OnChange([this] {
     mRouter.SetLiveNodes(
       static_cast<int>(std::max<std::size_t>(1, mMembership.LiveNodes().size())));
+    UpdateWatchNodes();
     CheckPlannerRole();
   });
   mRoleTimer = mLoop.Every(detail::kRoleCheckPeriod, [this] { CheckPlannerRole(); });
 }
 
+void
+Node::WireWatching()
+{
+  mMonitor.Share({ [this](const SocketAddress& aWorker) {
+                    return mWatchNodes.empty() ||
+                           membership::RendezvousOwner("worker/" + aWorker.ToString(),
+                                                       mWatchNodes) == mSettings.mNode;
+                  },
+                   [this](const SocketAddress& aWorker) { return mRelay.Find(aWorker); },
+                   [this](const workers::RelayedChange& aChange) { mRelay.Offer(aChange); } });
+  mMembership.AddPayload(
+    "watch", [this] { return mRelay.WritePayload(); },
+    [this](const membership::Member& aMember, const Json& aPayload, TimePoint aSent) {
+      if (aMember.mRegion == mSettings.mRegion && !mMonitor.PollsAll()) {
+        mRelay.ReadPayload(aMember.mNode, aMember.mIncarnation, aMember.mAddress, aPayload, aSent);
+      }
+    });
+}
+
+void
+Node::UpdateWatchNodes()
+{
+  // A node that others may have taken for dead watches for itself.
+  mWatchNodes =
+    mMembership.IsUnsure() ? std::vector<NodeId>() : mMembership.LiveNodes(mSettings.mRegion);
+  mMonitor.Reassign();
+}
+
+std::vector<SocketAddress>
+Node::RegionPeers()
+{
+  std::vector<SocketAddress> peers;
+  // The planner polls all workers itself. One that isn't in its own view misses the batches, and
+  // polls for that reason.
+  const auto planner = PlannerNode();
+  for (const auto& it : mMembership.Members()) {
+    if (it.mMember.mNode != mSettings.mNode && it.mMember.mNode != planner &&
+        it.mMember.mRegion == mSettings.mRegion &&
+        it.mState != membership::MemberState::Suspected) {
+      peers.push_back(it.mMember.mAddress);
+    }
+  }
+  return peers;
+}
+
 void
 Node::WireConfig()
 {
@@ -275,12 +330,17 @@
 Node::CheckPlannerRole()
 {
   const auto now = std::chrono::steady_clock::now();
-  const bool owner =
-    !mShuttingDown && mDocument && !mMembership.IsUnsure() && PlannerNode() == mSettings.mNode;
-  if (!owner) {
+  const bool owner = !mShuttingDown && !mMembership.IsUnsure() && PlannerNode() == mSettings.mNode;
+  // The planner reads leases and fences itself, so that it decides on nothing older than before.
+  mMonitor.SetPollAll(owner);
+  if (!owner || !mDocument) {
     GiveUpPlannerRole("not_owner");
     return;
   }
+  if (!mCoordinator.IsActive() && !mMonitor.AllPolled()) {
+    mPolledTimer = mLoop.After(detail::kPolledCheckDelay, [this] { CheckPlannerRole(); });
+    return;
+  }
   const bool ready = AllWorkersHeard() || now - mStarted > detail::kWorkerWait;
   if (ready && now >= mPlannerNotBefore) {
     mCoordinator.Activate();
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -19,6 +19,7 @@
 #include "routing/Router.h"
 #include "routing/RoutingMetrics.h"
 #include "workers/HttpWorkerApi.h"
+#include "workers/StateRelay.h"
 #include "workers/WorkerMonitor.h"
 
 #include <prometheus/registry.h>
@@ -54,11 +55,17 @@
   using Coordinator = jobs::JobCoordinator<kv::ConsulStore, workers::HttpWorkerApi>;
 
   void WireMembership();
+  void WireWatching();
   void WireConfig();
   void WireJobs();
   void RegisterApis();
   admin::AdminHooks MakeAdminHooks();
 
+  // Takes the members that share the watching of the workers.
+  void UpdateWatchNodes();
+  // The peer addresses of the other members of the region that were heard lately and
+  // don't plan.
+  std::vector<SocketAddress> RegionPeers();
   void OnVmList(const std::vector<membership::Vm>& aVms);
   void OnWorkerChange(const workers::WorkerChange& aChange);
   void OnConfig(const std::shared_ptr<const configstore::AcceptedConfig>& aConfig);
@@ -110,6 +117,9 @@
   workers::HttpWorkerApi mWorkerApi;
   Mailbox<workers::WorkerChange> mWorkerChanges;
   workers::WorkerMonitor<workers::HttpWorkerApi> mMonitor;
+  // The nodes that share the watching; empty if this node must rely on itself alone.
+  std::vector<NodeId> mWatchNodes;
+  workers::StateRelay<Transport> mRelay;
   routing::RoutingMetrics mRoutingMetrics;
   Router mRouter;
   JobStore mJobStore;
@@ -130,6 +140,7 @@
   TimePoint mPlannerNotBefore;
   bool mShuttingDown = false;
   Timer mRoleTimer;
+  Timer mPolledTimer;
   Timer mShutdownTimer;
 };
 
--- a/src/workers/WorkerMonitor.h
+++ b/src/workers/WorkerMonitor.h
@@ -4,6 +4,7 @@
 #include "base/LogEvent.h"
 #include "base/Mailbox.h"
 #include "base/Random.h"
+#include "workers/WatchSharing.h"
 #include "workers/WorkerApi.h"
 #include "workers/WorkerView.h"
 
@@ -34,10 +35,20 @@
   // Polls without news and without a version after which the whole state is read again. A worker
   // that restarted between two polls counts from a low sequence and would otherwise seem unchanged.
   int mQuietLimit = 5;
+  // Wait of the first poll after another node stopped watching. Shorter than mWait, because part of
+  // the time to notice a silent worker has passed then. A worker answers this poll at once.
+  Duration mResumeWait{ 600 };
+  // How long a node polls on after another became the owner of the worker, so that others need not
+  // rely on two nodes having the same members at the same time.
+  Duration mLinger{ 3000 };
+  // Polls are in time if none was begun longer ago than this. Above mWait and the time until a poll
+  // is abandoned.
+  Duration mOverdue{ 3000 };
 };
 
-// Long-polls workers and sends one message per change of their views. Belongs to its loop. The
-// callbacks of the API must not run after the API's own end.
+// Long-polls workers and sends one message per change of their views. With sharing, polls of a
+// worker rest while another node relays its state. Belongs to its loop. The callbacks of the API
+// must not run after the API's own end.
 template<WorkerApi Api>
 class WorkerMonitor
 {
@@ -54,6 +65,89 @@
   {
   }
 
+  // Shares the workers with other nodes from now on.
+  void Share(WatchSharing aSharing)
+  {
+    mSharing = std::move(aSharing);
+    Reassign();
+  }
+
+  // Takes and gives up workers after the owners have changed.
+  void Reassign()
+  {
+    for (const auto& [address, entry] : mEntries) {
+      if (const bool owned = Owns(address); owned != entry->mOwned) {
+        entry->mOwned = owned;
+        entry->mReleased = std::chrono::steady_clock::now();
+        Resume(entry);
+        Offer(*entry);
+      }
+    }
+  }
+
+  // Whether to poll all workers, owned or not, as the planner does.
+  void SetPollAll(bool aPollAll)
+  {
+    if (std::exchange(mPollAll, aPollAll) == aPollAll) {
+      return;
+    }
+    for (const auto& [address, entry] : mEntries) {
+      if (aPollAll) {
+        Resume(entry);
+      }
+    }
+  }
+
+  bool PollsAll() const { return mPollAll; }
+
+  // Whether the view of each worker is one of this node's own polls.
+  bool AllPolled() const
+  {
+    return std::all_of(mEntries.begin(), mEntries.end(), [](const auto& aItem) {
+      return aItem.second->mPolled || aItem.second->mView.mSuspected;
+    });
+  }
+
+  // Whether the polls of the owned workers run in time, so that others may rely on them.
+  bool IsTimely() const
+  {
+    const auto limit = std::chrono::steady_clock::now() - mSettings.mOverdue;
+    return std::all_of(mEntries.begin(), mEntries.end(), [limit](const auto& aItem) {
+      const auto& entry = *aItem.second;
+      return !entry.mOwned || entry.mView.mSuspected || entry.mAsked > limit;
+    });
+  }
+
+  // Takes a change that a watcher relayed.
+  void OnRelayed(const NodeId& aWatcher, const RelayedChange& aChange)
+  {
+    const auto it = mEntries.find(aChange.mAddress);
+    if (it == mEntries.end() || it->second->mWatcher != aWatcher) {
+      return;
+    }
+    const auto entry = it->second;
+    const auto before = entry->mView.Health();
+    if (aChange.mState) {
+      entry->mView.mHeard = std::chrono::steady_clock::now();
+      OnState(entry, before, WorkerState(*aChange.mState));
+      return;
+    }
+    // Suspected at once. The own poll may find that only the watcher can't reach the worker.
+    entry->mView.mSuspected = aChange.mSuspected;
+    ReportHealth(entry, before, "relayed");
+    Resume(entry);
+  }
+
+  // Polls again what a watcher relayed until now.
+  void OnLapsed(const NodeId& aWatcher)
+  {
+    for (const auto& [address, entry] : mEntries) {
+      if (entry->mWatcher == aWatcher) {
+        Resume(entry);
+      }
+    }
+  }
+
   // Takes the workers of the VM list. An unlisted worker is watched until its polls fail, because
   // the list lags and may be wrong.
   void SetWorkers(const std::vector<ListedWorker>& aWorkers)
@@ -105,6 +199,16 @@
     WorkerView mView;
     std::uint64_t mSince = 0;
     TimePoint mAsked;
+    // How long the worker may hold the poll that is open.
+    Duration mWait{ 0 };
+    // This node watches the worker for all.
+    bool mOwned = true;
+    // When mOwned changed last.
+    TimePoint mReleased;
+    // The view is one of an own poll since the polls began or resumed.
+    bool mPolled = false;
+    // The node that relays the state while the own polls rest; empty if they don't.
+    NodeId mWatcher;
     int mFailures = 0;
     int mQuiet = 0;
     bool mListed = true;
@@ -119,7 +223,8 @@
       entry = std::make_shared<Entry>();
       entry->mView.mAddress = aWorker.mAddress;
       entry->mView.mListedLeaving = aWorker.mLeaving;
-      Ask(entry);
+      entry->mOwned = Owns(aWorker.mAddress);
+      Ask(entry, mSettings.mWait);
       return;
     }
     entry->mListed = true;
@@ -131,16 +236,65 @@
   void Remove(EntryPtr aEntry)
   {
     mHeard -= aEntry->mView.mState ? 1 : 0;
+    aEntry->mOwned = false;
+    Offer(*aEntry);
     mEntries.erase(aEntry->mView.mAddress);
     LogEvent("worker_unwatched").With("address", aEntry->mView.mAddress.ToString());
     mListener.Send({ WorkerChange::Kind::Removed, aEntry->mView });
   }
 
-  void Ask(const EntryPtr& aEntry)
+  bool Owns(const SocketAddress& aAddress) const
+  {
+    return !mSharing.mOwns || mSharing.mOwns(aAddress);
+  }
+
+  void Offer(const Entry& aEntry) const
+  {
+    if (mSharing.mOffer) {
+      const bool suspected = aEntry.mView.mSuspected;
+      mSharing.mOffer(
+        { aEntry.mView.mAddress,
+          aEntry.mOwned && aEntry.mPolled && !suspected ? aEntry.mView.mState : nullptr,
+          suspected });
+    }
+  }
+
+  // Begins to rest if another node relays the worker's state.
+  bool Rest(const EntryPtr& aEntry)
+  {
+    const auto now = std::chrono::steady_clock::now();
+    if (mPollAll || aEntry->mOwned || !mSharing.mFind || !aEntry->mPolled ||
+        now - aEntry->mReleased < mSettings.mLinger) {
+      return false;
+    }
+    const auto relayed = mSharing.mFind(aEntry->mView.mAddress);
+    // Of two incarnations only the own poll knows which is the later one.
+    if (!relayed.mState || relayed.mState->mIncarnation != aEntry->mView.mState->mIncarnation) {
+      return false;
+    }
+    aEntry->mPolled = false;
+    aEntry->mWatcher = relayed.mWatcher;
+    OnRelayed(relayed.mWatcher, { aEntry->mView.mAddress, relayed.mState, false });
+    return true;
+  }
+
+  // Ends a rest. The whole state is read, in case that a relayed one was missed.
+  void Resume(const EntryPtr& aEntry)
+  {
+    if (aEntry->mWatcher.IsEmpty()) {
+      return;
+    }
+    aEntry->mWatcher = NodeId();
+    aEntry->mSince = 0;
+    Ask(aEntry, mSettings.mResumeWait);
+  }
+
+  void Ask(const EntryPtr& aEntry, Duration aWait)
   {
     aEntry->mAsked = std::chrono::steady_clock::now();
+    aEntry->mWait = aWait;
     mApi->Poll(
-      aEntry->mView.mAddress, aEntry->mSince, mSettings.mWait,
+      aEntry->mView.mAddress, aEntry->mSince, aWait,
       [this, weak = std::weak_ptr<Entry>(aEntry)](std::error_code aError, PollAnswer aAnswer) {
         // The monitor owns the entries, so a live entry means a live monitor.
         if (const auto entry = weak.lock()) {
@@ -153,7 +307,7 @@
   {
     aEntry->mNext = mLoop->After(aDelay, [this, weak = std::weak_ptr<Entry>(aEntry)] {
       if (const auto entry = weak.lock()) {
-        Ask(entry);
+        Ask(entry, mSettings.mWait);
       }
     });
   }
@@ -171,13 +325,16 @@
     if (!aAnswer.mState) {
       CheckVersion(*aEntry, aAnswer.mVersion);
       ReportHealth(aEntry, before, "answered");
+    } else {
+      aEntry->mQuiet = 0;
+      aEntry->mSince = aAnswer.mState->mSequence;
+      aEntry->mPolled = true;
+      OnState(aEntry, before, std::move(*aAnswer.mState));
+    }
+    Offer(*aEntry);
+    if (!Rest(aEntry)) {
       AskLater(aEntry, mSettings.mPause);
-      return;
     }
-    aEntry->mQuiet = 0;
-    aEntry->mSince = aAnswer.mState->mSequence;
-    OnState(aEntry, before, std::move(*aAnswer.mState));
-    AskLater(aEntry, mSettings.mPause);
   }
 
   // Makes the next poll read the whole state unless the unchanged state is surely the known one.
@@ -219,7 +376,7 @@
   {
     const auto before = aEntry->mView.Health();
     const bool wasSuspected = aEntry->mView.mSuspected;
-    const bool abandoned = std::chrono::steady_clock::now() - aEntry->mAsked > mSettings.mWait;
+    const bool abandoned = std::chrono::steady_clock::now() - aEntry->mAsked > aEntry->mWait;
     ++aEntry->mFailures;
     // The worker may have restarted, and then counts its changes anew.
     aEntry->mSince = 0;
@@ -237,6 +394,7 @@
         .With("abandoned", abandoned);
     }
     ReportHealth(aEntry, before, "poll_failed");
+    Offer(*aEntry);
     const int doublings = std::min(aEntry->mFailures - 1, 10);
     AskLater(aEntry, mRandom->Jitter(std::min(mSettings.mFirstRetry * (1 << doublings),
                                               mSettings.mLongestRetry)));
@@ -267,6 +425,8 @@
   Random* mRandom;
   Listener mListener;
   MonitorSettings mSettings;
+  WatchSharing mSharing;
+  bool mPollAll = false;
   std::map<SocketAddress, EntryPtr> mEntries;
   // Entries with a state.
   std::size_t mHeard = 0;
--- a/tests/integration/WorkerFaultTests.cpp
+++ b/tests/integration/WorkerFaultTests.cpp
@@ -139,6 +139,38 @@
   });
 }
 
+// Guards against workers that nobody watches because the node that watched them for the others is
+// frozen: the nodes that are left must notice that each worker of a zone is silent.
+Test(SilentWorkers, are_noticed_by_each_node_when_their_watchers_are_frozen_too)
+{
+  RunWithSystem({}, [](LocalSystem& aSystem) {
+    const SystemOptions defaults;
+    const int all = defaults.mZones * defaults.mWorkersPerZone;
+    AwaitTrue("a planner", [&] { return aSystem.PlannerSeenBy(0) >= 0; });
+    const int frozen = (aSystem.PlannerSeenBy(0) + 1) % aSystem.NodeCount();
+    const auto awaitLive = [&](int aLive, bool aAlsoFrozen) {
+      for (int i = 0; i < aSystem.NodeCount(); ++i) {
+        if (i != frozen || aAlsoFrozen) {
+          const auto line = "\nlovagerock_workers_live " + std::to_string(aLive) + "\n";
+          AwaitTrue("node " + std::to_string(i) + line, [&] {
+            const auto result = aSystem.Caller().Get(aSystem.AdminAddress(i), "/metrics");
+            return result.Is(200) && result.mResponse.mBody.find(line) != std::string::npos;
+          });
+        }
+      }
+    };
+    awaitLive(all, true);
+    for (int zone = 0; zone < defaults.mZones; ++zone) {
+      aSystem.NodeProcess(frozen).Signal(SIGSTOP);
+      aSystem.WorkerProcess(zone).Signal(SIGSTOP);
+      awaitLive(all - defaults.mWorkersPerZone, false);
+      aSystem.WorkerProcess(zone).Signal(SIGCONT);
+      aSystem.NodeProcess(frozen).Signal(SIGCONT);
+      awaitLive(all, true);
+    }
+  });
+}
+
 // Guards against work that is sent to a leaving worker, and against requests that its end cuts. The
 // requests are non-idempotent without keys, so each lost answer fails the test.
 Test(LeavingWorkers, get_no_new_requests_and_end_their_running_ones)
--- /dev/null
+++ b/tests/workers/WorkerFixture.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "standin/worker/WorkerServer.h"
+#include "workers/HttpWorkerApi.h"
+#include "workers/WorkerMonitor.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace lovagerock::workers {
+
+// A stand-in worker, a client and a monitor on one loop.
+struct Fixture
+{
+  EventLoop mLoop;
+  Random mRandom{ 7 };
+  standin::Counters mCounters;
+  standin::TraceFile mTrace;
+  std::unique_ptr<standin::WorkerServer> mWorker;
+  http::HttpClient mClient{ mLoop };
+  HttpWorkerApi mApi{ mClient };
+  SocketAddress mAddress{ "127.0.0.1", 0 };
+  Fence mFence{ 1, NodeId("n") };
+  std::vector<WorkerChange> mChanges;
+  std::function<bool()> mUntil;
+  Mailbox<WorkerChange> mMailbox{ mLoop, [this](WorkerChange aChange) {
+                                   mChanges.push_back(std::move(aChange));
+                                   if (mUntil && mUntil()) {
+                                     mLoop.Stop();
+                                   }
+                                 } };
+  WorkerMonitor<HttpWorkerApi> mMonitor{ mLoop, mApi, mRandom, mMailbox.GetAddress() };
+  Timer mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
+
+  Fixture() { StartWorker("first"); }
+
+  void StartWorker(const char* aIncarnation)
+  {
+    standin::WorkerSettings settings;
+    settings.mWorker = WorkerId("w");
+    settings.mIncarnation = aIncarnation;
+    settings.mCapacity.mAccelerators = Accelerators(8);
+    mWorker = std::make_unique<standin::WorkerServer>(mLoop, settings, mCounters, mTrace);
+    cr_assert_not(mWorker->Listen(mAddress));
+    mAddress = mWorker->Address();
+  }
+  void Wait(std::function<bool()> aUntil)
+  {
+    mUntil = std::move(aUntil);
+    mLoop.Run();
+  }
+  LeaseRequest Lease(const char* aId) const
+  {
+    LeaseRequest request;
+    request.mLease = LeaseId(aId);
+    request.mFence = mFence;
+    request.mTtl = Duration(5000);
+    request.mResources.mAccelerators = Accelerators(8);
+    request.mPayload = R"({"answer":"42"})";
+    return request;
+  }
+  std::error_code Reserve(const LeaseRequest& aRequest)
+  {
+    std::error_code result;
+    mApi.Reserve(mAddress, aRequest, [&](std::error_code aError, const LeaseState&) {
+      result = aError;
+      mLoop.Stop();
+    });
+    mLoop.Run();
+    return result;
+  }
+  bool HasHealth(WorkerHealth aHealth) const
+  {
+    return !mChanges.empty() && mChanges.back().mView.Health() == aHealth;
+  }
+  void Post(const char* aFaults)
+  {
+    http::ClientRequest request;
+    request.mServer = mAddress;
+    request.mMethod = http::Method::Post;
+    request.mTarget = "/v1/faults";
+    request.mBody = aFaults;
+    mClient.Send(request, [](std::error_code, const http::Response&) {});
+  }
+};
+
+// Notes what the monitor asks, and may replace the versions that quiet polls name.
+struct RecordingApi : HttpWorkerApi
+{
+  using HttpWorkerApi::HttpWorkerApi;
+
+  std::vector<std::uint64_t> mSince;
+  std::function<void(PollAnswer&)> mChange;
+
+  void
+  Poll(const SocketAddress& aWorker, std::uint64_t aSince, Duration aWait, PollCallback aCallback)
+  {
+    mSince.push_back(aSince);
+    HttpWorkerApi::Poll(
+      aWorker, aSince, aWait,
+      [this, callback = std::move(aCallback)](std::error_code aError, PollAnswer aAnswer) {
+        if (mChange && !aAnswer.mState) {
+          mChange(aAnswer);
+        }
+        callback(aError, std::move(aAnswer));
+      });
+  }
+  long WholeReads() const { return std::count(mSince.begin(), mSince.end(), 0U); }
+};
+
+} // namespace lovagerock::workers
