--- a/src/workers/WorkerMonitor.h
+++ b/src/workers/WorkerMonitor.h
@@ -129,7 +129,7 @@
     const auto before = entry->mView.Health();
     if (aChange.mState) {
       entry->mView.mHeard = std::chrono::steady_clock::now();
-      OnState(entry, before, WorkerState(*aChange.mState));
+      OnState(entry, before, aChange.mState);
       return;
     }
     // Suspected at once. The own poll may find that only the watcher can't reach the worker.
@@ -329,7 +329,7 @@
       aEntry->mQuiet = 0;
       aEntry->mSince = aAnswer.mState->mSequence;
       aEntry->mPolled = true;
-      OnState(aEntry, before, std::move(*aAnswer.mState));
+      OnState(aEntry, before, std::make_shared<const WorkerState>(std::move(*aAnswer.mState)));
     }
     Offer(*aEntry);
     if (!Rest(aEntry)) {
@@ -348,17 +348,18 @@
     }
   }
 
-  void OnState(const EntryPtr& aEntry, WorkerHealth aBefore, WorkerState aState)
+  void
+  OnState(const EntryPtr& aEntry, WorkerHealth aBefore, std::shared_ptr<const WorkerState> aState)
   {
     const auto& old = aEntry->mView.mState;
-    const bool restarted = !old || old->mIncarnation != aState.mIncarnation;
-    if (!restarted && old->mSequence >= aState.mSequence) {
+    const bool restarted = !old || old->mIncarnation != aState->mIncarnation;
+    if (!restarted && old->mSequence >= aState->mSequence) {
       // Read again after failures or quiet polls, and unchanged.
       ReportHealth(aEntry, aBefore, "answered");
       return;
     }
     mHeard += old ? 0 : 1;
-    aEntry->mView.mState = std::make_shared<const WorkerState>(std::move(aState));
+    aEntry->mView.mState = std::move(aState);
     if (restarted) {
       LogEvent("worker_started")
         .With("worker", aEntry->mView.mState->mWorker)
