--- a/tests/workers/WorkerTests.cpp
+++ b/tests/workers/WorkerTests.cpp
@@ -1,93 +1,76 @@
-#include "standin/worker/WorkerServer.h"
-#include "workers/HttpWorkerApi.h"
-#include "workers/WorkerMonitor.h"
+#include "workers/WorkerFixture.h"
 
 #include <criterion/criterion.h>
 
-#include <memory>
-
 using namespace lovagerock;
 using namespace lovagerock::workers;
 
 namespace {
 
-// A stand-in worker, a client and a monitor on one loop.
-struct Fixture
+// A monitor with short polls of the fixture's worker, which has a sequence above 0.
+struct QuietFixture : Fixture
 {
-  EventLoop mLoop;
-  Random mRandom{ 7 };
-  standin::Counters mCounters;
-  standin::TraceFile mTrace;
-  std::unique_ptr<standin::WorkerServer> mWorker;
-  http::HttpClient mClient{ mLoop };
-  HttpWorkerApi mApi{ mClient };
-  SocketAddress mAddress{ "127.0.0.1", 0 };
-  Fence mFence{ 1, NodeId("n") };
-  std::vector<WorkerChange> mChanges;
-  std::function<bool()> mUntil;
-  Mailbox<WorkerChange> mMailbox{ mLoop, [this](WorkerChange aChange) {
-                                   mChanges.push_back(std::move(aChange));
-                                   if (mUntil && mUntil()) {
-                                     mLoop.Stop();
-                                   }
-                                 } };
-  WorkerMonitor<HttpWorkerApi> mMonitor{ mLoop, mApi, mRandom, mMailbox.GetAddress() };
-  Timer mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
-
-  Fixture() { StartWorker("first"); }
-
-  void StartWorker(const char* aIncarnation)
-  {
-    standin::WorkerSettings settings;
-    settings.mWorker = WorkerId("w");
-    settings.mIncarnation = aIncarnation;
-    settings.mCapacity.mAccelerators = Accelerators(8);
-    mWorker = std::make_unique<standin::WorkerServer>(mLoop, settings, mCounters, mTrace);
-    cr_assert_not(mWorker->Listen(mAddress));
-    mAddress = mWorker->Address();
-  }
-  void Wait(std::function<bool()> aUntil)
+  RecordingApi mRecording{ mClient };
+  WorkerMonitor<RecordingApi> mQuietMonitor{ mLoop,
+                                             mRecording,
+                                             mRandom,
+                                             mMailbox.GetAddress(),
+                                             { .mWait = Duration(10), .mPause = Duration(1) } };
+
+  // Runs until the number of polls was sent.
+  void Poll(std::size_t aPolls)
   {
-    mUntil = std::move(aUntil);
-    mLoop.Run();
-  }
-  LeaseRequest Lease(const char* aId) const
-  {
-    LeaseRequest request;
-    request.mLease = LeaseId(aId);
-    request.mFence = mFence;
-    request.mTtl = Duration(5000);
-    request.mResources.mAccelerators = Accelerators(8);
-    request.mPayload = R"({"answer":"42"})";
-    return request;
-  }
-  std::error_code Reserve(const LeaseRequest& aRequest)
-  {
-    std::error_code result;
-    mApi.Reserve(mAddress, aRequest, [&](std::error_code aError, const LeaseState&) {
-      result = aError;
-      mLoop.Stop();
+    mQuietMonitor.SetWorkers({ { mAddress, false } });
+    const auto timer = mLoop.Every(Duration(1), [&] {
+      if (mRecording.mSince.size() >= aPolls) {
+        mLoop.Stop();
+      }
     });
     mLoop.Run();
-    return result;
-  }
-  bool HasHealth(WorkerHealth aHealth) const
-  {
-    return !mChanges.empty() && mChanges.back().mView.Health() == aHealth;
-  }
-  void Post(const char* aFaults)
-  {
-    http::ClientRequest request;
-    request.mServer = mAddress;
-    request.mMethod = http::Method::Post;
-    request.mTarget = "/v1/faults";
-    request.mBody = aFaults;
-    mClient.Send(request, [](std::error_code, const http::Response&) {});
   }
 };
 
 } // namespace
 
+// Guards against a version that another one is taken for, or that a broken tag makes up.
+Test(WorkerState, reads_only_whole_tags)
+{
+  const StateVersion version{ "a.b", 7 };
+  cr_assert(ReadStateTag(WriteStateTag(version)) == version);
+  for (const auto* it : { "", "\"", "\"a\"", "a.7", "\"a.\"", "\"a.7x\"", "\"a.-7\"" }) {
+    cr_assert_not(ReadStateTag(it), "%s", it);
+  }
+}
+
+// Guards against quiet polls that read the whole state again and again.
+Test(WorkerMonitor, reads_a_quiet_worker_once)
+{
+  QuietFixture f;
+  f.Poll(20);
+  cr_assert_eq(f.mRecording.WholeReads(), 1);
+}
+
+// Guards against a restarted worker that goes unnoticed because its polls are quiet.
+Test(WorkerMonitor, reads_the_state_again_if_a_quiet_poll_names_another)
+{
+  for (const auto& other : { StateVersion{ "second", 1 }, StateVersion{ "first", 0 } }) {
+    QuietFixture f;
+    f.mRecording.mChange = [&](PollAnswer& aAnswer) { aAnswer.mVersion = other; };
+    f.Poll(3);
+    const std::vector<std::uint64_t> expected{ 0, 1, 0 };
+    cr_assert(f.mRecording.mSince == expected);
+  }
+}
+
+// Guards against a restart that is never noticed at a worker that names no version.
+Test(WorkerMonitor, reads_the_state_again_after_quiet_polls_without_a_version)
+{
+  QuietFixture f;
+  f.mRecording.mChange = [](PollAnswer& aAnswer) { aAnswer.mVersion.reset(); };
+  f.Poll(20);
+  cr_assert_gt(f.mRecording.WholeReads(), 1);
+}
+
 Test(WorkerState, survives_the_wire)
 {
   WorkerState state;
