--- a/tests/integration/LocalSystem.cpp
+++ b/tests/integration/LocalSystem.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -84,6 +85,7 @@
   try {
     StartKv();
     StartWorkers();
+    AddNodes();
     StartProxies();
     StartNodes();
     ApplyConfiguration();
@@ -121,7 +123,6 @@
 LocalSystem::StartKv()
 {
   mKv = FreeAddress();
-  mKvForNodes = mKv;
   mOthers.push_back(Start("kv", "lovagerock-kv", { "--listen", mKv.ToString() }));
 }
 
@@ -154,8 +155,13 @@
     arguments.insert(arguments.end(), { "--map", listen.ToString() + "=" + aAddress.ToString() });
     aAddress = listen;
   };
-  if (mOptions.mProxyKv) {
-    add(mKvForNodes);
+  for (auto& node : mNodes) {
+    if (mOptions.mProxyKv) {
+      add(node.mKv);
+    }
+    if (mOptions.mProxyPeers) {
+      add(node.mAdvertise);
+    }
   }
   if (mOptions.mProxyWorkers) {
     for (auto& zone : mWorkers) {
@@ -175,8 +181,8 @@
 {
   Json list = Json::array();
   for (int i = 0; i < NodeCount(); ++i) {
-    list.push_back(detail::Target(NodeAt(i).mPeer, "entry", detail::ZoneName(i % mOptions.mZones),
-                                  detail::NodeName(i)));
+    list.push_back(detail::Target(NodeAt(i).mAdvertise, "entry",
+                                  detail::ZoneName(i % mOptions.mZones), detail::NodeName(i)));
   }
   for (int zone = 0; zone < mOptions.mZones; ++zone) {
     for (const auto& it : mWorkers.at(static_cast<std::size_t>(zone))) {
@@ -191,11 +197,17 @@
 }
 
 void
-LocalSystem::StartNodes()
+LocalSystem::AddNodes()
 {
   for (int i = 0; i < mOptions.mNodes; ++i) {
-    mNodes.push_back({ FreeAddress(), FreeAddress(), FreeAddress(), nullptr });
+    const auto peer = FreeAddress();
+    mNodes.push_back({ FreeAddress(), peer, FreeAddress(), peer, mKv, nullptr });
   }
+}
+
+void
+LocalSystem::StartNodes()
+{
   StartVmList();
   for (int i = 0; i < mOptions.mNodes; ++i) {
     StartNode(i);
@@ -210,11 +222,26 @@
   // A restart has the same seed, as under an operator who sets one.
   const int seed = 101 + aNode;
   node.mProcess = Start(name, "lovagerock-node",
-                        { "--node-id", name, "--region", detail::kRegion, "--zone",
-                          detail::ZoneName(aNode % mOptions.mZones), "--listen",
-                          node.mListen.ToString(), "--peer-listen", node.mPeer.ToString(),
-                          "--admin-listen", node.mAdmin.ToString(), "--kv", mKvForNodes.ToString(),
-                          "--vm-list", mVmList.ToString(), "--seed", std::to_string(seed) });
+                        { "--node-id",
+                          name,
+                          "--region",
+                          detail::kRegion,
+                          "--zone",
+                          detail::ZoneName(aNode % mOptions.mZones),
+                          "--listen",
+                          node.mListen.ToString(),
+                          "--peer-listen",
+                          node.mPeer.ToString(),
+                          "--peer-advertise",
+                          node.mAdvertise.ToString(),
+                          "--admin-listen",
+                          node.mAdmin.ToString(),
+                          "--kv",
+                          node.mKv.ToString(),
+                          "--vm-list",
+                          mVmList.ToString(),
+                          "--seed",
+                          std::to_string(seed) });
 }
 
 void
@@ -332,8 +359,63 @@
 void
 LocalSystem::SetKvFaults(const Json& aFaults)
 {
-  Require(mOptions.mProxyKv, "no fault proxy before the key-value service");
-  SetFaults(mKvForNodes, aFaults);
+  Require(mOptions.mProxyKv, "no fault proxies before the key-value service");
+  for (const auto& it : mNodes) {
+    SetFaults(it.mKv, aFaults);
+  }
+}
+
+void
+LocalSystem::SetPeerFaults(const Json& aFaults)
+{
+  Require(mOptions.mProxyPeers, "no fault proxies between the nodes");
+  for (const auto& it : mNodes) {
+    SetFaults(it.mAdvertise, aFaults);
+  }
+}
+
+void
+LocalSystem::SetFaultsAround(int aNode, const Json& aOwn, const Json& aOthers)
+{
+  Require(mOptions.mProxyKv && mOptions.mProxyPeers, "no fault proxies around the node");
+  SetFaults(NodeAt(aNode).mKv, aOwn);
+  for (int i = 0; i < NodeCount(); ++i) {
+    SetFaults(NodeAt(i).mAdvertise, i == aNode ? aOwn : aOthers);
+  }
+}
+
+int
+LocalSystem::OpenConnections(const SocketAddress& aMap)
+{
+  const auto stats = mCaller.Get(mControl, "/v1/stats").Body();
+  for (const auto& it : JsonValue(stats, "maps", Json::array())) {
+    if (it.at("map") == aMap.ToString()) {
+      return it.at("open").get<int>();
+    }
+  }
+  return -1;
+}
+
+// A node has one address for all others, so its proxy can't tell the callers apart. The other nodes
+// connect to each other again while this one is stopped; after that only these connections live.
+void
+LocalSystem::CutOffNode(int aNode)
+{
+  NodeProcess(aNode).Signal(SIGSTOP);
+  SetFaultsAround(aNode, { { "silence", "all" } }, { { "reset", true } });
+  for (int i = 0; i < NodeCount(); ++i) {
+    AwaitTrue("connections of the other nodes", [&] {
+      return i == aNode || OpenConnections(NodeAt(i).mAdvertise) == NodeCount() - 2;
+    });
+  }
+  SetFaultsAround(aNode, { { "silence", "all" } }, { { "refuse_new", true } });
+  NodeProcess(aNode).Signal(SIGCONT);
+}
+
+void
+LocalSystem::HealNode(int aNode)
+{
+  SetFaultsAround(aNode, { { "silence", "none" } }, { { "refuse_new", false } });
 }
 
 void
--- a/tests/integration/LocalSystem.h
+++ b/tests/integration/LocalSystem.h
@@ -21,8 +21,10 @@
   int mWorkersPerZone = 3;
   // Puts a fault proxy between the nodes and each worker.
   bool mProxyWorkers = false;
-  // Puts a fault proxy between the nodes and the key-value service.
+  // Puts a fault proxy between each node and the key-value service.
   bool mProxyKv = false;
+  // Puts a fault proxy between each node and the other nodes.
+  bool mProxyPeers = false;
   // The configuration's file; the one of Configuration() if empty.
   std::string mConfiguration;
 };
@@ -65,6 +67,12 @@
   // Changes the faults between the nodes and the workers, or the key-value service.
   void SetWorkerFaults(const Json& aFaults);
   void SetKvFaults(const Json& aFaults);
+  // Changes the faults on all connections between nodes.
+  void SetPeerFaults(const Json& aFaults);
+  // Cuts the node off from the other nodes and the key-value service, in both directions. Needs the
+  // proxies of both. Callers, operators and workers still reach it. At most one node at a time.
+  void CutOffNode(int aNode);
+  void HealNode(int aNode);
   // Changes the faults of the key-value service itself, and of one worker itself.
   void SetKvServiceFaults(const Json& aFaults);
   void SetWorkerServiceFaults(const std::string& aWorker, const Json& aFaults);
@@ -99,6 +107,9 @@
     SocketAddress mListen;
     SocketAddress mPeer;
     SocketAddress mAdmin;
+    // Where the other nodes reach it, and where it reaches the key-value service.
+    SocketAddress mAdvertise;
+    SocketAddress mKv;
     std::unique_ptr<Process> mProcess;
   };
 
@@ -107,19 +118,21 @@
                                  const std::vector<std::string>& aArguments);
   void StartKv();
   void StartWorkers();
+  void AddNodes();
   void StartProxies();
   void StartVmList();
   void StartNodes();
   void StartNode(int aNode);
   void ApplyConfiguration();
   void SetFaults(const SocketAddress& aMap, const Json& aFaults);
+  void SetFaultsAround(int aNode, const Json& aOwn, const Json& aOthers);
+  int OpenConnections(const SocketAddress& aMap);
   void SetServiceFaults(const SocketAddress& aService, const Json& aFaults);
   Json GetArray(int aNode, const std::string& aTarget, const std::string& aMember);
 
   SystemOptions mOptions;
   std::string mDirectory;
   SocketAddress mKv;
-  SocketAddress mKvForNodes;
   SocketAddress mVmList;
   SocketAddress mControl;
   std::vector<std::string> mTraceFiles;
