Prove that silent connections between nodes double and lose no keyed request

Ruled out: retries by RequestLoad alone. Its calls are lost only when the caller's own connection fails, so no retry would meet a silent peer.

Change: 36 keyed non-idempotent requests are each sent through two nodes at once. All connections between nodes go silent for good three times, each time after more requests have started. Each call must get the whole answer of its key (40 KB and more), and each key must start once.

--- a/tests/integration/NodeFaultTests.cpp
+++ b/tests/integration/NodeFaultTests.cpp
@@ -1,4 +1,5 @@
 #include "base/Hash.h"
+#include "integration/Gangs.h"
 #include "integration/LocalSystem.h"
 #include "integration/TestFailure.h"
 #include "integration/VersionWatch.h"
@@ -6,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <future>
 #include <thread>
 
 using namespace lovagerock;
@@ -72,8 +74,91 @@
   }
 }
 
+std::string
+AnswerOf(int aKey)
+{
+  // Longer than a frame between nodes, so that an answer can be cut.
+  constexpr std::size_t kBytes = 40000;
+  std::string answer = "answer " + std::to_string(aKey) + " ";
+  while (answer.size() < kBytes) {
+    answer += answer;
+  }
+  return answer;
+}
+
+// The calls of kKeys non-idempotent requests, each through two nodes.
+std::vector<http::ClientRequest>
+KeyedCalls(LocalSystem& aSystem, int aKeys, int aRunMs)
+{
+  std::vector<http::ClientRequest> calls;
+  for (int i = 0; i < 2 * aKeys; ++i) {
+    const int key = i / 2;
+    const int node = (key + i % 2) % aSystem.NodeCount();
+    auto headers = JobHeaders("key-" + std::to_string(key));
+    headers.Add("Idempotent", "false");
+    calls.push_back(HttpCaller::MakePost(
+      aSystem.NodeAddress(node), "/v1/services/echo/requests",
+      DumpJson({ { "run_ms", aRunMs }, { "answer", AnswerOf(key) } }), headers));
+  }
+  return calls;
+}
+
+// Makes the calls, and again those that were refused as not run.
+std::vector<CallResult>
+CallUntilRun(const std::vector<http::ClientRequest>& aCalls)
+{
+  HttpCaller caller;
+  auto results = caller.CallAll(aCalls);
+  AwaitTrue("no call refused as not run", [&] {
+    std::vector<std::size_t> refused;
+    std::vector<http::ClientRequest> again;
+    for (std::size_t i = 0; i < aCalls.size(); ++i) {
+      if (IsNotRun(results[i])) {
+        refused.push_back(i);
+        again.push_back(aCalls[i]);
+      }
+    }
+    const auto answers = again.empty() ? std::vector<CallResult>() : caller.CallAll(again);
+    for (std::size_t i = 0; i < refused.size(); ++i) {
+      results[refused[i]] = answers[i];
+    }
+    return refused.empty();
+  });
+  return results;
+}
+
 } // namespace
 
+// Guards against nodes that wait for ever on a silent connection to another node, against a second
+// run when the holder of a key can't be heard for a while, and against cut or foreign answers.
+Test(SilentPeers, run_no_keyed_request_twice_and_lose_no_answer)
+{
+  auto options = WithPeerProxies();
+  RunWithSystem(options, [](LocalSystem& aSystem) {
+    constexpr int kKeys = 36;
+    constexpr int kSilences = 3;
+    constexpr std::size_t kStartsBetween = 9;
+    const auto calls = KeyedCalls(aSystem, kKeys, 1000);
+    auto load = std::async(std::launch::async, [&] { return CallUntilRun(calls); });
+    for (int i = 1; i <= kSilences; ++i) {
+      AwaitTrue("requests started", [&] {
+        return aSystem.ReadTrace().RequestStarts().size() >=
+               kStartsBetween * static_cast<std::size_t>(i);
+      });
+      aSystem.SetPeerFaults({ { "silence", "existing" } });
+    }
+    const auto results = load.get();
+    for (std::size_t i = 0; i < results.size(); ++i) {
+      Require(results[i].Is(200) && results[i].mResponse.mBody == AnswerOf(static_cast<int>(i) / 2),
+              "call " + std::to_string(i) + ": " + results[i].Describe());
+    }
+    const auto trace = aSystem.ReadTrace();
+    trace.RequireNoRequestTwice();
+    // Each key runs under one request id, so more ids than keys would be a doubled key.
+    Require(trace.RequestStarts().size() == kKeys, "starts don't match the keys");
+  });
+}
+
 // Guards against a node that goes on under an old configuration when it hears neither the other
 // nodes nor the key-value service, and against one that comes back with it.
 Test(CutOffNode, runs_nothing_under_an_old_configuration)
