--- a/tests/integration/Gangs.cpp
+++ b/tests/integration/Gangs.cpp
@@ -26,8 +26,8 @@
   return headers;
 }
 
-CallResult
-TrySubmitGang(LocalSystem& aSystem, int aNode, const std::string& aKey, int aRunMs)
+http::ClientRequest
+GangRequest(LocalSystem& aSystem, int aNode, const std::string& aKey, int aRunMs)
 {
   Json payloads = Json::array();
   for (int i = 0; i < kTasks; ++i) {
@@ -38,8 +38,14 @@
     { "adjacency", "zone" },    { "idempotent", false },
     { "estimated_ms", aRunMs }, { "payloads", payloads }
   };
-  return aSystem.Caller().Post(aSystem.NodeAddress(aNode), "/v1/jobs", DumpJson(body),
-                               JobHeaders(aKey));
+  return HttpCaller::MakePost(aSystem.NodeAddress(aNode), "/v1/jobs", DumpJson(body),
+                              JobHeaders(aKey));
+}
+
+CallResult
+TrySubmitGang(LocalSystem& aSystem, int aNode, const std::string& aKey, int aRunMs)
+{
+  return aSystem.Caller().Call(GangRequest(aSystem, aNode, aKey, aRunMs));
 }
 
 std::string
--- a/tests/integration/Gangs.h
+++ b/tests/integration/Gangs.h
@@ -13,8 +13,11 @@
 http::Headers
 JobHeaders(const std::string& aKey = "", const std::string& aToken = kToken);
 
-// Submits a gang of kTasks non-idempotent tasks with one accelerator each. TrySubmitGang() gives
-// the answer; SubmitGang() gives the job's id and ends the test if the gang is refused.
+// Submits a gang of kTasks non-idempotent tasks with one accelerator each. GangRequest() makes the
+// call, TrySubmitGang() gives the answer; SubmitGang() gives the job's id and ends the test if the
+// gang is refused.
+http::ClientRequest
+GangRequest(LocalSystem& aSystem, int aNode, const std::string& aKey, int aRunMs);
 CallResult
 TrySubmitGang(LocalSystem& aSystem, int aNode, const std::string& aKey, int aRunMs);
 std::string
--- a/tests/integration/LocalSystem.cpp
+++ b/tests/integration/LocalSystem.cpp
@@ -456,27 +456,33 @@
   Require(false, "unknown worker " + aWorker);
 }
 
+int
+LocalSystem::CountLeases(const std::string& aJob, const std::string& aPhase, int aMinTtlMs)
+{
+  int n = 0;
+  for (const auto& zone : mDirectWorkers) {
+    for (const auto& worker : zone) {
+      const auto state = mCaller.Get(worker, "/v1/state").Body();
+      for (const auto& it : JsonValue(state, "leases", Json::array())) {
+        const auto job = JsonValue<std::string>(it, "job", "");
+        n += (aJob.empty() ? !job.empty() : job == aJob) &&
+                 JsonValue<std::string>(it, "phase", "") == aPhase &&
+                 JsonValue(it, "expires_in_ms", 0) > aMinTtlMs
+               ? 1
+               : 0;
+      }
+    }
+  }
+  return n;
+}
+
 void
 LocalSystem::AwaitConfirmedStart(const std::string& aJob, int aTasks)
 {
   // Above the 5 s of a start that isn't confirmed yet.
   constexpr int kLongTtlMs = 10000;
-  AwaitTrue("confirmed start of job " + aJob, [&] {
-    int n = 0;
-    for (const auto& zone : mDirectWorkers) {
-      for (const auto& worker : zone) {
-        const auto state = mCaller.Get(worker, "/v1/state").Body();
-        for (const auto& it : JsonValue(state, "leases", Json::array())) {
-          n += JsonValue<std::string>(it, "job", "") == aJob &&
-                   JsonValue<std::string>(it, "phase", "") == "running" &&
-                   JsonValue(it, "expires_in_ms", 0) > kLongTtlMs
-                 ? 1
-                 : 0;
-        }
-      }
-    }
-    return n == aTasks;
-  });
+  AwaitTrue("confirmed start of job " + aJob,
+            [&] { return CountLeases(aJob, "running", kLongTtlMs) == aTasks; });
 }
 
 Trace
--- a/tests/integration/LocalSystem.h
+++ b/tests/integration/LocalSystem.h
@@ -77,6 +77,7 @@
   void SetKvServiceFaults(const Json& aFaults);
   void SetWorkerServiceFaults(const std::string& aWorker, const Json& aFaults);
   const SocketAddress& KvAddress() const { return mKv; }
+  Process& KvProcess() { return *mOthers.front(); }
   // The process with all workers of a zone. Zones count from 0.
   Process& WorkerProcess(int aZone)
   {
@@ -84,6 +85,9 @@
   }
   // The ids of the workers of a zone.
   std::vector<std::string> WorkerIds(int aZone) const;
+  // Number of leases of tasks in the phase on all workers, of one job or of all if it is empty,
+  // with more than the given time to live.
+  int CountLeases(const std::string& aJob, const std::string& aPhase, int aMinTtlMs = -1);
   // Waits until the leases of all running tasks of a job have the long time to live that follows
   // the confirmed start.
   void AwaitConfirmedStart(const std::string& aJob, int aTasks);
--- a/tests/integration/Trace.cpp
+++ b/tests/integration/Trace.cpp
@@ -119,17 +119,46 @@
   }
 }
 
+std::set<int>
+Trace::DistinctTasks(const std::string& aName, const Attempt& aAttempt)
+{
+  std::set<int> tasks(aAttempt.mStarted.begin(), aAttempt.mStarted.end());
+  Require(tasks.size() == aAttempt.mStarted.size(), aName + " started a task twice");
+  return tasks;
+}
+
 void
 Trace::RequireWholeGangs() const
 {
   for (const auto& [key, attempt] : mAttempts) {
-    const std::set<int> tasks(attempt.mStarted.begin(), attempt.mStarted.end());
     const auto name = "job " + key.first + " attempt " + std::to_string(key.second);
-    Require(tasks.size() == attempt.mStarted.size(), name + " started a task twice");
-    Require(tasks.size() == static_cast<std::size_t>(attempt.mTasks),
-            name + " started " + std::to_string(tasks.size()) + " of " +
-              std::to_string(attempt.mTasks) + " tasks");
+    const auto tasks = DistinctTasks(name, attempt).size();
+    Require(tasks == static_cast<std::size_t>(attempt.mTasks),
+            name + " started " + std::to_string(tasks) + " of " + std::to_string(attempt.mTasks) +
+              " tasks");
+  }
+}
+
+void
+Trace::RequireNoPartBeyond(std::int64_t aMs) const
+{
+  for (const auto& [key, attempt] : mAttempts) {
+    const auto name = "job " + key.first + " attempt " + std::to_string(key.second);
+    const auto tasks = static_cast<int>(DistinctTasks(name, attempt).size());
+    const auto ran = attempt.mLastEndMs - attempt.mFirstStartMs;
+    Require(tasks == attempt.mTasks || (attempt.mEnded == tasks && ran <= aMs),
+            name + " ran " + std::to_string(tasks) + " of " + std::to_string(attempt.mTasks) +
+              " tasks alone");
   }
 }
 
+int
+Trace::AttemptsStarted(const std::string& aJob) const
+{
+  return static_cast<int>(
+    std::count_if(mAttempts.begin(), mAttempts.end(), [&aJob](const auto& aEntry) {
+      return aEntry.first.first == aJob && !aEntry.second.mStarted.empty();
+    }));
+}
+
 } // namespace lovagerock::integration
--- a/tests/integration/Trace.h
+++ b/tests/integration/Trace.h
@@ -38,6 +38,11 @@
   void RequireAttemptsInOrder(const std::string& aJob) const;
   // Ends the test if an attempt of any job started some of its tasks only, or a task twice.
   void RequireWholeGangs() const;
+  // Ends the test if tasks of an attempt that started some of its tasks only ran beyond the time
+  // after its first start, or if an attempt of any job started a task twice.
+  void RequireNoPartBeyond(std::int64_t aMs) const;
+  // Number of attempts of a job with a start.
+  int AttemptsStarted(const std::string& aJob) const;
 
 private:
   struct Attempt
@@ -51,6 +56,7 @@
   };
 
   void Add(const Json& aLine);
+  static std::set<int> DistinctTasks(const std::string& aName, const Attempt& aAttempt);
 
   std::map<std::string, int> mRequestStarts;
   std::map<std::pair<std::string, int>, Attempt> mAttempts;
