Prove that leaving workers get no commands for jobs

Ruled out: counting refusals with the reason "leaving" only. A command with an old fence is refused for another reason, and it is a command all the same.

Change: the stand-in worker writes the time at which it says that it leaves, and each refused reserve, start and request with its reason. The verifier of lovagerock-load skips the new lines.

--- a/src/load/TraceFields.h
+++ b/src/load/TraceFields.h
@@ -6,6 +6,8 @@
 
 inline constexpr const char* kTime = "time_ms";
 inline constexpr const char* kEvent = "event";
+inline constexpr const char* kLeaving = "leaving";
+inline constexpr const char* kRefused = "refused";
 inline constexpr const char* kStart = "start";
 inline constexpr const char* kEnd = "end";
 inline constexpr const char* kRequest = "request";
--- a/src/load/WorkerRuns.cpp
+++ b/src/load/WorkerRuns.cpp
@@ -26,6 +26,9 @@
 AddEvent(WorkerRuns& aRuns, const Json& aLine)
 {
   const auto event = JsonValue(aLine, field::kEvent, std::string());
+  if (event == field::kLeaving || event == field::kRefused) {
+    return true;
+  }
   const double time = JsonValue(aLine, field::kTime, -1.0);
   const bool named = !JsonValue(aLine, field::kJob, std::string()).empty() ||
                      !JsonValue(aLine, field::kRequest, std::string()).empty();
--- a/src/standin/worker/TraceFile.cpp
+++ b/src/standin/worker/TraceFile.cpp
@@ -10,7 +10,7 @@
 }
 
 void
-TraceFile::Write(const WorkerId& aWorker, bool aStarted, Json aLine)
+TraceFile::Write(const WorkerId& aWorker, const char* aEvent, Json aLine)
 {
   if (!mFile.is_open()) {
     return;
@@ -18,7 +18,7 @@
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   aLine["time_ms"] = std::chrono::duration_cast<Duration>(now).count();
   aLine["worker"] = aWorker.Value();
-  aLine["event"] = aStarted ? "start" : "end";
+  aLine["event"] = aEvent;
   // Flushed per line, so that a killed process leaves a whole trace.
   mFile << DumpJson(aLine) << std::endl;
 }
@@ -41,7 +41,7 @@
   if (!started) {
     line["outcome"] = workers::LeasePhaseName(lease.mPhase);
   }
-  Write(aWorker, started, std::move(line));
+  Write(aWorker, started ? "start" : "end", std::move(line));
 }
 
 void
@@ -53,7 +53,20 @@
   } else {
     line["outcome"] = aEvent.mOutcome;
   }
-  Write(aWorker, aEvent.mStarted, std::move(line));
+  Write(aWorker, aEvent.mStarted ? "start" : "end", std::move(line));
+}
+
+void
+TraceFile::RecordLeaving(const WorkerId& aWorker)
+{
+  Write(aWorker, "leaving", Json::object());
+}
+
+void
+TraceFile::RecordRefusal(const WorkerId& aWorker, const char* aCommand, const std::string& aId,
+                         const char* aReason)
+{
+  Write(aWorker, "refused", { { "command", aCommand }, { "id", aId }, { "reason", aReason } });
 }
 
 } // namespace lovagerock::standin
--- a/src/standin/worker/TraceFile.h
+++ b/src/standin/worker/TraceFile.h
@@ -8,8 +8,8 @@
 
 namespace lovagerock::standin {
 
-// An append-only file with one JSON line for each start and end of a task or request, for the
-// checks of tests. Without a path it writes nothing.
+// An append-only file with one JSON line for each start and end of a task or request and for each
+// refused command, for the checks of tests. Without a path it writes nothing.
 class TraceFile
 {
 public:
@@ -21,9 +21,14 @@
 
   void Record(const WorkerId& aWorker, const LeaseEvent& aEvent);
   void Record(const WorkerId& aWorker, const RequestEvent& aEvent);
+  // Notes that the worker says that it leaves.
+  void RecordLeaving(const WorkerId& aWorker);
+  // Notes a refused command ("reserve", "start" or "request") with the reason that was answered.
+  void RecordRefusal(const WorkerId& aWorker, const char* aCommand, const std::string& aId,
+                     const char* aReason);
 
 private:
-  void Write(const WorkerId& aWorker, bool aStarted, Json aLine);
+  void Write(const WorkerId& aWorker, const char* aEvent, Json aLine);
 
   std::ofstream mFile;
 };
--- a/src/standin/worker/WorkerServer.cpp
+++ b/src/standin/worker/WorkerServer.cpp
@@ -190,8 +190,10 @@
                });
   RouteCommand(Method::Post, "/v1/leases/{id}/start",
                [this](const auto& aId, const auto& aFence, const Json& aBody) {
-                 return mLeases.Start(aId, aFence, detail::ReadDuration(aBody, "ttl_ms"),
-                                      detail::Now());
+                 const auto ec =
+                   mLeases.Start(aId, aFence, detail::ReadDuration(aBody, "ttl_ms"), detail::Now());
+                 RecordRefusal("start", aId.Value(), ec);
+                 return ec;
                });
   RouteCommand(Method::Post, "/v1/leases/{id}/stop",
                [this](const auto& aId, const auto& aFence, const Json& aBody) {
@@ -252,6 +254,15 @@
                  });
 }
 
+void
+WorkerServer::RecordRefusal(const char* aCommand, const std::string& aId, std::error_code aError)
+{
+  if (aError) {
+    const char* conflict = detail::ConflictName(aError);
+    mTrace->RecordRefusal(mSettings.mWorker, aCommand, aId, conflict ? conflict : "not_found");
+  }
+}
+
 void
 WorkerServer::SendError(const http::Responder& aResponder, std::error_code aError)
 {
@@ -289,6 +300,7 @@
   }
   workers::LeaseState lease;
   if (const auto ec = mLeases.Put(*request, detail::Now(), lease)) {
+    RecordRefusal("reserve", request->mLease.Value(), ec);
     SendError(aResponder, ec);
     return;
   }
@@ -329,10 +341,14 @@
 {
   const Duration timeout(detail::ReadNumber(aRequest.mHeaders.Get("Request-Timeout-Ms"),
                                             detail::kDefaultRequestTimeout.count()));
-  mRequests.Begin(RequestId(aRequest.PathParameter("id")),
-                  LeaseId(std::string(aRequest.mHeaders.Get("Lease-Id"))),
+  const auto& id = aRequest.PathParameter("id");
+  mRequests.Begin(RequestId(id), LeaseId(std::string(aRequest.mHeaders.Get("Lease-Id"))),
                   ServiceId(aRequest.PathParameter("service")), aRequest.mBody, timeout,
-                  detail::Now(), [this, aResponder](const RequestResult& aResult) {
+                  detail::Now(), [this, aResponder, id](const RequestResult& aResult) {
+                    if (aResult.mNotRun.value_or(false)) {
+                      mTrace->RecordRefusal(mSettings.mWorker, "request", id,
+                                            mLeaving ? "leaving" : "not_run");
+                    }
                     mReplies.Send(aResponder, detail::ResultResponse(aResult));
                   });
 }
@@ -415,6 +431,9 @@
 void
 WorkerServer::SetLeaving()
 {
+  if (!mLeaving) {
+    mTrace->RecordLeaving(mSettings.mWorker);
+  }
   mLeaving = true;
   ++mOtherChanges;
   mLeases.SetLeaving();
--- a/src/standin/worker/WorkerServer.h
+++ b/src/standin/worker/WorkerServer.h
@@ -76,6 +76,7 @@
   void OnRenew(const http::Request& aRequest, const http::Responder& aResponder);
   void OnRequest(const http::Request& aRequest, const http::Responder& aResponder);
   void OnLeaseEvent(const LeaseEvent& aEvent);
+  void RecordRefusal(const char* aCommand, const std::string& aId, std::error_code aError);
   void SendError(const http::Responder& aResponder, std::error_code aError);
 
   std::uint64_t Sequence() const { return mLeases.Sequence() + mOtherChanges; }
--- a/tests/integration/Trace.cpp
+++ b/tests/integration/Trace.cpp
@@ -26,13 +26,24 @@
 {
   const bool started = aLine.at("event") == "start";
   const auto worker = aLine.at("worker").get<std::string>();
+  const auto time = aLine.at("time_ms").get<std::int64_t>();
+  if (aLine.at("event") == "leaving") {
+    mLeavingMs[worker] = time;
+    return;
+  }
+  const bool refused = aLine.at("event") == "refused";
+  if (refused || started) {
+    mCommandsMs[worker].push_back(time);
+  }
+  if (refused) {
+    return;
+  }
   if (aLine.contains("request")) {
     mRequestStarts[aLine.at("request").get<std::string>()] += started ? 1 : 0;
     mWorkerRequests[worker] += started ? 1 : 0;
     return;
   }
   const auto job = aLine.at("job").get<std::string>();
-  const auto time = aLine.at("time_ms").get<std::int64_t>();
   auto& attempt = mAttempts[{ job, aLine.at("attempt").get<int>() }];
   mRunning[worker] += started ? 1 : -1;
   mMostRunning[worker] = std::max(mMostRunning[worker], mRunning[worker]);
@@ -152,6 +163,20 @@
   }
 }
 
+int
+Trace::CommandsAfterLeaving(std::int64_t aMs) const
+{
+  std::ptrdiff_t n = 0;
+  for (const auto& [worker, left] : mLeavingMs) {
+    const auto it = mCommandsMs.find(worker);
+    if (it != mCommandsMs.end()) {
+      n += std::count_if(it->second.begin(), it->second.end(),
+                         [end = left + aMs](std::int64_t aTime) { return aTime > end; });
+    }
+  }
+  return static_cast<int>(n);
+}
+
 int
 Trace::AttemptsStarted(const std::string& aJob) const
 {
--- a/tests/integration/Trace.h
+++ b/tests/integration/Trace.h
@@ -41,6 +41,11 @@
   // Ends the test if tasks of an attempt that started some of its tasks only ran beyond the time
   // after its first start, or if an attempt of any job started a task twice.
   void RequireNoPartBeyond(std::int64_t aMs) const;
+  // Number of starts and of refused commands at workers that had said for longer than the time that
+  // they leave.
+  int CommandsAfterLeaving(std::int64_t aMs) const;
+  // Number of workers that said that they leave.
+  int LeavingWorkers() const { return static_cast<int>(mLeavingMs.size()); }
   // Number of attempts of a job with a start.
   int AttemptsStarted(const std::string& aJob) const;
 
@@ -58,6 +63,9 @@
   void Add(const Json& aLine);
   static std::set<int> DistinctTasks(const std::string& aName, const Attempt& aAttempt);
 
+  // By worker, when it said that it leaves, and when commands for new work came after that.
+  std::map<std::string, std::int64_t> mLeavingMs;
+  std::map<std::string, std::vector<std::int64_t>> mCommandsMs;
   std::map<std::string, int> mRequestStarts;
   std::map<std::pair<std::string, int>, Attempt> mAttempts;
   std::map<std::pair<std::string, std::string>, int> mEnds;
