--- a/tests/integration/RequestLoad.cpp
+++ b/tests/integration/RequestLoad.cpp
@@ -5,6 +5,13 @@
 
 namespace lovagerock::integration {
 
+void
+RequireAnswered(const LoadedRequest& aRequest)
+{
+  Require(aRequest.mResult.Is(200) && aRequest.mResult.mResponse.mBody == aRequest.mKey,
+          aRequest.mKey + ": " + aRequest.mResult.Describe());
+}
+
 RequestLoad::RequestLoad(LocalSystem& aSystem, const LoadOptions& aOptions, Progress aProgress)
   : mSystem(aSystem)
   , mOptions(aOptions)
--- a/tests/integration/RequestLoad.h
+++ b/tests/integration/RequestLoad.h
@@ -34,6 +34,10 @@
   bool mDone = false;
 };
 
+// Ends the test unless the request was answered with the whole answer of its own.
+void
+RequireAnswered(const LoadedRequest& aRequest);
+
 // Callers that spread requests over all nodes. A call that was refused as not run goes to the next
 // node. A node that refuses or asks for closed connections gets no further request, as behind a
 // balancer.
--- a/tests/integration/RequestTests.cpp
+++ b/tests/integration/RequestTests.cpp
@@ -14,14 +14,6 @@
 
 constexpr int kKillAfter = 100;
 
-// Ends the test unless each request was answered with its own answer.
-void
-RequireAnswered(const LoadedRequest& aRequest)
-{
-  Require(aRequest.mResult.Is(200) && aRequest.mResult.mResponse.mBody == aRequest.mKey,
-          aRequest.mKey + ": " + aRequest.mResult.Describe());
-}
-
 // Runs a load and kills node 0 once kKillAfter requests have ended.
 std::vector<LoadedRequest>
 RunWithKilledNode(LocalSystem& aSystem, const LoadOptions& aOptions)
--- a/tests/integration/WorkerFaultTests.cpp
+++ b/tests/integration/WorkerFaultTests.cpp
@@ -14,13 +14,6 @@
 
 constexpr int kFaultAfter = 100;
 
-void
-RequireAnswered(const LoadedRequest& aRequest)
-{
-  Require(aRequest.mResult.Is(200) && aRequest.mResult.mResponse.mBody == aRequest.mKey,
-          aRequest.mKey + ": " + aRequest.mResult.Describe());
-}
-
 // Runs a load during which all connections to the workers that are open go silent for good.
 std::vector<LoadedRequest>
 RunIntoSilence(LocalSystem& aSystem, bool aIdempotent)
