--- a/tests/integration/CheckerTests.cpp
+++ b/tests/integration/CheckerTests.cpp
@@ -47,7 +47,7 @@
     file << DumpJson(it) << "\n";
   }
   file.close();
-  const Trace trace({ path });
+  Trace trace({ path });
   std::filesystem::remove(path);
   return trace;
 }
--- a/tests/integration/GangStartTests.cpp
+++ b/tests/integration/GangStartTests.cpp
@@ -61,6 +61,7 @@
   // Wide enough to see reservations before the commit takes effect.
   aSystem.SetKvServiceFaults({ { "slow_ms", 200 } });
   std::vector<http::ClientRequest> calls;
+  calls.reserve(kGangs);
   for (int i = 0; i < kGangs; ++i) {
     calls.push_back(GangRequest(aSystem, i % aSystem.NodeCount(), aName + std::to_string(i), 1000));
   }
--- a/tests/integration/VersionWatch.cpp
+++ b/tests/integration/VersionWatch.cpp
@@ -32,6 +32,7 @@
 VersionWatch::VersionWatch(const LocalSystem& aSystem)
 {
   std::vector<SocketAddress> nodes;
+  nodes.reserve(static_cast<std::size_t>(aSystem.NodeCount()));
   for (int i = 0; i < aSystem.NodeCount(); ++i) {
     nodes.push_back(aSystem.AdminAddress(i));
   }
