--- a/tests/integration/LocalSystem.cpp
+++ b/tests/integration/LocalSystem.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -84,6 +85,7 @@
   try {
     StartKv();
     StartWorkers();
+    AddNodes();
     StartProxies();
     StartNodes();
     ApplyConfiguration();
@@ -123,7 +125,6 @@
 LocalSystem::StartKv()
 {
   mKv = FreeAddress();
-  mKvForNodes = mKv;
   mOthers.push_back(Start("kv", "lovagerock-kv", { "--listen", mKv.ToString() }));
 }
 
@@ -156,8 +157,13 @@
     arguments.insert(arguments.end(), { "--map", listen.ToString() + "=" + aAddress.ToString() });
     aAddress = listen;
   };
-  if (mOptions.mProxyKv) {
-    add(mKvForNodes);
+  for (auto& node : mNodes) {
+    if (mOptions.mProxyKv) {
+      add(node.mKv);
+    }
+    if (mOptions.mProxyPeers) {
+      add(node.mAdvertise);
+    }
   }
   if (mOptions.mProxyWorkers) {
     for (auto& zone : mWorkers) {
@@ -177,8 +183,8 @@
 {
   Json list = Json::array();
   for (int i = 0; i < NodeCount(); ++i) {
-    list.push_back(detail::Target(NodeAt(i).mPeer, "entry", detail::ZoneName(i % mOptions.mZones),
-                                  detail::NodeName(i)));
+    list.push_back(detail::Target(NodeAt(i).mAdvertise, "entry",
+                                  detail::ZoneName(i % mOptions.mZones), detail::NodeName(i)));
   }
   for (int zone = 0; zone < mOptions.mZones; ++zone) {
     for (const auto& it : mWorkers.at(static_cast<std::size_t>(zone))) {
@@ -193,11 +199,17 @@
 }
 
 void
-LocalSystem::StartNodes()
+LocalSystem::AddNodes()
 {
   for (int i = 0; i < mOptions.mNodes; ++i) {
-    mNodes.push_back({ FreeAddress(), FreeAddress(), FreeAddress(), nullptr });
+    const auto peer = FreeAddress();
+    mNodes.push_back({ FreeAddress(), peer, FreeAddress(), peer, mKv, nullptr });
   }
+}
+
+void
+LocalSystem::StartNodes()
+{
   StartVmList();
   for (int i = 0; i < mOptions.mNodes; ++i) {
     StartNode(i);
@@ -212,11 +224,26 @@
   // A restart has the same seed, as under an operator who sets one.
   const int seed = 101 + aNode;
   node.mProcess = Start(name, "lovagerock-node",
-                        { "--node-id", name, "--region", detail::kRegion, "--zone",
-                          detail::ZoneName(aNode % mOptions.mZones), "--listen",
-                          node.mListen.ToString(), "--peer-listen", node.mPeer.ToString(),
-                          "--admin-listen", node.mAdmin.ToString(), "--kv", mKvForNodes.ToString(),
-                          "--vm-list", mVmList.ToString(), "--seed", std::to_string(seed) });
+                        { "--node-id",
+                          name,
+                          "--region",
+                          detail::kRegion,
+                          "--zone",
+                          detail::ZoneName(aNode % mOptions.mZones),
+                          "--listen",
+                          node.mListen.ToString(),
+                          "--peer-listen",
+                          node.mPeer.ToString(),
+                          "--peer-advertise",
+                          node.mAdvertise.ToString(),
+                          "--admin-listen",
+                          node.mAdmin.ToString(),
+                          "--kv",
+                          node.mKv.ToString(),
+                          "--vm-list",
+                          mVmList.ToString(),
+                          "--seed",
+                          std::to_string(seed) });
 }
 
 void
@@ -334,8 +361,63 @@
 void
 LocalSystem::SetKvFaults(const Json& aFaults)
 {
-  Require(mOptions.mProxyKv, "no fault proxy before the key-value service");
-  SetFaults(mKvForNodes, aFaults);
+  Require(mOptions.mProxyKv, "no fault proxies before the key-value service");
+  for (const auto& it : mNodes) {
+    SetFaults(it.mKv, aFaults);
+  }
+}
+
+void
+LocalSystem::SetPeerFaults(const Json& aFaults)
+{
+  Require(mOptions.mProxyPeers, "no fault proxies between the nodes");
+  for (const auto& it : mNodes) {
+    SetFaults(it.mAdvertise, aFaults);
+  }
+}
+
+void
+LocalSystem::SetFaultsAround(int aNode, const Json& aOwn, const Json& aOthers)
+{
+  Require(mOptions.mProxyKv && mOptions.mProxyPeers, "no fault proxies around the node");
+  SetFaults(NodeAt(aNode).mKv, aOwn);
+  for (int i = 0; i < NodeCount(); ++i) {
+    SetFaults(NodeAt(i).mAdvertise, i == aNode ? aOwn : aOthers);
+  }
+}
+
+int
+LocalSystem::OpenConnections(const SocketAddress& aMap)
+{
+  const auto stats = mCaller.Get(mControl, "/v1/stats").Body();
+  for (const auto& it : JsonValue(stats, "maps", Json::array())) {
+    if (it.at("map") == aMap.ToString()) {
+      return it.at("open").get<int>();
+    }
+  }
+  return -1;
+}
+
+// A node has one address for all others, so its proxy can't tell the callers apart. The other nodes
+// connect to each other again while this one is stopped; after that only these connections live.
+void
+LocalSystem::CutOffNode(int aNode)
+{
+  NodeProcess(aNode).Signal(SIGSTOP);
+  SetFaultsAround(aNode, { { "silence", "all" } }, { { "reset", true } });
+  for (int i = 0; i < NodeCount(); ++i) {
+    AwaitTrue("connections of the other nodes", [&] {
+      return i == aNode || OpenConnections(NodeAt(i).mAdvertise) == NodeCount() - 2;
+    });
+  }
+  SetFaultsAround(aNode, { { "silence", "all" } }, { { "refuse_new", true } });
+  NodeProcess(aNode).Signal(SIGCONT);
+}
+
+void
+LocalSystem::HealNode(int aNode)
+{
+  SetFaultsAround(aNode, { { "silence", "none" } }, { { "refuse_new", false } });
 }
 
 void
@@ -376,27 +458,33 @@
   Require(false, "unknown worker " + aWorker);
 }
 
+int
+LocalSystem::CountLeases(const std::string& aJob, const std::string& aPhase, int aMinTtlMs)
+{
+  int n = 0;
+  for (const auto& zone : mDirectWorkers) {
+    for (const auto& worker : zone) {
+      const auto state = mCaller.Get(worker, "/v1/state").Body();
+      for (const auto& it : JsonValue(state, "leases", Json::array())) {
+        const auto job = JsonValue<std::string>(it, "job", "");
+        n += (aJob.empty() ? !job.empty() : job == aJob) &&
+                 JsonValue<std::string>(it, "phase", "") == aPhase &&
+                 JsonValue(it, "expires_in_ms", 0) > aMinTtlMs
+               ? 1
+               : 0;
+      }
+    }
+  }
+  return n;
+}
+
 void
 LocalSystem::AwaitConfirmedStart(const std::string& aJob, int aTasks)
 {
   // Above the 5 s of a start that isn't confirmed yet.
   constexpr int kLongTtlMs = 10000;
-  AwaitTrue("confirmed start of job " + aJob, [&] {
-    int n = 0;
-    for (const auto& zone : mDirectWorkers) {
-      for (const auto& worker : zone) {
-        const auto state = mCaller.Get(worker, "/v1/state").Body();
-        for (const auto& it : JsonValue(state, "leases", Json::array())) {
-          n += JsonValue<std::string>(it, "job", "") == aJob &&
-                   JsonValue<std::string>(it, "phase", "") == "running" &&
-                   JsonValue(it, "expires_in_ms", 0) > kLongTtlMs
-                 ? 1
-                 : 0;
-        }
-      }
-    }
-    return n == aTasks;
-  });
+  AwaitTrue("confirmed start of job " + aJob,
+            [&] { return CountLeases(aJob, "running", kLongTtlMs) == aTasks; });
 }
 
 Trace
--- a/tests/integration/Trace.cpp
+++ b/tests/integration/Trace.cpp
@@ -26,13 +26,24 @@
 {
   const bool started = aLine.at("event") == "start";
   const auto worker = aLine.at("worker").get<std::string>();
+  const auto time = aLine.at("time_ms").get<std::int64_t>();
+  if (aLine.at("event") == "leaving") {
+    mLeavingMs[worker] = time;
+    return;
+  }
+  const bool refused = aLine.at("event") == "refused";
+  if (refused || started) {
+    mCommandsMs[worker].push_back(time);
+  }
+  if (refused) {
+    return;
+  }
   if (aLine.contains("request")) {
     mRequestStarts[aLine.at("request").get<std::string>()] += started ? 1 : 0;
     mWorkerRequests[worker] += started ? 1 : 0;
     return;
   }
   const auto job = aLine.at("job").get<std::string>();
-  const auto time = aLine.at("time_ms").get<std::int64_t>();
   auto& attempt = mAttempts[{ job, aLine.at("attempt").get<int>() }];
   mRunning[worker] += started ? 1 : -1;
   mMostRunning[worker] = std::max(mMostRunning[worker], mRunning[worker]);
@@ -119,17 +130,60 @@
   }
 }
 
+std::set<int>
+Trace::DistinctTasks(const std::string& aName, const Attempt& aAttempt)
+{
+  std::set<int> tasks(aAttempt.mStarted.begin(), aAttempt.mStarted.end());
+  Require(tasks.size() == aAttempt.mStarted.size(), aName + " started a task twice");
+  return tasks;
+}
+
 void
 Trace::RequireWholeGangs() const
 {
   for (const auto& [key, attempt] : mAttempts) {
-    const std::set<int> tasks(attempt.mStarted.begin(), attempt.mStarted.end());
     const auto name = "job " + key.first + " attempt " + std::to_string(key.second);
-    Require(tasks.size() == attempt.mStarted.size(), name + " started a task twice");
-    Require(tasks.size() == static_cast<std::size_t>(attempt.mTasks),
-            name + " started " + std::to_string(tasks.size()) + " of " +
-              std::to_string(attempt.mTasks) + " tasks");
+    const auto tasks = DistinctTasks(name, attempt).size();
+    Require(tasks == static_cast<std::size_t>(attempt.mTasks),
+            name + " started " + std::to_string(tasks) + " of " + std::to_string(attempt.mTasks) +
+              " tasks");
   }
 }
 
+void
+Trace::RequireNoPartBeyond(std::int64_t aMs) const
+{
+  for (const auto& [key, attempt] : mAttempts) {
+    const auto name = "job " + key.first + " attempt " + std::to_string(key.second);
+    const auto tasks = static_cast<int>(DistinctTasks(name, attempt).size());
+    const auto ran = attempt.mLastEndMs - attempt.mFirstStartMs;
+    Require(tasks == attempt.mTasks || (attempt.mEnded == tasks && ran <= aMs),
+            name + " ran " + std::to_string(tasks) + " of " + std::to_string(attempt.mTasks) +
+              " tasks alone");
+  }
+}
+
+int
+Trace::CommandsAfterLeaving(std::int64_t aMs) const
+{
+  std::ptrdiff_t n = 0;
+  for (const auto& [worker, left] : mLeavingMs) {
+    const auto it = mCommandsMs.find(worker);
+    if (it != mCommandsMs.end()) {
+      n += std::count_if(it->second.begin(), it->second.end(),
+                         [end = left + aMs](std::int64_t aTime) { return aTime > end; });
+    }
+  }
+  return static_cast<int>(n);
+}
+
+int
+Trace::AttemptsStarted(const std::string& aJob) const
+{
+  return static_cast<int>(
+    std::count_if(mAttempts.begin(), mAttempts.end(), [&aJob](const auto& aEntry) {
+      return aEntry.first.first == aJob && !aEntry.second.mStarted.empty();
+    }));
+}
+
 } // namespace lovagerock::integration
