Replay placement traces with the planner and two baselines

Cause: the trace part of the benchmark compares mean completion on 16 workers with one plan a minute. It has no cancellations, faults, checkpoints or non-idempotent jobs, and its baseline has no guarantees.

Ruled out: an extension of placement_bench, whose trace format and one-minute steps two tests depend on.

Change: placement_replay reads a documented trace format and replays it event by event with ComputePlan, first-fit and best-fit, the baselines with and without the guarantees of the trace.

--- /dev/null
+++ b/tests/placement/ReplayTests.cpp
@@ -0,0 +1,120 @@
+#include "bench/BaselinePolicy.h"
+#include "bench/TraceGenerator.h"
+#include "bench/TraceRun.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace lovagerock;
+using namespace lovagerock::placement;
+using namespace lovagerock::placement::replay;
+
+namespace {
+
+ReplayTrace
+Shipped(const std::string& aKind)
+{
+  return ReadReplayTrace(std::string(REPLAY_TRACE_DIRECTORY) + "/" + aKind + ".txt");
+}
+
+// One worker; the owner's job arrives while a borrower holds the assigned worker.
+ReplayTrace
+BorrowedWorker(Duration aCheckpoint)
+{
+  auto trace = Shipped("zarqa-day");
+  trace.mWorkers.resize(1);
+  trace.mFaults.clear();
+  trace.mAccounts = {
+    { AccountId("owner"), 1, {}, { { "all", 1, 1, Accelerators(8), Adjacency::Worker, {} } } },
+    { AccountId("guest"), 1, {}, {} }
+  };
+  ReplayJob job = trace.mJobs.front();
+  job.mPending.mTasks = 1;
+  job.mPending.mAdjacency = Adjacency::Worker;
+  job.mPending.mResourcesPerTask = { Slots(1), Accelerators(8), Cores(1), MemoryMiB(100) };
+  job.mPending.mIdempotent = true;
+  job.mCancelledAt.reset();
+  job.mRun = std::chrono::seconds(100);
+  job.mCheckpoint = aCheckpoint;
+  const auto add = [&](const char* aName, int aAt) {
+    job.mPending.mJob = JobId(std::string(aName) + "-0");
+    job.mPending.mAccount = AccountId(aName);
+    job.mPending.mSubmitted = TimePoint(std::chrono::seconds(aAt));
+    trace.mJobs.push_back(job);
+  };
+  trace.mJobs.clear();
+  add("guest", 0);
+  add("owner", 50);
+  return trace;
+}
+
+} // namespace
+
+// Guards against a shipped trace that no longer is what its printed seed gives.
+Test(Replay, shipped_traces_are_those_of_their_seed)
+{
+  for (const auto& it : TraceKinds()) {
+    std::ostringstream text;
+    GenerateTrace(it, 1, text);
+    std::ifstream file(std::string(REPLAY_TRACE_DIRECTORY) + "/" + it + ".txt");
+    std::ostringstream shipped;
+    shipped << file.rdbuf();
+    cr_assert(text.str() == shipped.str(), "%s", it.c_str());
+  }
+}
+
+// Guards against plans that overfill a worker, split a gang or interrupt non-idempotent work, and
+// against jobs that can never run and are kept waiting.
+Test(Replay, plans_on_the_shipped_traces_keep_the_rules)
+{
+  for (const auto& kind : TraceKinds()) {
+    const auto trace = Shipped(kind);
+    const auto run = RunTrace(trace, ComputePlan, true);
+    cr_assert(run.mViolations.empty(), "%s", run.mViolations.front().c_str());
+    for (const auto& it : run.mJobs) {
+      const auto& name = it.mJob->mPending.mJob.Value();
+      cr_assert_eq(it.mIsRefused, name.starts_with("impossible"), "%s", name.c_str());
+      cr_assert(it.mEnded || it.mIsRefused || it.mIsLost, "%s starved", name.c_str());
+    }
+  }
+}
+
+// Guards against a replay that loses the saved progress of a reclaimed job or keeps unsaved one.
+Test(Replay, a_reclaimed_job_goes_on_from_its_checkpoint)
+{
+  const auto ended = [](Duration aCheckpoint) {
+    const auto trace = BorrowedWorker(aCheckpoint);
+    const auto run = RunTrace(trace, ComputePlan, true);
+    cr_assert_eq(run.mJobs[0].mReclaims, 1);
+    cr_assert_eq(run.mGuaranteeDelays.size(), 1);
+    cr_assert(run.mGuaranteeDelays.front() == kStopTime + kStartTime);
+    return std::chrono::duration_cast<Duration>(run.mJobs[0].mEnded->time_since_epoch());
+  };
+  const Duration ownerEnd = std::chrono::seconds(150) + kStopTime + kStartTime;
+  cr_assert(ended(Duration(0)) == ownerEnd + kStartTime + std::chrono::seconds(100));
+  // It ran for 50 s and the stop time, less its start.
+  cr_assert(ended(std::chrono::seconds(1)) ==
+            ownerEnd + kStartTime + std::chrono::seconds(50) - kStopTime + kStartTime);
+}
+
+// Guards against a trace with a typing error that is replayed without the line.
+Test(Replay, a_bad_line_is_named)
+{
+  std::string path = "/tmp/lovagerock-replay-XXXXXX";
+  const int file = mkstemp(path.data());
+  cr_assert(file >= 0);
+  std::ofstream(path) << "cluster 1 8 8 1 64 1000\naccount a 1\njob j 0 a 1 8 hall 1 1 once 0\n";
+  std::string error;
+  try {
+    ReadReplayTrace(path);
+  } catch (const std::exception& it) {
+    error = it.what();
+  }
+  std::remove(path.c_str());
+  cr_assert(error.ends_with(":3: unknown adjacency hall"), "%s", error.c_str());
+}
