Tell a missed guarantee from an account's own queue in the replay

The trace shows the account's own work in the way each time that was looked at: scans of the account run as borrowers on its own workers, and an earlier panel gang waits for them, which keeps later scans off the assigned capacity.

Change: the strict count stays as "late".

--- a/bench/TraceRun.h
+++ b/bench/TraceRun.h
@@ -31,8 +31,10 @@
 {
   std::vector<JobOutcome> mJobs;
   std::vector<UsageSample> mUsage;
-  // From the demand of guaranteed capacity to the start on it.
+  // From the demand of guaranteed capacity to the start, by job that demanded it.
   std::vector<Duration> mGuaranteeDelays;
+  // The same without the time in which the account's own work or its earlier job is in the way.
+  std::vector<Duration> mBlockedDelays;
   // Demands without an end: the job was still waiting when the replay stopped.
   int mOpenDemands = 0;
   // The time without capacity of all copies of guarantees.
