Keep single-worker copies out of zones that guarantees are bound to

The spare rack of the zone to which the battery guarantee is bound was taken by copies of one worker that may be in any zone and were in use, so a lost worker could not be replaced.

Ruled out: packing these copies into the fullest rack as well, which leaves more whole racks to gangs.

Change: among equally full workers, a copy of one worker prefers a zone that no guarantee names.

--- a/src/placement/GuaranteeAssigner.cpp
+++ b/src/placement/GuaranteeAssigner.cpp
@@ -126,6 +126,14 @@
 GuaranteeAssigner::Assign(const std::vector<AccountView>& aAccounts,
                           std::vector<AssignedCopy>& aAssignment)
 {
+  mNamedZones.clear();
+  for (const auto& account : aAccounts) {
+    for (const auto& it : account.mGuarantees) {
+      if (it.mZone) {
+        mNamedZones.insert(*it.mZone);
+      }
+    }
+  }
   auto wanted = detail::WantedCopies(aAccounts, aAssignment);
   auto packed = wanted;
   auto missing = Pack(packed);
@@ -248,14 +256,19 @@
 {
   const auto& guarantee = aCopy.mGuarantee;
   const auto all = static_cast<int>(detail::Size(guarantee));
+  // The fullest worker first. Among equals one in a zone that no guarantee names, which leaves room
+  // for a copy that is bound to its zone and loses a worker.
+  const auto rank = [&](int aWorker) {
+    return std::pair(mRemaining[aWorker][ResourceVector::kAccelerators],
+                     mNamedZones.contains(mWorkers[aWorker].mZone));
+  };
   int best = -1;
   for (int i = 0; i < static_cast<int>(mWorkers.size()); ++i) {
     if (!mUsable[i] || !Fits(i, all) ||
         (guarantee.mZone && *guarantee.mZone != mWorkers[i].mZone)) {
       continue;
     }
-    if (best < 0 || mRemaining[i][ResourceVector::kAccelerators] <
-                      mRemaining[best][ResourceVector::kAccelerators]) {
+    if (best < 0 || rank(i) < rank(best)) {
       best = i;
     }
   }
--- a/src/placement/GuaranteeAssigner.h
+++ b/src/placement/GuaranteeAssigner.h
@@ -7,6 +7,7 @@
 #include "placement/Topology.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -72,6 +73,8 @@
   std::vector<ResourceVector> mCapacity;
   // What neither a copy nor work that can't be interrupted holds.
   std::vector<ResourceVector> mRemaining;
+  // Zones to which a guarantee is bound.
+  std::set<ZoneId> mNamedZones;
   std::vector<ResourceVector> mPinned;
 };
 
--- a/tests/placement/PlannerTests.cpp
+++ b/tests/placement/PlannerTests.cpp
@@ -51,6 +51,29 @@
   cr_assert_eq(after[0].mWorkers[0], before[0].mWorkers[1], "the other workers stay");
 }
 
+// Guards against a copy bound to its zone that stays without capacity after a worker is lost,
+// because single-worker copies of other accounts took the zone's spare rack.
+Test(Guarantees, leave_room_in_a_named_zone_for_a_lost_worker)
+{
+  ClusterFake fake(32);
+  auto bound = RackOf(8);
+  bound.mZone = ZoneId("zone0");
+  fake.AddAccount("bound", { bound });
+  fake.AddAccount("free", { { "single", 4, 1, Accelerators(8), Adjacency::Worker, std::nullopt } });
+  for (int i = 0; i < 4; ++i) {
+    fake.Submit("free", 1, 8, Adjacency::Worker);
+  }
+  fake.Step();
+  const auto copy = [&] {
+    return std::ranges::find(fake.mState.mAssignment, AccountId("bound"), &AssignedCopy::mAccount);
+  };
+  std::ranges::find(fake.mSnapshot.mWorkers, copy()->mWorkers[0], &WorkerView::mWorker)->mHealth =
+    WorkerHealth::Leaving;
+  const auto plan = fake.Step();
+  cr_assert(plan.mUnassigned.empty());
+  cr_assert(copy() != fake.mState.mAssignment.end());
+}
+
 // Guards against a guaranteed batch that waits behind borrowers, and against stopping half a gang.
 Test(Reclaim, stops_the_cheapest_whole_borrowers_for_guaranteed_work)
 {
