Hold backfill only against reservations whose workers it uses

Small jobs waited beside idle capacity.

Change: a reservation limits backfill only on its own workers.

--- a/src/placement/PlanBuilder.cpp
+++ b/src/placement/PlanBuilder.cpp
@@ -350,7 +350,7 @@
     return;
   }
   found = mContext.mState.mReservations.empty() ? Placement() : FindBorrowed(aJob, true);
-  if (!found.empty() && MayBackfill(aJob)) {
+  if (!found.empty() && MayBackfill(aJob, found)) {
     Backfill(aJob, found);
   } else if (!found.empty()) {
     mContext.Wait(aJob, WaitReason::ReservedForLargerJob,
@@ -376,26 +376,31 @@
 }
 
 bool
-PlanBuilder::MayBackfill(const QueuedJob& aJob) const
+PlanBuilder::MayBackfill(const QueuedJob& aJob, const Placement& aPlacement) const
 {
   const auto& reservations = mContext.mState.mReservations;
   const auto latest = mContext.mSnapshot.mNow + aJob.mJob->mEstimate * detail::kDistrust;
   return !aJob.mNeed.mIsPinned && aJob.mJob->mEstimate.count() > 0 &&
          std::ranges::all_of(reservations, [&](const Reservation& aReservation) {
-           return latest <= aReservation.mExpectedStart;
+           return latest <= aReservation.mExpectedStart || !Touches(aReservation, aPlacement);
          });
 }
 
+bool
+PlanBuilder::Touches(const Reservation& aReservation, const Placement& aPlacement) const
+{
+  return std::ranges::any_of(aPlacement, [&](int aWorker) {
+    return std::ranges::find(aReservation.mWorkers, mContext.mSnapshot.mWorkers[aWorker].mWorker) !=
+           aReservation.mWorkers.end();
+  });
+}
+
 void
 PlanBuilder::Backfill(QueuedJob& aJob, const Placement& aPlacement)
 {
   mContext.Start(aJob, aPlacement, CapacityClass::Borrowed);
   for (auto& reservation : mContext.mState.mReservations) {
-    if (std::ranges::any_of(aPlacement, [&](int aWorker) {
-          return std::ranges::find(reservation.mWorkers,
-                                   mContext.mSnapshot.mWorkers[aWorker].mWorker) !=
-                 reservation.mWorkers.end();
-        })) {
+    if (Touches(reservation, aPlacement)) {
       reservation.mBackfill.insert(aJob.mJob->mJob);
     }
   }
--- a/src/placement/PlanBuilder.h
+++ b/src/placement/PlanBuilder.h
@@ -52,7 +52,9 @@
   // Starts the job or gives it a reason to wait.
   void Borrow(QueuedJob& aJob);
   Placement FindBorrowed(const QueuedJob& aJob, bool aMayUseHeld);
-  bool MayBackfill(const QueuedJob& aJob) const;
+  // Whether the job is expected to end well before each reservation of which it uses workers.
+  bool MayBackfill(const QueuedJob& aJob, const Placement& aPlacement) const;
+  bool Touches(const Reservation& aReservation, const Placement& aPlacement) const;
   void Backfill(QueuedJob& aJob, const Placement& aPlacement);
   bool ReclaimForUrgent(QueuedJob& aJob);
   void MakeReservation();
--- a/tests/placement/PlannerTests.cpp
+++ b/tests/placement/PlannerTests.cpp
@@ -187,6 +187,26 @@
   cr_assert(fake.Runs(large));
 }
 
+// Guards against capacity that stays idle until one reservation starts, because a job that would
+// end in time for it is held against another reservation whose workers it doesn't use.
+Test(Reservation, backfill_counts_against_the_workers_it_uses)
+{
+  ClusterFake fake(8, 4);
+  fake.AddAccount("a");
+  fake.Submit("a", 3, 8, Adjacency::Rack).mEstimate = std::chrono::hours(10);
+  fake.Step();
+  fake.Submit("a", 3, 8, Adjacency::Rack).mEstimate = std::chrono::minutes(10);
+  fake.Submit("a", 4, 8, Adjacency::Rack);
+  fake.Submit("a", 4, 8, Adjacency::Rack);
+  fake.Step();
+  cr_assert_eq(fake.mState.mReservations.size(), 2U);
+  auto& small = fake.Submit("a", 1, 8);
+  small.mEstimate = std::chrono::minutes(30);
+  const auto job = small.mJob;
+  fake.Step();
+  cr_assert(fake.Runs(job));
+}
+
 // Guards against a reservation that holds capacity for a job that can't complete.
 Test(Reservation, ends_when_its_capacity_can_not_be_freed)
 {
