--- a/tests/placement/PlannerTests.cpp
+++ b/tests/placement/PlannerTests.cpp
@@ -51,6 +51,29 @@
   cr_assert_eq(after[0].mWorkers[0], before[0].mWorkers[1], "the other workers stay");
 }
 
+// Guards against a copy bound to its zone that stays without capacity after a worker is lost,
+// because single-worker copies of other accounts took the zone's spare rack.
+Test(Guarantees, leave_room_in_a_named_zone_for_a_lost_worker)
+{
+  ClusterFake fake(32);
+  auto bound = RackOf(8);
+  bound.mZone = ZoneId("zone0");
+  fake.AddAccount("bound", { bound });
+  fake.AddAccount("free", { { "single", 4, 1, Accelerators(8), Adjacency::Worker, std::nullopt } });
+  for (int i = 0; i < 4; ++i) {
+    fake.Submit("free", 1, 8, Adjacency::Worker);
+  }
+  fake.Step();
+  const auto copy = [&] {
+    return std::ranges::find(fake.mState.mAssignment, AccountId("bound"), &AssignedCopy::mAccount);
+  };
+  std::ranges::find(fake.mSnapshot.mWorkers, copy()->mWorkers[0], &WorkerView::mWorker)->mHealth =
+    WorkerHealth::Leaving;
+  const auto plan = fake.Step();
+  cr_assert(plan.mUnassigned.empty());
+  cr_assert(copy() != fake.mState.mAssignment.end());
+}
+
 // Guards against a guaranteed batch that waits behind borrowers, and against stopping half a gang.
 Test(Reclaim, stops_the_cheapest_whole_borrowers_for_guaranteed_work)
 {
@@ -164,6 +187,26 @@
   cr_assert(fake.Runs(large));
 }
 
+// Guards against capacity that stays idle until one reservation starts, because a job that would
+// end in time for it is held against another reservation whose workers it doesn't use.
+Test(Reservation, backfill_counts_against_the_workers_it_uses)
+{
+  ClusterFake fake(8, 4);
+  fake.AddAccount("a");
+  fake.Submit("a", 3, 8, Adjacency::Rack).mEstimate = std::chrono::hours(10);
+  fake.Step();
+  fake.Submit("a", 3, 8, Adjacency::Rack).mEstimate = std::chrono::minutes(10);
+  fake.Submit("a", 4, 8, Adjacency::Rack);
+  fake.Submit("a", 4, 8, Adjacency::Rack);
+  fake.Step();
+  cr_assert_eq(fake.mState.mReservations.size(), 2U);
+  auto& small = fake.Submit("a", 1, 8);
+  small.mEstimate = std::chrono::minutes(30);
+  const auto job = small.mJob;
+  fake.Step();
+  cr_assert(fake.Runs(job));
+}
+
 // Guards against a reservation that holds capacity for a job that can't complete.
 Test(Reservation, ends_when_its_capacity_can_not_be_freed)
 {
