--- a/tests/integration/LeavingWorkerTests.cpp
+++ b/tests/integration/LeavingWorkerTests.cpp
@@ -3,7 +3,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <string>
@@ -15,22 +14,6 @@
 
 namespace {
 
-// The zone in which a task of the job runs, or -1.
-int
-ZoneOfJob(LocalSystem& aSystem, const std::string& aJob)
-{
-  for (const auto& it : aSystem.DescribePlacements(0)) {
-    for (int zone = 0; JsonValue<std::string>(it, "job", "") == aJob && zone < 3; ++zone) {
-      const auto ids = aSystem.WorkerIds(zone);
-      if (std::find(ids.begin(), ids.end(), JsonValue<std::string>(it, "worker", "")) !=
-          ids.end()) {
-        return zone;
-      }
-    }
-  }
-  return -1;
-}
-
 // A job that takes a whole worker, so that the load needs more workers than are left.
 Json
 WorkerJob()
@@ -54,7 +37,7 @@
     const auto gang = SubmitGang(aSystem, 0, "long", 8000);
     aSystem.AwaitConfirmedStart(gang, kTasks);
     int zone = -1;
-    AwaitTrue("placement", [&] { return (zone = ZoneOfJob(aSystem, gang)) >= 0; });
+    AwaitTrue("placement", [&] { return (zone = aSystem.ZoneOfJob(0, gang)) >= 0; });
     aSystem.WorkerProcess(zone).Signal(SIGTERM);
     std::vector<std::string> jobs;
     const auto end = std::chrono::steady_clock::now() + kLoad;
--- a/tests/integration/LocalSystem.cpp
+++ b/tests/integration/LocalSystem.cpp
@@ -347,12 +347,18 @@
 
 void
 LocalSystem::SetWorkerFaults(const Json& aFaults)
+{
+  for (int zone = 0; zone < mOptions.mZones; ++zone) {
+    SetZoneFaults(zone, aFaults);
+  }
+}
+
+void
+LocalSystem::SetZoneFaults(int aZone, const Json& aFaults)
 {
   Require(mOptions.mProxyWorkers, "no fault proxies before the workers");
-  for (const auto& zone : mWorkers) {
-    for (const auto& it : zone) {
-      SetFaults(it, aFaults);
-    }
+  for (const auto& it : mWorkers.at(static_cast<std::size_t>(aZone))) {
+    SetFaults(it, aFaults);
   }
 }
 
@@ -441,6 +447,22 @@
   return ids;
 }
 
+int
+LocalSystem::ZoneOfJob(int aNode, const std::string& aJob)
+{
+  for (const auto& it : DescribePlacements(aNode)) {
+    for (int zone = 0; JsonValue<std::string>(it, "job", "") == aJob && zone < mOptions.mZones;
+         ++zone) {
+      const auto ids = WorkerIds(zone);
+      if (std::find(ids.begin(), ids.end(), JsonValue<std::string>(it, "worker", "")) !=
+          ids.end()) {
+        return zone;
+      }
+    }
+  }
+  return -1;
+}
+
 void
 LocalSystem::SetWorkerServiceFaults(const std::string& aWorker, const Json& aFaults)
 {
--- a/tests/integration/LocalSystem.h
+++ b/tests/integration/LocalSystem.h
@@ -66,6 +66,7 @@
 
   // Changes the faults between the nodes and the workers, or the key-value service.
   void SetWorkerFaults(const Json& aFaults);
+  void SetZoneFaults(int aZone, const Json& aFaults);
   void SetKvFaults(const Json& aFaults);
   // Changes the faults on all connections between nodes.
   void SetPeerFaults(const Json& aFaults);
@@ -85,6 +86,8 @@
   }
   // The ids of the workers of a zone.
   std::vector<std::string> WorkerIds(int aZone) const;
+  // The zone in which a task of the job is placed, as the node sees it, or -1.
+  int ZoneOfJob(int aNode, const std::string& aJob);
   // Number of leases of tasks in the phase on all workers, of one job or of all if it is empty,
   // with more than the given time to live.
   int CountLeases(const std::string& aJob, const std::string& aPhase, int aMinTtlMs = -1);
