Check in the replay that uninterruptible work stays off assigned capacity

Cause: the replay checked that non-idempotent work is not stopped, but not that it starts where no guarantee of another account needs it.

Ruled out: leaving this to the invariant test on random clusters alone, which has no peak load.

Change: a start of such work beside the assigned copies of its worker is a violation if both exceed the worker's accelerators.

--- a/bench/TraceRun.cpp
+++ b/bench/TraceRun.cpp
@@ -457,6 +457,32 @@
     expect(used[it.mWorker].FitsInto(ResourceVector(it.mCapacity)),
            it.mWorker.Value() + " is overfull");
   }
+  // Accelerators of copies of guarantees and of work that can't be interrupted and is on neither.
+  std::map<WorkerId, std::int64_t> fixed;
+  for (const auto& copy : mState.mAssignment) {
+    for (const auto& it : copy.mWorkers) {
+      fixed[it] += copy.mGuarantee.mAcceleratorsPerWorker.Value();
+    }
+  }
+  for (const auto& worker : mSnapshot.mWorkers) {
+    for (const auto& it : worker.mLeases) {
+      if (!it.mIdempotent && it.mClass == CapacityClass::Borrowed) {
+        fixed[worker.mWorker] += it.mResources.mAccelerators.Value();
+      }
+    }
+  }
+  for (const auto& start : aPlan.mStarts) {
+    const auto& job = mTrace.mJobs[mIndex.at(start.mJob)].mPending;
+    if (job.mIdempotent || start.mClass == CapacityClass::Guaranteed) {
+      continue;
+    }
+    for (const auto& it : start.mWorkers) {
+      fixed[it] += job.mResourcesPerTask.mAccelerators.Value();
+      const auto worker = std::ranges::find(mSnapshot.mWorkers, it, &WorkerView::mWorker);
+      expect(fixed[it] <= worker->mCapacity.mAccelerators.Value(),
+             start.mJob.Value() + " can't be interrupted and is on assigned capacity");
+    }
+  }
   for (const auto& it : aPlan.mReclaims) {
     const auto i = mIndex.at(it.mJob);
     expect(mTrace.mJobs[i].mPending.mIdempotent, it.mJob.Value() + " can't be interrupted");
