Record the release of a claim before telling the caller to retry

Cause: one of four runs of the integration tests under the sanitizers, beside other load, ended a keyed request with 409 "outcome_unknown" though no call of it was lost. The node had answered 503 "not run, retry" and was killed 1 ms later, before the batched write that releases the claim. The retry on another node found the claim of a node that was gone. Ruled out: a lost or doubled run; the trace of the workers shows none. Allowing 409 in the test: the caller had been told that it may retry. Change: the refusal of a request that holds a claim is sent when the first write of the release has ended, or after 500 ms. Conclusion: a caller that is told to retry finds its key free, unless the key-value service fails at the same time as the node.

--- a/src/routing/ClaimStore.h
+++ b/src/routing/ClaimStore.h
@@ -72,11 +72,12 @@
   }
 
   // Records a claim that this node holds at version aExpected as released or done, and repeats it
-  // until it is recorded.
-  void Settle(const std::string& aKey, Claim aClaim, kv::ModifyIndex aExpected)
+  // until it is recorded. aTried is called once, when the first write has ended in any way.
+  void Settle(const std::string& aKey, Claim aClaim, kv::ModifyIndex aExpected,
+              std::function<void()> aTried = nullptr)
   {
     const auto token = aClaim.mToken;
-    mUnsettled[token] = { aKey, std::move(aClaim), aExpected, 0 };
+    mUnsettled[token] = { aKey, std::move(aClaim), aExpected, 0, std::move(aTried) };
     WriteSettlement(token);
   }
 
@@ -104,6 +105,7 @@
     // 0 if the claim's version is unknown, and whether it exists.
     kv::ModifyIndex mExpected = 0;
     int mAbsentReads = 0;
+    std::function<void()> mTried;
   };
 
   static constexpr int kMaxTries = 3;
@@ -172,7 +174,7 @@
       auto released = aCall->mClaim;
       released.mState = ClaimState::Released;
       const auto token = released.mToken;
-      mUnsettled[token] = { aCall->mKey, std::move(released), 0, 0 };
+      mUnsettled[token] = { aCall->mKey, std::move(released), 0, 0, nullptr };
       ScheduleSettlements();
     }
     aCall->mCallback({});
@@ -202,14 +204,18 @@
     if (it == mUnsettled.end()) {
       return;
     }
+    const auto tried = std::exchange(it->second.mTried, nullptr);
     if (aOutcome == WriteOutcome::Applied) {
       mUnsettled.erase(it);
-      return;
+    } else {
+      if (aOutcome != WriteOutcome::Unavailable) {
+        it->second.mExpected = 0;
+      }
+      ScheduleSettlements();
     }
-    if (aOutcome != WriteOutcome::Unavailable) {
-      it->second.mExpected = 0;
+    if (tried) {
+      tried();
     }
-    ScheduleSettlements();
   }
 
   // Reads the key to learn the claim's version, or that it is settled already.
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -160,6 +160,9 @@
   void LookUp(const std::string& aKey, const std::string& aToken,
               const typename ClaimResolver<Transport>::ReplyCallback& aReply);
   void SettleClaim(const RequestTask& aTask, const FinalAnswer& aFinal, bool aWhole);
+  // Refuses a request that was not run once the release of its claim is recorded. If this node
+  // died between the refusal and the release, the caller's retry would get "outcome_unknown".
+  void SendAfterRelease(const TaskPtr& aTask, const FinalAnswer& aFinal);
   Claim NewClaim(const RequestTask& aTask);
 
   // First, because the initializers of other members use it.
--- a/src/routing/RouterClaims.h
+++ b/src/routing/RouterClaims.h
@@ -234,21 +234,52 @@
     return;
   }
   auto claim = *aTask.mClaim;
-  if (aFinal.mNotRun) {
-    claim.mState = ClaimState::Released;
-  } else {
-    const auto& body = aFinal.mResponse.mBody;
-    claim.mState = ClaimState::Done;
-    claim.mStatus = aFinal.mResponse.mStatus;
-    if (aWhole) {
-      claim.mDigest = Sha256Hex(body);
-      mKept.Add(aTask.mClaimKey, { claim.mToken, claim.mFingerprint, aFinal });
-    }
-    if (aWhole && body.size() <= kMaxRecordedAnswer) {
-      claim.mAnswer = aFinal;
-    }
+  const auto& body = aFinal.mResponse.mBody;
+  claim.mState = ClaimState::Done;
+  claim.mStatus = aFinal.mResponse.mStatus;
+  if (aWhole) {
+    claim.mDigest = Sha256Hex(body);
+    mKept.Add(aTask.mClaimKey, { claim.mToken, claim.mFingerprint, aFinal });
+  }
+  if (aWhole && body.size() <= kMaxRecordedAnswer) {
+    claim.mAnswer = aFinal;
   }
   mClaims.Settle(aTask.mClaimKey, std::move(claim), aTask.mClaimIndex);
 }
 
+template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
+void
+Router<S, T, W>::SendAfterRelease(const TaskPtr& aTask, const FinalAnswer& aFinal)
+{
+  // An outage of the key-value service delays the refusal by this much only. While this node lives,
+  // it tells other nodes that the release is on its way.
+  constexpr Duration kReleaseWait{ 500 };
+  struct Refused
+  {
+    TaskPtr mTask;
+    FinalAnswer mFinal;
+    Timer mLimit;
+
+    void Send()
+    {
+      if (const auto task = std::exchange(mTask, nullptr)) {
+        mLimit.Cancel();
+        task->SendFinal(mFinal);
+      }
+    }
+  };
+  auto claim = *aTask->mClaim;
+  claim.mState = ClaimState::Released;
+  const auto refused = std::make_shared<Refused>();
+  refused->mTask = aTask;
+  refused->mFinal = aFinal;
+  refused->mLimit = mLoop.After(kReleaseWait, [weak = std::weak_ptr<Refused>(refused)] {
+    if (const auto locked = weak.lock()) {
+      locked->Send();
+    }
+  });
+  mClaims.Settle(aTask->mClaimKey, std::move(claim), aTask->mClaimIndex,
+                 [refused] { refused->Send(); });
+}
+
 } // namespace lovagerock::routing
--- a/src/routing/RouterRequests.h
+++ b/src/routing/RouterRequests.h
@@ -414,10 +414,14 @@
     .With("status", std::to_string(aFinal.mResponse.mStatus))
     .With("attempts", std::to_string(task->mAttempt))
     .With("ms", std::to_string(std::chrono::duration_cast<Duration>(time).count()));
-  task->SendFinal(aFinal);
   ReleaseReplica(*task);
   const bool whole = aFinal.mOutcome != "answered" || task->IsAnswerKept();
-  SettleClaim(*task, aFinal, whole);
+  if (task->mClaimHeld && aFinal.mNotRun) {
+    SendAfterRelease(task, aFinal);
+  } else {
+    task->SendFinal(aFinal);
+    SettleClaim(*task, aFinal, whole);
+  }
   if (!whole) {
     aFinal = { "answer_not_kept",
                RefusalResponse({ 409, "answer_not_kept",
--- a/tests/routing/ClaimTests.cpp
+++ b/tests/routing/ClaimTests.cpp
@@ -136,6 +136,33 @@
   cr_assert_eq(f.Worker().mRequests.size(), 1);
 }
 
+// Guards against a caller that is told to retry while its key is still claimed: if the node died
+// then, the retry would end as "outcome_unknown".
+Test(Claim, is_released_before_the_caller_is_told_to_retry)
+{
+  Fixture f;
+  f.Worker().mOnRequest = [](const http::Request&, const http::Responder& aResponder) {
+    aResponder.Send({ 503, { { "Not-Run", "true" } }, "" });
+  };
+  auto headers = kKeyed;
+  headers.Add("Deadline-Ms", "100");
+  cr_assert_eq(f.Call(headers).Ran(), std::string("no"));
+  cr_assert_eq(StoredClaim(f)->mState, ClaimState::Released);
+}
+
+// Guards against a refusal that waits as long as the key-value service is down.
+Test(Claim, is_refused_while_its_release_cannot_be_recorded)
+{
+  Fixture f;
+  f.Worker().mOnRequest = [&f](const http::Request&, const http::Responder& aResponder) {
+    f.mStore.SetAvailable(false);
+    aResponder.Send({ 503, { { "Not-Run", "true" } }, "" });
+  };
+  auto headers = kKeyed;
+  headers.Add("Deadline-Ms", "100");
+  cr_assert_eq(f.Call(headers).Ran(), std::string("no"));
+}
+
 // Guards against a key that is blocked for ever by a request that was not run.
 Test(Claim, releases_the_claim_of_a_request_that_was_not_run)
 {
