Let no gang pass one that waits for the limit of starts in progress

Cause: the limit of 512 tasks in starts in progress held a large gang back while smaller ones of the same and later plans fitted under it, so a burst of small gangs could hold it up without end. It also delayed guaranteed gangs, whose capacity must be available within 3.4 s. Ruled out: a higher limit; it only needs a longer burst. Change: after the first gang of a plan that must wait, later ones wait too; urgent and guaranteed gangs don't wait. Measured: JobCoordinator/starts_no_gang_before_one_that_waits_for_the_limit fails without the rule and passes with it; 33 of 33 tests of jobs pass. Conclusion: the large gang starts when the starts in progress have ended.

--- a/src/jobs/CoordinatorGangs.h
+++ b/src/jobs/CoordinatorGangs.h
@@ -27,7 +27,7 @@
 JobCoordinator<S, A>::StartGang(const placement::GangStart& aStart)
 {
   auto* job = Find(aStart.mJob);
-  if (!job || job->mPhase != JobPhase::Queued || MustWait(*job, aStart.mWorkers.size())) {
+  if (!job || job->mPhase != JobPhase::Queued) {
     return;
   }
   auto record = job->mRecord;
@@ -56,16 +56,19 @@
 
 template<kv::KeyValueStore S, workers::WorkerApi A>
 bool
-JobCoordinator<S, A>::MustWait(const ManagedJob& aJob, std::size_t aTasks) const
+JobCoordinator<S, A>::MustWait(const placement::GangStart& aStart, bool aOtherWaits) const
 {
-  if (aJob.mRecord.mSpec.mUrgent) {
+  const auto it = mJobs.find(aStart.mJob);
+  const bool urgent = it != mJobs.end() && it->second.mRecord.mSpec.mUrgent;
+  if (urgent || aStart.mClass == placement::CapacityClass::Guaranteed) {
     return false;
   }
   std::size_t starting = 0;
   for (const auto& [id, job] : mJobs) {
     starting += job.mPhase == JobPhase::Starting ? job.mRecord.mPlacements.size() : 0;
   }
-  return starting > 0 && starting + aTasks > mTimes.mMaxStartingTasks;
+  return aOtherWaits ||
+         (starting > 0 && starting + aStart.mWorkers.size() > mTimes.mMaxStartingTasks);
 }
 
 template<kv::KeyValueStore S, workers::WorkerApi A>
--- a/src/jobs/CoordinatorPlans.h
+++ b/src/jobs/CoordinatorPlans.h
@@ -85,8 +85,14 @@
   for (const auto& it : aPlan.mReleases) {
     ReleaseService(it.mLease, ReleaseDeadline());
   }
+  bool held = false;
   for (const auto& it : aPlan.mStarts) {
-    StartGang(it);
+    // None passes a gang that waits, or a burst of small gangs would hold up a large one.
+    if (MustWait(it, held)) {
+      held = true;
+    } else {
+      StartGang(it);
+    }
   }
   for (const auto& it : aPlan.mGrants) {
     GrantService(it);
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -39,8 +39,9 @@
   // All records are read again this often, in case a notification was lost.
   Duration mRelistPeriod{ 60000 };
   Duration mStoreRetry{ 1000 };
-  // Gangs that aren't urgent start only while the starts in progress have at most this many tasks
-  // together, because each call that is open costs about 4 KiB. One gang may always start.
+  // Gangs that are neither urgent nor guaranteed start only while the starts in progress have at
+  // most this many tasks together, because each call that is open costs about 4 KiB. One gang may
+  // always start.
   std::size_t mMaxStartingTasks = 512;
   // A job isn't planned again for this time after a start that was not possible.
   Duration mStartRetry{ 200 };
@@ -139,8 +140,9 @@
   // Gangs (CoordinatorGangs.h).
   GangLimits Limits() const;
   void StartGang(const placement::GangStart& aStart);
-  // Whether the start would exceed the limit of starts in progress; a later plan contains it again.
-  bool MustWait(const ManagedJob& aJob, std::size_t aTasks) const;
+  // Whether the start would exceed the limit of starts in progress, or follows one that waits for
+  // it. A later plan contains it again. Urgent and guaranteed work doesn't wait.
+  bool MustWait(const placement::GangStart& aStart, bool aOtherWaits) const;
   void LogStart(const placement::GangStart& aStart, const ManagedJob& aJob) const;
   void OnGangStart(GangOutcome aOutcome, Record aRecord, const std::vector<WorkerId>& aRefused);
   // Looks at the leases that may have taken the capacity of a refused reservation. They belong to
--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -222,6 +222,34 @@
   cr_assert_gt(second.mCoordinator.GetFence(), first.mCoordinator.GetFence());
 }
 
+// Guards against a large gang that small ones pass for as long as they come.
+Test(JobCoordinator, starts_no_gang_before_one_that_waits_for_the_limit)
+{
+  Cluster cluster(2);
+  CoordinatorTimes times;
+  times.mMaxStartingTasks = 4;
+  Planner planner(cluster, "n1", times);
+  // The reservations of the first gang stay open for a while.
+  cluster.SetFaults(0, R"({"freeze":true})");
+  cluster.SetFaults(1, R"({"freeze":true})");
+  const auto first = cluster.Submit(cluster.Job("k1", 2, kShort)).mJob;
+  const auto large = cluster.Submit(cluster.Job("k2", 5, kShort)).mJob;
+  const auto small = cluster.Submit(cluster.Job("k3", 2, kShort)).mJob;
+  planner.mCoordinator.Activate();
+  const auto phase = [&](const JobId& aJob) { return planner.mCoordinator.Jobs().at(aJob).mPhase; };
+  cluster.Until([&] { return planner.mCoordinator.Jobs().size() == 3; });
+  cluster.Until([&] {
+    const bool together = phase(first) == JobPhase::Starting && phase(small) == JobPhase::Starting;
+    cr_assert_not(together);
+    return phase(large) != JobPhase::Queued;
+  });
+  cluster.SetFaults(0, R"({"freeze":false})");
+  cluster.SetFaults(1, R"({"freeze":false})");
+  for (const auto& it : { first, large, small }) {
+    cr_assert_eq(cluster.UntilDone(it).mState, JobState::Finished);
+  }
+}
+
 // Guards against starts of many gangs at once, whose open calls took more memory than all else that
 // the planner keeps.
 Test(JobCoordinator, limits_the_tasks_of_starts_in_progress)
