Renew only whole gangs while the records are unknown

Cause: found by reading, after a proof with a cut-off zone. A planner that has read no records yet renewed the leases of every running task that it saw. On the cut-off side of a partition it reaches neither the key-value service nor the gang's other workers, so that part of a gang ran for as long as the cut lasted. Nodes make themselves planner there, because they hear no other member. Ruled out: giving the role up when isolated; a region that loses the others must keep its work going. Renewing nothing; a takeover during an outage of the service would end all jobs after 60 s. Change: before the records are known, an attempt is renewed only while each of its tasks runs or has finished at a worker that answers. Conclusion: a part that nobody completes ends with its lease, 60 s after the last renewal. The case is not shown with real processes.

--- a/src/jobs/CoordinatorRole.h
+++ b/src/jobs/CoordinatorRole.h
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -162,16 +164,44 @@
 void
 JobCoordinator<S, A>::RenewLeases()
 {
+  const auto whole = mRecordsLoaded ? std::set<std::string>() : WholeAttempts();
   for (const auto& [id, view] : mViews) {
     if (view.mState) {
-      Renew(view.mAddress, LeasesToRenew(*view.mState));
+      Renew(view.mAddress, LeasesToRenew(*view.mState, whole));
     }
   }
 }
 
+template<kv::KeyValueStore S, workers::WorkerApi A>
+std::set<std::string>
+JobCoordinator<S, A>::WholeAttempts() const
+{
+  std::map<std::string, int> missing;
+  for (const auto& [id, view] : mViews) {
+    if (!view.mState || view.mSuspected) {
+      continue;
+    }
+    for (const auto& it : view.mState->mLeases) {
+      const bool runs =
+        it.mPhase == workers::LeasePhase::Running || it.mPhase == workers::LeasePhase::Finished;
+      if (it.mKind == workers::LeaseKind::Job && runs) {
+        --missing.try_emplace(mAttempts.Prefix(it.mLease), it.mTasks).first->second;
+      }
+    }
+  }
+  std::set<std::string> whole;
+  for (const auto& [prefix, n] : missing) {
+    if (n <= 0) {
+      whole.insert(prefix);
+    }
+  }
+  return whole;
+}
+
 template<kv::KeyValueStore S, workers::WorkerApi A>
 std::vector<LeaseId>
-JobCoordinator<S, A>::LeasesToRenew(const workers::WorkerState& aState)
+JobCoordinator<S, A>::LeasesToRenew(const workers::WorkerState& aState,
+                                    const std::set<std::string>& aWhole)
 {
   std::vector<LeaseId> leases;
   for (const auto& it : aState.mLeases) {
@@ -179,11 +209,10 @@
       continue;
     }
     const auto* job = Find(it.mJob);
-    // Before the records are known, every running task may be a wanted one.
-    const bool wanted =
-      it.mKind == workers::LeaseKind::Service || !mRecordsLoaded ||
-      (job && job->mPhase == JobPhase::Running && TaskLease(job->mRecord, it.mTask) == it.mLease);
-    if (wanted) {
+    const bool known =
+      job && job->mPhase == JobPhase::Running && TaskLease(job->mRecord, it.mTask) == it.mLease;
+    const bool wanted = mRecordsLoaded ? known : aWhole.contains(mAttempts.Prefix(it.mLease));
+    if (it.mKind == workers::LeaseKind::Service || wanted) {
       leases.push_back(it.mLease);
     }
   }
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -106,7 +106,14 @@
   void RenewGang(const Record& aRecord);
   // Renews one worker's leases in one call. It also makes a new fence known to all workers.
   void RenewLeases();
-  std::vector<LeaseId> LeasesToRenew(const workers::WorkerState& aState);
+  // Attempts, by the prefix of their leases, of which every task runs or has finished at workers
+  // that answer. Before the records are known these may be wanted. Parts of others are not renewed:
+  // a planner that is cut off from the key-value service and from some of the workers would keep
+  // part of a gang running for as long as the cut lasts.
+  std::set<std::string> WholeAttempts() const;
+  // aWhole counts only before the records are known.
+  std::vector<LeaseId>
+  LeasesToRenew(const workers::WorkerState& aState, const std::set<std::string>& aWhole);
   void Renew(const SocketAddress& aWorker, const std::vector<LeaseId>& aLeases);
 
   // Job records (CoordinatorRecords.h).
--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -207,6 +207,65 @@
   cluster.Until([&] { return !first.mCoordinator.IsActive(); });
 }
 
+// Guards against part of a gang that runs for as long as its planner is cut off: it can read no
+// records and reaches only some of the gang's workers.
+Test(JobCoordinator, lets_part_of_a_gang_end_while_it_reads_no_records)
+{
+  Cluster cluster(2);
+  CoordinatorTimes times;
+  times.mGang.mRunningTtl = Duration(1500);
+  times.mRenewPeriod = Duration(200);
+  const auto workers = cluster.mList;
+  Planner first(cluster, "n1", times);
+  first.mCoordinator.Activate();
+  const auto job = cluster.Submit(cluster.Job("k", 16, kLong));
+  first.mCoordinator.OnJobChanged(job.mJob);
+  cluster.Until([&] { return first.IsRunning(job.mJob); });
+  first.mCoordinator.Deactivate("cut off");
+  cluster.mStore.SetAvailable(false);
+  cluster.mList = { workers[0] };
+  Planner second(cluster, "n2", times);
+  second.mCoordinator.Activate();
+  const auto phases = [&](workers::LeasePhase aPhase) {
+    const auto& leases = second.mCoordinator.Views().begin()->second.mState->mLeases;
+    return std::count_if(leases.begin(), leases.end(),
+                         [&](const auto& aLease) { return aLease.mPhase == aPhase; });
+  };
+  cluster.Until([&] { return phases(workers::LeasePhase::Running) == 0; });
+  cr_assert_eq(phases(workers::LeasePhase::Finished), 0, "part of the gang ran to its end");
+}
+
+// Guards against a whole gang that ends because its planner changed while the store is down.
+Test(JobCoordinator, keeps_a_whole_gang_running_while_it_reads_no_records)
+{
+  Cluster cluster(2);
+  CoordinatorTimes times;
+  times.mGang.mRunningTtl = Duration(1500);
+  times.mRenewPeriod = Duration(200);
+  Planner first(cluster, "n1", times);
+  first.mCoordinator.Activate();
+  const auto job = cluster.Submit(cluster.Job("k", 16, R"({"run_ms":4000,"answer":"42"})"));
+  first.mCoordinator.OnJobChanged(job.mJob);
+  cluster.Until([&] { return first.IsRunning(job.mJob); });
+  first.mCoordinator.Deactivate("cut off");
+  cluster.mStore.SetAvailable(false);
+  Planner second(cluster, "n2", times);
+  second.mCoordinator.Activate();
+  cluster.Until([&] {
+    int finished = 0;
+    for (const auto& [id, view] : second.mCoordinator.Views()) {
+      for (const auto& it : view.mState->mLeases) {
+        cr_assert_neq(it.mPhase, workers::LeasePhase::Stopped);
+        finished += it.mPhase == workers::LeasePhase::Finished ? 1 : 0;
+      }
+    }
+    return finished == 16;
+  });
+  cluster.mStore.SetAvailable(true);
+  cr_assert_eq(cluster.UntilDone(job.mJob).mState, JobState::Finished);
+  cr_assert_eq(TotalStarts(cluster), 16);
+}
+
 // Guards against an old planner that resumes after a pause and commands workers.
 Test(JobCoordinator, steps_down_when_a_worker_refuses_its_fence)
 {
