--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -19,7 +19,7 @@
   Error
 };
 
-// Sets up logging to standard error. Lines below the level are dropped. Every line carries the
+// Sets up logging to standard output. Lines below the level are dropped. Every line carries the
 // program and the node's or worker's id.
 void
 ConfigureLogging(LogLevel aLevel, std::string_view aProgram, std::string_view aId);
