--- a/tests/jobs/JobFixture.h
+++ b/tests/jobs/JobFixture.h
@@ -16,6 +16,10 @@
 
 namespace lovagerock::jobs {
 
+// Payloads of a task that ends at once, and of one that runs on.
+inline constexpr const char* kShort = R"({"run_ms":30,"answer":"42"})";
+inline constexpr const char* kLong = R"({"run_ms":20000,"answer":"42"})";
+
 // Stand-in workers with the real worker protocol, and a key-value store with faults.
 struct Cluster
 {
@@ -133,6 +137,31 @@
   Json Starts() const { return mCounters.Read().at("tasks"); }
 };
 
+// Starts of tasks over all workers.
+inline int
+TotalStarts(const Cluster& aCluster)
+{
+  int n = 0;
+  for (const auto& it : aCluster.Starts()) {
+    n += it.get<int>();
+  }
+  return n;
+}
+
+// Writes a record, and gives the error.
+inline std::error_code
+Update(Cluster& aCluster, const JobRecord& aRecord)
+{
+  std::error_code ec;
+  bool done = false;
+  aCluster.mJobStore.Update(aRecord, [&](std::error_code aError, const JobRecord&) {
+    ec = aError;
+    done = true;
+  });
+  aCluster.Until([&] { return done; });
+  return ec;
+}
+
 // A node's planner with its own view of the workers.
 struct Planner
 {
--- a/tests/placement/ClusterFake.h
+++ b/tests/placement/ClusterFake.h
@@ -3,11 +3,19 @@
 #include "placement/Planner.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace lovagerock::placement::tests {
 
+// A guaranteed shape of whole workers in one rack.
+inline Guarantee
+RackOf(int aWorkers, int aCount = 1)
+{
+  return { "shape", aCount, aWorkers, Accelerators(8), Adjacency::Rack, std::nullopt };
+}
+
 // Applies plans to a snapshot as the workers would: starts and stops take effect at once, and each
 // plan is checked against the capacity of the workers.
 class ClusterFake
