Keep a test's check from stopping the loop during its next call

Cause: HttpClient/closes_connections_that_are_not_used ends with a call while its repeating check is still alive. The check stops the loop when no call is open and no connection is idle, which also holds while the last call uses its connection. On a busy machine the call takes longer than the 5 ms period, the loop stops before its answer, and the test fails. Ruled out: the client. With answers delayed by 20 ms the test fails the same way, and the call ends normally if the loop goes on. Change: the check is cancelled before the last call; all checks are the same. Conclusion: the failure came from the test alone.

--- a/tests/http/HttpTests.cpp
+++ b/tests/http/HttpTests.cpp
@@ -210,12 +210,14 @@
       --open;
     });
   }
-  const auto check = f.mLoop.Every(Duration(5), [&] {
+  auto check = f.mLoop.Every(Duration(5), [&] {
     if (open == 0 && f.mClient->IdleConnections() == 0) {
       f.mLoop.Stop();
     }
   });
   f.mLoop.Run();
+  // The check must not stop the loop during the next call.
+  check.Cancel();
   cr_assert_gt(most, 0);
   cr_assert_eq(f.Call(f.Request(Method::Get, "/a")).second.mBody, "x");
 }
