Ignore SIGPIPE in every process that has an event loop

Cause: routing:Attempt/streams_a_large_answer_whole ended by a signal in 2 of 64 runs of the test program beside other work. It was SIGPIPE: the caller's connection was cut while the other end still wrote. Ruled out: memory faults; the address sanitizer reported none in 49 failing runs. Change: the constructor of EventLoop ignores the signal, in place of each main(). Conclusion: a closed peer is an error of the write, for all programs alike.

--- a/src/base/EventLoop.cpp
+++ b/src/base/EventLoop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 #include <event2/thread.h>
 
+#include <csignal>
 #include <deque>
 #include <mutex>
 #include <utility>
@@ -132,6 +133,8 @@
 EventLoop::EventLoop()
   : mState(std::make_unique<detail::EventLoopState>())
 {
+  // A write to a connection that its other end closed must return an error, not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   evthread_use_pthreads();
   mState->mBase.reset(event_base_new());
   mState->mWakeup.reset(event_new(mState->mBase.get(), -1, 0, detail::RunPosted, mState.get()));
--- a/src/base/EventLoop.h
+++ b/src/base/EventLoop.h
@@ -37,7 +37,7 @@
 };
 
 // A libevent loop. Only Post() and Stop() may be called from other threads; all else belongs to
-// the thread that runs the loop.
+// the thread that runs the loop. The first loop makes the process ignore SIGPIPE.
 class EventLoop
 {
 public:
--- a/src/load/passthrough/Main.cpp
+++ b/src/load/passthrough/Main.cpp
@@ -20,7 +20,6 @@
     return status;
   }
   ConfigureLogging(LogLevel::Info, "lovagerock-passthrough", "");
-  std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   passthrough::Passthrough server(loop.Base(), target);
   if (const auto ec = server.Listen(listen)) {
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -20,8 +20,6 @@
     return status;
   }
   ConfigureLogging(settings.mLogLevel, "lovagerock-node", settings.mNode.Value());
-  // A caller that closes its connection must not end the process.
-  std::signal(SIGPIPE, SIG_IGN);
   const auto seed = settings.mSeed != 0 ? settings.mSeed : Random::SystemSeed();
   LogEvent("node_started")
     .With("region", settings.mRegion)
--- a/src/standin/faultproxy/Main.cpp
+++ b/src/standin/faultproxy/Main.cpp
@@ -66,7 +66,6 @@
     return status;
   }
   ConfigureLogging(level, "lovagerock-fault-proxy", control.ToString());
-  std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   standin::FaultControl proxies(loop);
   if (!AddMappings(proxies, maps)) {
--- a/src/standin/kv/main/Main.cpp
+++ b/src/standin/kv/main/Main.cpp
@@ -26,7 +26,6 @@
     return status;
   }
   ConfigureLogging(level, "lovagerock-kv", "");
-  std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   standin::KvService service(loop, settings);
   if (const auto ec = service.Listen(listen)) {
--- a/tests/base/EventLoopTests.cpp
+++ b/tests/base/EventLoopTests.cpp
@@ -3,9 +3,13 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
+#include <cerrno>
 #include <functional>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace lovagerock;
 
@@ -77,3 +81,15 @@
   loop.Run();
   cr_assert_eq(received, 0);
 }
+
+// Guards against a process that ends because the other end of a connection was closed.
+Test(EventLoop, keeps_the_process_alive_when_a_peer_closes)
+{
+  const EventLoop loop;
+  std::array<int, 2> ends{};
+  cr_assert_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
+  close(ends[1]);
+  cr_assert_eq(write(ends[0], "x", 1), -1);
+  cr_assert_eq(errno, EPIPE);
+  close(ends[0]);
+}
