Give each test process a loopback IP of its own

Cause: routing:Attempt/goes_to_another_worker_after_a_refused_connection closes a listening socket and expects its port to refuse. On a busy machine another test process got the port at once and answered with 200, so the second worker saw 2 requests in place of 3; and that other test saw a request that was not its own. Ruled out: the questions about silent requests; the log of a failed run shows the first attempt answered by the closed worker's address. Change: unit tests listen on an address of 127/8 that is derived from the process id. Two tests that connect by themselves use the server's address too. Conclusion: no test process can take another's port.

--- a/tests/cli/FakeAdmin.h
+++ b/tests/cli/FakeAdmin.h
@@ -3,6 +3,7 @@
 #include "base/Json.h"
 #include "cli/CommandLine.h"
 #include "http/HttpServer.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 
@@ -22,7 +23,7 @@
   FakeAdmin()
     : mServer(mLoop)
   {
-    cr_assert_not(mServer.Listen(SocketAddress("127.0.0.1", 0)));
+    cr_assert_not(mServer.Listen(testing::LocalAddress()));
   }
   ~FakeAdmin()
   {
@@ -131,7 +132,7 @@
 {
   EventLoop loop;
   http::HttpServer server(loop);
-  cr_assert_not(server.Listen(SocketAddress("127.0.0.1", 0)));
+  cr_assert_not(server.Listen(testing::LocalAddress()));
   return server.Address().ToString();
 }
 
--- a/tests/faultproxy/FaultProxyTests.cpp
+++ b/tests/faultproxy/FaultProxyTests.cpp
@@ -2,6 +2,7 @@
 #include "http/HttpError.h"
 #include "http/HttpServer.h"
 #include "standin/faultproxy/FaultControl.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 
@@ -36,7 +37,7 @@
                      ++mHandled;
                      aResponder.Send({ 200, {}, aRequest.mBody });
                    });
-    const SocketAddress any("127.0.0.1", 0);
+    const SocketAddress any = testing::LocalAddress();
     cr_assert_not(mServer.Listen(any));
     cr_assert_not(mControl.AddMapping(any, mServer.Address()));
     cr_assert_not(mControl.AddMapping(any, mServer.Address()));
--- a/tests/http/CallerLimitTests.cpp
+++ b/tests/http/CallerLimitTests.cpp
@@ -1,6 +1,7 @@
 #include "base/EventLoop.h"
 #include "http/HttpServer.h"
 #include "http/ReceiveBudget.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 
@@ -32,7 +33,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(aServer.Port());
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, aServer.Ip().c_str(), &address.sin_addr);
     cr_assert_eq(connect(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
     fcntl(mSocket, F_SETFL, O_NONBLOCK);
   }
@@ -77,7 +78,7 @@
   explicit Fixture(const ServerLimits& aLimits)
     : mServer(mLoop, aLimits)
   {
-    cr_assert_not(mServer.Listen(SocketAddress("127.0.0.1", 0)));
+    cr_assert_not(mServer.Listen(testing::LocalAddress()));
     mServer.Handle(Method::Post, "/a", [this](const http::Request&, const Responder& aResponder) {
       ++mHandled;
       aResponder.Send({});
--- a/tests/http/HttpTests.cpp
+++ b/tests/http/HttpTests.cpp
@@ -2,6 +2,7 @@
 #include "http/HttpClient.h"
 #include "http/HttpError.h"
 #include "http/HttpServer.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 
@@ -30,7 +31,7 @@
   explicit Fixture(const ServerLimits& aLimits = {})
     : mServer(std::make_unique<HttpServer>(mLoop, aLimits))
   {
-    cr_assert_not(mServer->Listen(SocketAddress("127.0.0.1", 0)));
+    cr_assert_not(mServer->Listen(testing::LocalAddress()));
     mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
   }
 
--- a/tests/jobs/JobApiTests.cpp
+++ b/tests/jobs/JobApiTests.cpp
@@ -1,6 +1,7 @@
 #include "JobFixture.h"
 #include "http/HttpServer.h"
 #include "jobs/JobApi.h"
+#include "support/LocalAddress.h"
 
 using namespace lovagerock;
 using namespace lovagerock::jobs;
@@ -31,7 +32,7 @@
   Api()
   {
     mApi.Register(mServer);
-    cr_assert_not(mServer.Listen(SocketAddress("127.0.0.1", 0)));
+    cr_assert_not(mServer.Listen(testing::LocalAddress()));
     mPlanner.mCoordinator.Activate();
   }
 
--- a/tests/jobs/JobFixture.h
+++ b/tests/jobs/JobFixture.h
@@ -4,6 +4,7 @@
 #include "jobs/JobCoordinator.h"
 #include "kv/MemoryStore.h"
 #include "standin/worker/WorkerServer.h"
+#include "support/LocalAddress.h"
 #include "workers/HttpWorkerApi.h"
 #include "workers/WorkerMonitor.h"
 
@@ -48,7 +49,7 @@
       settings.mCapacity = { Slots(8), Accelerators(8), Cores(64), MemoryMiB(1024) };
       mWorkers.push_back(
         std::make_unique<standin::WorkerServer>(mLoop, settings, mCounters, mTrace));
-      cr_assert_not(mWorkers.back()->Listen(SocketAddress("127.0.0.1", 0)));
+      cr_assert_not(mWorkers.back()->Listen(testing::LocalAddress()));
       mList.push_back({ mWorkers.back()->Address(), false });
     }
   }
--- a/tests/kv/ConsulStoreTests.cpp
+++ b/tests/kv/ConsulStoreTests.cpp
@@ -4,6 +4,7 @@
 #include "kv/ConsulStore.h"
 #include "kv/KvError.h"
 #include "standin/kv/KvService.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 
@@ -29,7 +30,7 @@
   explicit Fixture(const standin::KvServiceSettings& aService = {}, ConsulSettings aStore = {})
     : mService(std::make_unique<standin::KvService>(mLoop, aService))
   {
-    cr_assert_not(mService->Listen(SocketAddress("127.0.0.1", 0)));
+    cr_assert_not(mService->Listen(testing::LocalAddress()));
     aStore.mServer = mService->Address();
     mStore = std::make_unique<ConsulStore>(mLoop, aStore);
     mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
--- a/tests/load/LoadFixture.h
+++ b/tests/load/LoadFixture.h
@@ -3,6 +3,7 @@
 #include "http/HttpServer.h"
 #include "load/JobLoad.h"
 #include "load/RequestLoad.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 
@@ -26,7 +27,7 @@
 
   LoadFixture()
   {
-    cr_assert_not(mServer.Listen(SocketAddress("127.0.0.1", 0)));
+    cr_assert_not(mServer.Listen(testing::LocalAddress()));
     mOptions.mTargets = { mServer.Address() };
     mOptions.mSeed = kSeed;
     mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
--- a/tests/load/RequestTests.cpp
+++ b/tests/load/RequestTests.cpp
@@ -1,5 +1,6 @@
 #include "LoadFixture.h"
 #include "load/Payload.h"
+#include "support/LocalAddress.h"
 
 #include <set>
 
@@ -133,7 +134,7 @@
   LoadFixture f;
   EventLoop other;
   auto closed = std::make_unique<http::HttpServer>(other);
-  cr_assert_not(closed->Listen(SocketAddress("127.0.0.1", 0)));
+  cr_assert_not(closed->Listen(testing::LocalAddress()));
   f.mOptions.mTargets.insert(f.mOptions.mTargets.begin(), closed->Address());
   closed.reset();
   f.OnRequest([](int, const http::Request& aRequest, const http::Responder& aTo) {
--- a/tests/membership/MembershipTests.cpp
+++ b/tests/membership/MembershipTests.cpp
@@ -4,6 +4,7 @@
 #include "membership/Membership.h"
 #include "membership/VmList.h"
 #include "peer/NghttpTransport.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 
@@ -36,7 +37,7 @@
   std::unique_ptr<Membership<NghttpTransport>> mMembership;
 
   Node(EventLoop& aLoop, Random& aRandom, const std::string& aNode, std::uint64_t aIncarnation = 1,
-       const SocketAddress& aAddress = { "127.0.0.1", 0 })
+       const SocketAddress& aAddress = testing::LocalAddress())
     : mTransport(aLoop, aRandom)
   {
     cr_assert_not(mTransport.Listen(aAddress));
@@ -218,7 +219,7 @@
       ++reads;
       aResponder.Send({ reads == 2 ? 500 : 200, {}, reads == 1 ? list : "[{" });
     });
-  cr_assert_not(server.Listen(SocketAddress("127.0.0.1", 0)));
+  cr_assert_not(server.Listen(testing::LocalAddress()));
   VmListSettings settings;
   settings.mServer = server.Address();
   settings.mPeriod = Duration(10);
@@ -248,7 +249,7 @@
       unchanged += known ? 1 : 0;
       aResponder.Send({ known ? 304 : 200, { { "ETag", "\"1\"" } }, known ? "" : list });
     });
-  cr_assert_not(server.Listen(SocketAddress("127.0.0.1", 0)));
+  cr_assert_not(server.Listen(testing::LocalAddress()));
   VmListSettings settings;
   settings.mServer = server.Address();
   settings.mPeriod = Duration(10);
--- a/tests/peer/TransportTests.cpp
+++ b/tests/peer/TransportTests.cpp
@@ -3,6 +3,7 @@
 #include "peer/Cbor.h"
 #include "peer/NghttpTransport.h"
 #include "peer/PeerError.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 #include <event2/buffer.h>
@@ -38,7 +39,7 @@
     : mClient(std::make_unique<NghttpTransport>(mLoop, mRandom, aSettings))
   {
     mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
-    StartServer(SocketAddress("127.0.0.1", 0));
+    StartServer(testing::LocalAddress());
   }
 
   void StartServer(const SocketAddress& aAddress)
@@ -105,7 +106,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(aFixture.mAddress.Port());
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, aFixture.mAddress.Ip().c_str(), &address.sin_addr);
   bufferevent_socket_connect(buf, reinterpret_cast<sockaddr*>(&address), sizeof address);
   bufferevent_write(buf, aBytes.data(), aBytes.size());
   aFixture.mLoop.Run();
--- a/tests/routing/AdmissionTests.cpp
+++ b/tests/routing/AdmissionTests.cpp
@@ -1,4 +1,5 @@
 #include "routing/RoutingFixture.h"
+#include "support/LocalAddress.h"
 
 using namespace lovagerock;
 using namespace lovagerock::routing;
@@ -125,7 +126,7 @@
     },
     f.mRandom);
   api.Register(server);
-  cr_assert_not(server.Listen(SocketAddress("127.0.0.1", 0)));
+  cr_assert_not(server.Listen(testing::LocalAddress()));
   http::ClientRequest request;
   request.mServer = server.Address();
   request.mMethod = http::Method::Post;
--- a/tests/workers/SharingTests.cpp
+++ b/tests/workers/SharingTests.cpp
@@ -1,4 +1,5 @@
 #include "peer/NghttpTransport.h"
+#include "support/LocalAddress.h"
 #include "workers/StateRelay.h"
 #include "workers/WorkerFixture.h"
 
@@ -74,7 +75,7 @@
                       },
                       [this](const NodeId& aWatcher) { mMonitor.OnLapsed(aWatcher); } }))
   {
-    cr_assert_not(mTransport.Listen({ "127.0.0.1", 0 }));
+    cr_assert_not(mTransport.Listen(testing::LocalAddress()));
     mMonitor.Share({ [this](const SocketAddress&) { return mOwns; },
                      [this](const SocketAddress& aWorker) { return mRelay->Find(aWorker); },
                      [this](const RelayedChange& aChange) { mRelay->Offer(aChange); } });
--- a/tests/workers/WorkerFixture.h
+++ b/tests/workers/WorkerFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "standin/worker/WorkerServer.h"
+#include "support/LocalAddress.h"
 #include "workers/HttpWorkerApi.h"
 #include "workers/WorkerMonitor.h"
 
@@ -24,7 +25,7 @@
   std::unique_ptr<standin::WorkerServer> mWorker;
   http::HttpClient mClient{ mLoop };
   HttpWorkerApi mApi{ mClient };
-  SocketAddress mAddress{ "127.0.0.1", 0 };
+  SocketAddress mAddress = testing::LocalAddress();
   Fence mFence{ 1, NodeId("n") };
   std::vector<WorkerChange> mChanges;
   std::function<bool()> mUntil;
