Read the VM list once per region

Cause: each node read the whole list whenever it changed: 548 KB with 4,605 entries, about every 54 s at the design size. Ruled out: rare reads without a reader (a leaving entry would be known after minutes), the whole list through the reader (as many bytes, from one node), sequence numbers alone (a node that starts could not tell that it has the same list). Change: one node per region by rendezvous hash reads the list each second and sends changes that name the content before and after them by its hash. The others rely on it while its heartbeat answers name the hash of their own list and a recent read; else they read themselves. Null payloads are left out of heartbeat answers. Conclusion: the list costs one node per region its changes.

--- a/scripts/measure-capacity.py
+++ b/scripts/measure-capacity.py
@@ -18,6 +18,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import subprocess
 import tempfile
@@ -280,6 +281,70 @@
             show(f"workers=50 elsewhere={elsewhere} list_B={size}", system.measure(6))
 
 
+def measure_list_changes(options):
+    """One VM of another region changes its state every 5 s; 5 nodes, the nodes of a region at the
+    design size. Each node is shown, because one of them reads the list for the others."""
+    for elsewhere in (1000, 4550):
+        with System(options, 50, 5, elsewhere=elsewhere) as system:
+            time.sleep(8)
+            size = os.path.getsize(os.path.join(system.directory.name, "vms.json"))
+            for period in (0, 5):
+                changes = []
+
+                def change(seconds, period=period, changes=changes):
+                    start = time.monotonic()
+                    while period and time.monotonic() - start < seconds - period / 2:
+                        state = "leaving" if len(changes) % 2 == 0 else "live"
+                        changes.append(call(
+                            system.vm_list, "PUT",
+                            f"/v1/targets/{system.elsewhere_ip}:{WORKER_PORT + 7}",
+                            json.dumps({"role": "worker", "state": state, "zone": ZONES[1],
+                                        "region": "other"}))[0])
+                        time.sleep(period)
+                    time.sleep(max(0, start + seconds - time.monotonic()))
+
+                before = system.sample()
+                result = system.measure(20, change)
+                after = system.sample()
+                label = f"elsewhere={elsewhere} list_B={size} changes={len(changes)} in 20 s"
+                show(label, result)
+                took = after["time"] - before["time"]
+                for i in range(system.nodes):
+                    name = f"node-{i}"
+                    rx, tx, cpu = (after[name][key] - before[name][key]
+                                   for key in ("rx", "tx", "cpu"))
+                    print(f"{label} {name}{' (planner)' if i == system.planner() else ''}: "
+                          f"cpu%={cpu / took * 100:.1f} rx_kB/s={rx / took / 1000:.1f} "
+                          f"tx_kB/s={tx / took / 1000:.1f} "
+                          f"relayed={system.metric(i, 'lovagerock_vm_list_relayed')}", flush=True)
+            measure_list_faults(system)
+
+
+def measure_list_faults(system):
+    """How long the other nodes take to know a worker that the list calls leaving, when the reader is
+    stopped or killed at that moment."""
+    for index, fault in enumerate((None, signal.SIGSTOP, signal.SIGKILL)):
+        await_condition("one reader", lambda: sum(
+            system.metric(i, "lovagerock_vm_list_relayed") == 0 for i in range(system.nodes)) == 1)
+        reader = [i for i in range(system.nodes)
+                  if system.metric(i, "lovagerock_vm_list_relayed") == 0][0]
+        others = [i for i in range(system.nodes) if i != reader]
+        process = system.processes[f"node-{reader}"]
+        if fault:
+            process.send_signal(fault)
+        start = time.monotonic()
+        call(system.vm_list, "PUT", f"/v1/targets/{system.worker_ip}:{WORKER_PORT + index}",
+             json.dumps({"role": "worker", "state": "leaving", "zone": ZONES[0],
+                         "region": REGION}))
+        await_condition("leaving worker", lambda: all(
+            system.metric(i, "lovagerock_workers_live") == system.workers - index - 1
+            for i in others))
+        print(f"reader node-{reader} {fault.name if fault else 'runs'}: leaving worker known "
+              f"on all others after {time.monotonic() - start:.1f} s", flush=True)
+        if fault == signal.SIGSTOP:
+            process.send_signal(signal.SIGCONT)
+
+
 def measure_nodes(options):
     for nodes in (3, 6, 9):
         with System(options, 50, nodes) as system:
@@ -386,7 +451,8 @@
         show("workers=2300 tasks=11000, after 45 s", system.measure(10))
 
 
-SCENARIOS = {"workers": measure_workers, "list": measure_list, "nodes": measure_nodes,
+SCENARIOS = {"workers": measure_workers, "list": measure_list,
+             "list-changes": measure_list_changes, "nodes": measure_nodes,
              "idle": measure_idle, "accounts": measure_accounts, "tasks": measure_tasks,
              "design": measure_design}
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -26,7 +26,7 @@
 class Membership
 {
 public:
-  // Gives this node's payload for an answer.
+  // Gives this node's payload for an answer; null if there is none.
   using PayloadWriter = std::function<Json()>;
   // Takes a member's payload. aSent is when this node sent the heartbeat that was answered, so the
   // content of the payload is at most as old as it says plus the time since then.
@@ -146,7 +146,10 @@
     }
     auto answer = WriteMember(mTable.Self());
     for (const auto& [name, payload] : mPayloads) {
-      answer["payload"][name] = payload.mWriter();
+      // Left out if there is nothing to say, because every exchange would carry it.
+      if (auto value = payload.mWriter(); !value.is_null()) {
+        answer["payload"][name] = std::move(value);
+      }
     }
     aReply(std::move(answer));
   }
--- a/src/membership/VmList.cpp
+++ b/src/membership/VmList.cpp
@@ -3,6 +3,7 @@
 #include "base/Json.h"
 #include "base/LogEvent.h"
 
+#include <chrono>
 #include <utility>
 
 namespace lovagerock::membership {
@@ -54,16 +55,42 @@
   , mOnRead(std::move(aOnRead))
   , mClient(aLoop)
 {
-  mTimer = aLoop.Every(mSettings.mPeriod, [this] { Read(); });
+  mTimer = aLoop.Every(mSettings.mPeriod, [this] {
+    if (!mSkip || !mSkip()) {
+      Read();
+    }
+  });
   Read();
 }
 
+void
+VmList::ReadNow()
+{
+  if (mReading) {
+    mAgain = true;
+    return;
+  }
+  Read();
+}
+
+void
+VmList::Replace(VmSet aContent, std::string aEntityTag)
+{
+  mContent = std::move(aContent);
+  mEntityTag = std::move(aEntityTag);
+  mReplaced = mReading;
+  mOnRead(mContent.Vms());
+}
+
 void
 VmList::Read()
 {
   if (std::exchange(mReading, true)) {
     return;
   }
+  ++mReads;
+  mReplaced = false;
+  mBegun = std::chrono::steady_clock::now();
   http::ClientRequest request;
   request.mServer = mSettings.mServer;
   request.mTarget = mSettings.mPath;
@@ -74,6 +101,9 @@
   mClient.Send(request, [this](std::error_code aError, const http::Response& aResponse) {
     mReading = false;
     OnAnswer(aError, aResponse);
+    if (std::exchange(mAgain, false)) {
+      Read();
+    }
   });
 }
 
@@ -82,8 +112,7 @@
 {
   constexpr int kNotModified = 304;
   if (!aError && aResponse.mStatus == kNotModified) {
-    mFailures = 0;
-    mOnRead(mVms);
+    OnSuccess();
     return;
   }
   auto vms = aError || aResponse.mStatus != 200 ? std::nullopt : ParseVmList(aResponse.mBody);
@@ -96,10 +125,26 @@
     }
     return;
   }
+  ++mWholeReads;
+  if (!mReplaced) {
+    const auto before = std::exchange(mContent, VmSet(std::move(*vms)));
+    mEntityTag = aResponse.mHeaders.Get("ETag");
+    if (mOnChange && before.Hash() != mContent.Hash()) {
+      mOnChange(before);
+    }
+  }
+  OnSuccess();
+}
+
+void
+VmList::OnSuccess()
+{
   mFailures = 0;
-  mVms = std::move(*vms);
-  mEntityTag = aResponse.mHeaders.Get("ETag");
-  mOnRead(mVms);
+  // What a read said about a list that was replaced since doesn't hold for the present one.
+  if (!mReplaced) {
+    mLastRead = mBegun;
+  }
+  mOnRead(mContent.Vms());
 }
 
 } // namespace lovagerock::membership
--- a/src/membership/VmList.h
+++ b/src/membership/VmList.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/EventLoop.h"
-#include "base/Ids.h"
 #include "base/SocketAddress.h"
 #include "base/Units.h"
 #include "http/HttpClient.h"
+#include "membership/Vm.h"
+#include "membership/VmSet.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -14,27 +16,6 @@
 
 namespace lovagerock::membership {
 
-// One VM of the platform's list.
-struct Vm
-{
-  enum class Role
-  {
-    Entry,
-    Worker
-  };
-
-  // The peer address of an entry node, the HTTP address of a worker.
-  SocketAddress mAddress;
-  Role mRole = Role::Entry;
-  bool mLeaving = false;
-  ZoneId mZone;
-  RegionId mRegion;
-  // The id of the node or worker; empty if the list does not give it.
-  std::string mName;
-
-  bool operator==(const Vm&) const = default;
-};
-
 // Reads a list in the Prometheus HTTP service discovery format. Entries that are malformed or have
 // another role are left out; nothing if the whole text is malformed.
 std::optional<std::vector<Vm>>
@@ -54,29 +35,60 @@
 class VmList
 {
 public:
-  // Called after every successful read, also when the list is unchanged.
+  // Called after every successful read, also when the list is unchanged, and after Replace().
   using ReadCallback = std::function<void(const std::vector<Vm>&)>;
+  // Called before the ReadCallback if a read brought another content, with the one before.
+  using ChangeCallback = std::function<void(const VmSet& aBefore)>;
 
   VmList(EventLoop& aLoop, const VmListSettings& aSettings, ReadCallback aOnRead);
 
-  // The last list that was read; empty before the first.
-  const std::vector<Vm>& Vms() const { return mVms; }
+  void OnChange(ChangeCallback aCallback) { mOnChange = std::move(aCallback); }
+  // Leaves out each periodic read for which the function gives true.
+  void SkipIf(std::function<bool()> aSkip) { mSkip = std::move(aSkip); }
+  // Reads at once, or after the read in progress.
+  void ReadNow();
+  // Takes a content that another node has read. The answer of a read in progress may be older, and
+  // is dropped.
+  void Replace(VmSet aContent, std::string aEntityTag);
+
+  // The last list; empty before the first.
+  const std::vector<Vm>& Vms() const { return mContent.Vms(); }
+  const VmSet& Content() const { return mContent; }
+  const std::string& EntityTag() const { return mEntityTag; }
+  // When the last successful read began; nothing before the first.
+  const std::optional<TimePoint>& LastRead() const { return mLastRead; }
   // Number of reads in a row that failed.
   int Failures() const { return mFailures; }
+  // Number of reads so far.
+  std::size_t Reads() const { return mReads; }
+  // Number of reads so far that brought the whole list.
+  std::size_t WholeReads() const { return mWholeReads; }
 
 private:
   void Read();
   void OnAnswer(std::error_code aError, const http::Response& aResponse);
+  void OnSuccess();
 
   VmListSettings mSettings;
   ReadCallback mOnRead;
+  ChangeCallback mOnChange;
+  std::function<bool()> mSkip;
   http::HttpClient mClient;
-  std::vector<Vm> mVms;
-  // The version of mVms, if the service gives one. An unchanged list is then not sent again, which
-  // is most of a node's idle traffic.
+  VmSet mContent;
+  // The version of mContent, if the service gives one. An unchanged list is then not sent again,
+  // which is most of a node's idle traffic.
   std::string mEntityTag;
   int mFailures = 0;
+  std::size_t mReads = 0;
+  std::size_t mWholeReads = 0;
   bool mReading = false;
+  // Another read is due after the one in progress.
+  bool mAgain = false;
+  // The list was replaced during the read in progress.
+  bool mReplaced = false;
+  // When the read in progress, or else the last one, began.
+  TimePoint mBegun;
+  std::optional<TimePoint> mLastRead;
   Timer mTimer;
 };
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -124,7 +124,9 @@
   , mWorkerChanges(aLoop, [this](const workers::WorkerChange& aChange) { OnWorkerChange(aChange); })
   , mMonitor(aLoop, mWorkerApi, mRandom, mWorkerChanges.GetAddress())
   , mRelay(aLoop, mTransport, mSettings.mNode, mMembership.Self().mIncarnation,
-           { [this] { return RegionPeers(); }, [this] { return mMonitor.IsTimely(); },
+           // The planner polls all workers itself. One that isn't in its own view misses the
+           // batches, and polls for that reason.
+           { [this] { return RegionPeers(PlannerNode()); }, [this] { return mMonitor.IsTimely(); },
              [this](const NodeId& aWatcher, const workers::RelayedChange& aChange) {
                mMonitor.OnRelayed(aWatcher, aChange);
              },
@@ -152,7 +154,9 @@
   , mAdminApi(MakeAdminHooks())
   , mServer(aLoop, detail::MakeLimits(mSettings))
   , mAdminServer(aLoop)
-  , mVmList(aLoop, detail::MakeVmListSettings(mSettings),
+  , mVmList(aLoop, mTransport, mRandom, mSettings.mNode, mMembership.Self().mIncarnation,
+            { [this] { return mReadsVmList; }, [this] { return RegionPeers(NodeId()); } },
+            detail::MakeVmListSettings(mSettings),
             [this](const std::vector<membership::Vm>& aVms) { OnVmList(aVms); })
   , mStarted(std::chrono::steady_clock::now())
 {
@@ -204,6 +208,13 @@
         mRelay.ReadPayload(aMember.mNode, aMember.mIncarnation, aMember.mAddress, aPayload, aSent);
       }
     });
+  mMembership.AddPayload(
+    "vms", [this] { return mVmList.WritePayload(); },
+    [this](const membership::Member& aMember, const Json& aPayload, TimePoint aSent) {
+      if (aMember.mRegion == mSettings.mRegion) {
+        mVmList.ReadPayload(aMember.mNode, aMember.mIncarnation, aPayload, aSent);
+      }
+    });
 }
 
 void
@@ -213,17 +224,21 @@
   mWatchNodes =
     mMembership.IsUnsure() ? std::vector<NodeId>() : mMembership.LiveNodes(mSettings.mRegion);
   mMonitor.Reassign();
+  // The planner has more traffic than the others, so it doesn't read the list for them.
+  auto readers = mWatchNodes;
+  if (readers.size() > 1) {
+    std::erase(readers, PlannerNode());
+  }
+  mReadsVmList = readers.empty() || membership::RendezvousOwner("vms/" + mSettings.mRegion.Value(),
+                                                                readers) == mSettings.mNode;
 }
 
 std::vector<SocketAddress>
-Node::RegionPeers()
+Node::RegionPeers(const NodeId& aWithout)
 {
   std::vector<SocketAddress> peers;
-  // The planner polls all workers itself. One that isn't in its own view misses the batches, and
-  // polls for that reason.
-  const auto planner = PlannerNode();
   for (const auto& it : mMembership.Members()) {
-    if (it.mMember.mNode != mSettings.mNode && it.mMember.mNode != planner &&
+    if (it.mMember.mNode != mSettings.mNode && it.mMember.mNode != aWithout &&
         it.mMember.mRegion == mSettings.mRegion &&
         it.mState != membership::MemberState::Suspected) {
       peers.push_back(it.mMember.mAddress);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -10,7 +10,7 @@
 #include "jobs/JobCoordinator.h"
 #include "kv/ConsulStore.h"
 #include "membership/Membership.h"
-#include "membership/VmList.h"
+#include "membership/SharedVmList.h"
 #include "node/NodeMetrics.h"
 #include "node/NodeSettings.h"
 #include "peer/NghttpTransport.h"
@@ -63,9 +63,8 @@
 
   // Takes the members that share the watching of the workers.
   void UpdateWatchNodes();
-  // The peer addresses of the other members of the region that were heard lately and
-  // don't plan.
-  std::vector<SocketAddress> RegionPeers();
+  // The peer addresses of the other members of the region that were heard lately, without one.
+  std::vector<SocketAddress> RegionPeers(const NodeId& aWithout);
   void OnVmList(const std::vector<membership::Vm>& aVms);
   void OnWorkerChange(const workers::WorkerChange& aChange);
   void OnConfig(const std::shared_ptr<const configstore::AcceptedConfig>& aConfig);
@@ -120,6 +119,8 @@
   // The nodes that share the watching; empty if this node must rely on itself alone.
   std::vector<NodeId> mWatchNodes;
   workers::StateRelay<Transport> mRelay;
+  // This node reads the VM list for the others, as far as it knows.
+  bool mReadsVmList = true;
   routing::RoutingMetrics mRoutingMetrics;
   Router mRouter;
   JobStore mJobStore;
@@ -133,7 +134,7 @@
   admin::AdminApi mAdminApi;
   http::HttpServer mServer;
   http::HttpServer mAdminServer;
-  membership::VmList mVmList;
+  membership::SharedVmList<Transport> mVmList;
   std::size_t mListedWorkers = 0;
   TimePoint mStarted;
   // The planner role isn't taken again before this time after another planner's fence was seen.
--- a/src/node/NodeAdmin.cpp
+++ b/src/node/NodeAdmin.cpp
@@ -119,6 +119,7 @@
                       mCoordinator.LastPlan());
   mMetrics.SetWorkers(mCoordinator.Views());
   mMetrics.SetWatching(mMonitor.Owned(), mMonitor.Relayed());
+  mMetrics.SetVmList(mVmList.List(), mVmList.IsRelayed());
   mMetrics.SetCallers(mServer.Callers());
   mMetrics.SetKvCalls(mStore.Calls() + mWatchStore.Calls());
   std::ostringstream stream;
--- a/src/node/NodeMetrics.cpp
+++ b/src/node/NodeMetrics.cpp
@@ -37,6 +37,12 @@
   , mRelayedWorkers(detail::AddGauge(aRegistry, "lovagerock_workers_relayed",
                                      "Workers that this node doesn't poll, because another relays "
                                      "their state"))
+  , mVmListReads(
+      detail::AddGauge(aRegistry, "lovagerock_vm_list_reads", "Reads of the VM list so far"))
+  , mVmListWholeReads(detail::AddGauge(aRegistry, "lovagerock_vm_list_whole_reads",
+                                       "Reads of the VM list so far that found it changed"))
+  , mVmListRelayed(detail::AddGauge(aRegistry, "lovagerock_vm_list_relayed",
+                                    "1 while another node reads the VM list for this one"))
   , mKvCalls(
       detail::AddGauge(aRegistry, "lovagerock_kv_calls", "Calls to the key-value service so far"))
   , mConnections(
@@ -100,6 +106,14 @@
   mRelayedWorkers.Set(static_cast<double>(aRelayed));
 }
 
+void
+NodeMetrics::SetVmList(const membership::VmList& aList, bool aRelayed)
+{
+  mVmListReads.Set(static_cast<double>(aList.Reads()));
+  mVmListWholeReads.Set(static_cast<double>(aList.WholeReads()));
+  mVmListRelayed.Set(aRelayed ? 1 : 0);
+}
+
 void
 NodeMetrics::SetCallers(const http::CallerCounts& aCallers)
 {
--- a/src/node/NodeMetrics.h
+++ b/src/node/NodeMetrics.h
@@ -2,6 +2,7 @@
 
 #include "http/CallerConnections.h"
 #include "jobs/SnapshotBuilder.h"
+#include "membership/VmList.h"
 #include "peer/NghttpTransport.h"
 #include "placement/Plan.h"
 
@@ -25,6 +26,7 @@
   void SetWorkers(const jobs::WorkerViews& aWorkers);
   // aOwned workers are watched for all nodes; other nodes relay the state of aRelayed ones.
   void SetWatching(std::size_t aOwned, std::size_t aRelayed);
+  void SetVmList(const membership::VmList& aList, bool aRelayed);
   void SetCallers(const http::CallerCounts& aCallers);
   void SetKvCalls(std::size_t aCalls);
 
@@ -40,6 +42,9 @@
   prometheus::Gauge& mLiveWorkers;
   prometheus::Gauge& mOwnedWorkers;
   prometheus::Gauge& mRelayedWorkers;
+  prometheus::Gauge& mVmListReads;
+  prometheus::Gauge& mVmListWholeReads;
+  prometheus::Gauge& mVmListRelayed;
   prometheus::Gauge& mKvCalls;
   prometheus::Gauge& mConnections;
   prometheus::Gauge& mReceiving;
