--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "base/LogEvent.h"
+#include "membership/ListReader.h"
 #include "node/PolicyConversion.h"
 
 #include <algorithm>
@@ -124,7 +125,9 @@
   , mWorkerChanges(aLoop, [this](const workers::WorkerChange& aChange) { OnWorkerChange(aChange); })
   , mMonitor(aLoop, mWorkerApi, mRandom, mWorkerChanges.GetAddress())
   , mRelay(aLoop, mTransport, mSettings.mNode, mMembership.Self().mIncarnation,
-           { [this] { return RegionPeers(); }, [this] { return mMonitor.IsTimely(); },
+           // The planner polls all workers itself. One that isn't in its own view misses the
+           // batches, and polls for that reason.
+           { [this] { return RegionPeers(PlannerNode()); }, [this] { return mMonitor.IsTimely(); },
              [this](const NodeId& aWatcher, const workers::RelayedChange& aChange) {
                mMonitor.OnRelayed(aWatcher, aChange);
              },
@@ -152,7 +155,9 @@
   , mAdminApi(MakeAdminHooks())
   , mServer(aLoop, detail::MakeLimits(mSettings))
   , mAdminServer(aLoop)
-  , mVmList(aLoop, detail::MakeVmListSettings(mSettings),
+  , mVmList(aLoop, mTransport, mRandom, mSettings.mNode, mMembership.Self().mIncarnation,
+            { [this] { return ReadsVmList(); }, [this] { return RegionPeers(NodeId()); } },
+            detail::MakeVmListSettings(mSettings),
             [this](const std::vector<membership::Vm>& aVms) { OnVmList(aVms); })
   , mStarted(std::chrono::steady_clock::now())
 {
@@ -204,6 +209,13 @@
         mRelay.ReadPayload(aMember.mNode, aMember.mIncarnation, aMember.mAddress, aPayload, aSent);
       }
     });
+  mMembership.AddPayload(
+    "vms", [this] { return mVmList.WritePayload(); },
+    [this](const membership::Member& aMember, const Json& aPayload, TimePoint aSent) {
+      if (aMember.mRegion == mSettings.mRegion) {
+        mVmList.ReadPayload(aMember.mNode, aMember.mIncarnation, aPayload, aSent);
+      }
+    });
 }
 
 void
@@ -215,15 +227,20 @@
   mMonitor.Reassign();
 }
 
+bool
+Node::ReadsVmList() const
+{
+  return mWatchNodes.empty() ||
+         membership::ListReaderOf(mSettings.mRegion, mWatchNodes,
+                                  std::chrono::system_clock::now()) == mSettings.mNode;
+}
+
 std::vector<SocketAddress>
-Node::RegionPeers()
+Node::RegionPeers(const NodeId& aWithout)
 {
   std::vector<SocketAddress> peers;
-  // The planner polls all workers itself. One that isn't in its own view misses the batches, and
-  // polls for that reason.
-  const auto planner = PlannerNode();
   for (const auto& it : mMembership.Members()) {
-    if (it.mMember.mNode != mSettings.mNode && it.mMember.mNode != planner &&
+    if (it.mMember.mNode != mSettings.mNode && it.mMember.mNode != aWithout &&
         it.mMember.mRegion == mSettings.mRegion &&
         it.mState != membership::MemberState::Suspected) {
       peers.push_back(it.mMember.mAddress);
