Listen on the process's own loopback IP in the shared VM list's tests

Cause: these tests were written beside the change that gave each test process an IP of its own. Change: the two listeners use it as well.

--- a/tests/membership/SharedVmListTests.cpp
+++ b/tests/membership/SharedVmListTests.cpp
@@ -5,6 +5,7 @@
 #include "membership/Rendezvous.h"
 #include "membership/SharedVmList.h"
 #include "peer/NghttpTransport.h"
+#include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
 
@@ -53,7 +54,7 @@
   explicit ListService(EventLoop& aLoop)
     : mServer(aLoop)
   {
-    cr_assert_not(mServer.Listen(SocketAddress("127.0.0.1", 0)));
+    cr_assert_not(mServer.Listen(testing::LocalAddress()));
     mServer.Handle(
       http::Method::Get, "/{node}", [this](const auto& aRequest, const auto& aResponder) {
         const std::string node(aRequest.PathParameter("node"));
@@ -98,7 +99,7 @@
     : mTransport(aLoop, aRandom)
     , mOwns(aOwns)
   {
-    cr_assert_not(mTransport.Listen({ "127.0.0.1", 0 }));
+    cr_assert_not(mTransport.Listen(testing::LocalAddress()));
     VmListSettings settings;
     settings.mServer = aService.mServer.Address();
     settings.mPath = std::string("/") + aNode;
