Let the load tool follow a schedule of rates and keep a time series

Cause: nothing measured what happens above a node's capacity. The load tool had one fixed rate and one summary of the whole run, in which an overload and the time after it can't be told apart.

"--interval-ms" gives a time series by due time (sent, ok, late, refused, failed, p50, p99 of answered requests) as a table and in the JSON report, and "--plot" an SVG. "--rate" is a constant schedule.

Ruled out: counting by the time of the answer. A row would then mix requests that were sent in different steps, and sent would not be the sum of the outcomes.

No figures of the system change.

--- a/src/load/Arguments.cpp
+++ b/src/load/Arguments.cpp
@@ -92,9 +92,7 @@
                 "Requests open at a time; in an open loop the most")
     ->check(CLI::Range(1, 10000))
     ->capture_default_str();
-  app.add_option("--rate", options.mRate, "Requests a second in an open loop; 0 is a closed loop")
-    ->check(CLI::NonNegativeNumber)
-    ->capture_default_str();
+  AddOpenLoop();
   AddSetting(app, "--duration-ms", options.mTime, "Time of sending; 0 is no limit");
   app.add_option("--count", options.mCount, "Number of requests; 0 is no limit")
     ->check(CLI::NonNegativeNumber)
@@ -112,6 +110,41 @@
                  "Send to workers themselves, under this service lease");
 }
 
+void
+Arguments::AddOpenLoop()
+{
+  auto& app = *mRequestsCommand;
+  auto& options = mRequests;
+  auto* rate = app
+                 .add_option_function<double>(
+                   "--rate",
+                   [&options](double aRate) {
+                     if (aRate > 0) {
+                       options.mSchedule = RateSchedule::Constant(aRate);
+                     }
+                   },
+                   "Requests a second in an open loop; 0 is a closed loop")
+                 ->check(CLI::NonNegativeNumber);
+  app
+    .add_option_function<std::string>(
+      "--schedule",
+      [&options](const std::string& aText) {
+        std::string problem;
+        options.mSchedule = RateSchedule::Parse(aText, problem);
+        if (!options.mSchedule) {
+          throw CLI::ValidationError("--schedule", problem);
+        }
+        if (options.mInterval.count() == 0) {
+          options.mInterval = Duration(1000);
+        }
+      },
+      "Rates of an open loop: TIME:RATE, TIME:FROM-TO or TIME:+COUNT, separated by commas")
+    ->excludes(rate);
+  AddSetting(app, "--interval-ms", options.mInterval,
+             "Interval of the time series; 0 is none, or 1000 with --schedule");
+  app.add_option("--plot", mPlot, "SVG file that gets a plot of the time series");
+}
+
 void
 Arguments::AddJobs()
 {
--- a/src/load/Arguments.h
+++ b/src/load/Arguments.h
@@ -24,6 +24,8 @@
 
   CLI::App* mRequestsCommand;
   RequestLoadOptions mRequests;
+  // File that gets the plot of the time series; empty for none.
+  std::string mPlot;
 
   CLI::App* mJobsCommand;
   JobLoadOptions mJobs;
@@ -40,6 +42,7 @@
 private:
   void AddSession();
   void AddRequests();
+  void AddOpenLoop();
   void AddJobs();
   void AddTrace();
   void AddVerify();
--- a/src/load/CommandLine.cpp
+++ b/src/load/CommandLine.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Settings.h"
 #include "load/Arguments.h"
+#include "load/SeriesPlot.h"
 
 #include <fstream>
 #include <memory>
@@ -17,8 +18,30 @@
   if (aArguments.mJson) {
     aOut << DumpJson(aReport) << '\n';
   } else {
-    PrintReport(aReport, aOut);
+    auto report = aReport;
+    report.erase("series");
+    PrintReport(report, aOut);
+    if (aReport.contains("series")) {
+      PrintSeries(aReport["series"], aOut);
+    }
+  }
+}
+
+// Writes the plot of a report's time series if the command line asks for it.
+bool
+Plot(const Arguments& aArguments, const Json& aReport, std::ostream& aErr)
+{
+  if (aArguments.mPlot.empty()) {
+    return true;
+  }
+  std::ofstream file(aArguments.mPlot);
+  WritePlot(aReport.value("series", Json::array()),
+            "service " + aArguments.mRequests.mPlan.mService, file);
+  if (!file.flush()) {
+    aErr << aArguments.mPlot << ": cannot be written\n";
+    return false;
   }
+  return true;
 }
 
 // Reads each file with aRead, a function of a stream and a text for the problem.
@@ -102,6 +125,12 @@
     if (mRequests || mTrace) {
       report["requests"] = aSession.mRequests.ToJson(aElapsed);
     }
+    if (mRequests) {
+      auto series = mRequests->SeriesToJson();
+      if (!series.is_null()) {
+        report["series"] = std::move(series);
+      }
+    }
     if (mJobs || mTrace) {
       report["jobs"] = aSession.mJobs.ToJson(aElapsed);
     }
@@ -137,7 +166,11 @@
   loop.Run();
   const auto elapsed =
     std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - begin);
-  Print(aArguments, load.ToJson(session, elapsed), aOut);
+  const auto report = load.ToJson(session, elapsed);
+  Print(aArguments, report, aOut);
+  if (!Plot(aArguments, report, aErr)) {
+    return kExitUsage;
+  }
   return session.mRequests.IsClean() && session.mJobs.IsClean() ? kExitClean : kExitFault;
 }
 
@@ -155,6 +188,9 @@
   if (arguments.mVerifyCommand->parsed()) {
     return detail::RunVerify(arguments, aOut, aErr);
   }
+  if (!arguments.mPlot.empty() && arguments.mRequests.mInterval.count() == 0) {
+    arguments.mRequests.mInterval = Duration(1000);
+  }
   if (arguments.mTraceCommand->parsed() && !detail::ReadTrace(arguments, aErr)) {
     return kExitUsage;
   }
--- a/src/load/RequestLoad.cpp
+++ b/src/load/RequestLoad.cpp
@@ -21,13 +21,22 @@
   , mDone(std::move(aDone))
   , mSender(aSession)
 {
+  if (mOptions.mInterval.count() > 0) {
+    mSeries.emplace(mOptions.mInterval);
+  }
+}
+
+Json
+RequestLoad::SeriesToJson() const
+{
+  return mSeries ? mSeries->ToJson() : Json();
 }
 
 void
 RequestLoad::Start()
 {
   mBegin = std::chrono::steady_clock::now();
-  if (mOptions.mRate > 0) {
+  if (mOptions.mSchedule) {
     SendDue();
     return;
   }
@@ -40,15 +49,15 @@
 bool
 RequestLoad::IsDue(TimePoint aWhen) const
 {
-  return (mOptions.mCount == 0 || mSent < mOptions.mCount) &&
+  return aWhen != TimePoint::max() && (mOptions.mCount == 0 || mSent < mOptions.mCount) &&
          (mOptions.mTime.count() == 0 || aWhen < mBegin + mOptions.mTime);
 }
 
 TimePoint
 RequestLoad::NextDue() const
 {
-  const std::chrono::duration<double> offset(static_cast<double>(mSent) / mOptions.mRate);
-  return mBegin + std::chrono::duration_cast<std::chrono::nanoseconds>(offset);
+  const auto offset = mOptions.mSchedule->DueAt(mSent);
+  return offset ? mBegin + *offset : TimePoint::max();
 }
 
 void
@@ -60,7 +69,9 @@
   plan.mIntended = aIntended;
   plan.mIdempotent =
     mSession.mRandom.Below(100) >= static_cast<std::uint64_t>(mOptions.mNonIdempotentPercent);
-  mSender.Send(plan, [this] { OnAnswer(); });
+  mSender.Send(plan, [this, aIntended](Outcome aOutcome, std::chrono::microseconds aLatency) {
+    OnAnswer(aIntended, aOutcome, aLatency);
+  });
 }
 
 void
@@ -89,11 +100,15 @@
 }
 
 void
-RequestLoad::OnAnswer()
+RequestLoad::OnAnswer(TimePoint aIntended, Outcome aOutcome, std::chrono::microseconds aLatency)
 {
   --mOpen;
+  if (mSeries) {
+    mSeries->Add(std::chrono::duration_cast<std::chrono::microseconds>(aIntended - mBegin),
+                 aOutcome, aLatency, mSession.mOptions.mDeadline);
+  }
   const auto now = std::chrono::steady_clock::now();
-  if (mOptions.mRate <= 0 && IsDue(now)) {
+  if (!mOptions.mSchedule && IsDue(now)) {
     SendOne(now);
   }
   EndIfDone();
@@ -102,7 +117,7 @@
 void
 RequestLoad::EndIfDone()
 {
-  const bool more = mOptions.mRate > 0 && IsDue(NextDue());
+  const bool more = mOptions.mSchedule && IsDue(NextDue());
   if (mOpen == 0 && !more && !mEnded) {
     mEnded = true;
     mDone();
--- a/src/load/RequestSender.cpp
+++ b/src/load/RequestSender.cpp
@@ -70,7 +70,7 @@
 }
 
 void
-RequestSender::Send(const RequestPlan& aPlan, std::function<void()> aDone)
+RequestSender::Send(const RequestPlan& aPlan, Callback aDone)
 {
   const auto token = mSession.NextToken();
   auto call = MakeCall(aPlan, token);
@@ -78,22 +78,22 @@
   auto expected = call.mBody;
   mSession.mCaller.Call(std::move(call), [this, aPlan, token, expected = std::move(expected),
                                           done = std::move(aDone)](const CallResult& aResult) {
-    Record(aPlan, token, aResult, expected);
-    done();
+    const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - aPlan.mIntended);
+    done(Record(aPlan, token, aResult, expected, latency), latency);
   });
 }
 
-void
+Outcome
 RequestSender::Record(const RequestPlan& aPlan, const std::string& aToken,
-                      const CallResult& aResult, const std::string& aExpected)
+                      const CallResult& aResult, const std::string& aExpected,
+                      std::chrono::microseconds aLatency)
 {
-  const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(
-    std::chrono::steady_clock::now() - aPlan.mIntended);
   const auto outcome = detail::JudgeRequest(aResult, aExpected);
-  mSession.mRequests.Add(outcome, aResult.mError, latency);
+  mSession.mRequests.Add(outcome, aResult.mError, aLatency);
   mSession.mRequests.AddRetries(static_cast<std::int64_t>(aResult.mAttempts.size()) - 1);
   if (!mSession.mLog.IsOpen()) {
-    return;
+    return outcome;
   }
   const bool answered = aResult.mEnd == CallResult::End::Answered;
   mSession.mLog.Write(
@@ -105,7 +105,8 @@
       { client_trace::kError, aResult.mError },
       { client_trace::kAttempts, detail::AttemptsToJson(aResult.mAttempts) },
       { client_trace::kAnswerToken, answered ? TokenOf(aResult.mResponse.mBody) : "" },
-      { client_trace::kLatency, latency.count() } });
+      { client_trace::kLatency, aLatency.count() } });
+  return outcome;
 }
 
 } // namespace lovagerock::load
--- a/src/load/RequestSender.h
+++ b/src/load/RequestSender.h
@@ -2,6 +2,7 @@
 
 #include "load/Session.h"
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <string>
@@ -30,12 +31,14 @@
 public:
   explicit RequestSender(Session& aSession);
 
-  void Send(const RequestPlan& aPlan, std::function<void()> aDone);
+  // aDone gets what became of the request, and the time since it was meant to be sent.
+  using Callback = std::function<void(Outcome, std::chrono::microseconds)>;
+  void Send(const RequestPlan& aPlan, Callback aDone);
 
 private:
   CallSpec MakeCall(const RequestPlan& aPlan, const std::string& aToken) const;
-  void Record(const RequestPlan& aPlan, const std::string& aToken, const CallResult& aResult,
-              const std::string& aExpected);
+  Outcome Record(const RequestPlan& aPlan, const std::string& aToken, const CallResult& aResult,
+                 const std::string& aExpected, std::chrono::microseconds aLatency);
 
   Session& mSession;
 };
--- a/src/load/TraceLoad.cpp
+++ b/src/load/TraceLoad.cpp
@@ -91,7 +91,7 @@
   plan.mIdempotent = mOptions.mIdempotent;
   plan.mRunTime = ToRealTime(aEntry.mRunMinutes);
   plan.mIntended = aIntended;
-  mRequests.Send(plan, [this, account = aEntry.mAccount, aIntended] {
+  mRequests.Send(plan, [this, account = aEntry.mAccount, aIntended](Outcome, auto) {
     mTimes[account]["request"].Add(std::chrono::duration_cast<std::chrono::microseconds>(
       std::chrono::steady_clock::now() - aIntended));
     OnEnd();
--- a/tests/load/RequestTests.cpp
+++ b/tests/load/RequestTests.cpp
@@ -152,7 +152,7 @@
   f.mSession = std::make_unique<Session>(f.mLoop, f.mOptions);
   RequestLoadOptions options;
   options.mPlan.mService = "condition";
-  options.mRate = 200;
+  options.mSchedule = RateSchedule::Constant(200);
   options.mTime = Duration(250);
   options.mConnections = 8;
   RequestLoad load(*f.mSession, options, [&f] { f.mLoop.Stop(); });
