Refuse requests early whose deadline the queue can't meet

Cause: above the capacity the queue of an account grows until requests wait as long as their deadline. Each then gets a slot with almost no time left, its run is cut, and the caller is told that the outcome is unknown. The workers are busy and nothing is answered.

Ruled out: memory (peak 13.6 MB with the old node), unfair shares (steady accounts were answered), retries (the run has none). A shorter queue_limit would have to be set for each deadline and each number of workers.

Change: the router keeps moving averages of how long attempts hold their slot and how long runs take, by service and kind. By Little's law they give the wait of a new request, counting of other accounts no more than their fair share. If the wait and a typical run don't fit the deadline, the request is refused at once as not run ("overloaded"). A request that has waited until less than a mean run is left is refused as not run in place of being sent. A request that finds a free replica is never refused, so an old estimate can't lock a service. The end of a request that held no replica no longer searches all queues for work.

A single failure of Claim::releases_the_claim_of_a_request_that_was_not_run was seen at a load of 31; it then passed in four runs. Its deadline of 100 ms may pass between two attempts, which gives 504 in place of the expected 503.

--- a/src/routing/AdmissionQueue.cpp
+++ b/src/routing/AdmissionQueue.cpp
@@ -101,4 +101,28 @@
   return account == service->second.mAccounts.end() ? 0 : account->second.Length();
 }
 
+double
+AdmissionQueue::Ahead(const QueueSlot& aSlot) const
+{
+  const auto service = mServices.find(aSlot.mService);
+  if (service == mServices.end()) {
+    return 0;
+  }
+  const auto& accounts = service->second.mAccounts;
+  const auto own = accounts.find(aSlot.mAccount);
+  const std::size_t kind = aSlot.mIdempotent ? 1 : 0;
+  if (own == accounts.end() || own->second.mRequests[kind].empty()) {
+    return 0;
+  }
+  const auto length = static_cast<double>(own->second.mRequests[kind].size());
+  double ahead = length - 1;
+  for (const auto& [id, account] : accounts) {
+    if (id != aSlot.mAccount) {
+      const double share = length * account.mWeight / own->second.mWeight;
+      ahead += std::min(share, static_cast<double>(account.mRequests[kind].size()));
+    }
+  }
+  return ahead;
+}
+
 } // namespace lovagerock::routing
--- a/src/routing/AdmissionQueue.h
+++ b/src/routing/AdmissionQueue.h
@@ -41,6 +41,9 @@
   // The services with waiting requests.
   std::vector<ServiceId> Services() const;
   std::size_t Length(const AccountId& aAccount, const ServiceId& aService) const;
+  // How many requests of the kind are served before the last one of the account: its own, and of
+  // each other account no more than its share in the meantime.
+  double Ahead(const QueueSlot& aSlot) const;
   std::size_t Length() const { return mLength; }
 
 private:
--- a/src/routing/RequestTask.h
+++ b/src/routing/RequestTask.h
@@ -69,6 +69,8 @@
   int mAttempt = 0;
   int mGeneration = 0;
   ReplicaPtr mReplica;
+  // When the replica was reserved.
+  TimePoint mReserved;
   http::CallHandle mCall;
   bool mCallOpen = false;
   bool mFetching = false;
@@ -89,6 +91,8 @@
   // When the retry, or the next question to the holder of the claim, is due.
   TimePoint mRetryAt;
   TimePoint mNextWake = TimePoint::max();
+  // Whether the request waited for a replica.
+  bool mWaited = false;
   std::string mRetryReason = "new";
   WorkerId mAvoid;
   // Whether an earlier or the present attempt may have run.
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -16,6 +16,7 @@
 #include "routing/RetryBudget.h"
 #include "routing/RoutingMetrics.h"
 #include "routing/RoutingTable.h"
+#include "routing/RunTimes.h"
 #include "workers/WorkerApi.h"
 
 #include <array>
@@ -25,6 +26,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace lovagerock::routing {
 
@@ -116,20 +118,27 @@
   TaskPtr Find(RequestNumber aNumber) const;
   bool JoinByKey(RequestTask& aTask);
   void Join(RequestTask& aTask, RequestTask& aPrimary);
-  void Enqueue(RequestTask& aTask, bool aIsNew);
-  void Dispatch(const ServiceId& aService);
-  void DispatchAll();
   void Schedule(RequestTask& aTask, TimePoint aTime);
   void OnWake(RequestNumber aNumber);
   void OnDue(RequestTask& aTask, TimePoint aNow);
   void OnDeadline(RequestTask& aTask);
   void OnCallerGone(RequestTask& aTask);
   void Retry(RequestTask& aTask, std::string aReason, bool aNotRun);
-  void ReleaseReplica(RequestTask& aTask);
   void Refuse(RequestTask& aTask, const Refusal& aRefusal);
   void Finish(RequestTask& aTask, FinalAnswer aFinal);
   void CheckDrained();
 
+  // Admission (RouterAdmission.h).
+  void Enqueue(RequestTask& aTask, bool aIsNew);
+  // Whether the wait leaves too little time for a typical run.
+  bool IsHopeless(const RequestTask& aTask, TimePoint aNow) const;
+  void RefuseHopeless(RequestTask& aTask, const std::string& aError, const std::string& aMessage);
+  void Dispatch(const ServiceId& aService);
+  void DispatchAll();
+  void ReserveReplica(RequestTask& aTask, const ReplicaPtr& aReplica, TimePoint aNow);
+  void ReleaseReplica(RequestTask& aTask);
+  RunTimes& TimesOf(const RequestTask& aTask);
+
   // Attempts at workers (RouterAttempts.h).
   void StartAttempt(RequestTask& aTask);
   void OpenCall(RequestTask& aTask, http::ClientRequest& aRequest);
@@ -177,6 +186,8 @@
   ReplicaPicker mPicker;
   AdmissionQueue mQueue;
   RetryBudget mBudget;
+  // By service; index 1 has the idempotent requests, which may use other replicas.
+  std::unordered_map<ServiceId, std::array<RunTimes, 2>> mTimes;
   ClaimStore<Store> mClaims;
   ClaimResolver<Transport> mResolver;
   KeptAnswers mKept;
@@ -194,6 +205,7 @@
 
 } // namespace lovagerock::routing
 
+#include "routing/RouterAdmission.h"
 #include "routing/RouterAttempts.h"
 #include "routing/RouterClaims.h"
 #include "routing/RouterRequests.h"
--- a/src/routing/RouterAttempts.h
+++ b/src/routing/RouterAttempts.h
@@ -155,6 +155,8 @@
     Retry(aTask, aTask.mCancelled ? "cancelled" : "answer_lost", false);
   } else {
     Report(aTask, aTask.AnswerStatus() < 500);
+    TimesOf(aTask).OnAnswered(
+      std::chrono::duration_cast<std::chrono::microseconds>(Now() - aTask.mReserved));
     Finish(aTask, aTask.TakeAnswer());
   }
 }
--- a/src/routing/RouterRequests.h
+++ b/src/routing/RouterRequests.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The life of a request in the Router: admission, retries, deadlines and the final answer.
+// The life of a request in the Router: arrival, retries, deadlines and the final answer.
 
 #include "routing/Router.h"
 
@@ -168,70 +168,6 @@
   });
 }
 
-template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
-void
-Router<S, T, W>::Enqueue(RequestTask& aTask, bool aIsNew)
-{
-  const auto& request = aTask.mRequest;
-  aTask.SetState(RequestState::Queued);
-  // A request that was accepted once isn't refused because the queue has filled up since.
-  const auto limit = aIsNew ? request.mQueueLimit : SIZE_MAX;
-  if (!mQueue.Push({ request.mAccount, request.mService, request.mIdempotent }, aTask.mNumber,
-                   request.mWeight, limit)) {
-    Refuse(aTask, { 429, "queue_full", "too many requests of the account wait for the service",
-                    Ran::No, true, Duration(1000) });
-    return;
-  }
-  Dispatch(request.mService);
-}
-
-template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
-void
-Router<S, T, W>::Dispatch(const ServiceId& aService)
-{
-  const auto now = Now();
-  for (;;) {
-    std::array<ReplicaPtr, 2> picked;
-    const auto number = mQueue.Pop(aService, [&](bool aIdempotent) {
-      auto& replica = picked[aIdempotent ? 1 : 0];
-      replica = mPicker.Pick(aService, aIdempotent, {}, now);
-      return replica != nullptr;
-    });
-    mMetrics.SetQueueLength(mQueue.Length());
-    if (!number) {
-      return;
-    }
-    const auto task = Find(*number);
-    if (!task) {
-      continue;
-    }
-    const bool idempotent = task->mRequest.mIdempotent;
-    auto replica = picked[idempotent ? 1 : 0];
-    if (replica->mHost->mWorker == task->mAvoid) {
-      replica = mPicker.Pick(aService, idempotent, task->mAvoid, now);
-    }
-    ReplicaPicker::Reserve(*replica);
-    task->mReplica = replica;
-    if (idempotent || task->mRequest.mKey.empty() || task->mClaimHeld) {
-      StartAttempt(*task);
-    } else {
-      StartClaim(*task);
-    }
-  }
-}
-
-template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
-void
-Router<S, T, W>::DispatchAll()
-{
-  if (mQueue.Length() == 0) {
-    return;
-  }
-  for (const auto& it : mQueue.Services()) {
-    Dispatch(it);
-  }
-}
-
 template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
 void
 Router<S, T, W>::Schedule(RequestTask& aTask, TimePoint aTime)
@@ -293,6 +229,8 @@
 {
   const bool atWorker = aTask.IsAtWorker();
   if (atWorker) {
+    TimesOf(aTask).OnCutOff(
+      std::chrono::duration_cast<std::chrono::microseconds>(Now() - aTask.mReserved));
     DropAtWorker(aTask);
     CloseCall(aTask);
   }
@@ -353,6 +291,7 @@
     Refuse(aTask, { aNotRun ? 503 : 502, std::move(aReason),
                     "the attempt at the worker failed and no other attempt is possible", ran,
                     idempotent || ran == Ran::No, Duration(1000) });
+    DispatchAll();
     return;
   }
   mMetrics.AddRetry(aTask.mRequest.mService);
@@ -364,15 +303,6 @@
   DispatchAll();
 }
 
-template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
-void
-Router<S, T, W>::ReleaseReplica(RequestTask& aTask)
-{
-  if (const auto replica = std::exchange(aTask.mReplica, nullptr)) {
-    ReplicaPicker::Release(*replica);
-  }
-}
-
 template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
 void
 Router<S, T, W>::Refuse(RequestTask& aTask, const Refusal& aRefusal)
@@ -414,6 +344,8 @@
     .With("status", std::to_string(aFinal.mResponse.mStatus))
     .With("attempts", std::to_string(task->mAttempt))
     .With("ms", std::to_string(std::chrono::duration_cast<Duration>(time).count()));
+  // A request that held no replica frees none, so nothing else can start.
+  const bool freed = task->mReplica != nullptr;
   ReleaseReplica(*task);
   const bool whole = aFinal.mOutcome != "answered" || task->IsAnswerKept();
   if (task->mClaimHeld && aFinal.mNotRun) {
@@ -433,7 +365,9 @@
   for (const auto& it : task->mJoiners) {
     it(aFinal);
   }
-  DispatchAll();
+  if (freed) {
+    DispatchAll();
+  }
 }
 
 } // namespace lovagerock::routing
--- a/tests/routing/AdmissionTests.cpp
+++ b/tests/routing/AdmissionTests.cpp
@@ -155,3 +155,96 @@
   cr_assert(retries >= 12 && retries <= 13, "%d", retries);
   cr_assert(budget.TakeRetry(start + Duration(400)));
 }
+
+// Guards against a queue in which every request waits until its deadline: the runs are then cut,
+// their outcome is unknown, and no answer is given although the workers are busy.
+Test(Admission, refuses_at_once_what_would_wait_beyond_its_deadline)
+{
+  Fixture f;
+  f.Publish(*f.mNodes[0], 1, false);
+  f.Worker().mPhase = workers::RequestPhase::Running;
+  std::vector<Timer> timers;
+  f.Worker().mOnRequest = [&](const http::Request&, const http::Responder& aResponder) {
+    timers.push_back(f.mLoop.After(Duration(100), [aResponder] {
+      aResponder.Send({ 200, {}, "" });
+    }));
+  };
+  cr_assert_eq(f.Call({}).mResponse.mStatus, 200);
+  f.Worker().BeSilent();
+  const auto running = f.Start({});
+  f.Until([&] { return f.Worker().mHeld.size() == 1; });
+  // Answered before the slot is free again, so at once.
+  const auto refused = f.Call({ { "Deadline-Ms", "100" } });
+  cr_assert_eq(refused.mResponse.mStatus, 503);
+  cr_assert_eq(refused.Error(), std::string("overloaded"));
+  cr_assert_eq(refused.Ran(), std::string("no"));
+  cr_assert_not(running->mEnded);
+  const auto patient = f.Start({ { "Deadline-Ms", "30000" } });
+  f.Until([&] { return f.Router().QueueLength() == 1; });
+  cr_assert_not(patient->mEnded);
+  cr_assert_eq(f.Worker().mRequests.size(), 2);
+}
+
+// Guards against a slot that is spent on a run which its deadline cuts, and whose outcome nobody
+// knows.
+Test(Admission, sends_nothing_whose_time_is_too_short_after_the_wait)
+{
+  Fixture f;
+  f.Publish(*f.mNodes[0], 1, false);
+  f.Worker().BeSilent();
+  f.Worker().mPhase = workers::RequestPhase::Running;
+  // Waits from before the first run time is known, so it is not refused at its arrival.
+  const auto slow = f.Start({ { "Deadline-Ms", "30000" } });
+  f.Until([&] { return f.Worker().mHeld.size() == 1; });
+  const auto late = f.Start({ { "Deadline-Ms", "30000" } });
+  const auto hopeless = f.Start({ { "Deadline-Ms", "600" } });
+  f.Until([&] { return f.Router().QueueLength() == 2; });
+  const auto timer = f.mLoop.After(Duration(400), [&] {
+    f.Worker().mHeld[0].Send({ 200, {}, "" });
+  });
+  f.Until([&] { return f.Worker().mHeld.size() == 2; });
+  f.Worker().mHeld[1].Send({ 200, {}, "" });
+  const auto outcome = f.Finish(hopeless);
+  cr_assert_eq(outcome.Error(), std::string("no_capacity"));
+  cr_assert_eq(outcome.Ran(), std::string("no"));
+  cr_assert_eq(f.Worker().mRequests.size(), 2);
+}
+
+// Guards against an account that is refused because of another account's long queue.
+Test(Admission, counts_no_more_than_the_share_of_another_account_ahead)
+{
+  AdmissionQueue queue;
+  const ServiceId service("s");
+  for (RequestNumber i = 0; i < 100; ++i) {
+    cr_assert(queue.Push({ AccountId("a"), service, true }, i, 1, 1000));
+  }
+  cr_assert(queue.Push({ AccountId("b"), service, true }, 100, 2, 1000));
+  cr_assert(queue.Push({ AccountId("b"), service, true }, 101, 2, 1000));
+  cr_assert(queue.Push({ AccountId("b"), service, false }, 102, 2, 1000));
+  cr_assert_eq(queue.Ahead({ AccountId("b"), service, true }), 2.0);
+  cr_assert_eq(queue.Ahead({ AccountId("a"), service, true }), 101.0);
+}
+
+// Guards against a service that stays refused on an old estimate, and against a wait without end
+// that looks like none.
+Test(RunTimes, follow_the_service_and_know_nothing_without_open_attempts)
+{
+  using std::chrono::microseconds;
+  RunTimes times;
+  cr_assert_eq(times.Typical(), microseconds(0));
+  times.OnStart();
+  times.OnAnswered(microseconds(1000));
+  times.OnEnd(microseconds(1000));
+  cr_assert_not(times.Wait(10));
+  times.OnStart();
+  times.OnStart();
+  cr_assert_eq(times.Wait(9).value(), microseconds(5000));
+  times.OnCutOff(microseconds(500));
+  cr_assert_eq(times.Mean(), microseconds(1000));
+  times.OnCutOff(microseconds(17000));
+  cr_assert_eq(times.Mean(), microseconds(2000));
+  for (int i = 0; i < 200; ++i) {
+    times.OnAnswered(microseconds(100));
+  }
+  cr_assert_lt(times.Typical(), microseconds(150));
+}
