--- a/tests/integration/Gangs.cpp
+++ b/tests/integration/Gangs.cpp
@@ -79,6 +79,21 @@
   });
 }
 
+void
+CancelJob(LocalSystem& aSystem, int aNode, const std::string& aJob, const std::string& aToken)
+{
+  auto request = HttpCaller::MakePost(aSystem.NodeAddress(aNode), "/v1/jobs/" + aJob, "",
+                                      JobHeaders("", aToken));
+  request.mMethod = http::Method::Delete;
+  // A change of the record at the same time refuses the call.
+  AwaitTrue("job " + aJob + " cancelled", [&] { return aSystem.Caller().Call(request).Is(202); });
+  AwaitTrue("job " + aJob + " ended", [&] {
+    const auto result =
+      aSystem.Caller().Get(aSystem.NodeAddress(aNode), "/v1/jobs/" + aJob, JobHeaders("", aToken));
+    return JsonValue<std::string>(result.Body(), "state", "") == "cancelled";
+  });
+}
+
 void
 RequireAnswer(LocalSystem& aSystem, int aNode, const std::string& aJob, const std::string& aKey)
 {
--- a/tests/integration/Gangs.h
+++ b/tests/integration/Gangs.h
@@ -33,6 +33,11 @@
 AwaitFinished(LocalSystem& aSystem, int aNode, const std::string& aJob,
               const std::string& aToken = kToken);
 
+// Cancels a job that has not ended, and waits until it has ended by that.
+void
+CancelJob(LocalSystem& aSystem, int aNode, const std::string& aJob,
+          const std::string& aToken = kToken);
+
 // Ends the test unless the node serves the answers of all tasks of a gang of SubmitGang().
 void
 RequireAnswer(LocalSystem& aSystem, int aNode, const std::string& aJob, const std::string& aKey);
--- a/tests/integration/Trace.cpp
+++ b/tests/integration/Trace.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iterator>
 
 namespace lovagerock::integration {
 
@@ -105,7 +106,7 @@
 }
 
 void
-Trace::RequireAttemptsInOrder(const std::string& aJob) const
+Trace::RequireAttemptsApart(const std::string& aJob) const
 {
   const Attempt* previous = nullptr;
   for (const auto& [key, attempt] : mAttempts) {
@@ -118,7 +119,17 @@
             name + " started before the end of the attempt before");
     previous = &attempt;
   }
-  Require(previous && previous->mFinished == previous->mTasks,
+}
+
+void
+Trace::RequireAttemptsInOrder(const std::string& aJob) const
+{
+  RequireAttemptsApart(aJob);
+  // Attempts are in the order of their numbers.
+  const auto after = mAttempts.lower_bound({ aJob, std::numeric_limits<int>::max() });
+  const auto last = after == mAttempts.begin() ? after : std::prev(after);
+  Require(last != mAttempts.end() && last->first.first == aJob &&
+            last->second.mFinished == last->second.mTasks,
           "the last attempt of job " + aJob + " didn't finish");
 }
 
--- a/tests/integration/Trace.h
+++ b/tests/integration/Trace.h
@@ -34,7 +34,9 @@
   // one accelerator each.
   void RequireWithinCapacity(int aAccelerators) const;
   // Ends the test unless all tasks of an attempt have ended before the next attempt starts, and
-  // the last attempt ended with all tasks finished.
+  // those of the last one too.
+  void RequireAttemptsApart(const std::string& aJob) const;
+  // The same, and the last attempt must have ended with all tasks finished.
   void RequireAttemptsInOrder(const std::string& aJob) const;
   // Ends the test if an attempt of any job started some of its tasks only, or a task twice.
   void RequireWholeGangs() const;
