Tell of an accepted change only when a majority of the nodes has it

Cause: the accepting node answered "applied" in the same turn in which it queued the pushes to the other nodes. They leave the process in a later turn of the loop. If the node was killed right after its answer while the service was down, no other node had the change, and none could get it before the service was back.

Ruled out: a lost push on a bad connection. The logs show all connections up, config_accepted and config_in_force at the killed node, and no push at the others.

Change: a push counts the members that have the version. The same holds for a repeated change. An answer without a majority stays possible, because the change is accepted by its write.

--- a/src/configstore/ChangeWriter.h
+++ b/src/configstore/ChangeWriter.h
@@ -30,8 +30,8 @@
 class ChangeWriter
 {
 public:
-  // Called when a change was written, before its outcome is told.
-  using WrittenCallback = std::function<void(AcceptedConfig)>;
+  // Called when a change was written. The outcome is told when the given function is called.
+  using WrittenCallback = std::function<void(AcceptedConfig, std::function<void()>)>;
   // Gives the highest version that this node knows of.
   using VersionGetter = std::function<ConfigVersion()>;
   // Gives the head of the configuration in force; version 0 for none.
@@ -67,7 +67,7 @@
            if (aError) {
              Refuse(*attempt, "key-value service: " + aError.message());
            } else if (aRecord) {
-             Repeat(*attempt, *aRecord);
+             Repeat(attempt, *aRecord);
            } else {
              ReadBase(attempt);
            }
@@ -122,7 +122,7 @@
       }
       const auto version = VersionOf(aReading.mHead);
       if (version < mHighest()) {
-        Lose(*aAttempt, mInForce(),
+        Lose(aAttempt, mInForce(),
              "key-value service shows an older version than the one in force");
         return;
       }
@@ -157,7 +157,7 @@
     mHead.Read(Guarded([this, aAttempt](std::error_code, const HeadReading& aReading) {
       const auto inForce = mInForce();
       const auto read = aReading.mHead.value_or(ConfigHead());
-      Lose(*aAttempt, read.mVersion > inForce.mVersion ? read : inForce,
+      Lose(aAttempt, read.mVersion > inForce.mVersion ? read : inForce,
            "no promise from more than half of the members");
     }));
   }
@@ -173,7 +173,7 @@
         { Kind::CompareAndSet, ChangeKey(head.mChange), DumpJson(record), 0 } },
       Guarded([this, aAttempt](std::error_code aError, const kv::TransactionResult& aResult) {
         if (!aError && aResult.mApplied) {
-          Applied(*aAttempt);
+          Applied(aAttempt);
         } else if (aError == kv::KvError::Unavailable || aError == kv::KvError::RateLimited) {
           mPromises.Abandon(aAttempt->mToken);
           Refuse(*aAttempt, "key-value service: " + aError.message());
@@ -222,7 +222,7 @@
     }
     mTimers.erase(aAttempt->mToken);
     if (aRecord) {
-      Repeat(*aAttempt, *aRecord);
+      Repeat(aAttempt, *aRecord);
       return;
     }
     mPromises.Abandon(aAttempt->mToken);
@@ -236,30 +236,32 @@
   }
 
   // The change is recorded, by this attempt or an earlier one of the same change.
-  void Repeat(Attempt& aAttempt, const ChangeRecord& aRecord)
+  void Repeat(const AttemptPointer& aAttempt, const ChangeRecord& aRecord)
   {
-    const auto& head = aAttempt.mConfig.mHead;
+    const auto& head = aAttempt->mConfig.mHead;
     if (aRecord.mHash != head.mHash) {
       config::Problem problem;
       problem.mMessage = "change id was used for another file";
-      Tell(aAttempt, { ChangeOutcome::Kind::Invalid, {}, { problem }, {} });
+      Tell(*aAttempt, { ChangeOutcome::Kind::Invalid, {}, { problem }, {} });
     } else if (aRecord.mVersion == head.mVersion) {
       Applied(aAttempt);
     } else {
       auto applied = head;
       applied.mVersion = aRecord.mVersion;
-      Tell(aAttempt, { ChangeOutcome::Kind::Applied, applied, {}, {} });
+      Tell(*aAttempt, { ChangeOutcome::Kind::Applied, applied, {}, {} });
     }
   }
 
-  void Applied(Attempt& aAttempt)
+  void Applied(const AttemptPointer& aAttempt)
   {
+    const auto& head = aAttempt->mConfig.mHead;
     LogEvent("config_accepted")
-      .With("version", aAttempt.mConfig.mHead.mVersion)
-      .With("change", aAttempt.mConfig.mHead.mChange)
-      .With("operator", aAttempt.mConfig.mHead.mOperator);
-    mOnWritten(aAttempt.mConfig);
-    Tell(aAttempt, { ChangeOutcome::Kind::Applied, aAttempt.mConfig.mHead, {}, {} });
+      .With("version", head.mVersion)
+      .With("change", head.mChange)
+      .With("operator", head.mOperator);
+    mOnWritten(aAttempt->mConfig, Guarded([this, aAttempt] {
+                 Tell(*aAttempt, { ChangeOutcome::Kind::Applied, aAttempt->mConfig.mHead, {}, {} });
+               }));
   }
 
   void Conflict(Attempt& aAttempt, const ConfigHead& aWinner)
@@ -268,15 +270,17 @@
   }
 
   // Ends an attempt that was not written, with a known head.
-  void Lose(Attempt& aAttempt, const ConfigHead& aHead, const std::string& aReason)
+  void Lose(const AttemptPointer& aAttempt, const ConfigHead& aHead, const std::string& aReason)
   {
-    const auto& own = aAttempt.mConfig.mHead;
+    const auto& own = aAttempt->mConfig.mHead;
     if (aHead.mVersion < own.mVersion) {
-      Refuse(aAttempt, aReason);
+      Refuse(*aAttempt, aReason);
     } else if (aHead.mChange == own.mChange && aHead.mHash == own.mHash) {
-      Tell(aAttempt, { ChangeOutcome::Kind::Applied, aHead, {}, {} });
+      // Another attempt of the same change won.
+      aAttempt->mConfig.mHead = aHead;
+      Applied(aAttempt);
     } else {
-      Conflict(aAttempt, aHead);
+      Conflict(*aAttempt, aHead);
     }
   }
 
--- a/src/configstore/ConfigStore.h
+++ b/src/configstore/ConfigStore.h
@@ -74,7 +74,9 @@
         aLoop, aStore, mHead, mPromises, aRandom, aSettings,
         [this] { return std::max(Version(), mConfirmation.HighestHeard()); },
         [this] { return mInForce ? mInForce->mHead : ConfigHead(); },
-        [this](AcceptedConfig aConfig) { OnWritten(std::move(aConfig)); })
+        [this](AcceptedConfig aConfig, std::function<void()> aDone) {
+          OnWritten(std::move(aConfig), std::move(aDone));
+        })
   {
     mMembership.AddPayload(
       "config",
@@ -132,7 +134,9 @@
     config.mDocument = std::move(*read.mDocument);
     if (mInForce && mInForce->mHead.mChange == aRequest.mChange &&
         mInForce->mHead.mHash == config.mHead.mHash) {
-      Answer(std::move(aCallback), { ChangeOutcome::Kind::Applied, mInForce->mHead, {}, {} });
+      Spread(nullptr, [&loop = mLoop, callback = std::move(aCallback), head = mInForce->mHead] {
+        loop.Post([callback, head] { callback({ ChangeOutcome::Kind::Applied, head, {}, {} }); });
+      });
       return;
     }
     mWriter.Write(std::move(config), std::move(text), std::move(aCallback));
@@ -251,12 +255,19 @@
     return true;
   }
 
-  void OnWritten(AcceptedConfig aConfig)
+  void OnWritten(AcceptedConfig aConfig, std::function<void()> aDone)
   {
     const auto before = mInForce;
-    if (Install(std::move(aConfig), "accepted")) {
-      mPush.SendToAll(before, mInForce, mConfirmation);
-    }
+    const bool isNew = Install(std::move(aConfig), "accepted");
+    Spread(isNew ? before : nullptr, std::move(aDone));
+  }
+
+  // Sends the configuration in force to the members that don't have it. An operator hears of a
+  // change only after that: otherwise it would be lost to all others for as long as the service is
+  // down, if this node failed right after its answer.
+  void Spread(const Pointer& aBase, std::function<void()> aDone)
+  {
+    mPush.SendToAll(aBase, mInForce, mConfirmation, std::move(aDone));
   }
 
   void TakePush(const Json& aMessage)
--- a/tests/configstore/ConfigStoreTests.cpp
+++ b/tests/configstore/ConfigStoreTests.cpp
@@ -20,6 +20,38 @@
   cr_assert_eq(calls, 1);
 }
 
+// Guards against an accepted change that only the accepting node has when its operator hears of it:
+// it would be lost to the others if that node and the service failed then.
+Test(ConfigStore, tells_of_a_change_after_a_majority_has_it)
+{
+  Cluster c(3);
+  c.ApplyFirst();
+  std::optional<std::ptrdiff_t> have;
+  c.mNodes[0]->mConfig.Accept(
+    { config::Replaced("weight: 2", "weight: 4"), ConfigVersion(1), ChangeId("second"), "o" },
+    [&](const ChangeOutcome& aOutcome) {
+      cr_assert(aOutcome.mKind == Kind::Applied);
+      have = std::count_if(c.mNodes.begin(), c.mNodes.end(), [](const auto& aNode) {
+        return aNode->mConfig.Version() == ConfigVersion(2);
+      });
+    });
+  c.WaitUntil([&] { return have.has_value(); });
+  cr_assert(*have >= 2);
+}
+
+// Guards against an operator who waits for ever when nobody takes a change that was written.
+Test(ConfigStore, tells_of_a_written_change_when_no_member_answers)
+{
+  Cluster c(3);
+  c.ApplyFirst();
+  c.mNodes[0]->mLink.mBeforeTransact = [&] {
+    c.Cut(0, 1);
+    c.Cut(0, 2);
+  };
+  cr_assert(c.Apply(0, 1, "second", 4).mKind == Kind::Applied);
+  c.WaitUntilAllHave(2);
+}
+
 // Guards against a silent overwrite of another operator's change.
 Test(ConfigStore, tells_the_later_operator_who_won)
 {
--- a/tests/integration/LocalSystem.h
+++ b/tests/integration/LocalSystem.h
@@ -70,6 +70,8 @@
   void SetWorkerFaults(const Json& aFaults);
   void SetZoneFaults(int aZone, const Json& aFaults);
   void SetKvFaults(const Json& aFaults);
+  // The same between one node and the key-value service.
+  void SetKvFaultsOf(int aNode, const Json& aFaults);
   // Changes the faults on all connections between nodes.
   void SetPeerFaults(const Json& aFaults);
   // Cuts the node off from the other nodes and the key-value service, in both directions. Needs the
--- a/tests/integration/LocalSystemFaults.cpp
+++ b/tests/integration/LocalSystemFaults.cpp
@@ -36,12 +36,18 @@
 void
 LocalSystem::SetKvFaults(const Json& aFaults)
 {
-  Require(mOptions.mProxyKv, "no fault proxies before the key-value service");
-  for (const auto& it : mNodes) {
-    SetFaults(it.mKv, aFaults);
+  for (int i = 0; i < NodeCount(); ++i) {
+    SetKvFaultsOf(i, aFaults);
   }
 }
 
+void
+LocalSystem::SetKvFaultsOf(int aNode, const Json& aFaults)
+{
+  Require(mOptions.mProxyKv, "no fault proxies before the key-value service");
+  SetFaults(NodeAt(aNode).mKv, aFaults);
+}
+
 void
 LocalSystem::SetPeerFaults(const Json& aFaults)
 {
