--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -24,5 +24,6 @@
 done
 ctest --test-dir "$directory" --output-on-failure --parallel 4 -E "$exclude"
 for program in "${!skipped[@]}"; do
-  "$directory/tests/$program/test_$program" --filter "!(${skipped[$program]})"
+  # As in the tests' properties, so that systems of processes aren't starved by each other.
+  CRITERION_JOBS=3 "$directory/tests/$program/test_$program" --filter "!(${skipped[$program]})"
 done
