Check the workers after a pause before anything is sent to them

Cause: a node that was paused for more than 3 s went on with the requests that had waited in its sockets, by worker states from before the pause. Ruled out: waiting for the polls that are open. Their answers may be from before the worker's change. Marking all workers as suspected by the clock alone would also hit a node whose loop was merely busy, and wait for the next poll. Change: PauseWatch notices that the loop stood still for more than 1 s, also in calls that run before its own timer. WorkerMonitor::Recheck asks each worker anew. Until all have answered or failed, the router sends nothing, also where a claim was under way; requests wait in the queue.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Duration kRoleCheckPeriod{ 500 };
+// Views that are older by this much still meet the 3 s for leaving workers.
+constexpr Duration kPauseLimit{ 1000 };
 // A new planner looks again after this time whether its own polls of all workers were answered.
 constexpr Duration kPolledCheckDelay{ 50 };
 // A planner waits this long after its start for workers that don't answer.
@@ -159,6 +161,7 @@
             { [this] { return ReadsVmList(); }, [this] { return RegionPeers(NodeId()); } },
             detail::MakeVmListSettings(mSettings),
             [this](const std::vector<membership::Vm>& aVms) { OnVmList(aVms); })
+  , mPauseWatch(aLoop, detail::kPauseLimit, [this](Duration aPause) { OnResumed(aPause); })
   , mStarted(std::chrono::steady_clock::now())
 {
   WireMembership();
@@ -195,6 +198,9 @@
 void
 Node::WireWatching()
 {
+  // What waited for this node in a pause must not be sent by the views from before the pause: a
+  // worker may have begun to leave since then.
+  mRouter.SetSendCheck([this] { return mCheckedPauses == mPauses && !mPauseWatch.IsUnnoticed(); });
   mMonitor.Share({ [this](const SocketAddress& aWorker) {
                     return mWatchNodes.empty() ||
                            membership::RendezvousOwner("worker/" + aWorker.ToString(),
@@ -227,6 +233,20 @@
   mMonitor.Reassign();
 }
 
+void
+Node::OnResumed(Duration aPause)
+{
+  const auto pause = ++mPauses;
+  LogEvent("workers_recheck", LogLevel::Warning).With("pause_ms", aPause);
+  mMonitor.Recheck([this, pause] {
+    // Posted, because the changes that the check found are delivered by messages.
+    mLoop.Post([this, pause] {
+      mCheckedPauses = std::max(mCheckedPauses, pause);
+      mRouter.Resume();
+    });
+  });
+}
+
 bool
 Node::ReadsVmList() const
 {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -2,6 +2,7 @@
 
 #include "admin/AdminApi.h"
 #include "base/EventLoop.h"
+#include "base/PauseWatch.h"
 #include "base/Random.h"
 #include "configstore/ConfigStore.h"
 #include "http/HttpClient.h"
@@ -61,6 +62,8 @@
   void RegisterApis();
   admin::AdminHooks MakeAdminHooks();
 
+  // Checks the workers before anything more is sent to them.
+  void OnResumed(Duration aPause);
   // Whether this node reads the VM list for the others, as far as it knows.
   bool ReadsVmList() const;
   // Takes the members that share the watching of the workers.
@@ -136,6 +139,10 @@
   http::HttpServer mAdminServer;
   membership::SharedVmList<Transport> mVmList;
   std::size_t mListedWorkers = 0;
+  PauseWatch mPauseWatch;
+  // Pauses so far, and the last one after which all workers were checked.
+  std::uint64_t mPauses = 0;
+  std::uint64_t mCheckedPauses = 0;
   TimePoint mStarted;
   // The planner role isn't taken again before this time after another planner's fence was seen.
   TimePoint mPlannerNotBefore;
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -80,6 +80,11 @@
   // Sets the number of live entry nodes, which share the workers' connections.
   void SetLiveNodes(int aCount);
 
+  // Sends nothing to workers while the function returns false; requests wait in the queue. After it
+  // may return true again, Resume() must be called.
+  void SetSendCheck(std::function<bool()> aMaySend) { mMaySend = std::move(aMaySend); }
+  void Resume() { DispatchAll(); }
+
   // Refuses new requests, waits until all requests have ended and their claims are recorded, and
   // calls back once. If the key-value service is down, claims are given up after mDrainLimit.
   void Drain(std::function<void()> aCallback);
@@ -198,6 +203,7 @@
   Bytes mBuffered;
   std::function<void()> mDrained;
   TimePoint mDrainEnd = TimePoint::max();
+  std::function<bool()> mMaySend = [] { return true; };
   bool mDraining = false;
   Timer mDrainTimer;
   DeadlineWheel mWheel;
--- a/src/routing/RouterAdmission.h
+++ b/src/routing/RouterAdmission.h
@@ -62,6 +62,9 @@
 void
 Router<S, T, W>::Dispatch(const ServiceId& aService)
 {
+  if (!mMaySend()) {
+    return;
+  }
   const auto now = Now();
   // Refused after the loop, because the end of a request may dispatch again.
   std::vector<TaskPtr> hopeless;
--- a/src/routing/RouterClaims.h
+++ b/src/routing/RouterClaims.h
@@ -55,7 +55,7 @@
       aTask.mClaim = aResult.mClaim;
       aTask.mClaimIndex = aResult.mIndex;
       aTask.mClaimHeld = true;
-      if (aTask.mReplica->mLive) {
+      if (aTask.mReplica->mLive && mMaySend()) {
         StartAttempt(aTask);
       } else {
         ReleaseReplica(aTask);
--- a/src/workers/WorkerMonitor.h
+++ b/src/workers/WorkerMonitor.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <system_error>
@@ -118,6 +119,30 @@
     });
   }
 
+  // Asks each worker for its state, apart from the polls that are open, and calls back when each
+  // has answered or failed. For use after a pause of this process: the views are out of date then,
+  // and so may be the answers to polls that began before it.
+  void Recheck(std::function<void()> aDone)
+  {
+    const auto open = std::make_shared<std::size_t>(mEntries.size());
+    if (*open == 0) {
+      aDone();
+      return;
+    }
+    for (const auto& [address, entry] : mEntries) {
+      mApi->Poll(address, 0, Duration(0),
+                 [this, open, aDone, weak = std::weak_ptr<Entry>(entry)](std::error_code aError,
+                                                                         PollAnswer aAnswer) {
+                   if (const auto checked = weak.lock()) {
+                     OnRechecked(checked, aError, std::move(aAnswer));
+                   }
+                   if (--*open == 0) {
+                     aDone();
+                   }
+                 });
+    }
+  }
+
   // Takes a change that a watcher relayed.
   void OnRelayed(const NodeId& aWatcher, const RelayedChange& aChange)
   {
@@ -355,6 +380,22 @@
     }
   }
 
+  void OnRechecked(const EntryPtr& aEntry, std::error_code aError, PollAnswer aAnswer)
+  {
+    const auto before = aEntry->mView.Health();
+    if (aError || !aAnswer.mState) {
+      // Suspected until its next poll is answered.
+      aEntry->mView.mSuspected = true;
+      ReportHealth(aEntry, before, "recheck_failed");
+      Resume(aEntry);
+    } else {
+      aEntry->mView.mSuspected = false;
+      aEntry->mView.mHeard = std::chrono::steady_clock::now();
+      OnState(aEntry, before, std::make_shared<const WorkerState>(std::move(*aAnswer.mState)));
+    }
+    Offer(*aEntry);
+  }
+
   // Makes the next poll read the whole state unless the unchanged state is surely the known one.
   void CheckVersion(Entry& aEntry, const std::optional<StateVersion>& aVersion)
   {
--- a/tests/routing/AdmissionTests.cpp
+++ b/tests/routing/AdmissionTests.cpp
@@ -91,6 +91,25 @@
   cr_assert(f.Worker(0).mRequests.empty() && f.Worker(1).mRequests.empty());
 }
 
+// Guards against work for workers whose views are out of date, also where a claim was under way.
+Test(Admission, sends_nothing_while_it_may_not)
+{
+  Fixture f;
+  bool maySend = true;
+  f.Router().SetSendCheck([&] { return maySend; });
+  const auto keyed = f.Start(kKeyed);
+  f.Until([&] { return f.Router().ActiveRequests() == 1; });
+  maySend = false;
+  const auto plain = f.Start({});
+  f.Until([&] { return f.Router().QueueLength() == 2; });
+  cr_assert(f.Worker().mRequests.empty());
+  maySend = true;
+  f.Router().Resume();
+  cr_assert_eq(f.Finish(plain).mResponse.mStatus, 200);
+  cr_assert_eq(f.Finish(keyed).mResponse.mStatus, 200);
+  cr_assert_eq(f.Worker().mRequests.size(), 2);
+}
+
 // Guards against a stop that cuts requests or accepts new ones.
 Test(Admission, drains_after_the_last_answer)
 {
--- a/tests/workers/WorkerTests.cpp
+++ b/tests/workers/WorkerTests.cpp
@@ -125,6 +125,34 @@
   cr_assert_not(f.Reserve(f.Lease("a")));
 }
 
+// Guards against work for a worker whose view is from before a pause of this process. The polls
+// that were open then tell nothing of the worker's change.
+Test(WorkerMonitor, learns_of_a_change_from_a_recheck)
+{
+  Fixture f;
+  f.mMonitor.SetWorkers({ { f.mAddress, false } });
+  f.Wait([&] { return f.HasHealth(WorkerHealth::Live); });
+  f.mWorker->SetLeaving();
+  f.mMonitor.Recheck([&] {
+    cr_assert(f.mMonitor.Find(f.mAddress)->Health() == WorkerHealth::Leaving);
+    f.mLoop.Stop();
+  });
+  f.Wait(nullptr);
+}
+
+// Guards against work that waits for ever for a worker which can't be asked, and against work for
+// it.
+Test(WorkerMonitor, suspects_a_worker_that_does_not_answer_a_recheck)
+{
+  Fixture f;
+  f.mMonitor.SetWorkers({ { f.mAddress, false } });
+  f.Wait([&] { return f.mMonitor.AllHeard(); });
+  f.mWorker.reset();
+  bool suspected = false;
+  f.mMonitor.Recheck([&] { suspected = f.mMonitor.Find(f.mAddress)->mSuspected; });
+  f.Wait([&] { return suspected; });
+}
+
 // Guards against new work for an endpoint that is leaving.
 Test(WorkerMonitor, reports_a_leaving_worker_from_either_source)
 {
