--- a/src/kv/ConsulMessages.cpp
+++ b/src/kv/ConsulMessages.cpp
@@ -16,10 +16,18 @@
          aOperation.mKind == Operation::Kind::CompareAndDelete;
 }
 
+// Whether an applied operation has no entry among the results: the key is absent afterwards.
+bool
+HasNoResult(const Operation& aOperation)
+{
+  return IsDelete(aOperation) ||
+         (aOperation.mKind == Operation::Kind::Check && aOperation.mModifyIndex == 0);
+}
+
 const char*
-Verb(Operation::Kind aKind)
+Verb(const Operation& aOperation)
 {
-  switch (aKind) {
+  switch (aOperation.mKind) {
     case Operation::Kind::CompareAndSet:
       return "cas";
     case Operation::Kind::CompareAndDelete:
@@ -28,6 +36,8 @@
       return "set";
     case Operation::Kind::Delete:
       return "delete";
+    case Operation::Kind::Check:
+      return aOperation.mModifyIndex == 0 ? "check-not-exists" : "check-index";
   }
   return "set";
 }
@@ -69,12 +79,13 @@
 {
   Json body = Json::array();
   for (const auto& it : aOperations) {
-    Json operation{ { "Verb", detail::Verb(it.mKind) }, { "Key", aPrefix + it.mKey } };
-    if (!detail::IsDelete(it)) {
+    Json operation{ { "Verb", detail::Verb(it) }, { "Key", aPrefix + it.mKey } };
+    if (!detail::IsDelete(it) && it.mKind != Operation::Kind::Check) {
       operation["Value"] = EncodeBase64(it.mValue);
     }
     if (it.mKind == Operation::Kind::CompareAndSet ||
-        it.mKind == Operation::Kind::CompareAndDelete) {
+        it.mKind == Operation::Kind::CompareAndDelete ||
+        (it.mKind == Operation::Kind::Check && it.mModifyIndex != 0)) {
       operation["Index"] = it.mModifyIndex;
     }
     body.push_back({ { "KV", std::move(operation) } });
@@ -100,6 +111,25 @@
   return entries;
 }
 
+std::optional<std::vector<std::string>>
+ReadConsulNames(std::string_view aBody, const std::string& aPrefix)
+{
+  const auto json = ParseJson(aBody);
+  if (!json || !json->is_array()) {
+    return std::nullopt;
+  }
+  std::vector<std::string> names;
+  names.reserve(json->size());
+  for (const auto& it : *json) {
+    const auto* name = it.get_ptr<const Json::string_t*>();
+    if (!name || !name->starts_with(aPrefix)) {
+      return std::nullopt;
+    }
+    names.push_back(name->substr(aPrefix.size()));
+  }
+  return names;
+}
+
 std::optional<TransactionResult>
 ReadConsulApplied(std::string_view aBody, const std::vector<Operation>& aOperations)
 {
@@ -109,8 +139,7 @@
   result.mApplied = json.has_value();
   std::size_t next = 0;
   for (const auto& it : aOperations) {
-    // Deletes have no result.
-    if (detail::IsDelete(it)) {
+    if (detail::HasNoResult(it)) {
       result.mModifyIndexes.push_back(0);
       continue;
     }
--- a/src/kv/ConsulMessages.h
+++ b/src/kv/ConsulMessages.h
@@ -22,6 +22,11 @@
 std::optional<std::vector<Entry>>
 ReadConsulEntries(std::string_view aBody, const std::string& aPrefix);
 
+// Reads the names of a GET answer with ?keys and removes the prefix from them; nothing if the
+// answer is malformed or holds a name without the prefix.
+std::optional<std::vector<std::string>>
+ReadConsulNames(std::string_view aBody, const std::string& aPrefix);
+
 // Reads the answer of an applied transaction of these operations; nothing if it is malformed.
 std::optional<TransactionResult>
 ReadConsulApplied(std::string_view aBody, const std::vector<Operation>& aOperations);
--- a/src/kv/ConsulStore.cpp
+++ b/src/kv/ConsulStore.cpp
@@ -28,7 +28,7 @@
   if (aIsWrite) {
     return KvError::OutcomeUnknown;
   }
-  return aError == http::HttpError::AnswerTooLarge ? KvError::BadAnswer : KvError::Unavailable;
+  return aError == http::HttpError::AnswerTooLarge ? KvError::TooLarge : KvError::Unavailable;
 }
 
 std::error_code
@@ -41,19 +41,25 @@
   return aIsWrite && aStatus >= 500 ? KvError::OutcomeUnknown : KvError::Unavailable;
 }
 
-// Reads the entries of an answer to a GET; none after 404.
+// The error of an answer to a GET; none for 200 and 404.
 std::error_code
-ReadAnswer(std::error_code aError, const http::Response& aResponse, const std::string& aPrefix,
-           std::vector<Entry>& aEntries)
+ReadError(std::error_code aError, const http::Response& aResponse)
 {
   if (aError) {
     return TranslateError(aError, false);
   }
-  if (aResponse.mStatus == 404) {
-    return {};
-  }
-  if (aResponse.mStatus != 200) {
-    return TranslateStatus(aResponse.mStatus, false);
+  const bool answered = aResponse.mStatus == 200 || aResponse.mStatus == 404;
+  return answered ? std::error_code() : TranslateStatus(aResponse.mStatus, false);
+}
+
+// Reads the entries of an answer to a GET; none after 404.
+std::error_code
+ReadAnswer(std::error_code aError, const http::Response& aResponse, const std::string& aPrefix,
+           std::vector<Entry>& aEntries)
+{
+  const auto ec = ReadError(aError, aResponse);
+  if (ec || aResponse.mStatus == 404) {
+    return ec;
   }
   auto entries = ReadConsulEntries(aResponse.mBody, aPrefix);
   if (!entries) {
@@ -93,6 +99,23 @@
   return std::max<ModifyIndex>(index, 1);
 }
 
+// Reads the names of an answer to a GET with ?keys; none after 404.
+std::error_code
+ReadNames(std::error_code aError, const http::Response& aResponse, const std::string& aPrefix,
+          NameList& aList)
+{
+  const auto ec = ReadError(aError, aResponse);
+  if (ec || aResponse.mStatus == 404) {
+    return ec;
+  }
+  auto names = ReadConsulNames(aResponse.mBody, aPrefix);
+  if (!names) {
+    return KvError::BadAnswer;
+  }
+  aList = { std::move(*names), ReadIndexHeader(aResponse) };
+  return {};
+}
+
 Duration
 Until(TimePoint aTime)
 {
@@ -144,10 +167,17 @@
 
 void
 ConsulStore::List(const std::string& aPrefix, ListCallback aCallback)
+{
+  ListPage(aPrefix, http::ClientRequest().mMaxAnswer, std::move(aCallback));
+}
+
+void
+ConsulStore::ListPage(const std::string& aPrefix, Bytes aLimit, ListCallback aCallback)
 {
   auto request =
     Request(http::Method::Get, ConsulKeyPath(mSettings.mPrefix + aPrefix) + "?recurse=true",
             mSettings.mTimeout);
+  request.mMaxAnswer = aLimit;
   Submit(std::move(request), [this, callback = std::move(aCallback)](
                                std::error_code aError, const http::Response& aResponse) {
     std::vector<Entry> entries;
@@ -156,6 +186,24 @@
   });
 }
 
+void
+ConsulStore::ListNames(const std::string& aPrefix, const std::string& aSeparator, Bytes aLimit,
+                       NamesCallback aCallback)
+{
+  auto target = ConsulKeyPath(mSettings.mPrefix + aPrefix) + "?keys=true";
+  if (!aSeparator.empty()) {
+    target += "&separator=" + http::EncodeComponent(aSeparator);
+  }
+  auto request = Request(http::Method::Get, std::move(target), mSettings.mTimeout);
+  request.mMaxAnswer = aLimit;
+  Submit(std::move(request), [this, callback = std::move(aCallback)](
+                               std::error_code aError, const http::Response& aResponse) {
+    NameList list;
+    const auto ec = detail::ReadNames(aError, aResponse, mSettings.mPrefix, list);
+    callback(ec, std::move(list));
+  });
+}
+
 void
 ConsulStore::Transact(std::vector<Operation> aOperations, TransactCallback aCallback)
 {
--- a/src/kv/ConsulStore.h
+++ b/src/kv/ConsulStore.h
@@ -41,6 +41,9 @@
 
   void Get(const std::string& aKey, GetCallback aCallback);
   void List(const std::string& aPrefix, ListCallback aCallback);
+  void ListPage(const std::string& aPrefix, Bytes aLimit, ListCallback aCallback);
+  void ListNames(const std::string& aPrefix, const std::string& aSeparator, Bytes aLimit,
+                 NamesCallback aCallback);
   // Deleting an absent key by compare-and-delete counts as applied, as in Consul.
   void Transact(std::vector<Operation> aOperations, TransactCallback aCallback);
   // Watching an absent key (aSince 0) for the first time costs one call more, because a blocking
--- a/src/kv/KeyValueStore.h
+++ b/src/kv/KeyValueStore.h
@@ -36,6 +36,8 @@
     Set,
     // Deletes the key whatever the version is.
     Delete,
+    // Writes nothing; the key's version must be mModifyIndex, or the key absent if that is 0.
+    Check,
   };
 
   Kind mKind = Kind::CompareAndSet;
@@ -59,6 +61,15 @@
   std::vector<std::size_t> mFailed;
 };
 
+// The names that a listing found, in order.
+struct NameList
+{
+  std::vector<std::string> mNames;
+  // The highest version of the keys below the prefix; it also rises when one of them is deleted.
+  ModifyIndex mIndex = 0;
+};
+
+using NamesCallback = std::function<void(std::error_code, NameList)>;
 using GetCallback = std::function<void(std::error_code, std::optional<Entry>)>;
 using ListCallback = std::function<void(std::error_code, std::vector<Entry>)>;
 using TransactCallback = std::function<void(std::error_code, TransactionResult)>;
@@ -69,13 +80,20 @@
 template<typename T>
 concept KeyValueStore = requires(T aStore, const std::string& aKey,
                                  std::vector<Operation> aOperations, ModifyIndex aSince,
-                                 Duration aWait, GetCallback aOnGet, ListCallback aOnList,
+                                 Duration aWait, Bytes aLimit, GetCallback aOnGet,
+                                 ListCallback aOnList, NamesCallback aOnNames,
                                  TransactCallback aOnTransact)
 {
   // Reads one key; no entry if it is absent.
   aStore.Get(aKey, aOnGet);
   // Reads all keys with a prefix.
   aStore.List(aKey, aOnList);
+  // The same, but fails with TooLarge if the answer would exceed aLimit.
+  aStore.ListPage(aKey, aLimit, aOnList);
+  // Reads the names of all keys with a prefix, without their values. Names are cut after the first
+  // separator that follows the prefix, and equal ones are given once; an empty separator cuts none.
+  // Fails with TooLarge if the answer would exceed aLimit.
+  aStore.ListNames(aKey, aKey, aLimit, aOnNames);
   // Applies 1 to kMaxOperations writes as a whole.
   aStore.Transact(aOperations, aOnTransact);
   // Reads one key once its version differs from aSince, or after aWait.
--- a/src/kv/KvError.cpp
+++ b/src/kv/KvError.cpp
@@ -23,6 +23,8 @@
         return "key-value service rate limit reached";
       case KvError::BadAnswer:
         return "malformed answer of the key-value service";
+      case KvError::TooLarge:
+        return "answer of the key-value service is too large";
     }
     return "unknown key-value error";
   }
--- a/src/kv/KvError.h
+++ b/src/kv/KvError.h
@@ -15,6 +15,8 @@
   RateLimited,
   // The service's answer was not understood. A write may have taken effect.
   BadAnswer,
+  // The answer of a listing exceeds the limit of its caller.
+  TooLarge,
 };
 
 const std::error_category&
--- a/src/kv/MemoryStore.cpp
+++ b/src/kv/MemoryStore.cpp
@@ -2,10 +2,21 @@
 
 #include "kv/KvError.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace lovagerock::kv {
 
+namespace detail {
+namespace {
+
+// The size of an entry in an answer of the service, without its key and value.
+constexpr std::size_t kEntryFrame = 90;
+
+} // namespace
+} // namespace detail
+
 MemoryStore::MemoryStore(EventLoop& aLoop)
   : mLoop(aLoop)
 {
@@ -22,19 +33,53 @@
 
 void
 MemoryStore::List(const std::string& aPrefix, ListCallback aCallback)
+{
+  ListPage(aPrefix, Bytes(std::numeric_limits<std::int64_t>::max()), std::move(aCallback));
+}
+
+void
+MemoryStore::ListPage(const std::string& aPrefix, Bytes aLimit, ListCallback aCallback)
 {
   ++mCalls;
   std::vector<Entry> entries;
-  if (mAvailable) {
-    for (auto it = mEntries.lower_bound(aPrefix);
-         it != mEntries.end() && it->first.starts_with(aPrefix); ++it) {
-      entries.push_back(it->second);
-    }
+  std::size_t size = 0;
+  for (auto it = mEntries.lower_bound(aPrefix);
+       it != mEntries.end() && it->first.starts_with(aPrefix); ++it) {
+    entries.push_back(it->second);
+    size += detail::kEntryFrame + it->first.size() + it->second.mValue.size() * 4 / 3;
+  }
+  const auto ec = ListError(size, aLimit);
+  if (ec) {
+    entries.clear();
   }
-  const std::error_code ec = mAvailable ? std::error_code() : make_error_code(KvError::Unavailable);
   mLoop.Post([=, callback = std::move(aCallback)] { callback(ec, entries); });
 }
 
+void
+MemoryStore::ListNames(const std::string& aPrefix, const std::string& aSeparator, Bytes aLimit,
+                       NamesCallback aCallback)
+{
+  ++mCalls;
+  NameList list;
+  std::size_t size = 0;
+  for (auto it = mEntries.lower_bound(aPrefix);
+       it != mEntries.end() && it->first.starts_with(aPrefix); ++it) {
+    list.mIndex = std::max(list.mIndex, it->second.mModifyIndex);
+    const auto n =
+      aSeparator.empty() ? std::string::npos : it->first.find(aSeparator, aPrefix.size());
+    auto name = n == std::string::npos ? it->first : it->first.substr(0, n + aSeparator.size());
+    if (list.mNames.empty() || list.mNames.back() != name) {
+      size += name.size() + 3;
+      list.mNames.push_back(std::move(name));
+    }
+  }
+  const auto ec = ListError(size, aLimit);
+  if (ec) {
+    list = {};
+  }
+  mLoop.Post([=, callback = std::move(aCallback)] { callback(ec, list); });
+}
+
 void
 MemoryStore::Transact(std::vector<Operation> aOperations, TransactCallback aCallback)
 {
@@ -126,9 +171,22 @@
   return (entry ? entry->mModifyIndex : 0) == aOperation.mModifyIndex;
 }
 
+std::error_code
+MemoryStore::ListError(std::size_t aSize, Bytes aLimit) const
+{
+  if (!mAvailable) {
+    return KvError::Unavailable;
+  }
+  const bool tooLarge = aSize > static_cast<std::size_t>(aLimit.Value());
+  return tooLarge ? make_error_code(KvError::TooLarge) : std::error_code();
+}
+
 ModifyIndex
 MemoryStore::Apply(const Operation& aOperation)
 {
+  if (aOperation.mKind == Operation::Kind::Check) {
+    return aOperation.mModifyIndex;
+  }
   ++mLastIndex;
   const bool isDelete = aOperation.mKind == Operation::Kind::Delete ||
                         aOperation.mKind == Operation::Kind::CompareAndDelete;
--- a/src/kv/MemoryStore.h
+++ b/src/kv/MemoryStore.h
@@ -19,6 +19,9 @@
 
   void Get(const std::string& aKey, GetCallback aCallback);
   void List(const std::string& aPrefix, ListCallback aCallback);
+  void ListPage(const std::string& aPrefix, Bytes aLimit, ListCallback aCallback);
+  void ListNames(const std::string& aPrefix, const std::string& aSeparator, Bytes aLimit,
+                 NamesCallback aCallback);
   void Transact(std::vector<Operation> aOperations, TransactCallback aCallback);
   void Watch(const std::string& aKey, ModifyIndex aSince, Duration aWait, GetCallback aCallback);
 
@@ -48,6 +51,7 @@
 
   std::optional<Entry> Find(const std::string& aKey) const;
   bool Holds(const Operation& aOperation) const;
+  std::error_code ListError(std::size_t aSize, Bytes aLimit) const;
   ModifyIndex Apply(const Operation& aOperation);
   void NotifyWaiters();
   void EndWaiter(std::size_t aId, std::error_code aError);
--- a/src/retention/Deletion.h
+++ b/src/retention/Deletion.h
@@ -13,7 +13,7 @@
   Change,
   // An answer piece of an expired job.
   Piece,
-  // An answer piece that no record refers to.
+  // An answer piece of a job without a record.
   Orphan,
   // The record of an expired job.
   Job,
@@ -25,8 +25,6 @@
   DeletionKind mKind = DeletionKind::Claim;
   std::string mKey;
   kv::ModifyIndex mModifyIndex = 0;
-  // The job of a record or piece.
-  std::string mJob;
 };
 
 } // namespace lovagerock::retention
--- a/src/retention/DeletionQueue.cpp
+++ b/src/retention/DeletionQueue.cpp
@@ -1,6 +1,7 @@
 #include "retention/DeletionQueue.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace lovagerock::retention {
@@ -41,18 +42,10 @@
 DeletionQueue::Refused(const std::vector<std::size_t>& aPositions, SweepReport& aReport)
 {
   std::set<std::string> keys;
-  std::set<std::string> jobs;
   for (const auto position : aPositions) {
-    const auto& it = mDeletions.at(mNext + position);
-    keys.insert(it.mKey);
-    if (it.mKind == DeletionKind::Piece) {
-      jobs.insert(it.mJob);
-    }
+    keys.insert(mDeletions.at(mNext + position).mKey);
   }
-  const auto isDropped = [&](const Deletion& aDeletion) {
-    return keys.contains(aDeletion.mKey) ||
-           (aDeletion.mKind == DeletionKind::Job && jobs.contains(aDeletion.mJob));
-  };
+  const auto isDropped = [&](const Deletion& aDeletion) { return keys.contains(aDeletion.mKey); };
   const auto begin = mDeletions.begin() + static_cast<std::ptrdiff_t>(mNext);
   const auto end = std::remove_if(begin, mDeletions.end(), isDropped);
   aReport.mSkipped += mDeletions.end() - end;
--- a/src/retention/DeletionQueue.h
+++ b/src/retention/DeletionQueue.h
@@ -4,14 +4,12 @@
 #include "retention/SweepReport.h"
 
 #include <cstddef>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace lovagerock::retention {
 
-// Expired keys that wait to be deleted, in order. A job's record is dropped if one of its pieces
-// could not be deleted, because the record is what finds the pieces again in a later run.
+// Expired keys that wait to be deleted, in order.
 class DeletionQueue
 {
 public:
--- a/src/retention/RecordExpiry.cpp
+++ b/src/retention/RecordExpiry.cpp
@@ -35,10 +35,9 @@
       since = aSeen.Since(it.mKey, it.mModifyIndex, aNow);
     }
     if (aNow - since >= aLimit.count()) {
-      expired.push_back({ aKind, it.mKey, it.mModifyIndex, {} });
+      expired.push_back({ aKind, it.mKey, it.mModifyIndex });
     }
   }
-  aSeen.EndPass();
   return expired;
 }
 
--- a/src/retention/SweepReport.cpp
+++ b/src/retention/SweepReport.cpp
@@ -38,6 +38,7 @@
     .With("pieces", mPieces)
     .With("orphans", mOrphans)
     .With("skipped", mSkipped)
+    .With("reads", mReads)
     .With("transactions", mTransactions)
     .With("failures", mFailures);
 }
--- a/src/retention/Sweeper.h
+++ b/src/retention/Sweeper.h
@@ -3,25 +3,23 @@
 #include "base/EventLoop.h"
 #include "base/Random.h"
 #include "base/WallClock.h"
-#include "retention/DeletionQueue.h"
-#include "retention/JobListing.h"
+#include "retention/JobSweep.h"
+#include "retention/KeySweep.h"
+#include "retention/PacedCalls.h"
 #include "retention/RecordExpiry.h"
 #include "retention/SweeperSettings.h"
 
-#include <algorithm>
-#include <chrono>
-#include <memory>
+#include <functional>
 #include <optional>
 #include <string>
-#include <system_error>
 #include <utility>
 #include <vector>
 
 namespace lovagerock::retention {
 
 // Deletes expired keys from the key-value service: claims, change records, done jobs with their
-// answers, and answer pieces that no record refers to. Runs only on the region's planner node,
-// between Start() and Stop(). Every delete compares the version that was listed, so that a sweeper
+// answers, and answers of jobs that have no record. Runs only on the region's planner node, between
+// Start() and Stop(). Every transaction compares the versions that were read, so that a sweeper
 // whose role was lost or two of them at once do no harm. Belongs to its loop.
 template<kv::KeyValueStore Store>
 class Sweeper
@@ -30,20 +28,24 @@
   Sweeper(EventLoop& aLoop, Store& aStore, Random& aRandom, RegionId aRegion,
           SweeperSettings aSettings, WallClock aClock = WallClockMs)
     : mLoop(aLoop)
-    , mStore(aStore)
     , mRandom(aRandom)
-    , mRegion(std::move(aRegion))
     , mSettings(aSettings)
     , mClock(std::move(aClock))
+    , mCalls(aLoop, aStore, aRandom, mSettings, mReport)
+    , mKeys(mCalls, aRandom, mReport)
+    , mJobs(mCalls, aRandom, std::move(aRegion), mSettings, mClock, mReport)
   {
   }
+  Sweeper(const Sweeper&) = delete;
+  Sweeper& operator=(const Sweeper&) = delete;
 
   // The planner role is taken: the first run starts after a jittered delay. Does nothing if
   // already started.
   void Start()
   {
-    if (!mRole) {
-      mRole = std::make_shared<int>();
+    if (!mStarted) {
+      mStarted = true;
+      mCalls.Open();
       mTimer = mLoop.After(mRandom.Jitter(mSettings.mFirstDelay), [this] { Run(); });
     }
   }
@@ -51,10 +53,9 @@
   // The planner role is lost: sends no further call. A call under way is not awaited.
   void Stop()
   {
+    mStarted = false;
     mTimer.Cancel();
-    mRole.reset();
-    mJobs = {};
-    mQueue.Fill({});
+    mCalls.Close();
     if (mRunning) {
       mReport.mReason = "stopped";
       FinishReport();
@@ -66,162 +67,95 @@
   const std::optional<SweepReport>& LastReport() const { return mLastReport; }
 
 private:
-  enum class Phase
-  {
-    Claims,
-    Changes,
-    Jobs,
-  };
-
-  // Wraps a callback so that it is dropped once the role is lost or the sweeper is destroyed.
-  template<typename Function>
-  auto Guarded(Function aFunction)
-  {
-    return [weak = std::weak_ptr(mRole), function = std::move(aFunction)](auto&&... aArguments) {
-      if (!weak.expired()) {
-        function(std::forward<decltype(aArguments)>(aArguments)...);
-      }
-    };
-  }
+  using Finder = std::vector<Deletion> (*)(const std::vector<kv::Entry>&, Duration, std::int64_t,
+                                           FirstSeen&);
+  // The characters of claims, which are hashes, and those of change ids.
+  static constexpr std::string_view kHashAlphabet = "0123456789abcdef";
+  static constexpr std::string_view kIdAlphabet =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
 
   void Run()
   {
     mRunning = true;
     mReport = {};
     mReport.mReason = "complete";
-    mPhase = Phase::Claims;
     SweepClaims();
   }
 
-  void SweepClaims()
-  {
-    List("claims/", [this](const std::vector<kv::Entry>& aEntries) {
-      Delete(FindExpiredClaims(aEntries, mSettings.mClaimLimit, mClock(), mSeenClaims));
-    });
-  }
-
-  void SweepChanges()
-  {
-    List("changes/", [this](const std::vector<kv::Entry>& aEntries) {
-      Delete(FindExpiredChanges(aEntries, mSettings.mChangeLimit, mClock(), mSeenChanges));
-    });
-  }
-
-  // The order of the listings matters; see JobListing.
-  void SweepJobs()
-  {
-    mJobs = {};
-    List("answers/", [this](const std::vector<kv::Entry>& aPieces) {
-      mJobs.AddPieces(aPieces);
-      List("jobs/", [this](const std::vector<kv::Entry>& aLive) {
-        mJobs.AddLive(aLive);
-        List("done/", [this](const std::vector<kv::Entry>& aDone) {
-          mJobs.AddDone(aDone);
-          Delete(std::exchange(mJobs, {}).FindExpired(mRegion, mSettings.mJobLimit, mClock(),
-                                                      mSeenJobs));
-        });
-      });
-    });
-  }
-
-  // A failed listing ends the phase only: it may fail each time because of its size, and must not
-  // keep the other keys from being deleted.
-  template<typename Function>
-  void List(const std::string& aPrefix, Function aFunction)
-  {
-    mStore.List(aPrefix, Guarded([this, aPrefix, aFunction](
-                                   std::error_code aError, const std::vector<kv::Entry>& aEntries) {
-                  if (aError) {
-                    ++mReport.mFailures;
-                    mReport.mReason = "list " + aPrefix + ": " + aError.message();
-                    EndPhase();
-                    return;
-                  }
-                  mReport.mListed += static_cast<std::int64_t>(aEntries.size());
-                  aFunction(aEntries);
-                }));
-  }
-
-  void Delete(std::vector<Deletion> aDeletions)
+  // A failed read ends only the sweep of its kind of keys: it must not keep the others from being
+  // deleted.
+  void EndPart(const SweepEnd& aEnd, const std::function<void()>& aNext)
   {
-    mQueue.Fill(std::move(aDeletions));
-    mFailures = 0;
-    Continue(Duration(0));
-  }
-
-  // Sends the next transaction, if there is one, after the delay and when the rate allows it.
-  void Continue(Duration aDelay)
-  {
-    if (mQueue.IsEmpty()) {
-      EndPhase();
+    if (aEnd.mKind != SweepEnd::Kind::Complete) {
+      mReport.mReason = aEnd.mReason;
+    }
+    if (aEnd.mKind == SweepEnd::Kind::DeleteFailed) {
+      EndRun();
     } else {
-      // Rounded up, because a truncated wait would be shorter than the period.
-      const auto wait =
-        std::chrono::ceil<Duration>(mNextTransaction - std::chrono::steady_clock::now());
-      mTimer = mLoop.After(std::max(aDelay, wait), [this] { Transact(); });
+      aNext();
     }
   }
 
-  void Transact()
-  {
-    ++mReport.mTransactions;
-    HoldBack();
-    mStore.Transact(
-      mQueue.Batch(), Guarded([this](std::error_code aError, const kv::TransactionResult& aResult) {
-        HoldBack();
-        const bool isRefused = !aError && !aResult.mApplied && !aResult.mFailed.empty();
-        if (!aError && aResult.mApplied) {
-          mQueue.Applied(mReport);
-        } else if (isRefused) {
-          mQueue.Refused(aResult.mFailed, mReport);
-        } else {
-          OnFailure(aError ? aError.message() : "refused without a reason");
-          return;
-        }
-        mFailures = 0;
-        Continue(Duration(0));
-      }));
-  }
-
-  // Allows the next transaction one period from now, in whatever phase, run or role it is.
-  void HoldBack()
+  void SweepClaims()
   {
-    mNextTransaction = std::chrono::steady_clock::now() + mSettings.mTransactionPeriod;
+    mCalls.ListNames("claims/", "/", mSettings.mLongNamesLimit,
+                     [this](std::error_code aError, kv::NameList aAccounts) {
+                       if (aError) {
+                         EndPart(
+                           { SweepEnd::Kind::ReadFailed, "list claims/: " + aError.message() },
+                           [this] { SweepChanges(); });
+                         return;
+                       }
+                       mAccounts = std::move(aAccounts.mNames);
+                       mComplete = true;
+                       SweepAccount();
+                     });
+  }
+
+  void SweepAccount()
+  {
+    if (mAccounts.empty()) {
+      mSeenClaims.EndPass(mComplete);
+      SweepChanges();
+      return;
+    }
+    const auto account = std::move(mAccounts.back());
+    mAccounts.pop_back();
+    SweepKeys(account, PageWalk("", kHashAlphabet, mSettings.mPageLimit), &FindExpiredClaims,
+              mSettings.mClaimLimit, mSeenClaims, [this] { SweepAccount(); });
   }
 
-  // The same transaction is repeated: what a lost answer hides is told by the comparisons.
-  void OnFailure(const std::string& aMessage)
+  void SweepChanges()
   {
-    ++mReport.mFailures;
-    if (++mFailures < mSettings.mMaxFailures) {
-      Continue(mRandom.Jitter(mSettings.mRetryDelay));
-      return;
-    }
-    mQueue.Fill({});
-    mReport.mReason = "delete: " + aMessage;
-    EndRun();
+    mComplete = true;
+    SweepKeys("changes/", PageWalk("c-", kIdAlphabet, mSettings.mPageLimit), &FindExpiredChanges,
+              mSettings.mChangeLimit, mSeenChanges, [this] {
+                mSeenChanges.EndPass(mComplete);
+                SweepJobs();
+              });
+  }
+
+  void SweepKeys(const std::string& aBase, PageWalk aWalk, Finder aFinder, Duration aLimit,
+                 FirstSeen& aSeen, const std::function<void()>& aNext)
+  {
+    mKeys.Run(
+      aBase, std::move(aWalk),
+      [this, aFinder, aLimit, &aSeen](const std::vector<kv::Entry>& aEntries) {
+        return aFinder(aEntries, aLimit, mClock(), aSeen);
+      },
+      [this, aNext](const SweepEnd& aEnd) {
+        mComplete = mComplete && aEnd.mKind == SweepEnd::Kind::Complete;
+        EndPart(aEnd, aNext);
+      });
   }
 
-  void EndPhase()
+  void SweepJobs()
   {
-    switch (mPhase) {
-      case Phase::Claims:
-        mPhase = Phase::Changes;
-        SweepChanges();
-        break;
-      case Phase::Changes:
-        mPhase = Phase::Jobs;
-        SweepJobs();
-        break;
-      case Phase::Jobs:
-        EndRun();
-        break;
-    }
+    mJobs.Run([this](const SweepEnd& aEnd) { EndPart(aEnd, [this] { EndRun(); }); });
   }
 
   void EndRun()
   {
-    mJobs = {};
     mTimer = mLoop.After(mSettings.mInterval, [this] { Run(); });
     FinishReport();
   }
@@ -234,26 +168,23 @@
   }
 
   EventLoop& mLoop;
-  Store& mStore;
   Random& mRandom;
-  RegionId mRegion;
   SweeperSettings mSettings;
   WallClock mClock;
+  SweepReport mReport;
+  PacedCalls<Store> mCalls;
+  KeySweep<Store> mKeys;
+  JobSweep<Store> mJobs;
   FirstSeen mSeenClaims;
   FirstSeen mSeenChanges;
-  FirstSeen mSeenJobs;
-  Phase mPhase = Phase::Claims;
-  JobListing mJobs;
-  DeletionQueue mQueue;
-  // Failed transactions in a row.
-  int mFailures = 0;
-  TimePoint mNextTransaction;
+  // Prefixes of the accounts whose claims are still to be read.
+  std::vector<std::string> mAccounts;
+  // Whether all pages of the present kind were read.
+  bool mComplete = true;
+  bool mStarted = false;
   bool mRunning = false;
-  SweepReport mReport;
   std::optional<SweepReport> mLastReport;
   Timer mTimer;
-  // Exists while the role is held.
-  std::shared_ptr<int> mRole;
 };
 
 } // namespace lovagerock::retention
--- a/src/standin/kv/KvJson.cpp
+++ b/src/standin/kv/KvJson.cpp
@@ -15,11 +15,13 @@
 ReadVerb(std::string_view aText)
 {
   using Verb = KvOperation::Verb;
-  constexpr std::array<std::pair<std::string_view, Verb>, 5> kVerbs{ {
+  constexpr std::array<std::pair<std::string_view, Verb>, 7> kVerbs{ {
     { "set", Verb::Set },
     { "cas", Verb::Cas },
     { "delete", Verb::Delete },
     { "delete-cas", Verb::DeleteCas },
+    { "check-index", Verb::CheckIndex },
+    { "check-not-exists", Verb::CheckNotExists },
     { "get", Verb::Get },
   } };
   for (const auto& [name, verb] : kVerbs) {
--- a/src/standin/kv/KvService.cpp
+++ b/src/standin/kv/KvService.cpp
@@ -218,8 +218,8 @@
 KvService::IndexFor(const http::Request& aRequest) const
 {
   const auto key = detail::KeyOf(aRequest);
-  return aRequest.mQuery.contains("recurse") ? ReadTable().IndexOfPrefix(key)
-                                             : ReadTable().IndexOf(key);
+  const bool isPrefix = aRequest.mQuery.contains("recurse") || aRequest.mQuery.contains("keys");
+  return isPrefix ? ReadTable().IndexOfPrefix(key) : ReadTable().IndexOf(key);
 }
 
 http::Response
@@ -227,6 +227,12 @@
 {
   const auto key = detail::KeyOf(aRequest);
   std::vector<KvItem> items;
+  if (aRequest.mQuery.contains("keys")) {
+    const auto names = ReadTable().ListNames(key, aRequest.QueryParameter("separator"));
+    auto response = names.empty() ? detail::Refusal(404, "") : detail::Answer(Json(names));
+    response.mHeaders.Add("X-Consul-Index", std::to_string(IndexFor(aRequest)));
+    return response;
+  }
   if (aRequest.mQuery.contains("recurse")) {
     items = ReadTable().List(key);
   } else if (auto item = ReadTable().Get(key)) {
--- a/src/standin/kv/KvTable.cpp
+++ b/src/standin/kv/KvTable.cpp
@@ -22,6 +22,27 @@
   return items;
 }
 
+std::vector<std::string>
+KvTable::ListNames(const std::string& aPrefix, const std::string& aSeparator) const
+{
+  std::vector<std::string> names;
+  auto it = mItems.lower_bound(aPrefix);
+  while (it != mItems.end() && it->first.starts_with(aPrefix)) {
+    const auto n =
+      aSeparator.empty() ? std::string::npos : it->first.find(aSeparator, aPrefix.size());
+    if (n == std::string::npos) {
+      names.push_back(it->first);
+      ++it;
+      continue;
+    }
+    names.push_back(it->first.substr(0, n + aSeparator.size()));
+    while (it != mItems.end() && it->first.starts_with(names.back())) {
+      ++it;
+    }
+  }
+  return names;
+}
+
 std::uint64_t
 KvTable::IndexOf(const std::string& aKey) const
 {
@@ -216,6 +237,12 @@
       return !present || HasIndex(aOperation.mKey, aOperation.mIndex)
                ? ""
                : "failed to delete key \"" + aOperation.mKey + "\", index is stale";
+    case KvOperation::Verb::CheckIndex:
+      return present && HasIndex(aOperation.mKey, aOperation.mIndex)
+               ? ""
+               : "current modify index of key \"" + aOperation.mKey + "\" is not the given one";
+    case KvOperation::Verb::CheckNotExists:
+      return present ? "key \"" + aOperation.mKey + "\" exists" : "";
     case KvOperation::Verb::Get:
       return present ? "" : "key \"" + aOperation.mKey + "\" doesn't exist";
     case KvOperation::Verb::Set:
@@ -241,6 +268,13 @@
     case KvOperation::Verb::DeleteCas:
       Erase(aOperation.mKey, aIndex);
       return std::nullopt;
+    case KvOperation::Verb::CheckNotExists:
+      return std::nullopt;
+    case KvOperation::Verb::CheckIndex: {
+      auto result = Get(aOperation.mKey);
+      result->mValue.clear();
+      return result;
+    }
     case KvOperation::Verb::Get:
       return Get(aOperation.mKey);
   }
--- a/src/standin/kv/KvTable.h
+++ b/src/standin/kv/KvTable.h
@@ -34,6 +34,8 @@
     Cas,
     Delete,
     DeleteCas,
+    CheckIndex,
+    CheckNotExists,
     Get
   };
 
@@ -67,6 +69,10 @@
 
   std::optional<KvItem> Get(const std::string& aKey) const;
   std::vector<KvItem> List(const std::string& aPrefix) const;
+  // The names of the keys with the prefix, each cut after the first separator that follows the
+  // prefix and given once; an empty separator cuts none.
+  std::vector<std::string>
+  ListNames(const std::string& aPrefix, const std::string& aSeparator) const;
   // The index of a key's last change, deletions included; 1 if it never existed.
   std::uint64_t IndexOf(const std::string& aKey) const;
   // The highest IndexOf() of all keys with the prefix.
--- a/tests/configstore/ClusterFixture.h
+++ b/tests/configstore/ClusterFixture.h
@@ -47,6 +47,15 @@
   {
     mStore.List(aPrefix, Cut(std::move(aCallback)));
   }
+  void ListPage(const std::string& aPrefix, Bytes aLimit, kv::ListCallback aCallback)
+  {
+    mStore.ListPage(aPrefix, aLimit, Cut(std::move(aCallback)));
+  }
+  void ListNames(const std::string& aPrefix, const std::string& aSeparator, Bytes aLimit,
+                 kv::NamesCallback aCallback)
+  {
+    mStore.ListNames(aPrefix, aSeparator, aLimit, Cut(std::move(aCallback)));
+  }
   void Transact(std::vector<kv::Operation> aOperations, kv::TransactCallback aCallback)
   {
     if (mBeforeTransact) {
--- a/tests/kv/ConsulStoreTests.cpp
+++ b/tests/kv/ConsulStoreTests.cpp
@@ -237,6 +237,58 @@
   cr_assert_eq(result->mModifyIndex, index);
 }
 
+// Guards against names that are cut wrongly, and an answer above the limit that is read all the
+// same.
+Test(ConsulStore, lists_names_within_a_limit)
+{
+  Fixture f;
+  f.Write({ { Kind::Set, "a/x", "1", 0 }, { Kind::Set, "a/y/1", "1", 0 } });
+  const auto last = f.Write({ { Kind::Set, "a/y/2", "1", 0 } }).second.mModifyIndexes.at(0);
+  const auto names = [&](const std::string& aPrefix, const std::string& aSeparator, int aLimit) {
+    std::pair<std::error_code, NameList> result;
+    f.mStore->ListNames(aPrefix, aSeparator, Bytes(aLimit),
+                        [&](std::error_code aError, NameList aNames) {
+                          result = { aError, std::move(aNames) };
+                          f.mLoop.Stop();
+                        });
+    f.mLoop.Run();
+    return result;
+  };
+  cr_assert_eq(names("a/", "/", 1000).second.mNames, (std::vector<std::string>{ "a/x", "a/y/" }));
+  cr_assert_eq(names("a/y/", "", 1000).second.mIndex, last);
+  cr_assert(names("c/", "/", 1000).second.mNames.empty());
+  cr_assert_eq(names("a/", "", 20).first, make_error_code(KvError::TooLarge));
+  std::error_code page;
+  f.mStore->ListPage("a/", Bytes(100), [&](std::error_code aError, const std::vector<Entry>&) {
+    page = aError;
+    f.mLoop.Stop();
+  });
+  f.mLoop.Run();
+  cr_assert_eq(page, make_error_code(KvError::TooLarge));
+}
+
+// Guards against a delete that takes effect although a key that it depends on has changed.
+Test(ConsulStore, applies_a_transaction_only_if_its_checks_hold)
+{
+  Fixture f;
+  const auto index = f.Write({ { Kind::Set, "a", "1", 0 } }).second.mModifyIndexes.at(0);
+  f.Write({ { Kind::Set, "b", "1", 0 } });
+  const auto refused = f.Write({ { Kind::Check, "a", "", index + 1 },
+                                 { Kind::Check, "b", "", 0 },
+                                 { Kind::Delete, "b", "", 0 } });
+  cr_assert_not(refused.second.mApplied);
+  cr_assert_eq(refused.second.mFailed, (std::vector<std::size_t>{ 0, 1 }));
+  cr_assert(f.Get("b").second);
+  const auto applied = f.Write({ { Kind::Check, "a", "", index },
+                                 { Kind::Check, "c", "", 0 },
+                                 { Kind::Delete, "b", "", 0 },
+                                 { Kind::Set, "d", "1", 0 } });
+  cr_assert(applied.second.mApplied);
+  cr_assert_eq(applied.second.mModifyIndexes.at(0), index);
+  cr_assert_gt(applied.second.mModifyIndexes.at(3), index);
+  cr_assert_not(f.Get("b").second);
+}
+
 // Guards against tests that believe in a stale read or a restored backup which the stand-in does
 // not produce.
 Test(KvService, answers_stale_and_restored_values)
--- a/tests/kv/KvTableTests.cpp
+++ b/tests/kv/KvTableTests.cpp
@@ -71,3 +71,14 @@
   cr_assert(table.Acquire("lock", "2", second));
   cr_assert(table.Release("lock", "2", second));
 }
+
+// Guards against a listing that gives every piece of every answer in place of the jobs.
+Test(KvTable, lists_names_up_to_the_separator)
+{
+  KvTable table;
+  for (const auto* it : { "a/x", "a/y/1", "a/y/2", "a/z", "b" }) {
+    table.Put(it, "1", {});
+  }
+  cr_assert_eq(table.ListNames("a/", "/"), (std::vector<std::string>{ "a/x", "a/y/", "a/z" }));
+  cr_assert_eq(table.ListNames("a/y", ""), (std::vector<std::string>{ "a/y/1", "a/y/2" }));
+}
--- a/tests/retention/RetentionFixture.h
+++ b/tests/retention/RetentionFixture.h
@@ -19,7 +19,7 @@
 constexpr std::int64_t kDay = 24 * 60 * 60 * 1000;
 constexpr std::int64_t kNow = 100 * kDay;
 
-// A memory store that counts calls and lets a test act between a listing and a delete.
+// A memory store that counts calls and lets a test act between a read and a delete.
 struct ObservedStore
 {
   explicit ObservedStore(EventLoop& aLoop)
@@ -29,29 +29,43 @@
 
   void Get(const std::string& aKey, kv::GetCallback aCallback)
   {
+    ++mGets;
     mMemory.Get(aKey, std::move(aCallback));
   }
   void List(const std::string& aPrefix, kv::ListCallback aCallback)
   {
-    ++mLists;
-    if (aPrefix == mFailedList) {
-      mMemory.List(aPrefix, [aCallback](std::error_code, const std::vector<kv::Entry>&) {
-        aCallback(kv::KvError::BadAnswer, {});
-      });
-      return;
-    }
     mMemory.List(aPrefix, std::move(aCallback));
   }
+  void ListPage(const std::string& aPrefix, Bytes aLimit, kv::ListCallback aCallback)
+  {
+    ++mLists;
+    mMemory.ListPage(aPrefix, aLimit, std::move(aCallback));
+  }
+  void ListNames(const std::string& aPrefix, const std::string& aSeparator, Bytes aLimit,
+                 kv::NamesCallback aCallback)
+  {
+    ++mLists;
+    mMemory.ListNames(aPrefix, aSeparator, aLimit,
+                      [=, this, fails = aPrefix == mFailedList](std::error_code aError,
+                                                                const kv::NameList& aNames) {
+                        mTooLarge += aError == make_error_code(kv::KvError::TooLarge) ? 1 : 0;
+                        aCallback(fails ? make_error_code(kv::KvError::BadAnswer) : aError, aNames);
+                      });
+  }
   void Transact(std::vector<kv::Operation> aOperations, kv::TransactCallback aCallback)
   {
     if (mBeforeTransact) {
-      mBeforeTransact();
+      mBeforeTransact(aOperations);
     }
     ++mTransactions;
+    cr_assert_leq(aOperations.size(), kv::kMaxOperations);
+    std::vector<std::string> deletes;
     for (const auto& it : aOperations) {
-      mDeletes.push_back(it.mKey);
+      if (it.mKind != kv::Operation::Kind::Check) {
+        deletes.push_back(it.mKey);
+      }
     }
-    cr_assert_leq(aOperations.size(), kv::kMaxOperations);
+    mDeletes.insert(mDeletes.end(), deletes.begin(), deletes.end());
     mMemory.Transact(std::move(aOperations), std::move(aCallback));
   }
   void
@@ -61,39 +75,43 @@
   }
 
   kv::MemoryStore mMemory;
-  std::function<void()> mBeforeTransact;
+  std::function<void(const std::vector<kv::Operation>&)> mBeforeTransact;
   std::string mFailedList;
   // The keys of all deletes that were asked for.
   std::vector<std::string> mDeletes;
   std::size_t mLists = 0;
+  std::size_t mGets = 0;
+  // Listings of names that were refused because of their size.
+  int mTooLarge = 0;
   std::size_t mTransactions = 0;
 };
 
 // A sweeper with short delays over a store that tests fill.
 struct Fixture
 {
-  explicit Fixture(Duration aPeriod = Duration(2))
-    : mPeriod(aPeriod)
+  explicit Fixture(Duration aPeriod = Duration(2), Bytes aNamesLimit = Bytes(256 * 1024))
+    : mSettings(Settings(aPeriod, aNamesLimit))
   {
   }
 
-  Duration mPeriod;
+  SweeperSettings mSettings;
   EventLoop mLoop;
   Random mRandom{ 7 };
   ObservedStore mStore{ mLoop };
   std::int64_t mNow = kNow;
   kv::ModifyIndex mLastIndex = 0;
   Timer mLimit = mLoop.After(Duration(60000), [] { cr_assert_fail("test did not finish"); });
-  Sweeper<ObservedStore> mSweeper{
-    mLoop, mStore, mRandom, RegionId("r"), Settings(mPeriod), [this] { return mNow; }
-  };
+  Sweeper<ObservedStore> mSweeper{ mLoop,         mStore,    mRandom,
+                                   RegionId("r"), mSettings, [this] { return mNow; } };
 
-  static SweeperSettings Settings(Duration aPeriod)
+  static SweeperSettings Settings(Duration aPeriod, Bytes aNamesLimit)
   {
     SweeperSettings settings;
     settings.mFirstDelay = Duration(4);
     settings.mTransactionPeriod = aPeriod;
+    settings.mNamesLimit = aNamesLimit;
     settings.mRetryDelay = Duration(4);
+    settings.mReadPeriod = Duration(0);
     return settings;
   }
 
