Spread the reads of job records after an outage, and read only unknown ones

Cause: the planner read all records every 60 s to find those that were not announced. In an outage each period added one more listing that was repeated every 0.5 to 1 s, so about 60 of them, and the reads of all records whose writes had failed, were due together when the service returned. Found by reading. Ruled out: a backoff for each call (calls that started together stay together); a blocking query on all records (it wakes for each change and answers with all values); a backoff for reads of the head, because a node that doesn't read it directly for 8 s is not confirmed, and the limit of 11 s rests on that. Change: RetryQueue tries the service with one call, after a jittered delay that doubles from 1 s to 8 s, and after a success makes the others again, 4 every 20 ms. At most one listing waits. The planner reads the ids every 60 s and the records that it doesn't know, or all if more than 32 are unknown. Not measured: the calls of 9 nodes at a stand-in with limits. Conclusion: the burst is bounded by the queue. The path of a configuration is unchanged; no new test measures its time after an outage.

--- a/src/jobs/CoordinatorAnswers.h
+++ b/src/jobs/CoordinatorAnswers.h
@@ -109,6 +109,7 @@
     });
     return;
   }
+  mRetries.OnSuccess();
   job->mCollecting = false;
   CheckGang(*job);
 }
--- a/src/jobs/CoordinatorRecords.h
+++ b/src/jobs/CoordinatorRecords.h
@@ -4,8 +4,10 @@
 
 #include "jobs/JobCoordinator.h"
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +32,8 @@
       RetryLater([this] { LoadRecords(); });
       return;
     }
+    mRetries.OnSuccess();
+    mListing = false;
     mRecordsLoaded = true;
     for (const auto& it : aRecords) {
       if (!Find(it.mJob)) {
@@ -43,15 +47,64 @@
   }));
 }
 
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::Relist()
+{
+  // In an outage each period would otherwise add one more listing that is made again.
+  if (std::exchange(mListing, true)) {
+    return;
+  }
+  mJobStore.ListLiveIds(InTerm([this](std::error_code aError, const std::vector<JobId>& aListed) {
+    if (aError) {
+      LogEvent("job_list_failed", LogLevel::Warning).With("reason", aError.message());
+      RetryLater([this] {
+        mListing = false;
+        Relist();
+      });
+      return;
+    }
+    mListing = false;
+    mRetries.OnSuccess();
+    LoadUnknown(aListed);
+  }));
+}
+
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::LoadUnknown(const std::vector<JobId>& aListed)
+{
+  std::vector<JobId> unknown;
+  std::copy_if(aListed.begin(), aListed.end(), std::back_inserter(unknown),
+               [this](const JobId& aJob) { return !Find(aJob); });
+  // So many single reads cost the service more than one listing.
+  constexpr std::size_t kMaxReads = 32;
+  if (unknown.size() > kMaxReads) {
+    mListing = true;
+    LoadRecords();
+    return;
+  }
+  for (const auto& it : unknown) {
+    Reload(it);
+  }
+}
+
 template<kv::KeyValueStore S, workers::WorkerApi A>
 void
 JobCoordinator<S, A>::Reload(const JobId& aJob)
 {
   mJobStore.Load(aJob, InTerm([this, aJob](std::error_code aError, const Record& aRecord) {
                    auto* job = Find(aJob);
+                   if (aError == make_error_code(JobError::BadRecord) && !job) {
+                     // Left out like in a listing; the next one finds it again.
+                     return;
+                   }
                    if (aError && aError != make_error_code(JobError::NotFound)) {
                      RetryLater([this, aJob] { Reload(aJob); });
-                   } else if (aError || aRecord.IsDone()) {
+                     return;
+                   }
+                   mRetries.OnSuccess();
+                   if (aError || aRecord.IsDone()) {
                      ForgetJob(aJob);
                    } else if (!job || job->mPhase == JobPhase::Writing ||
                               job->mRecord.mStartToken != aRecord.mStartToken) {
@@ -68,14 +121,7 @@
 void
 JobCoordinator<S, A>::RetryLater(std::function<void()> aTask)
 {
-  mRetries.push_back(InTerm(std::move(aTask)));
-  if (!mRetryTimer.IsPending()) {
-    mRetryTimer = mLoop.After(mRandom.Jitter(mTimes.mStoreRetry), [this] {
-      for (const auto& it : std::exchange(mRetries, {})) {
-        it();
-      }
-    });
-  }
+  mRetries.Add(InTerm(std::move(aTask)));
 }
 
 template<kv::KeyValueStore S, workers::WorkerApi A>
@@ -223,6 +269,7 @@
                                 const std::function<void()>& aNext)
 {
   if (!aError) {
+    mRetries.OnSuccess();
     aNext();
     return;
   }
--- a/src/jobs/CoordinatorRole.h
+++ b/src/jobs/CoordinatorRole.h
@@ -25,6 +25,7 @@
   , mTimes(aTimes)
   , mServices(aApi, aRandom)
   , mAttempts(aApi, mViews, mFence)
+  , mRetries(aLoop, aRandom, aTimes.mStoreRetry, aTimes.mMaxStoreRetry)
   , mPlanThread(aLoop)
 {
   mFence.mNode = std::move(aNode);
@@ -39,6 +40,7 @@
   }
   mActive = true;
   mRecordsLoaded = false;
+  mListing = true;
   ++mTerm;
   for (const auto& [id, view] : mViews) {
     if (view.mState) {
@@ -49,7 +51,7 @@
   LogEvent("planner_active").With("epoch", mFence.mEpoch).With("workers", mViews.size());
   RenewLeases();
   mRenewTimer = mLoop.Every(mTimes.mRenewPeriod, [this] { RenewLeases(); });
-  mRelistTimer = mLoop.Every(mTimes.mRelistPeriod, [this] { LoadRecords(); });
+  mRelistTimer = mLoop.Every(mTimes.mRelistPeriod, [this] { Relist(); });
   mPlanTimer = mLoop.Every(mTimes.mPlanPeriod, [this] { OnTick(); });
   LoadRecords();
 }
@@ -68,8 +70,7 @@
   mPlanTimer.Cancel();
   mPlanSoon.Cancel();
   mCheckSoon.Cancel();
-  mRetryTimer.Cancel();
-  mRetries.clear();
+  mRetries.Clear();
   mAttempts.Clear();
   mJobs.clear();
   mWorkerJobs.Clear();
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -8,6 +8,7 @@
 #include "jobs/GangStart.h"
 #include "jobs/JobStore.h"
 #include "jobs/PlanThread.h"
+#include "jobs/RetryQueue.h"
 #include "jobs/ServiceLeases.h"
 #include "jobs/SnapshotBuilder.h"
 #include "jobs/WorkerJobs.h"
@@ -36,9 +37,11 @@
   Duration mPlanDelay{ 20 };
   // A plan is made at least this often, because some rules depend on time alone.
   Duration mPlanPeriod{ 1000 };
-  // All records are read again this often, in case a notification was lost.
+  // The ids of all records are read again this often, in case a notification was lost.
   Duration mRelistPeriod{ 60000 };
+  // Upper bound of the jittered delay before a failed call is made again, at first and at most.
   Duration mStoreRetry{ 1000 };
+  Duration mMaxStoreRetry{ 8000 };
   // Gangs that are neither urgent nor guaranteed start only while the starts in progress have at
   // most this many tasks together, because each call that is open costs about 4 KiB. One gang may
   // always start.
@@ -119,6 +122,8 @@
   // Job records (CoordinatorRecords.h).
   ManagedJob* Find(const JobId& aJob);
   void LoadRecords();
+  void Relist();
+  void LoadUnknown(const std::vector<JobId>& aListed);
   void Reload(const JobId& aJob);
   void RetryLater(std::function<void()> aTask);
   // Takes a record as the store has it.
@@ -238,8 +243,9 @@
   Timer mPlanTimer;
   Timer mPlanSoon;
   Timer mCheckSoon;
-  Timer mRetryTimer;
-  std::vector<std::function<void()>> mRetries;
+  RetryQueue mRetries;
+  // Whether a listing of records is under way or waits to be made again.
+  bool mListing = false;
   // Grows with each change of the role, so that callbacks of a former term have no effect.
   std::uint64_t mTerm = 0;
   bool mActive = false;
--- a/src/jobs/JobStore.h
+++ b/src/jobs/JobStore.h
@@ -21,6 +21,7 @@
 public:
   using RecordCallback = std::function<void(std::error_code, JobRecord)>;
   using RecordsCallback = std::function<void(std::error_code, std::vector<JobRecord>)>;
+  using IdsCallback = std::function<void(std::error_code, std::vector<JobId>)>;
 
   JobStore(Store& aStore, RegionId aRegion, Random& aRandom)
     : mStore(aStore)
@@ -75,6 +76,20 @@
                 });
   }
 
+  // Reads the ids of all live records of the region.
+  void ListLiveIds(IdsCallback aCallback)
+  {
+    const auto prefix = "jobs/" + mRegion.Value() + "/";
+    mStore.ListNames(prefix, "/", kMaxIds,
+                     [prefix, aCallback](std::error_code aError, const kv::NameList& aNames) {
+                       std::vector<JobId> ids;
+                       for (const auto& it : aNames.mNames) {
+                         ids.emplace_back(it.substr(prefix.size()));
+                       }
+                       aCallback(FromKvError(aError), std::move(ids));
+                     });
+  }
+
   // Replaces a live record whose version is the record's. Conflict if it was changed meanwhile.
   void Update(JobRecord aRecord, RecordCallback aCallback)
   {
@@ -118,6 +133,9 @@
   }
 
 private:
+  // About 60,000 ids.
+  static constexpr Bytes kMaxIds{ 4 * 1024 * 1024 };
+
   std::string LiveKey(const JobId& aJob) const
   {
     return "jobs/" + mRegion.Value() + "/" + aJob.Value();
