Decide on backfill by the run times of an account's finished jobs

Cause: declared run times are off by a factor of up to 8, so backfill used a margin of 3 on them. An account that always declares too much left reserved capacity idle; one that declares too little was trusted.

Change: RunTimeHistory in the planner state keeps the last 32 declared and true run times by account and size. Backfill is bounded by the quantile of 0.9 of the like jobs; with fewer than 8 the margin on the declared time stays. At most two reservations, for all weights.

--- a/bench/TraceRun.cpp
+++ b/bench/TraceRun.cpp
@@ -67,6 +67,7 @@
     return std::chrono::duration_cast<Duration>(mSnapshot.mNow - aTime);
   }
   void Handle(const Event& aEvent);
+  void RecordRunTime(std::size_t aJob);
   void End(std::size_t aJob);
   void Requeue(std::size_t aJob, bool aWasAsked);
   void Fail(std::size_t aWorker);
@@ -157,6 +158,7 @@
     case EventKind::RunEnd:
       if (mStates[i].mIsRunning && mStates[i].mAttempt == aEvent.mAttempt) {
         mResult.mJobs[i].mEnded = mSnapshot.mNow;
+        RecordRunTime(i);
         End(i);
       }
       break;
@@ -186,6 +188,16 @@
   }
 }
 
+void
+Run::RecordRunTime(std::size_t aJob)
+{
+  const auto& pending = mTrace.mJobs[aJob].mPending;
+  const auto& state = mStates[aJob];
+  const auto total = ResourceVector(pending.mResourcesPerTask) * pending.mTasks;
+  mState.mRunTimes.Record(pending.mAccount, total.Size(),
+                          { pending.mEstimate, state.mDone + Since(state.mStarted) });
+}
+
 void
 Run::End(std::size_t aJob)
 {
@@ -216,6 +228,7 @@
   state.mIsStopping = false;
   ++state.mAttempt;
   mSnapshot.mJobs.push_back(job.mPending);
+  mSnapshot.mJobs.back().mRanBefore = state.mDone;
 }
 
 void
@@ -304,6 +317,7 @@
     lease.mTask = task++;
     lease.mStarted = mSnapshot.mNow;
     lease.mEstimate = job.mPending.mEstimate;
+    lease.mRanBefore = state.mDone;
     std::ranges::find(mSnapshot.mWorkers, id, &WorkerView::mWorker)->mLeases.push_back(lease);
   }
   std::erase_if(mSnapshot.mJobs,
--- a/bench/placement_replay.cpp
+++ b/bench/placement_replay.cpp
@@ -196,10 +196,13 @@
 
 // Returns the number of violations.
 std::size_t
-Replay(const ReplayTrace& aTrace, nlohmann::json& aOut)
+Replay(const ReplayTrace& aTrace, const std::string& aOnly, nlohmann::json& aOut)
 {
   std::size_t violations = 0;
   for (const auto& it : Policies()) {
+    if (!aOnly.empty() && aOnly != it.mName) {
+      continue;
+    }
     const auto result = Summarize(aTrace, RunTrace(aTrace, it.mPolicy, it.mHasGuarantees));
     if (aOut[aTrace.mName].is_null()) {
       std::printf("%-17s %-15s %7.1f %7.1f %7.1f %7.2f %7.2f %7.2f %7.1f\n", aTrace.mName.c_str(),
@@ -228,9 +231,11 @@
   std::vector<std::string> files;
   std::string jsonFile;
   std::string kind;
+  std::string only;
   std::uint64_t seed = 1;
   app.add_option("traces", files, "Trace files");
   app.add_option("--json", jsonFile, "Write the results to this file");
+  app.add_option("--policy", only, "Replay only the policy of this name");
   app.add_option("--generate", kind, "Print a generated trace of this kind instead")
     ->check(CLI::IsMember(TraceKinds()));
   app.add_option("--seed", seed, "Seed of the generated trace");
@@ -248,7 +253,7 @@
               "span", "util", "usef", "recl", "demand", "late", "miss", "max_s", "unas");
   try {
     for (const auto& it : files) {
-      violations += Replay(ReadReplayTrace(it), out);
+      violations += Replay(ReadReplayTrace(it), only, out);
     }
   } catch (const std::exception& it) {
     std::fprintf(stderr, "%s\n", it.what());
--- a/src/placement/ClusterSnapshot.h
+++ b/src/placement/ClusterSnapshot.h
@@ -53,6 +53,8 @@
   TimePoint mStarted;
   // The caller's estimate of the run time; 0 if unknown.
   Duration mEstimate{ 0 };
+  // The run time of earlier attempts whose progress was saved.
+  Duration mRanBefore{ 0 };
 };
 
 struct WorkerView
@@ -110,6 +112,8 @@
   TimePoint mSubmitted;
   // The caller's estimate of the run time; 0 if unknown.
   Duration mEstimate{ 0 };
+  // The run time of earlier attempts whose progress was saved.
+  Duration mRanBefore{ 0 };
   // Workers on which an attempt of the job failed.
   std::vector<WorkerId> mFailedWorkers;
 };
--- a/src/placement/PlanBuilder.cpp
+++ b/src/placement/PlanBuilder.cpp
@@ -16,9 +16,6 @@
 namespace {
 
 constexpr std::size_t kWorkersToFail = 3;
-// Declared run times are often far off, so backfill must be expected to end well before the
-// reservation.
-constexpr int kDistrust = 3;
 
 } // namespace
 } // namespace detail
@@ -379,11 +376,14 @@
 PlanBuilder::MayBackfill(const QueuedJob& aJob, const Placement& aPlacement) const
 {
   const auto& reservations = mContext.mState.mReservations;
-  const auto latest = mContext.mSnapshot.mNow + aJob.mJob->mEstimate * detail::kDistrust;
-  return !aJob.mNeed.mIsPinned && aJob.mJob->mEstimate.count() > 0 &&
-         std::ranges::all_of(reservations, [&](const Reservation& aReservation) {
-           return latest <= aReservation.mExpectedStart || !Touches(aReservation, aPlacement);
-         });
+  const auto longest = mContext.mForecast.LongestRun(aJob);
+  if (!longest || aJob.mNeed.mIsPinned) {
+    return false;
+  }
+  const auto latest = mContext.mSnapshot.mNow + *longest;
+  return std::ranges::all_of(reservations, [&](const Reservation& aReservation) {
+    return latest <= aReservation.mExpectedStart || !Touches(aReservation, aPlacement);
+  });
 }
 
 bool
--- a/src/placement/PlanContext.cpp
+++ b/src/placement/PlanContext.cpp
@@ -9,6 +9,7 @@
   , mState(aState)
   , mModel(aSnapshot, aState)
   , mSearch(mModel, aSnapshot.mWeights, FailuresOf(aSnapshot, aState))
+  , mForecast(mModel, aState.mRunTimes, aSnapshot.mNow)
 {
 }
 
--- a/src/placement/PlanContext.h
+++ b/src/placement/PlanContext.h
@@ -4,6 +4,7 @@
 #include "placement/GangSearch.h"
 #include "placement/Plan.h"
 #include "placement/ReclaimSearch.h"
+#include "placement/RunTimeForecast.h"
 
 #include <string>
 #include <vector>
@@ -31,6 +32,7 @@
   Plan mPlan;
   ClusterModel mModel;
   GangSearch mSearch;
+  RunTimeForecast mForecast;
 
   void Start(QueuedJob& aJob, const Placement& aPlacement, CapacityClass aClass);
   void Wait(QueuedJob& aJob, WaitReason aReason, std::string aDetail);
--- a/src/placement/PlannerState.h
+++ b/src/placement/PlannerState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "placement/ClusterSnapshot.h"
+#include "placement/RunTimeHistory.h"
 
 #include <map>
 #include <optional>
@@ -74,6 +75,8 @@
   std::vector<Reservation> mReservations;
   // Jobs whose reservation could not complete get no other one before this time.
   std::map<JobId, TimePoint> mNoReservationBefore;
+  // Of all jobs that ended well.
+  RunTimeHistory mRunTimes;
 
 private:
   std::unordered_map<WorkerId, WorkerRecord> mRecords;
--- a/src/placement/ReservationPlanner.cpp
+++ b/src/placement/ReservationPlanner.cpp
@@ -1,7 +1,6 @@
 #include "placement/ReservationPlanner.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <string>
 #include <tuple>
@@ -33,15 +32,6 @@
   return Priority(total.Size(), aReservation.mSubmitted, mContext.mSnapshot.mNow);
 }
 
-std::size_t
-ReservationPlanner::Limit() const
-{
-  const auto& weights = mContext.mSnapshot.mWeights;
-  const double sum = weights.mCompletionTime + weights.mFragmentation;
-  const double part = sum > 0 ? weights.mFragmentation / sum : 0.5;
-  return static_cast<std::size_t>(std::max(1.0, std::ceil(kMostReservations * part)));
-}
-
 void
 ReservationPlanner::HoldAll(const Reservation& aReservation)
 {
@@ -262,7 +252,7 @@
       break;
     }
     DropBelow(Priority(it->mTotal.Size(), it->mJob->mSubmitted, now));
-    if (state.mReservations.size() >= Limit()) {
+    if (state.mReservations.size() >= kMostReservations) {
       break;
     }
     const auto option = BestOption(it->mNeed);
@@ -365,14 +355,7 @@
     if (it.mGuaranteed || it.mIsComing) {
       continue;
     }
-    const auto& lease = *it.mLease;
-    if (lease.mEstimate.count() == 0) {
-      at = std::max(at, now + kLongestHold);
-      continue;
-    }
-    // A lease that has overrun its estimate is expected to run as long again.
-    const auto ran = now - lease.mStarted;
-    at = std::max(at, ran < lease.mEstimate ? lease.mStarted + lease.mEstimate : now + ran);
+    at = std::max(at, mContext.mForecast.EndOf(it.mBorrower));
   }
   return at;
 }
--- a/src/placement/ReservationPlanner.h
+++ b/src/placement/ReservationPlanner.h
@@ -19,7 +19,7 @@
   static constexpr Duration kLongestHold{ 900'000 };
   // The second large job needs room before the first one has started; more than this many would
   // keep too much of the cluster idle.
-  static constexpr int kMostReservations = 4;
+  static constexpr std::size_t kMostReservations = 2;
 
   explicit ReservationPlanner(PlanContext& aContext)
     : mContext(aContext)
@@ -55,9 +55,6 @@
 
   std::optional<Placement> PlacementOf(const Reservation& aReservation) const;
   // Whether the reservation goes on.
-  // The weight of fragmentation times kMostReservations, rounded up: each reservation keeps whole
-  // racks for gangs, at the cost of small jobs that could use them meanwhile.
-  std::size_t Limit() const;
   double PriorityOf(const Reservation& aReservation) const;
   void DropBelow(double aPriority);
   void HoldAll(const Reservation& aReservation);
