--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -8,11 +8,14 @@
 #include "jobs/GangStart.h"
 #include "jobs/JobStore.h"
 #include "jobs/PlanThread.h"
+#include "jobs/RetryQueue.h"
 #include "jobs/ServiceLeases.h"
 #include "jobs/SnapshotBuilder.h"
 #include "jobs/WorkerJobs.h"
+#include "placement/ResourceVector.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -36,9 +39,11 @@
   Duration mPlanDelay{ 20 };
   // A plan is made at least this often, because some rules depend on time alone.
   Duration mPlanPeriod{ 1000 };
-  // All records are read again this often, in case a notification was lost.
+  // The ids of all records are read again this often, in case a notification was lost.
   Duration mRelistPeriod{ 60000 };
+  // Upper bound of the jittered delay before a failed call is made again, at first and at most.
   Duration mStoreRetry{ 1000 };
+  Duration mMaxStoreRetry{ 8000 };
   // Gangs that are neither urgent nor guaranteed start only while the starts in progress have at
   // most this many tasks together, because each call that is open costs about 4 KiB. One gang may
   // always start.
@@ -66,6 +71,8 @@
   // Gives up the planner role. Running tasks go on under their leases.
   void Deactivate(const char* aReason);
   bool IsActive() const { return mActive; }
+  // Run times of finished jobs that were given to the planner so far.
+  std::uint64_t LearnedRunTimes() const { return mLearned; }
   // Called after a worker refused this node's fence and the role was given up.
   void OnFenced(std::function<void()> aCallback) { mOnFenced = std::move(aCallback); }
 
@@ -119,6 +126,8 @@
   // Job records (CoordinatorRecords.h).
   ManagedJob* Find(const JobId& aJob);
   void LoadRecords();
+  void Relist();
+  void LoadUnknown(const std::vector<JobId>& aListed);
   void Reload(const JobId& aJob);
   void RetryLater(std::function<void()> aTask);
   // Takes a record as the store has it.
@@ -184,6 +193,9 @@
 
   // Stores the answers of finished tasks in batches, and ends the job after the last.
   void CollectAnswers(ManagedJob& aJob, const GangStatus& aStatus);
+  void NoteFinished(ManagedJob& aJob, const GangStatus& aStatus);
+  // Keeps the run time of a job that ends well for the next plan.
+  void LearnRunTime(const ManagedJob& aJob);
   // Fetches the next answer of the batch, or stores those that were fetched.
   void FetchAnswers(const AnswerBatchPtr& aBatch);
   // Stores what was fetched. After a failed fetch the rest is tried again later.
@@ -211,6 +223,13 @@
     Duration mRan;
   };
 
+  struct FinishedJob
+  {
+    AccountId mAccount;
+    std::int64_t mSize = 0;
+    placement::RunTime mRunTime;
+  };
+
   EventLoop& mLoop;
   Api& mApi;
   JobStore<Store>& mJobStore;
@@ -230,6 +249,8 @@
   placement::Plan mLastPlan;
   std::vector<Failure> mFailures;
   std::vector<WorkerId> mSuccesses;
+  std::vector<FinishedJob> mRunTimes;
+  std::uint64_t mLearned = 0;
   // Start tokens of attempts whose commit is uncertain and that were never started.
   std::set<std::string> mUnsentStarts;
   std::function<void()> mOnFenced;
@@ -238,8 +259,9 @@
   Timer mPlanTimer;
   Timer mPlanSoon;
   Timer mCheckSoon;
-  Timer mRetryTimer;
-  std::vector<std::function<void()>> mRetries;
+  RetryQueue mRetries;
+  // Whether a listing of records is under way or waits to be made again.
+  bool mListing = false;
   // Grows with each change of the role, so that callbacks of a former term have no effect.
   std::uint64_t mTerm = 0;
   bool mActive = false;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "base/LogEvent.h"
+#include "membership/ListReader.h"
 #include "node/PolicyConversion.h"
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr Duration kRoleCheckPeriod{ 500 };
+// Views that are older by this much still meet the 3 s for leaving workers.
+constexpr Duration kPauseLimit{ 1000 };
 // A new planner looks again after this time whether its own polls of all workers were answered.
 constexpr Duration kPolledCheckDelay{ 50 };
 // A planner waits this long after its start for workers that don't answer.
@@ -124,7 +127,9 @@
   , mWorkerChanges(aLoop, [this](const workers::WorkerChange& aChange) { OnWorkerChange(aChange); })
   , mMonitor(aLoop, mWorkerApi, mRandom, mWorkerChanges.GetAddress())
   , mRelay(aLoop, mTransport, mSettings.mNode, mMembership.Self().mIncarnation,
-           { [this] { return RegionPeers(); }, [this] { return mMonitor.IsTimely(); },
+           // The planner polls all workers itself. One that isn't in its own view misses the
+           // batches, and polls for that reason.
+           { [this] { return RegionPeers(PlannerNode()); }, [this] { return mMonitor.IsTimely(); },
              [this](const NodeId& aWatcher, const workers::RelayedChange& aChange) {
                mMonitor.OnRelayed(aWatcher, aChange);
              },
@@ -152,8 +157,11 @@
   , mAdminApi(MakeAdminHooks())
   , mServer(aLoop, detail::MakeLimits(mSettings))
   , mAdminServer(aLoop)
-  , mVmList(aLoop, detail::MakeVmListSettings(mSettings),
+  , mVmList(aLoop, mTransport, mRandom, mSettings.mNode, mMembership.Self().mIncarnation,
+            { [this] { return ReadsVmList(); }, [this] { return RegionPeers(NodeId()); } },
+            detail::MakeVmListSettings(mSettings),
             [this](const std::vector<membership::Vm>& aVms) { OnVmList(aVms); })
+  , mPauseWatch(aLoop, detail::kPauseLimit, [this](Duration aPause) { OnResumed(aPause); })
   , mStarted(std::chrono::steady_clock::now())
 {
   WireMembership();
@@ -190,6 +198,9 @@
 void
 Node::WireWatching()
 {
+  // What waited for this node in a pause must not be sent by the views from before the pause: a
+  // worker may have begun to leave since then.
+  mRouter.SetSendCheck([this] { return mCheckedPauses == mPauses && !mPauseWatch.IsUnnoticed(); });
   mMonitor.Share({ [this](const SocketAddress& aWorker) {
                     return mWatchNodes.empty() ||
                            membership::RendezvousOwner("worker/" + aWorker.ToString(),
@@ -204,6 +215,13 @@
         mRelay.ReadPayload(aMember.mNode, aMember.mIncarnation, aMember.mAddress, aPayload, aSent);
       }
     });
+  mMembership.AddPayload(
+    "vms", [this] { return mVmList.WritePayload(); },
+    [this](const membership::Member& aMember, const Json& aPayload, TimePoint aSent) {
+      if (aMember.mRegion == mSettings.mRegion) {
+        mVmList.ReadPayload(aMember.mNode, aMember.mIncarnation, aPayload, aSent);
+      }
+    });
 }
 
 void
@@ -215,15 +233,34 @@
   mMonitor.Reassign();
 }
 
+void
+Node::OnResumed(Duration aPause)
+{
+  const auto pause = ++mPauses;
+  LogEvent("workers_recheck", LogLevel::Warning).With("pause_ms", aPause);
+  mMonitor.Recheck([this, pause] {
+    // Posted, because the changes that the check found are delivered by messages.
+    mLoop.Post([this, pause] {
+      mCheckedPauses = std::max(mCheckedPauses, pause);
+      mRouter.Resume();
+    });
+  });
+}
+
+bool
+Node::ReadsVmList() const
+{
+  return mWatchNodes.empty() ||
+         membership::ListReaderOf(mSettings.mRegion, mWatchNodes,
+                                  std::chrono::system_clock::now()) == mSettings.mNode;
+}
+
 std::vector<SocketAddress>
-Node::RegionPeers()
+Node::RegionPeers(const NodeId& aWithout)
 {
   std::vector<SocketAddress> peers;
-  // The planner polls all workers itself. One that isn't in its own view misses the batches, and
-  // polls for that reason.
-  const auto planner = PlannerNode();
   for (const auto& it : mMembership.Members()) {
-    if (it.mMember.mNode != mSettings.mNode && it.mMember.mNode != planner &&
+    if (it.mMember.mNode != mSettings.mNode && it.mMember.mNode != aWithout &&
         it.mMember.mRegion == mSettings.mRegion &&
         it.mState != membership::MemberState::Suspected) {
       peers.push_back(it.mMember.mAddress);
--- a/src/node/NodeAdmin.cpp
+++ b/src/node/NodeAdmin.cpp
@@ -117,8 +117,10 @@
   mMetrics.SetMembers(mMembership.LiveNodes().size());
   mMetrics.SetPlanner(mCoordinator.IsActive(), mCoordinator.GetFence().mEpoch, mCoordinator.Jobs(),
                       mCoordinator.LastPlan());
+  mMetrics.SetLearnedRunTimes(mCoordinator.LearnedRunTimes());
   mMetrics.SetWorkers(mCoordinator.Views());
   mMetrics.SetWatching(mMonitor.Owned(), mMonitor.Relayed());
+  mMetrics.SetVmList(mVmList.List(), mVmList.IsRelayed());
   mMetrics.SetCallers(mServer.Callers());
   mMetrics.SetKvCalls(mStore.Calls() + mWatchStore.Calls());
   std::ostringstream stream;
--- a/src/node/NodeMetrics.cpp
+++ b/src/node/NodeMetrics.cpp
@@ -31,12 +31,20 @@
   , mRunningJobs(detail::AddGauge(aRegistry, "lovagerock_jobs_running", "Jobs that are started"))
   , mFragmentation(detail::AddGauge(aRegistry, "lovagerock_fragmentation",
                                     "Share of free accelerators in partly used racks, 0 to 1"))
+  , mLearnedRunTimes(detail::AddGauge(aRegistry, "lovagerock_run_times_learned",
+                                      "Run times of finished jobs given to the planner so far"))
   , mLiveWorkers(detail::AddGauge(aRegistry, "lovagerock_workers_live", "Live workers"))
   , mOwnedWorkers(detail::AddGauge(aRegistry, "lovagerock_workers_owned",
                                    "Workers that this node watches for all nodes"))
   , mRelayedWorkers(detail::AddGauge(aRegistry, "lovagerock_workers_relayed",
                                      "Workers that this node doesn't poll, because another relays "
                                      "their state"))
+  , mVmListReads(
+      detail::AddGauge(aRegistry, "lovagerock_vm_list_reads", "Reads of the VM list so far"))
+  , mVmListWholeReads(detail::AddGauge(aRegistry, "lovagerock_vm_list_whole_reads",
+                                       "Reads of the VM list so far that found it changed"))
+  , mVmListRelayed(detail::AddGauge(aRegistry, "lovagerock_vm_list_relayed",
+                                    "1 while another node reads the VM list for this one"))
   , mKvCalls(
       detail::AddGauge(aRegistry, "lovagerock_kv_calls", "Calls to the key-value service so far"))
   , mConnections(
@@ -84,6 +92,12 @@
   mFragmentation.Set(aActive ? aPlan.mFragmentation : 0);
 }
 
+void
+NodeMetrics::SetLearnedRunTimes(std::uint64_t aCount)
+{
+  mLearnedRunTimes.Set(static_cast<double>(aCount));
+}
+
 void
 NodeMetrics::SetWorkers(const jobs::WorkerViews& aWorkers)
 {
@@ -100,6 +114,14 @@
   mRelayedWorkers.Set(static_cast<double>(aRelayed));
 }
 
+void
+NodeMetrics::SetVmList(const membership::VmList& aList, bool aRelayed)
+{
+  mVmListReads.Set(static_cast<double>(aList.Reads()));
+  mVmListWholeReads.Set(static_cast<double>(aList.WholeReads()));
+  mVmListRelayed.Set(aRelayed ? 1 : 0);
+}
+
 void
 NodeMetrics::SetCallers(const http::CallerCounts& aCallers)
 {
--- a/src/routing/RouterAttempts.h
+++ b/src/routing/RouterAttempts.h
@@ -155,6 +155,8 @@
     Retry(aTask, aTask.mCancelled ? "cancelled" : "answer_lost", false);
   } else {
     Report(aTask, aTask.AnswerStatus() < 500);
+    TimesOf(aTask).OnAnswered(
+      std::chrono::duration_cast<std::chrono::microseconds>(Now() - aTask.mReserved));
     Finish(aTask, aTask.TakeAnswer());
   }
 }
@@ -241,10 +243,11 @@
 void
 Router<S, T, W>::OnUnknown(RequestTask& aTask)
 {
-  if (aTask.IsAnswerStarted()) {
-    aTask.AbortCaller();
-  }
-  if (aTask.mSeen && aTask.mRequest.mIdempotent) {
+  if (aTask.IsAnswerStarted() && aTask.mRequest.mIdempotent) {
+    // The rest of the answer can't come any more, and the caller can't take another one.
+    CloseCall(aTask);
+    OnCut(aTask);
+  } else if (aTask.mSeen && aTask.mRequest.mIdempotent) {
     Retry(aTask, "answer_lost", false);
   } else if (aTask.mSeen) {
     CloseCall(aTask);
@@ -267,8 +270,12 @@
   aTask.mProbeOpen = false;
   if (aError) {
     OnSilent(aTask);
+  } else if (aPhase == workers::RequestPhase::Unknown && aTask.mSeen) {
+    // The answer began to arrive while the tombstone was set.
+    OnUnknown(aTask);
   } else if (aPhase == workers::RequestPhase::Unknown && aTask.mRequest.mIdempotent) {
-    Retry(aTask, "unknown_at_worker", true);
+    // A restarted worker doesn't know what it ran before, so this doesn't prove "not run".
+    Retry(aTask, "unknown_at_worker", false);
   } else if (aPhase == workers::RequestPhase::Unknown) {
     CheckIncarnation(aTask);
   } else {
@@ -294,6 +301,8 @@
                   const auto& state = aAnswer.mState;
                   if (aError || !state) {
                     OnSilent(aCurrent);
+                  } else if (aCurrent.mSeen) {
+                    OnUnknown(aCurrent);
                   } else if (state->mIncarnation == aCurrent.mReplica->mHost->mIncarnation) {
                     Retry(aCurrent, "unknown_at_worker", true);
                   } else {
--- a/tests/routing/AdmissionTests.cpp
+++ b/tests/routing/AdmissionTests.cpp
@@ -1,4 +1,5 @@
 #include "routing/RoutingFixture.h"
+#include "support/LocalAddress.h"
 
 using namespace lovagerock;
 using namespace lovagerock::routing;
@@ -90,6 +91,25 @@
   cr_assert(f.Worker(0).mRequests.empty() && f.Worker(1).mRequests.empty());
 }
 
+// Guards against work for workers whose views are out of date, also where a claim was under way.
+Test(Admission, sends_nothing_while_it_may_not)
+{
+  Fixture f;
+  bool maySend = true;
+  f.Router().SetSendCheck([&] { return maySend; });
+  const auto keyed = f.Start(kKeyed);
+  f.Until([&] { return f.Router().ActiveRequests() == 1; });
+  maySend = false;
+  const auto plain = f.Start({});
+  f.Until([&] { return f.Router().QueueLength() == 2; });
+  cr_assert(f.Worker().mRequests.empty());
+  maySend = true;
+  f.Router().Resume();
+  cr_assert_eq(f.Finish(plain).mResponse.mStatus, 200);
+  cr_assert_eq(f.Finish(keyed).mResponse.mStatus, 200);
+  cr_assert_eq(f.Worker().mRequests.size(), 2);
+}
+
 // Guards against a stop that cuts requests or accepts new ones.
 Test(Admission, drains_after_the_last_answer)
 {
@@ -125,7 +145,7 @@
     },
     f.mRandom);
   api.Register(server);
-  cr_assert_not(server.Listen(SocketAddress("127.0.0.1", 0)));
+  cr_assert_not(server.Listen(testing::LocalAddress()));
   http::ClientRequest request;
   request.mServer = server.Address();
   request.mMethod = http::Method::Post;
@@ -155,3 +175,109 @@
   cr_assert(retries >= 12 && retries <= 13, "%d", retries);
   cr_assert(budget.TakeRetry(start + Duration(400)));
 }
+
+// Guards against a queue in which every request waits until its deadline: the runs are then cut,
+// their outcome is unknown, and no answer is given although the workers are busy.
+Test(Admission, refuses_at_once_what_would_wait_beyond_its_deadline)
+{
+  Fixture f;
+  f.Publish(*f.mNodes[0], 1, false);
+  f.Worker().mPhase = workers::RequestPhase::Running;
+  std::vector<Timer> timers;
+  f.Worker().mOnRequest = [&](const http::Request&, const http::Responder& aResponder) {
+    timers.push_back(f.mLoop.After(Duration(100), [aResponder] {
+      aResponder.Send({ 200, {}, "" });
+    }));
+  };
+  cr_assert_eq(f.Call({}).mResponse.mStatus, 200);
+  f.Worker().BeSilent();
+  const auto running = f.Start({});
+  f.Until([&] { return f.Worker().mHeld.size() == 1; });
+  // Answered before the slot is free again, so at once.
+  const auto refused = f.Call({ { "Deadline-Ms", "100" } });
+  cr_assert_eq(refused.mResponse.mStatus, 503);
+  cr_assert_eq(refused.Error(), std::string("overloaded"));
+  cr_assert_eq(refused.Ran(), std::string("no"));
+  cr_assert_not(running->mEnded);
+  const auto patient = f.Start({ { "Deadline-Ms", "30000" } });
+  f.Until([&] { return f.Router().QueueLength() == 1; });
+  cr_assert_not(patient->mEnded);
+  cr_assert_eq(f.Worker().mRequests.size(), 2);
+}
+
+// Guards against a slot that is spent on a run which its deadline cuts, and whose outcome nobody
+// knows.
+Test(Admission, sends_nothing_whose_time_is_too_short_after_the_wait)
+{
+  Fixture f;
+  f.Publish(*f.mNodes[0], 1, false);
+  f.Worker().BeSilent();
+  f.Worker().mPhase = workers::RequestPhase::Running;
+  // Waits from before the first run time is known, so it is not refused at its arrival.
+  const auto slow = f.Start({ { "Deadline-Ms", "30000" } });
+  f.Until([&] { return f.Worker().mHeld.size() == 1; });
+  const auto late = f.Start({ { "Deadline-Ms", "30000" } });
+  const auto hopeless = f.Start({ { "Deadline-Ms", "600" } });
+  f.Until([&] { return f.Router().QueueLength() == 2; });
+  const auto timer = f.mLoop.After(Duration(400), [&] {
+    f.Worker().mHeld[0].Send({ 200, {}, "" });
+  });
+  f.Until([&] { return f.Worker().mHeld.size() == 2; });
+  f.Worker().mHeld[1].Send({ 200, {}, "" });
+  const auto outcome = f.Finish(hopeless);
+  cr_assert_eq(outcome.Error(), std::string("no_capacity"));
+  cr_assert_eq(outcome.Ran(), std::string("no"));
+  cr_assert_eq(f.Worker().mRequests.size(), 2);
+}
+
+// Guards against an account that is refused because of another account's long queue.
+Test(Admission, counts_no_more_than_the_share_of_another_account_ahead)
+{
+  AdmissionQueue queue;
+  const ServiceId service("s");
+  for (RequestNumber i = 0; i < 100; ++i) {
+    cr_assert(queue.Push({ AccountId("a"), service, true }, i, 1, 1000));
+  }
+  cr_assert(queue.Push({ AccountId("b"), service, true }, 100, 2, 1000));
+  cr_assert(queue.Push({ AccountId("b"), service, true }, 101, 2, 1000));
+  cr_assert(queue.Push({ AccountId("b"), service, false }, 102, 2, 1000));
+  cr_assert_eq(queue.Ahead({ AccountId("b"), service, true }), 2.0);
+  cr_assert_eq(queue.Ahead({ AccountId("a"), service, true }), 101.0);
+}
+
+// Guards against a service that stays refused on an old estimate, and against a wait without end
+// that looks like none.
+Test(RunTimes, follow_the_service_and_know_nothing_without_open_attempts)
+{
+  using std::chrono::microseconds;
+  RunTimes times;
+  cr_assert_eq(times.Typical(), microseconds(0));
+  times.OnStart();
+  times.OnAnswered(microseconds(1000));
+  times.OnEnd(microseconds(1000));
+  cr_assert_not(times.Wait(10));
+  times.OnStart();
+  times.OnStart();
+  cr_assert_eq(times.Wait(9).value(), microseconds(5000));
+  times.OnCutOff(microseconds(500));
+  cr_assert_eq(times.Mean(), microseconds(1000));
+  times.OnCutOff(microseconds(17000));
+  cr_assert_eq(times.Mean(), microseconds(2000));
+  for (int i = 0; i < 200; ++i) {
+    times.OnAnswered(microseconds(100));
+  }
+  cr_assert_lt(times.Typical(), microseconds(150));
+}
+
+// Guards against callers that send again at once when the workers are too slow, and so multiply the
+// load that made them slow.
+Test(Admission, asks_callers_to_wait_after_a_run_that_the_deadline_cut)
+{
+  Fixture f;
+  f.Worker().BeSilent();
+  f.Worker().mPhase = workers::RequestPhase::Running;
+  const auto outcome = f.Call({ { "Deadline-Ms", "300" } });
+  cr_assert_eq(outcome.mResponse.mStatus, 504);
+  cr_assert_eq(outcome.Ran(), std::string("unknown"));
+  cr_assert(outcome.mResponse.mHeaders.Has("Retry-After"));
+}
