--- a/src/jobs/CoordinatorAnswers.h
+++ b/src/jobs/CoordinatorAnswers.h
@@ -14,6 +14,8 @@
 void
 JobCoordinator<S, A>::CollectAnswers(ManagedJob& aJob, const GangStatus& aStatus)
 {
+  // Before the return: the collection of earlier answers may last as long as an outage.
+  NoteFinished(aJob, aStatus);
   if (aJob.mCollecting) {
     return;
   }
@@ -42,9 +44,36 @@
   for (const auto& it : aJob.mRecord.mPlacements) {
     mSuccesses.push_back(it.mWorker);
   }
+  LearnRunTime(aJob);
   End(aJob, JobState::Finished, Ran::Yes, "");
 }
 
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::NoteFinished(ManagedJob& aJob, const GangStatus& aStatus)
+{
+  const bool finished = std::all_of(aStatus.mTasks.begin(), aStatus.mTasks.end(),
+                                    [](TaskStatus aTask) { return aTask == TaskStatus::Finished; });
+  if (finished && !aJob.mFinishedAt) {
+    aJob.mFinishedAt = Now();
+  }
+}
+
+// Later attempts go on from a checkpoint, so their times are too short.
+template<kv::KeyValueStore S, workers::WorkerApi A>
+void
+JobCoordinator<S, A>::LearnRunTime(const ManagedJob& aJob)
+{
+  const auto& record = aJob.mRecord;
+  if (!aJob.mStartSeen || record.mAttempt != 1 || !aJob.mFinishedAt) {
+    return;
+  }
+  const auto size = placement::ResourceVector(record.mSpec.mPerTask) * record.mSpec.mTasks;
+  const auto ran = std::chrono::duration_cast<Duration>(*aJob.mFinishedAt - aJob.mStartedAt);
+  mRunTimes.push_back({ record.mAccount, size.Size(), { record.mSpec.mEstimate, ran } });
+  ++mLearned;
+}
+
 template<kv::KeyValueStore S, workers::WorkerApi A>
 void
 JobCoordinator<S, A>::FetchAnswers(const AnswerBatchPtr& aBatch)
--- a/src/jobs/CoordinatorGangs.h
+++ b/src/jobs/CoordinatorGangs.h
@@ -104,6 +104,8 @@
       SetRecord(*job, std::move(aRecord));
       job->mPhase = JobPhase::Running;
       job->mStartedAt = Now();
+      job->mStartSeen = true;
+      job->mFinishedAt.reset();
       job->mObservation = { Now(), {} };
       job->mAnswers.assign(job->mRecord.mPlacements.size(), std::nullopt);
       RenewGang(job->mRecord);
--- a/src/jobs/CoordinatorPlans.h
+++ b/src/jobs/CoordinatorPlans.h
@@ -58,8 +58,12 @@
   for (const auto& it : mSuccesses) {
     mState.RecordSuccess(it);
   }
+  for (const auto& it : mRunTimes) {
+    mState.mRunTimes.Record(it.mAccount, it.mSize, it.mRunTime);
+  }
   mFailures.clear();
   mSuccesses.clear();
+  mRunTimes.clear();
   mPlanThread.Compute(BuildSnapshot(mPolicy, mViews, mJobs, mComplete, now), std::move(mState),
                       [this, term = mTerm](placement::Plan aPlan, placement::PlannerState aState) {
                         if (std::exchange(mPlanAgain, false)) {
--- a/src/jobs/JobCoordinator.h
+++ b/src/jobs/JobCoordinator.h
@@ -12,8 +12,10 @@
 #include "jobs/ServiceLeases.h"
 #include "jobs/SnapshotBuilder.h"
 #include "jobs/WorkerJobs.h"
+#include "placement/ResourceVector.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -69,6 +71,8 @@
   // Gives up the planner role. Running tasks go on under their leases.
   void Deactivate(const char* aReason);
   bool IsActive() const { return mActive; }
+  // Run times of finished jobs that were given to the planner so far.
+  std::uint64_t LearnedRunTimes() const { return mLearned; }
   // Called after a worker refused this node's fence and the role was given up.
   void OnFenced(std::function<void()> aCallback) { mOnFenced = std::move(aCallback); }
 
@@ -189,6 +193,9 @@
 
   // Stores the answers of finished tasks in batches, and ends the job after the last.
   void CollectAnswers(ManagedJob& aJob, const GangStatus& aStatus);
+  void NoteFinished(ManagedJob& aJob, const GangStatus& aStatus);
+  // Keeps the run time of a job that ends well for the next plan.
+  void LearnRunTime(const ManagedJob& aJob);
   // Fetches the next answer of the batch, or stores those that were fetched.
   void FetchAnswers(const AnswerBatchPtr& aBatch);
   // Stores what was fetched. After a failed fetch the rest is tried again later.
@@ -216,6 +223,13 @@
     Duration mRan;
   };
 
+  struct FinishedJob
+  {
+    AccountId mAccount;
+    std::int64_t mSize = 0;
+    placement::RunTime mRunTime;
+  };
+
   EventLoop& mLoop;
   Api& mApi;
   JobStore<Store>& mJobStore;
@@ -235,6 +249,8 @@
   placement::Plan mLastPlan;
   std::vector<Failure> mFailures;
   std::vector<WorkerId> mSuccesses;
+  std::vector<FinishedJob> mRunTimes;
+  std::uint64_t mLearned = 0;
   // Start tokens of attempts whose commit is uncertain and that were never started.
   std::set<std::string> mUnsentStarts;
   std::function<void()> mOnFenced;
--- a/src/jobs/ManagedJob.h
+++ b/src/jobs/ManagedJob.h
@@ -67,6 +67,10 @@
   // When the job entered the queue and when its attempt started, on the monotonic clock.
   TimePoint mQueuedAt;
   TimePoint mStartedAt;
+  // Whether this planner started the attempt; if not, mStartedAt is when it took the job over.
+  bool mStartSeen = false;
+  // When all tasks of the attempt were first seen to have finished.
+  std::optional<TimePoint> mFinishedAt;
   // The job isn't planned before this time, after a start that was not possible.
   TimePoint mNotBefore;
   GangObservation mObservation;
--- a/src/node/NodeMetrics.cpp
+++ b/src/node/NodeMetrics.cpp
@@ -31,6 +31,8 @@
   , mRunningJobs(detail::AddGauge(aRegistry, "lovagerock_jobs_running", "Jobs that are started"))
   , mFragmentation(detail::AddGauge(aRegistry, "lovagerock_fragmentation",
                                     "Share of free accelerators in partly used racks, 0 to 1"))
+  , mLearnedRunTimes(detail::AddGauge(aRegistry, "lovagerock_run_times_learned",
+                                      "Run times of finished jobs given to the planner so far"))
   , mLiveWorkers(detail::AddGauge(aRegistry, "lovagerock_workers_live", "Live workers"))
   , mOwnedWorkers(detail::AddGauge(aRegistry, "lovagerock_workers_owned",
                                    "Workers that this node watches for all nodes"))
@@ -90,6 +92,12 @@
   mFragmentation.Set(aActive ? aPlan.mFragmentation : 0);
 }
 
+void
+NodeMetrics::SetLearnedRunTimes(std::uint64_t aCount)
+{
+  mLearnedRunTimes.Set(static_cast<double>(aCount));
+}
+
 void
 NodeMetrics::SetWorkers(const jobs::WorkerViews& aWorkers)
 {
--- a/src/node/NodeMetrics.h
+++ b/src/node/NodeMetrics.h
@@ -23,6 +23,7 @@
   void SetMembers(std::size_t aLive);
   void SetPlanner(bool aActive, std::uint64_t aEpoch, const jobs::ManagedJobs& aJobs,
                   const placement::Plan& aPlan);
+  void SetLearnedRunTimes(std::uint64_t aCount);
   void SetWorkers(const jobs::WorkerViews& aWorkers);
   // aOwned workers are watched for all nodes; other nodes relay the state of aRelayed ones.
   void SetWatching(std::size_t aOwned, std::size_t aRelayed);
@@ -39,6 +40,7 @@
   prometheus::Gauge& mQueuedJobs;
   prometheus::Gauge& mRunningJobs;
   prometheus::Gauge& mFragmentation;
+  prometheus::Gauge& mLearnedRunTimes;
   prometheus::Gauge& mLiveWorkers;
   prometheus::Gauge& mOwnedWorkers;
   prometheus::Gauge& mRelayedWorkers;
--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -185,6 +185,33 @@
   cr_assert_eq(cluster.UntilDone(adopted.mJob).mState, JobState::Finished);
 }
 
+// Guards against predictions from run times that are too short: of attempts that went on from a
+// checkpoint, or that began under another planner.
+Test(JobCoordinator, learns_run_times_of_first_attempts_that_it_started)
+{
+  Cluster cluster(2);
+  Planner first(cluster, "n1");
+  Planner second(cluster, "n2");
+  first.mCoordinator.Activate();
+  std::uint64_t firstAttempts = 0;
+  for (const bool fails : { false, true }) {
+    cluster.SetFaults(0, fails ? R"({"fail_all":true})" : R"({"fail_all":false})");
+    const auto job = cluster.Submit(cluster.Job(fails ? "fails" : "whole", 8, kShort));
+    first.mCoordinator.OnJobChanged(job.mJob);
+    const auto done = cluster.UntilDone(job.mJob);
+    cr_assert_eq(done.mState, JobState::Finished);
+    firstAttempts += done.mAttempt == 1 ? 1 : 0;
+    cr_assert_eq(first.mCoordinator.LearnedRunTimes(), firstAttempts);
+  }
+  cluster.SetFaults(0, R"({"fail_all":false})");
+  const auto adopted = cluster.Submit(cluster.Job("k", 4, R"({"run_ms":500,"answer":"42"})"));
+  first.mCoordinator.OnJobChanged(adopted.mJob);
+  cluster.Until([&] { return first.IsRunning(adopted.mJob); });
+  second.mCoordinator.Activate();
+  cr_assert_eq(cluster.UntilDone(adopted.mJob).mState, JobState::Finished);
+  cr_assert_eq(second.mCoordinator.LearnedRunTimes(), 0);
+}
+
 // Guards against a task error that ends the caller's job although it may succeed elsewhere.
 Test(JobCoordinator, runs_a_failed_idempotent_job_on_another_worker)
 {
