--- /dev/null
+++ b/src/control/Election.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include "base/Json.h"
+#include "base/Random.h"
+#include "control/Keys.h"
+#include "control/PrefixWatch.h"
+
+#include <optional>
+#include <string>
+
+namespace lovagerock::control {
+
+// Orders to workers carry it; a worker obeys no lower one than it has seen.
+using FencingToken = StrongCount<struct FencingTokenTag>;
+
+// What the owner of an election wants to know.
+struct ElectionCallbacks
+{
+  std::function<void(FencingToken)> mOnElected;
+  std::function<void(const char* aReason)> mOnLost;
+};
+
+// Elects one leader among the nodes by a key that is bound to a lease of the store. Each
+// leadership has a higher fencing token than all before.
+//
+// A leader that can't reach the store stays leader for the autonomy time, because in an outage of
+// the whole store nobody else can be elected; workers' fencing keeps it from doing harm otherwise.
+template<kv::PrefixStore Store>
+class Election
+{
+public:
+  Election(EventLoop& aLoop, Store& aStore, Random& aRandom, const ControlSettings& aSettings,
+           ElectionCallbacks aCallbacks)
+    : mLoop(aLoop)
+    , mStore(aStore)
+    , mRandom(aRandom)
+    , mSettings(aSettings)
+    , mCallbacks(std::move(aCallbacks))
+  {
+    WatchCallbacks watch;
+    watch.mOnList = [this](const auto& aItems) { OnList(aItems); };
+    watch.mOnEvent = [this](const auto& aEvent) { OnEvent(aEvent); };
+    watch.mOnConfirmed = [this](Duration) { ConsiderClaim(); };
+    mWatch.emplace(aLoop, aStore, std::string(kLeaderPrefix), std::move(watch));
+  }
+
+  bool IsLeader() const { return mToken.has_value(); }
+  FencingToken Token() const { return mToken.value_or(FencingToken()); }
+  // The condition under which a leader's writes are applied.
+  kv::ConditionalWrites::Condition Condition() const
+  {
+    return { std::string(kLeaderKey), kv::Revision(Token().Value()) };
+  }
+  // Where the present leader takes calls of other nodes; nothing if there is none, or this node.
+  const std::optional<SocketAddress>& LeaderAddress() const { return mAddress; }
+  // When the store last confirmed the leadership.
+  TimePoint ConfirmedAt() const { return mConfirmed; }
+
+  // Gives the leadership up at once, so that another node takes over without waiting for the
+  // lease's end.
+  void Resign(const char* aReason)
+  {
+    if (IsLeader()) {
+      mStore.EndLease(mLease, [](std::error_code aError) {
+        if (aError) {
+          LogEvent("lease_not_ended", LogLevel::Warning).With("reason", aError.message());
+        }
+      });
+      Lose(aReason);
+    }
+  }
+  // Stops taking part.
+  void Withdraw()
+  {
+    mIsWithdrawn = true;
+    Resign("shutdown");
+  }
+
+private:
+  void OnList(const std::map<std::string, kv::Item>& aItems)
+  {
+    const auto it = aItems.find(std::string(kLeaderKey));
+    if (it == aItems.end()) {
+      OnVacant();
+    } else {
+      OnHeld(it->second.mValue, it->second.mRevision);
+    }
+  }
+
+  void OnEvent(const kv::ItemEvent& aEvent)
+  {
+    if (aEvent.mKey != kLeaderKey) {
+      return;
+    }
+    if (aEvent.mValue) {
+      OnHeld(*aEvent.mValue, aEvent.mRevision);
+    } else if (aEvent.mRevision > mHolder) {
+      OnVacant();
+    }
+  }
+
+  void OnHeld(const std::string& aValue, kv::Revision aRevision)
+  {
+    mHolder = aRevision;
+    mIsVacant = false;
+    mAddress.reset();
+    const auto json = ParseJson(aValue);
+    const auto node = json ? JsonValue(*json, "node", std::string()) : std::string();
+    const bool isOwn = mToken && aRevision.Value() == mToken->Value();
+    if (mToken && aRevision.Value() > mToken->Value()) {
+      Lose("another_leader");
+    }
+    if (json && !isOwn) {
+      mAddress = SocketAddress::Parse(JsonValue(*json, "address", std::string()));
+    }
+    LogEvent("leader_changed").With("node", node).With("token", aRevision);
+  }
+
+  void OnVacant()
+  {
+    mIsVacant = true;
+    mAddress.reset();
+    if (mToken) {
+      Lose("lease_ended");
+    }
+    ConsiderClaim();
+  }
+
+  void ConsiderClaim()
+  {
+    if (!mIsVacant || mIsClaiming || mToken || mIsWithdrawn) {
+      return;
+    }
+    mIsClaiming = true;
+    // Spreads the claims of several nodes.
+    const Duration delay(static_cast<std::int64_t>(mRandom.Below(40)));
+    mClaimTimer = mLoop.After(delay, [this] { Claim(); });
+  }
+
+  void Claim()
+  {
+    if (!mIsVacant || mIsWithdrawn) {
+      mIsClaiming = false;
+      return;
+    }
+    mRenewalSent = std::chrono::steady_clock::now();
+    mStore.GrantLease(kLeadershipLease, [this, alive = std::weak_ptr<bool>(mAlive)](
+                                          std::error_code aError, kv::StoreLease aLease) {
+      if (alive.expired()) {
+        return;
+      }
+      if (aError) {
+        mIsClaiming = false;
+        return;
+      }
+      mLease = aLease;
+      WriteClaim();
+    });
+  }
+
+  void WriteClaim()
+  {
+    kv::ConditionalWrites writes;
+    writes.mConditions.push_back({ std::string(kLeaderKey), kv::Revision() });
+    writes.mWrites.push_back({ std::string(kLeaderKey),
+                               DumpJson({ { "node", mSettings.mNode.Value() },
+                                          { "address", mSettings.mPeers.ToString() } }),
+                               mLease });
+    mStore.Write(writes, [this, alive = std::weak_ptr<bool>(mAlive)](std::error_code aError,
+                                                                    kv::WriteOutcome aOutcome) {
+      if (!alive.expired()) {
+        OnClaimed(aError, aOutcome);
+      }
+    });
+  }
+
+  void OnClaimed(std::error_code aError, const kv::WriteOutcome& aOutcome)
+  {
+    mIsClaiming = false;
+    if (aError || !aOutcome.mApplied) {
+      // After a lost answer the key may be held by a lease that nobody renews; it ends by itself.
+      return;
+    }
+    mToken = FencingToken(aOutcome.mRevision.Value());
+    mHolder = aOutcome.mRevision;
+    mIsVacant = false;
+    mConfirmed = mRenewalSent;
+    mRenewal = mLoop.Every(kLeadershipRenewal, [this] { Renew(); });
+    LogEvent("elected").With("token", *mToken);
+    mCallbacks.mOnElected(*mToken);
+  }
+
+  void Renew()
+  {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - mConfirmed > mSettings.mScheduler.mAutonomy - kLeadershipRenewal) {
+      Lose("store_unreachable");
+      return;
+    }
+    mStore.RenewLease(mLease, [this, now, token = mToken,
+                               alive = std::weak_ptr<bool>(mAlive)](std::error_code aError) {
+      if (alive.expired() || mToken != token) {
+        return;
+      }
+      if (!aError) {
+        mConfirmed = std::max(mConfirmed, now);
+      } else if (aError == kv::KvError::LeaseEnded) {
+        Lose("lease_ended");
+      }
+    });
+  }
+
+  void Lose(const char* aReason)
+  {
+    LogEvent("leadership_lost", LogLevel::Warning).With("token", Token()).With("reason", aReason);
+    mToken.reset();
+    mRenewal.Cancel();
+    mCallbacks.mOnLost(aReason);
+  }
+
+  EventLoop& mLoop;
+  Store& mStore;
+  Random& mRandom;
+  const ControlSettings& mSettings;
+  ElectionCallbacks mCallbacks;
+  std::optional<PrefixWatch<Store>> mWatch;
+  std::optional<FencingToken> mToken;
+  kv::StoreLease mLease;
+  // The version of the leader's key that was last seen.
+  kv::Revision mHolder;
+  std::optional<SocketAddress> mAddress;
+  bool mIsVacant = false;
+  bool mIsClaiming = false;
+  bool mIsWithdrawn = false;
+  TimePoint mRenewalSent;
+  TimePoint mConfirmed;
+  Timer mRenewal;
+  Timer mClaimTimer;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace lovagerock::control
--- /dev/null
+++ b/src/control/Keys.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/Ids.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lovagerock::control {
+
+// Keys of what the nodes keep in the store.
+inline constexpr std::string_view kLeaderPrefix = "leader/";
+inline constexpr std::string_view kLeaderKey = "leader/node";
+// What callers asked for; the leader watches it.
+inline constexpr std::string_view kRequestPrefix = "requests/";
+inline constexpr std::string_view kJobPrefix = "requests/job/";
+inline constexpr std::string_view kCancelPrefix = "requests/cancel/";
+// What the leader writes.
+inline constexpr std::string_view kProgressPrefix = "progress/job/";
+// Rewritten with each batch of progress, so that a batch that is carried out late has no effect.
+inline constexpr std::string_view kBatchKey = "progress/batch";
+
+inline std::string
+KeyOf(std::string_view aPrefix, const JobId& aJob)
+{
+  return std::string(aPrefix) + aJob.Value();
+}
+
+// The job of a key below the prefix; nothing if the key isn't below it.
+inline std::optional<JobId>
+JobOfKey(std::string_view aPrefix, std::string_view aKey)
+{
+  if (!aKey.starts_with(aPrefix)) {
+    return std::nullopt;
+  }
+  return JobId(std::string(aKey.substr(aPrefix.size())));
+}
+
+} // namespace lovagerock::control
--- /dev/null
+++ b/src/control/Leader.h
@@ -0,0 +1,486 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "base/LogEvent.h"
+#include "base/WallClock.h"
+#include "control/Deployment.h"
+#include "control/Election.h"
+#include "control/ProgressWriter.h"
+#include "control/WorkerCalls.h"
+#include "scheduler/JobRecord.h"
+#include "scheduler/Scheduler.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace lovagerock::control {
+
+// How a platform's workers register.
+template<typename T>
+concept WorkerRegistry = requires(const std::string& aKey, const std::string& aValue)
+{
+  // The prefix of the workers' keys.
+  { T::Prefix() } -> std::convertible_to<std::string>;
+  // The worker of a key.
+  { T::Worker(aKey) } -> std::convertible_to<WorkerId>;
+  // Its entry; nothing if the value can't be used.
+  { T::Read(aKey, aValue) } -> std::convertible_to<std::optional<scheduler::WorkerEntry>>;
+};
+
+// A job's state as the leader knows it.
+struct KnownState
+{
+  scheduler::JobState mState = scheduler::JobState::Queued;
+  AccountId mAccount;
+};
+
+// Runs the scheduler while this node is the leader: loads the jobs, follows requests and workers,
+// keeps the workers' leases, sends the orders and stores the progress. Exists for one leadership.
+template<kv::PrefixStore Store, WorkerCalls Calls, WorkerRegistry Registry>
+class Leader
+{
+public:
+  Leader(EventLoop& aLoop, Store& aStore, Calls& aCalls, Election<Store>& aElection,
+         const ControlSettings& aSettings, const Deployment& aDeployment)
+    : mLoop(aLoop)
+    , mStore(aStore)
+    , mCalls(aCalls)
+    , mElection(aElection)
+    , mSettings(aSettings)
+    , mToken(aElection.Token())
+    , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
+  {
+    OnDeployment(aDeployment);
+    LoadProgress("");
+  }
+
+  // The configuration has changed.
+  void OnDeployment(const Deployment& aDeployment)
+  {
+    std::map<std::string, scheduler::QueuePolicy> queues;
+    for (const auto& it : aDeployment.mQueues) {
+      queues[it.mName] = it.mPolicy;
+    }
+    mScheduler.SetQueues(std::move(queues));
+    mScheduler.SetGuarantees(aDeployment.mGuarantees);
+    PlanSoon();
+  }
+
+  // Whether the jobs are loaded.
+  bool IsLoaded() const { return mWorkers.has_value(); }
+
+  // The job's state; nothing if the leader doesn't know the job. An end is told once it is stored,
+  // unless the store is down, since then the worker keeps it.
+  std::optional<KnownState> State(const JobId& aJob) const
+  {
+    const auto* job = mScheduler.FindJob(aJob);
+    if (!job) {
+      return std::nullopt;
+    }
+    KnownState known{ job->State(), job->Accepted().mAccount };
+    if (job->IsOver() && known.mState != scheduler::JobState::Cancelled &&
+        !mScheduler.IsStored(aJob) && !mWriter->IsFailing()) {
+      known.mState = scheduler::JobState::InProgress;
+    }
+    return known;
+  }
+
+  int PendingJobs(const std::string& aQueue) const { return mScheduler.PendingJobs(aQueue); }
+  const scheduler::Scheduler& State() const { return mScheduler; }
+
+private:
+  // The renewal of one worker's lease.
+  struct HoldLoop
+  {
+    bool mInFlight = false;
+    // The worker's clock at a time of ours.
+    std::optional<scheduler::WorkerClock> mClock;
+    TimePoint mClockAt;
+    Timer mRetry;
+  };
+
+  static scheduler::Now Now() { return { std::chrono::steady_clock::now(), WallClockMs() }; }
+
+  void LoadProgress(const std::string& aAfter)
+  {
+    mStore.List(std::string("progress/"), aAfter,
+                Guarded([this](std::error_code aError, kv::ItemPage aPage) {
+                  OnProgressPage(aError, std::move(aPage));
+                }));
+  }
+
+  void OnProgressPage(std::error_code aError, kv::ItemPage aPage)
+  {
+    if (aError) {
+      LogEvent("progress_not_loaded", LogLevel::Warning).With("reason", aError.message());
+      mProgress.clear();
+      mRetry = mLoop.After(kStoreRetry, [this] { LoadProgress(""); });
+      return;
+    }
+    std::string last;
+    for (auto& it : aPage.mItems) {
+      last = it.mKey;
+      if (it.mKey == kBatchKey) {
+        mBatchRevision = it.mRevision;
+      } else if (const auto job = JobOfKey(kProgressPrefix, it.mKey)) {
+        mProgress[*job] = std::move(it.mValue);
+      }
+    }
+    if (aPage.mHasMore && !last.empty()) {
+      LoadProgress(last);
+      return;
+    }
+    mWriter.emplace(mStore, mElection.Condition(), mBatchRevision);
+    WatchRequests();
+  }
+
+  void WatchRequests()
+  {
+    WatchCallbacks callbacks;
+    callbacks.mOnList = [this](const auto& aItems) { OnRequests(aItems); };
+    callbacks.mOnEvent = [this](const auto& aEvent) {
+      if (aEvent.mValue) {
+        OnRequest(aEvent.mKey, *aEvent.mValue, false);
+        PlanSoon();
+      }
+    };
+    mRequests.emplace(mLoop, mStore, std::string(kRequestPrefix), std::move(callbacks));
+  }
+
+  void OnRequests(const std::map<std::string, kv::Item>& aItems)
+  {
+    // Cancellations sort before jobs and need them.
+    for (const auto& [key, item] : aItems) {
+      if (key.starts_with(kJobPrefix)) {
+        OnRequest(key, item.mValue, !IsLoaded());
+      }
+    }
+    for (const auto& [key, item] : aItems) {
+      if (key.starts_with(kCancelPrefix)) {
+        OnRequest(key, item.mValue, false);
+      }
+    }
+    mProgress.clear();
+    if (!IsLoaded()) {
+      LogEvent("jobs_loaded").With("jobs", mScheduler.JobCount()).With("token", mToken);
+      WatchWorkers();
+      mPlanPeriod = mLoop.Every(kPlanPeriod, [this] { Plan(); });
+      mExpiry = mLoop.Every(Duration(10000), [this] { mDeleteExpired = true; });
+    }
+    PlanSoon();
+  }
+
+  void OnRequest(const std::string& aKey, const std::string& aValue, bool aInherited)
+  {
+    if (const auto cancelled = JobOfKey(kCancelPrefix, aKey)) {
+      mScheduler.CancelJob(*cancelled, Now());
+      return;
+    }
+    if (!aKey.starts_with(kJobPrefix)) {
+      return;
+    }
+    const auto job = scheduler::ReadAcceptedJob(aValue);
+    if (!job) {
+      LogEvent("job_record_malformed", LogLevel::Error).With("key", aKey);
+      return;
+    }
+    const auto progress = mProgress.find(job->mId);
+    if (!mScheduler.AddJob(*job, progress == mProgress.end() ? "" : progress->second, aInherited,
+                           Now())) {
+      LogEvent("job_progress_malformed", LogLevel::Error).With("job", job->mId);
+    } else if (!aInherited) {
+      LogEvent("job_received").With("job", job->mId).With("queue", job->mQueue);
+    }
+  }
+
+  void WatchWorkers()
+  {
+    WatchCallbacks callbacks;
+    callbacks.mOnList = [this](const auto& aItems) {
+      for (const auto& [id, worker] : mScheduler.Workers()) {
+        if (!aItems.contains(Registry::Prefix() + id.Value())) {
+          mUnlisted.push_back(id);
+        }
+      }
+      for (const auto& it : std::exchange(mUnlisted, {})) {
+        mScheduler.OnWorkerUnlisted(it);
+      }
+      for (const auto& [key, item] : aItems) {
+        OnWorkerItem(key, item.mValue);
+      }
+      PlanSoon();
+    };
+    callbacks.mOnEvent = [this](const auto& aEvent) {
+      if (aEvent.mValue) {
+        OnWorkerItem(aEvent.mKey, *aEvent.mValue);
+      } else {
+        mScheduler.OnWorkerUnlisted(Registry::Worker(aEvent.mKey));
+        LogEvent("worker_unlisted").With("worker", Registry::Worker(aEvent.mKey));
+      }
+      PlanSoon();
+    };
+    mWorkers.emplace(mLoop, mStore, Registry::Prefix(), std::move(callbacks));
+  }
+
+  void OnWorkerItem(const std::string& aKey, const std::string& aValue)
+  {
+    const auto entry = Registry::Read(aKey, aValue);
+    if (!entry) {
+      // An entry of another writer; it tells nothing about the worker.
+      LogEvent("worker_entry_unreadable", LogLevel::Warning).With("key", aKey);
+      return;
+    }
+    if (entry->mDraining) {
+      LogEvent("worker_draining")
+        .With("worker", entry->mId)
+        .With("remaining_ms", entry->mRemaining);
+    }
+    mScheduler.OnWorkerEntry(*entry, Now());
+    HoldWorker(entry->mId);
+  }
+
+  WorkerTarget Target(const scheduler::Worker& aWorker) const
+  {
+    return { aWorker.mEntry.mId, aWorker.mEntry.mAddress, mToken };
+  }
+
+  // A deadline on the worker's clock; unset until the clock is known.
+  std::optional<scheduler::WorkerClock> Deadline(const HoldLoop& aLoop) const
+  {
+    if (!aLoop.mClock) {
+      return std::nullopt;
+    }
+    const auto since = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
+                                                            aLoop.mClockAt);
+    return *aLoop.mClock +
+           scheduler::WorkerClock((since + mSettings.mScheduler.mHold).count());
+  }
+
+  void NoteClock(const WorkerId& aWorker, scheduler::WorkerClock aClock)
+  {
+    auto& loop = mHolds[aWorker];
+    loop.mClock = aClock;
+    loop.mClockAt = std::chrono::steady_clock::now();
+  }
+
+  void HoldWorker(const WorkerId& aWorker)
+  {
+    const auto it = mScheduler.Workers().find(aWorker);
+    auto& loop = mHolds[aWorker];
+    if (it == mScheduler.Workers().end()) {
+      mHolds.erase(aWorker);
+      return;
+    }
+    if (loop.mInFlight || !mElection.IsLeader()) {
+      return;
+    }
+    const auto& worker = it->second;
+    HoldCall call;
+    call.mUntil = Deadline(loop);
+    call.mStored = worker.mStored;
+    call.mWait = call.mUntil && worker.mConfirmed ? kHoldWait : Duration(0);
+    loop.mInFlight = true;
+    loop.mRetry.Cancel();
+    if (call.mUntil) {
+      mScheduler.OnLeaseSent(aWorker, Now());
+    }
+    mCalls.Hold(Target(worker), call, [this, aWorker, alive = std::weak_ptr<bool>(mAlive)](
+                                        HoldReply aReply) {
+      if (!alive.expired()) {
+        OnHeld(aWorker, std::move(aReply));
+      }
+    });
+  }
+
+  void OnHeld(const WorkerId& aWorker, HoldReply aReply)
+  {
+    auto& loop = mHolds[aWorker];
+    loop.mInFlight = false;
+    PlanSoon();
+    switch (aReply.mOutcome) {
+      case scheduler::OrderOutcome::Done:
+        NoteClock(aWorker, aReply.mReport.mClock);
+        mScheduler.OnHoldReport(aWorker, aReply.mReport, Now());
+        break;
+      case scheduler::OrderOutcome::Fenced:
+        OnFenced(aWorker);
+        return;
+      case scheduler::OrderOutcome::WrongWorker:
+        mScheduler.OnWorkerReplaced(aWorker, Now());
+        loop.mClock.reset();
+        break;
+      default:
+        if (aReply.mIsRefused) {
+          mScheduler.OnWorkerRefused(aWorker, Now());
+        }
+        break;
+    }
+    const bool isDone = aReply.mOutcome == scheduler::OrderOutcome::Done;
+    const auto it = mScheduler.Workers().find(aWorker);
+    // Ends that aren't stored would be listed again at once.
+    const bool hasUnstored = it != mScheduler.Workers().end() && it->second.mSeen > it->second.mStored;
+    if (isDone && !hasUnstored) {
+      HoldWorker(aWorker);
+    } else {
+      loop.mRetry = mLoop.After(kHoldRetry, [this, aWorker] { HoldWorker(aWorker); });
+    }
+  }
+
+  void OnFenced(const WorkerId& aWorker)
+  {
+    LogEvent("fenced", LogLevel::Warning).With("worker", aWorker).With("token", mToken);
+    mElection.Resign("fenced");
+  }
+
+  void PlanSoon()
+  {
+    if (IsLoaded() && !mPlanSoon.IsPending()) {
+      mPlanSoon = mLoop.After(kPlanDelay, [this] { Plan(); });
+    }
+  }
+
+  void Plan()
+  {
+    if (!mElection.IsLeader()) {
+      return;
+    }
+    const auto orders = mScheduler.Plan(Now());
+    // Stops go first, because the room of what they end is waited for.
+    for (const auto& it : orders.mStops) {
+      SendStop(it);
+    }
+    for (const auto& it : orders.mStarts) {
+      SendStart(it);
+    }
+    StoreSoon();
+  }
+
+  void SendStart(const scheduler::StartOrder& aOrder)
+  {
+    const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
+    const auto until = Deadline(mHolds[aOrder.mWorker]);
+    StartCall call{ aOrder.mRun, aOrder.mPayload, aOrder.mCheckpoint,
+                    until.value_or(scheduler::WorkerClock()) };
+    mScheduler.OnLeaseSent(aOrder.mWorker, Now());
+    mCalls.Start(Target(worker), call, [this, aOrder, alive = std::weak_ptr<bool>(mAlive)](
+                                         OrderReply aReply) {
+      if (!alive.expired()) {
+        OnStartReply(aOrder, aReply);
+      }
+    });
+  }
+
+  void OnStartReply(const scheduler::StartOrder& aOrder, const OrderReply& aReply)
+  {
+    if (aReply.mOutcome != scheduler::OrderOutcome::Done) {
+      LogEvent("start_refused")
+        .With("job", aOrder.mRun.mTask.mJob)
+        .With("task", aOrder.mRun.mTask.mIndex)
+        .With("run", aOrder.mRun.mRun)
+        .With("worker", aOrder.mWorker)
+        .With("reason", scheduler::OrderOutcomeName(aReply.mOutcome));
+    }
+    if (aReply.mOutcome == scheduler::OrderOutcome::Fenced) {
+      OnFenced(aOrder.mWorker);
+      return;
+    }
+    mScheduler.OnStartOutcome(aOrder.mWorker, aOrder.mRun, aReply.mOutcome,
+                              aReply.mClock.value_or(scheduler::WorkerClock()), Now());
+    PlanSoon();
+  }
+
+  void SendStop(const scheduler::StopOrder& aOrder)
+  {
+    const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
+    mCalls.Stop(Target(worker), aOrder.mRun, [this, aOrder, alive = std::weak_ptr<bool>(mAlive)](
+                                               OrderReply aReply) {
+      if (alive.expired()) {
+        return;
+      }
+      if (aReply.mOutcome == scheduler::OrderOutcome::Fenced) {
+        OnFenced(aOrder.mWorker);
+        return;
+      }
+      mScheduler.OnStopOutcome(aOrder.mWorker, aOrder.mRun, aReply.mOutcome,
+                               aReply.mClock.value_or(scheduler::WorkerClock()), Now());
+      PlanSoon();
+    });
+  }
+
+  void StoreSoon()
+  {
+    if (mStoreSoon.IsPending() || mWriter->IsBusy() ||
+        !(mScheduler.HasProgress() || mDeleteExpired)) {
+      return;
+    }
+    mStoreSoon = mLoop.After(mWriter->IsFailing() ? kStoreRetry : kStoreDelay, [this] { StoreNow(); });
+  }
+
+  void StoreNow()
+  {
+    if (mWriter->IsBusy() || !mElection.IsLeader()) {
+      return;
+    }
+    auto batch = std::make_shared<scheduler::ProgressBatch>(mScheduler.TakeProgress());
+    if (std::exchange(mDeleteExpired, false)) {
+      for (const auto& job : mScheduler.TakeExpired(Now())) {
+        for (const auto prefix : { kJobPrefix, kCancelPrefix, kProgressPrefix }) {
+          mDeletes.push_back(KeyOf(prefix, job));
+        }
+      }
+    }
+    mWriter->Begin(batch->mWrites, mDeletes, [this, batch](bool aIsStored) {
+      if (aIsStored) {
+        mDeletes.clear();
+        mScheduler.OnStored(*batch);
+      } else {
+        mScheduler.OnNotStored(*batch);
+      }
+      for (const auto& it : batch->mSeen) {
+        if (aIsStored) {
+          HoldWorker(it.mWorker);
+        }
+      }
+      StoreSoon();
+    });
+  }
+
+  template<typename Callback>
+  auto Guarded(Callback aCallback)
+  {
+    return [alive = std::weak_ptr<bool>(mAlive), callback = std::move(aCallback)](
+             std::error_code aError, auto aResult) {
+      if (!alive.expired()) {
+        callback(aError, std::move(aResult));
+      }
+    };
+  }
+
+  EventLoop& mLoop;
+  Store& mStore;
+  Calls& mCalls;
+  Election<Store>& mElection;
+  const ControlSettings& mSettings;
+  FencingToken mToken;
+  scheduler::Scheduler mScheduler;
+  std::map<JobId, std::string> mProgress;
+  kv::Revision mBatchRevision;
+  std::optional<ProgressWriter<Store>> mWriter;
+  std::optional<PrefixWatch<Store>> mRequests;
+  std::optional<PrefixWatch<Store>> mWorkers;
+  std::map<WorkerId, HoldLoop> mHolds;
+  std::vector<WorkerId> mUnlisted;
+  std::vector<std::string> mDeletes;
+  bool mDeleteExpired = false;
+  Timer mRetry;
+  Timer mPlanSoon;
+  Timer mPlanPeriod;
+  Timer mStoreSoon;
+  Timer mExpiry;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace lovagerock::control
--- a/src/kv/KvError.cpp
+++ b/src/kv/KvError.cpp
@@ -25,6 +25,10 @@
         return "malformed answer of the key-value service";
       case KvError::TooLarge:
         return "answer of the key-value service is too large";
+      case KvError::HistoryGone:
+        return "the key-value service no longer knows the changes";
+      case KvError::LeaseEnded:
+        return "lease of the key-value service has ended";
     }
     return "unknown key-value error";
   }
--- a/src/kv/KvError.h
+++ b/src/kv/KvError.h
@@ -17,6 +17,10 @@
   BadAnswer,
   // The answer of a listing exceeds the limit of its caller.
   TooLarge,
+  // The changes after the given version are no longer known; the caller must list again.
+  HistoryGone,
+  // The lease has ended, or never was.
+  LeaseEnded,
 };
 
 const std::error_category&
--- /dev/null
+++ b/src/scheduler/Capacity.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/Units.h"
+
+#include <algorithm>
+
+namespace lovagerock::scheduler {
+
+// Thousandths of a processor core.
+using MilliCores = StrongCount<struct MilliCoresTag>;
+
+// An amount of a worker's resources, with processors in thousandths of a core.
+struct Capacity
+{
+  MilliCores mCpu;
+  MemoryMiB mMemory;
+  Accelerators mAccelerators;
+
+  bool operator==(const Capacity&) const = default;
+
+  // Whether every component fits into the other amount.
+  bool FitsInto(const Capacity& aOther) const
+  {
+    return mCpu <= aOther.mCpu && mMemory <= aOther.mMemory &&
+           mAccelerators <= aOther.mAccelerators;
+  }
+  // How many copies of this amount fit into the other one, at most aLimit.
+  int CopiesIn(const Capacity& aOther, int aLimit) const
+  {
+    std::int64_t n = aLimit;
+    const auto bound = [&n](std::int64_t aNeed, std::int64_t aRoom) {
+      if (aNeed > 0) {
+        n = std::min(n, aRoom < 0 ? 0 : aRoom / aNeed);
+      }
+    };
+    bound(mCpu.Value(), aOther.mCpu.Value());
+    bound(mMemory.Value(), aOther.mMemory.Value());
+    bound(mAccelerators.Value(), aOther.mAccelerators.Value());
+    return static_cast<int>(n);
+  }
+  Capacity& operator+=(const Capacity& aOther)
+  {
+    mCpu += aOther.mCpu;
+    mMemory += aOther.mMemory;
+    mAccelerators += aOther.mAccelerators;
+    return *this;
+  }
+  Capacity& operator-=(const Capacity& aOther)
+  {
+    mCpu -= aOther.mCpu;
+    mMemory -= aOther.mMemory;
+    mAccelerators -= aOther.mAccelerators;
+    return *this;
+  }
+  friend Capacity operator+(Capacity aLeft, const Capacity& aRight) { return aLeft += aRight; }
+  friend Capacity operator-(Capacity aLeft, const Capacity& aRight) { return aLeft -= aRight; }
+};
+
+} // namespace lovagerock::scheduler
--- /dev/null
+++ b/src/scheduler/Job.cpp
@@ -0,0 +1,220 @@
+#include "scheduler/Job.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagerock::scheduler {
+
+namespace {
+
+// Stands in for a run time that the caller didn't estimate.
+constexpr Duration kUnknownRunTime{ 3000 };
+
+} // namespace
+
+const char*
+JobStateName(JobState aState)
+{
+  switch (aState) {
+    case JobState::Queued:
+      return "queued";
+    case JobState::InProgress:
+      return "in_progress";
+    case JobState::Completed:
+      return "completed";
+    case JobState::Failed:
+      return "failed";
+    case JobState::Cancelled:
+      return "cancelled";
+  }
+  return "queued";
+}
+
+bool
+Occurrence::IsDone() const
+{
+  return std::all_of(mSteps.begin(), mSteps.end(), [](const auto& aStep) { return aStep.IsDone(); });
+}
+
+Job::Job(AcceptedJob aAccepted, TimePoint aAcceptedAt)
+  : mAccepted(std::move(aAccepted))
+  , mPolicy(mAccepted.mPolicy)
+  , mAcceptedAt(aAcceptedAt)
+{
+}
+
+JobState
+Job::State() const
+{
+  if (IsOver()) {
+    return mFinal;
+  }
+  return mBegun ? JobState::InProgress : JobState::Queued;
+}
+
+void
+Job::Finish(JobState aFinal, std::int64_t aNowMs)
+{
+  if (!IsOver()) {
+    mFinal = aFinal;
+    mFinishedMs = aNowMs;
+  }
+}
+
+Occurrence&
+Job::At(int aOccurrence)
+{
+  auto [it, isNew] = mOpen.try_emplace(aOccurrence);
+  if (isNew) {
+    for (const auto& spec : mAccepted.mSpec.mSteps) {
+      it->second.mSteps.emplace_back().mTasks.resize(static_cast<std::size_t>(spec.mCount));
+    }
+    it->second.mReady.resize(mAccepted.mSpec.mSteps.size());
+    mNextOccurrence = std::max(mNextOccurrence, aOccurrence + 1);
+  }
+  return it->second;
+}
+
+std::int64_t
+Job::NextDueMs() const
+{
+  if (mNextOccurrence >= mAccepted.mSpec.Occurrences()) {
+    return 0;
+  }
+  const auto& spec = mAccepted.mSpec;
+  return spec.mRepetitions > 0 ? spec.mFirstRunMs + mNextOccurrence * spec.mInterval.count()
+                               : mAccepted.mAcceptedMs;
+}
+
+void
+Job::OpenDue(std::int64_t aNowMs, TimePoint aNow)
+{
+  while (mNextOccurrence < mAccepted.mSpec.Occurrences() &&
+         (mAccepted.mSpec.mRepetitions == 0 || NextDueMs() <= aNowMs)) {
+    At(mNextOccurrence);
+  }
+  for (auto& [number, occurrence] : mOpen) {
+    for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
+      if (occurrence.mReady[i] == TimePoint() && IsStepReady(occurrence, static_cast<int>(i))) {
+        occurrence.mReady[i] = aNow;
+      }
+    }
+  }
+}
+
+const Task*
+Job::Find(const TaskRef& aTask) const
+{
+  const auto it = mOpen.find(aTask.mOccurrence);
+  if (it == mOpen.end() || aTask.mStep < 0 ||
+      aTask.mStep >= static_cast<int>(it->second.mSteps.size())) {
+    return nullptr;
+  }
+  const auto& tasks = it->second.mSteps[aTask.mStep].mTasks;
+  return aTask.mIndex >= 0 && aTask.mIndex < static_cast<int>(tasks.size()) ? &tasks[aTask.mIndex]
+                                                                            : nullptr;
+}
+
+Task*
+Job::Find(const TaskRef& aTask)
+{
+  return const_cast<Task*>(std::as_const(*this).Find(aTask));
+}
+
+bool
+Job::IsStepReady(const Occurrence& aOccurrence, int aStep) const
+{
+  const auto& after = Spec(aStep).mAfter;
+  return std::all_of(after.begin(), after.end(), [&aOccurrence](int aEarlier) {
+    return aEarlier >= 0 && aEarlier < static_cast<int>(aOccurrence.mSteps.size()) &&
+           aOccurrence.mSteps[aEarlier].IsDone();
+  });
+}
+
+void
+Job::MarkDone(const TaskRef& aTask, std::int64_t aNowMs)
+{
+  auto* task = Find(aTask);
+  if (!task || task->mPhase == TaskPhase::Done) {
+    return;
+  }
+  auto& step = mOpen[aTask.mOccurrence].mSteps[aTask.mStep];
+  const auto mark = [&step](Task& aDone) {
+    if (aDone.mPhase != TaskPhase::Done) {
+      aDone.mPhase = TaskPhase::Done;
+      aDone.mCheckpoint.clear();
+      aDone.mAvoid.clear();
+      ++step.mDone;
+    }
+  };
+  if (Spec(aTask.mStep).mGang) {
+    std::for_each(step.mTasks.begin(), step.mTasks.end(), mark);
+  } else {
+    mark(*task);
+  }
+  if (mOpen[aTask.mOccurrence].IsDone()) {
+    mOpen.erase(aTask.mOccurrence);
+    ++mDoneOccurrences;
+    if (mDoneOccurrences == mAccepted.mSpec.Occurrences()) {
+      Finish(JobState::Completed, aNowMs);
+    }
+  }
+}
+
+std::vector<Duration>
+Job::ChainTimes(const Occurrence* aOccurrence) const
+{
+  std::vector<Duration> ends;
+  const auto& steps = mAccepted.mSpec.mSteps;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    Duration begin{ 0 };
+    for (const int earlier : steps[i].mAfter) {
+      if (earlier >= 0 && earlier < static_cast<int>(i)) {
+        begin = std::max(begin, ends[earlier]);
+      }
+    }
+    const bool isDone = aOccurrence && aOccurrence->mSteps[i].IsDone();
+    const auto time = steps[i].mEstimate.count() > 0 ? steps[i].mEstimate : kUnknownRunTime;
+    ends.push_back(begin + (isDone ? Duration(0) : time));
+  }
+  return ends;
+}
+
+Duration
+Job::ExpectedRunTime() const
+{
+  const auto ends = ChainTimes(nullptr);
+  return ends.empty() ? Duration(0) : *std::max_element(ends.begin(), ends.end());
+}
+
+Duration
+Job::RemainingRunTime() const
+{
+  Duration longest{ 0 };
+  for (const auto& [number, occurrence] : mOpen) {
+    const auto ends = ChainTimes(&occurrence);
+    if (!ends.empty()) {
+      longest = std::max(longest, *std::max_element(ends.begin(), ends.end()));
+    }
+  }
+  return longest;
+}
+
+TimePoint
+Job::Objective() const
+{
+  const auto stretched = std::chrono::duration_cast<Duration>(ExpectedRunTime() * mPolicy.mSlackFactor);
+  return mAcceptedAt + mPolicy.mTargetLatency + stretched;
+}
+
+Accelerators
+Job::LargestStepAccelerators() const
+{
+  Accelerators largest;
+  for (const auto& it : mAccepted.mSpec.mSteps) {
+    largest = std::max(largest, Accelerators(it.mDemand.mAccelerators.Value() * it.mCount));
+  }
+  return largest;
+}
+
+} // namespace lovagerock::scheduler
--- /dev/null
+++ b/src/scheduler/JobRecord.cpp
@@ -0,0 +1,266 @@
+#include "scheduler/JobRecord.h"
+
+#include <array>
+#include <utility>
+
+namespace lovagerock::scheduler {
+
+// Gives the codec the parts of a job that others don't change.
+struct JobRecordAccess
+{
+  static void SetFinal(Job& aJob, JobState aState, std::int64_t aFinishedMs)
+  {
+    aJob.mFinal = aState;
+    aJob.mFinishedMs = aFinishedMs;
+  }
+};
+
+namespace {
+
+Json
+WriteStepSpec(const StepSpec& aStep)
+{
+  Json json{ { "count", aStep.mCount },
+             { "cpu", aStep.mDemand.mCpu.Value() },
+             { "memory", aStep.mDemand.mMemory.Value() },
+             { "accelerators", aStep.mDemand.mAccelerators.Value() },
+             { "estimate", aStep.mEstimate.count() } };
+  const auto addFlag = [&json](const char* aName, bool aValue) {
+    if (aValue) {
+      json[aName] = true;
+    }
+  };
+  if (!aStep.mAfter.empty()) {
+    json["after"] = aStep.mAfter;
+  }
+  addFlag("checkpointing", aStep.mCheckpointing);
+  addFlag("gang", aStep.mGang);
+  addFlag("rackLocal", aStep.mRackLocal);
+  addFlag("speculative", aStep.mSpeculative);
+  addFlag("longRunning", aStep.mLongRunning);
+  addFlag("usesIdleCpu", aStep.mUsesIdleCpu);
+  if (!aStep.mRequiredLabel.empty()) {
+    json["label"] = aStep.mRequiredLabel;
+  }
+  if (!aStep.mPreferredRack.IsEmpty()) {
+    json["rack"] = aStep.mPreferredRack.Value();
+  }
+  if (aStep.mMaxPerWorker > 0) {
+    json["maxPerWorker"] = aStep.mMaxPerWorker;
+  }
+  return json;
+}
+
+StepSpec
+ReadStepSpec(const Json& aJson)
+{
+  StepSpec step;
+  step.mCount = aJson.at("count").get<int>();
+  step.mDemand.mCpu = MilliCores(aJson.at("cpu").get<std::int64_t>());
+  step.mDemand.mMemory = MemoryMiB(aJson.at("memory").get<std::int64_t>());
+  step.mDemand.mAccelerators = Accelerators(aJson.at("accelerators").get<std::int64_t>());
+  step.mEstimate = Duration(aJson.at("estimate").get<std::int64_t>());
+  step.mAfter = JsonValue(aJson, "after", std::vector<int>());
+  step.mCheckpointing = JsonValue(aJson, "checkpointing", false);
+  step.mGang = JsonValue(aJson, "gang", false);
+  step.mRackLocal = JsonValue(aJson, "rackLocal", false);
+  step.mSpeculative = JsonValue(aJson, "speculative", false);
+  step.mLongRunning = JsonValue(aJson, "longRunning", false);
+  step.mUsesIdleCpu = JsonValue(aJson, "usesIdleCpu", false);
+  step.mRequiredLabel = JsonValue(aJson, "label", std::string());
+  step.mPreferredRack = RackId(JsonValue(aJson, "rack", std::string()));
+  step.mMaxPerWorker = JsonValue(aJson, "maxPerWorker", 0);
+  return step;
+}
+
+Json
+WritePolicy(const QueuePolicy& aPolicy)
+{
+  return { { "service", aPolicy.mService.Value() },
+           { "priority", aPolicy.mPriority },
+           { "maxAttempts", aPolicy.mMaxAttempts },
+           { "slackFactor", aPolicy.mSlackFactor },
+           { "targetLatency", aPolicy.mTargetLatency.count() } };
+}
+
+QueuePolicy
+ReadPolicy(const Json& aJson)
+{
+  QueuePolicy policy;
+  policy.mService = ServiceId(aJson.at("service").get<std::string>());
+  policy.mPriority = aJson.at("priority").get<int>();
+  policy.mMaxAttempts = aJson.at("maxAttempts").get<int>();
+  policy.mSlackFactor = aJson.at("slackFactor").get<double>();
+  policy.mTargetLatency = Duration(aJson.at("targetLatency").get<std::int64_t>());
+  return policy;
+}
+
+// A task's row: 1 if it is done, 0 if it never ran, else the highest run, the highest ended run,
+// the failures, the last failed run, the worker and the checkpoint.
+Json
+WriteTask(const Task& aTask)
+{
+  if (aTask.mPhase == TaskPhase::Done) {
+    return 1;
+  }
+  if (aTask.mRun == 0 && aTask.mFailures == 0) {
+    return 0;
+  }
+  const bool isActive = aTask.mPhase != TaskPhase::Waiting;
+  return Json::array({ aTask.mRun, aTask.mEndedRun, aTask.mFailures, aTask.mFailedRun,
+                       isActive ? aTask.mWorker.Value() : std::string(), aTask.mCheckpoint });
+}
+
+void
+ReadTask(const Json& aJson, Step& aStep, Task& aTask)
+{
+  if (aJson.is_number()) {
+    if (aJson.get<int>() == 1) {
+      aTask.mPhase = TaskPhase::Done;
+      ++aStep.mDone;
+    }
+    return;
+  }
+  aTask.mRun = aJson.at(0).get<int>();
+  aTask.mEndedRun = aJson.at(1).get<int>();
+  aTask.mFailures = aJson.at(2).get<int>();
+  aTask.mFailedRun = aJson.at(3).get<int>();
+  aTask.mWorker = WorkerId(aJson.at(4).get<std::string>());
+  aTask.mCheckpoint = aJson.at(5).get<std::string>();
+}
+
+void
+ReadOccurrence(const Json& aJson, Job& aJob)
+{
+  auto& occurrence = aJob.At(aJson.at("number").get<int>());
+  const auto& steps = aJson.at("steps");
+  for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
+    auto& step = occurrence.mSteps[i];
+    for (std::size_t j = 0; j < step.mTasks.size(); ++j) {
+      ReadTask(steps.at(i).at(j), step, step.mTasks[j]);
+    }
+  }
+}
+
+} // namespace
+
+std::string
+WriteAcceptedJob(const AcceptedJob& aJob)
+{
+  Json steps = Json::array();
+  for (const auto& it : aJob.mSpec.mSteps) {
+    steps.push_back(WriteStepSpec(it));
+  }
+  return DumpJson({ { "queue", aJob.mQueue },
+                    { "account", aJob.mAccount.Value() },
+                    { "acceptedMs", aJob.mAcceptedMs },
+                    { "policy", WritePolicy(aJob.mPolicy) },
+                    { "payload", aJob.mSpec.mPayload },
+                    { "steps", std::move(steps) },
+                    { "repetitions", aJob.mSpec.mRepetitions },
+                    { "firstRunMs", aJob.mSpec.mFirstRunMs },
+                    { "interval", aJob.mSpec.mInterval.count() },
+                    { "id", aJob.mId.Value() } });
+}
+
+std::optional<AcceptedJob>
+ReadAcceptedJob(const std::string& aText)
+{
+  const auto json = ParseJson(aText);
+  if (!json) {
+    return std::nullopt;
+  }
+  try {
+    AcceptedJob job;
+    job.mId = JobId(json->at("id").get<std::string>());
+    job.mQueue = json->at("queue").get<std::string>();
+    job.mAccount = AccountId(json->at("account").get<std::string>());
+    job.mAcceptedMs = json->at("acceptedMs").get<std::int64_t>();
+    job.mPolicy = ReadPolicy(json->at("policy"));
+    job.mSpec.mPayload = json->at("payload").get<std::string>();
+    for (const auto& it : json->at("steps")) {
+      job.mSpec.mSteps.push_back(ReadStepSpec(it));
+    }
+    job.mSpec.mRepetitions = json->at("repetitions").get<int>();
+    job.mSpec.mFirstRunMs = json->at("firstRunMs").get<std::int64_t>();
+    job.mSpec.mInterval = Duration(json->at("interval").get<std::int64_t>());
+    return job;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string
+WriteProgress(const Job& aJob)
+{
+  Json json{ { "state", JobStateName(aJob.State()) },
+             { "next", aJob.mNextOccurrence },
+             { "done", aJob.mDoneOccurrences } };
+  if (aJob.IsOver()) {
+    json["finishedMs"] = aJob.FinishedMs();
+    return DumpJson(json);
+  }
+  auto& occurrences = json["open"] = Json::array();
+  for (const auto& [number, occurrence] : aJob.Open()) {
+    Json steps = Json::array();
+    for (const auto& step : occurrence.mSteps) {
+      Json tasks = Json::array();
+      for (const auto& task : step.mTasks) {
+        tasks.push_back(WriteTask(task));
+      }
+      steps.push_back(std::move(tasks));
+    }
+    occurrences.push_back({ { "number", number }, { "steps", std::move(steps) } });
+  }
+  return DumpJson(json);
+}
+
+bool
+ReadProgress(const std::string& aText, Job& aJob)
+{
+  const auto json = ParseJson(aText);
+  if (!json) {
+    return false;
+  }
+  try {
+    const auto state = ParseJobState(json->at("state").get<std::string>());
+    if (!state) {
+      return false;
+    }
+    aJob.mNextOccurrence = json->at("next").get<int>();
+    aJob.mDoneOccurrences = json->at("done").get<int>();
+    aJob.mBegun = *state != JobState::Queued;
+    if (json->contains("open")) {
+      for (const auto& it : json->at("open")) {
+        ReadOccurrence(it, aJob);
+      }
+    } else {
+      JobRecordAccess::SetFinal(aJob, *state, json->at("finishedMs").get<std::int64_t>());
+    }
+    return true;
+  } catch (const Json::exception&) {
+    return false;
+  }
+}
+
+std::optional<JobState>
+ParseJobState(std::string_view aName)
+{
+  constexpr std::array kStates{ JobState::Queued, JobState::InProgress, JobState::Completed,
+                                JobState::Failed, JobState::Cancelled };
+  for (const auto it : kStates) {
+    if (aName == JobStateName(it)) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<JobState>
+ReadState(const std::string& aText)
+{
+  const auto json = ParseJson(aText);
+  return json ? ParseJobState(JsonValue(*json, "state", std::string())) : std::nullopt;
+}
+
+} // namespace lovagerock::scheduler
--- /dev/null
+++ b/src/scheduler/Placer.cpp
@@ -0,0 +1,233 @@
+#include "scheduler/Placer.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace lovagerock::scheduler {
+
+namespace {
+
+int
+TotalCopies(const auto& aGroup)
+{
+  return std::accumulate(aGroup.begin(), aGroup.end(), 0,
+                         [](int aSum, const auto& aIt) { return aSum + aIt.mCopies; });
+}
+
+} // namespace
+
+void
+Placer::SetAside(const WorkerId& aWorker, const Capacity& aDemand)
+{
+  mAside[aWorker] += aDemand;
+}
+
+void
+Placer::GiveBack(const WorkerId& aWorker, const Capacity& aDemand)
+{
+  mAside[aWorker] -= aDemand;
+}
+
+Capacity
+Placer::Free(const Worker& aWorker) const
+{
+  const auto it = mAside.find(aWorker.mEntry.mId);
+  return it == mAside.end() ? aWorker.Free() : aWorker.Free() - it->second;
+}
+
+int
+Placer::Limit(const Worker& aWorker, const PlacementRequest& aRequest) const
+{
+  if (aRequest.mStep->mMaxPerWorker <= 0) {
+    return aRequest.mCount;
+  }
+  const auto it = aRequest.mPresent.find(aWorker.mEntry.mId);
+  const int present = it == aRequest.mPresent.end() ? 0 : it->second;
+  return std::clamp(aRequest.mStep->mMaxPerWorker - present, 0, aRequest.mCount);
+}
+
+bool
+Placer::IsEligible(const Worker& aWorker, const PlacementRequest& aRequest) const
+{
+  const auto& entry = aWorker.mEntry;
+  const auto& label = aRequest.mStep->mRequiredLabel;
+  return aWorker.mConfirmed && aWorker.mListed && !entry.mDraining && aWorker.mAvoidUntil <= mNow &&
+         aWorker.mHeldUntil > mNow && entry.mService == aRequest.mService &&
+         (aRequest.mRack.IsEmpty() || entry.mRack == aRequest.mRack) &&
+         (label.empty() ||
+          std::find(entry.mLabels.begin(), entry.mLabels.end(), label) != entry.mLabels.end()) &&
+         std::find(aRequest.mAvoid.begin(), aRequest.mAvoid.end(), entry.mId) ==
+           aRequest.mAvoid.end();
+}
+
+std::vector<Placer::Group>
+Placer::Groups(const PlacementRequest& aRequest, bool aIsEmpty) const
+{
+  std::map<RackId, Group> racks;
+  for (const auto& [id, worker] : mFleet) {
+    if (!IsEligible(worker, aRequest)) {
+      continue;
+    }
+    Candidate candidate{ &worker, aIsEmpty ? worker.mEntry.mCapacity : Free(worker), 0 };
+    candidate.mCopies = aRequest.mStep->mDemand.CopiesIn(candidate.mFree, Limit(worker, aRequest));
+    racks[aRequest.mStep->mRackLocal ? worker.mEntry.mRack : RackId()].push_back(candidate);
+  }
+  std::vector<Group> groups;
+  for (auto& [rack, group] : racks) {
+    groups.push_back(std::move(group));
+  }
+  return groups;
+}
+
+std::vector<WorkerId>
+Placer::Fill(Group aGroup, const PlacementRequest& aRequest) const
+{
+  const auto& preferred = aRequest.mStep->mPreferredRack;
+  const auto rank = [&](const Candidate& aIt) {
+    const bool isRemote = !preferred.IsEmpty() && aIt.mWorker->mEntry.mRack != preferred;
+    return std::tuple(isRemote, aIt.mFree.mAccelerators, aIt.mFree.mCpu);
+  };
+  std::sort(aGroup.begin(), aGroup.end(),
+            [&](const auto& aLeft, const auto& aRight) { return rank(aLeft) < rank(aRight); });
+  std::vector<WorkerId> workers;
+  for (const auto& it : aGroup) {
+    const int n = std::min(it.mCopies, aRequest.mCount - static_cast<int>(workers.size()));
+    workers.insert(workers.end(), static_cast<std::size_t>(std::max(n, 0)), it.mWorker->mEntry.mId);
+  }
+  return workers;
+}
+
+std::optional<std::vector<WorkerId>>
+Placer::Place(const PlacementRequest& aRequest) const
+{
+  const Group* best = nullptr;
+  std::pair<bool, int> bestRank;
+  const auto groups = Groups(aRequest, false);
+  for (const auto& it : groups) {
+    const int copies = TotalCopies(it);
+    if (copies < aRequest.mCount) {
+      continue;
+    }
+    const auto& preferred = aRequest.mStep->mPreferredRack;
+    const bool isRemote = !preferred.IsEmpty() && it.front().mWorker->mEntry.mRack != preferred;
+    const std::pair rank(isRemote, copies);
+    if (!best || rank < bestRank) {
+      best = &it;
+      bestRank = rank;
+    }
+  }
+  return best ? std::optional(Fill(*best, aRequest)) : std::nullopt;
+}
+
+std::vector<WorkerId>
+Placer::PlaceSome(const PlacementRequest& aRequest) const
+{
+  std::vector<WorkerId> best;
+  for (const auto& it : Groups(aRequest, false)) {
+    auto workers = Fill(it, aRequest);
+    if (workers.size() > best.size()) {
+      best = std::move(workers);
+    }
+  }
+  return best;
+}
+
+std::vector<WorkerId>
+Placer::Gather(const PlacementRequest& aRequest) const
+{
+  return PlaceSome(aRequest);
+}
+
+bool
+Placer::FitsEmpty(const PlacementRequest& aRequest) const
+{
+  const auto groups = Groups(aRequest, true);
+  return std::any_of(groups.begin(), groups.end(), [&aRequest](const auto& aGroup) {
+    return TotalCopies(aGroup) >= aRequest.mCount;
+  });
+}
+
+std::optional<EvictionPlan>
+Placer::EvictIn(const Group& aGroup, const PlacementRequest& aRequest, const EvictionCost& aCost,
+                double& aTotal) const
+{
+  // A run to stop next: the cheapest per accelerator that it frees.
+  struct Option
+  {
+    double mCost = 0;
+    std::size_t mCandidate = 0;
+    const PlacedRun* mRun = nullptr;
+  };
+  std::vector<Option> options;
+  auto group = aGroup;
+  for (std::size_t i = 0; i < group.size(); ++i) {
+    for (const auto& run : group[i].mWorker->mRuns) {
+      if (run.mPhase == RunPhase::Stopping) {
+        // Its resources come free without another stop.
+        group[i].mFree += run.mDemand;
+      } else if (const auto cost = aCost(run)) {
+        options.push_back({ *cost, i, &run });
+      }
+    }
+    group[i].mCopies =
+      aRequest.mStep->mDemand.CopiesIn(group[i].mFree, Limit(*group[i].mWorker, aRequest));
+  }
+  std::sort(options.begin(), options.end(),
+            [](const auto& aLeft, const auto& aRight) { return aLeft.mCost < aRight.mCost; });
+  EvictionPlan plan;
+  aTotal = 0;
+  int copies = TotalCopies(group);
+  for (const auto& it : options) {
+    if (copies >= aRequest.mCount) {
+      break;
+    }
+    auto& candidate = group[it.mCandidate];
+    candidate.mFree += it.mRun->mDemand;
+    const int n =
+      aRequest.mStep->mDemand.CopiesIn(candidate.mFree, Limit(*candidate.mWorker, aRequest));
+    copies += n - candidate.mCopies;
+    candidate.mCopies = n;
+    aTotal += it.mCost;
+    plan.mVictims.emplace_back(candidate.mWorker->mEntry.mId, it.mRun->mRun);
+  }
+  if (copies < aRequest.mCount) {
+    return std::nullopt;
+  }
+  plan.mWorkers = Fill(group, aRequest);
+  // Stops on workers that aren't used after all would be in vain.
+  std::erase_if(plan.mVictims, [&plan](const auto& aVictim) {
+    return std::find(plan.mWorkers.begin(), plan.mWorkers.end(), aVictim.first) ==
+           plan.mWorkers.end();
+  });
+  return plan;
+}
+
+std::optional<EvictionPlan>
+Placer::Evict(const PlacementRequest& aRequest, const EvictionCost& aCost) const
+{
+  std::optional<EvictionPlan> best;
+  double bestTotal = std::numeric_limits<double>::max();
+  auto groups = Groups(aRequest, false);
+  if (aRequest.mCount == 1 && !groups.empty()) {
+    // A single task needs room on one worker only.
+    std::vector<Group> single;
+    for (const auto& group : groups) {
+      for (const auto& it : group) {
+        single.push_back({ it });
+      }
+    }
+    groups = std::move(single);
+  }
+  for (const auto& it : groups) {
+    double total = 0;
+    auto plan = EvictIn(it, aRequest, aCost, total);
+    if (plan && total < bestTotal) {
+      best = std::move(plan);
+      bestTotal = total;
+    }
+  }
+  return best;
+}
+
+} // namespace lovagerock::scheduler
--- /dev/null
+++ b/src/scheduler/Placer.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "scheduler/Fleet.h"
+#include "scheduler/JobSpec.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace lovagerock::scheduler {
+
+// Tasks of one step to place together: all of a gang, or any number of independent ones.
+struct PlacementRequest
+{
+  ServiceId mService;
+  const StepSpec* mStep = nullptr;
+  int mCount = 1;
+  // Workers to keep off.
+  std::vector<WorkerId> mAvoid;
+  // Tasks of the same step that each worker has already.
+  std::map<WorkerId, int> mPresent;
+  // The rack to stay in; empty if any will do.
+  RackId mRack;
+};
+
+// Runs to stop, and the workers that then have room, one per task.
+struct EvictionPlan
+{
+  std::vector<std::pair<WorkerId, RunRef>> mVictims;
+  std::vector<WorkerId> mWorkers;
+};
+
+// What it costs to stop a run; nothing if it must not be stopped.
+using EvictionCost = std::function<std::optional<double>(const PlacedRun&)>;
+
+// Chooses workers for tasks. Keeps the resources set aside so far, so that the choices of one plan
+// don't collide.
+class Placer
+{
+public:
+  Placer(const Fleet& aFleet, TimePoint aNow)
+    : mFleet(aFleet)
+    , mNow(aNow)
+  {
+  }
+
+  // Sets resources on a worker aside; all later choices leave them free.
+  void SetAside(const WorkerId& aWorker, const Capacity& aDemand);
+  // Gives them back.
+  void GiveBack(const WorkerId& aWorker, const Capacity& aDemand);
+
+  // Workers for all tasks of the request, one per task; nothing if they don't fit.
+  std::optional<std::vector<WorkerId>> Place(const PlacementRequest& aRequest) const;
+  // Workers for as many tasks of the request as fit.
+  std::vector<WorkerId> PlaceSome(const PlacementRequest& aRequest) const;
+  // The cheapest runs to stop so that all tasks of the request fit.
+  std::optional<EvictionPlan> Evict(const PlacementRequest& aRequest,
+                                    const EvictionCost& aCost) const;
+  // Whether the request would fit if nothing ran on the workers it may use.
+  bool FitsEmpty(const PlacementRequest& aRequest) const;
+  // The workers of the rack that has most room for the request now, as far as they have room, to
+  // be kept free for it.
+  std::vector<WorkerId> Gather(const PlacementRequest& aRequest) const;
+  // Whether the worker may take the request's tasks, room aside.
+  bool IsEligible(const Worker& aWorker, const PlacementRequest& aRequest) const;
+
+private:
+  struct Candidate
+  {
+    const Worker* mWorker = nullptr;
+    Capacity mFree;
+    int mCopies = 0;
+  };
+  using Group = std::vector<Candidate>;
+
+  Capacity Free(const Worker& aWorker) const;
+  int Limit(const Worker& aWorker, const PlacementRequest& aRequest) const;
+  // The eligible workers, by rack if the tasks must share one, else all together.
+  std::vector<Group> Groups(const PlacementRequest& aRequest, bool aIsEmpty) const;
+  std::vector<WorkerId> Fill(Group aGroup, const PlacementRequest& aRequest) const;
+  std::optional<EvictionPlan> EvictIn(const Group& aGroup, const PlacementRequest& aRequest,
+                                      const EvictionCost& aCost, double& aTotal) const;
+
+  const Fleet& mFleet;
+  TimePoint mNow;
+  std::map<WorkerId, Capacity> mAside;
+};
+
+} // namespace lovagerock::scheduler
--- /dev/null
+++ b/src/scheduler/Scheduler.cpp
@@ -0,0 +1,608 @@
+#include "scheduler/Scheduler.h"
+
+#include "base/LogEvent.h"
+#include "scheduler/JobRecord.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagerock::scheduler {
+
+namespace {
+
+// Lists that lack a run before it counts as gone, since a worker cuts long lists.
+constexpr int kMaxMissed = 3;
+// Workers that a task keeps off because it failed there.
+constexpr std::size_t kMaxAvoided = 6;
+
+} // namespace
+
+Scheduler::Scheduler(const SchedulerSettings& aSettings, TimePoint aTakeover)
+  : mSettings(aSettings)
+  , mTakeover(aTakeover)
+{
+}
+
+void
+Scheduler::SetQueues(std::map<std::string, QueuePolicy> aQueues)
+{
+  mQueues = std::move(aQueues);
+  for (auto& [id, job] : mJobs) {
+    const auto it = mQueues.find(job.Accepted().mQueue);
+    if (it != mQueues.end()) {
+      job.SetPolicy(it->second);
+    }
+  }
+}
+
+void
+Scheduler::SetGuarantees(std::map<AccountId, Accelerators> aGuarantees)
+{
+  mGuarantees = std::move(aGuarantees);
+}
+
+bool
+Scheduler::AddJob(const AcceptedJob& aJob, const std::string& aProgress, bool aInherited,
+                  const Now& aNow)
+{
+  if (mJobs.contains(aJob.mId)) {
+    return true;
+  }
+  const auto age = std::max<std::int64_t>(0, aNow.mWallMs - aJob.mAcceptedMs);
+  Job job(aJob, aNow.mSteady - Duration(age));
+  job.mInherited = aInherited;
+  if (!aProgress.empty() && !ReadProgress(aProgress, job)) {
+    return false;
+  }
+  if (const auto it = mQueues.find(aJob.mQueue); it != mQueues.end()) {
+    job.SetPolicy(it->second);
+  }
+  for (const auto& [number, occurrence] : job.Open()) {
+    for (const auto& step : occurrence.mSteps) {
+      for (const auto& task : step.mTasks) {
+        if (!task.mWorker.IsEmpty() && !mFleet.contains(task.mWorker)) {
+          mAwaited.insert(task.mWorker);
+        }
+      }
+    }
+  }
+  mJobs.emplace(aJob.mId, std::move(job));
+  return true;
+}
+
+Job*
+Scheduler::FindMutable(const JobId& aJob)
+{
+  const auto it = mJobs.find(aJob);
+  return it == mJobs.end() ? nullptr : &it->second;
+}
+
+const Job*
+Scheduler::FindJob(const JobId& aJob) const
+{
+  const auto it = mJobs.find(aJob);
+  return it == mJobs.end() ? nullptr : &it->second;
+}
+
+void
+Scheduler::Touch(const JobId& aJob)
+{
+  mDirty.insert(aJob);
+}
+
+void
+Scheduler::CancelJob(const JobId& aJob, const Now& aNow)
+{
+  auto* job = FindMutable(aJob);
+  if (!job || job->IsOver()) {
+    return;
+  }
+  job->Finish(JobState::Cancelled, aNow.mWallMs);
+  Touch(aJob);
+  LogEvent("job_cancelled").With("job", aJob);
+}
+
+int
+Scheduler::PendingJobs(const std::string& aQueue) const
+{
+  return static_cast<int>(std::count_if(mJobs.begin(), mJobs.end(), [&aQueue](const auto& aIt) {
+    const auto& job = aIt.second;
+    return !job.IsOver() && !job.mBegun && job.Accepted().mQueue == aQueue;
+  }));
+}
+
+std::vector<JobId>
+Scheduler::TakeExpired(const Now& aNow)
+{
+  std::vector<JobId> expired;
+  for (const auto& [id, job] : mJobs) {
+    if (job.IsOver() && aNow.mWallMs - job.FinishedMs() > mSettings.mKeepFinished.count() &&
+        IsStored(id)) {
+      expired.push_back(id);
+    }
+  }
+  for (const auto& it : expired) {
+    mJobs.erase(it);
+  }
+  return expired;
+}
+
+void
+Scheduler::OnWorkerEntry(const WorkerEntry& aEntry, const Now& aNow)
+{
+  auto [it, isNew] = mFleet.try_emplace(aEntry.mId);
+  auto& worker = it->second;
+  const auto birth = worker.mEntry.mBirth;
+  const bool isReborn = !isNew && aEntry.mBirth > birth && birth.Value() != 0;
+  if (isReborn) {
+    OnWorkerReplaced(aEntry.mId, aNow);
+  }
+  if (aEntry.mDraining && !(worker.mEntry.mDraining && worker.mListed)) {
+    worker.mDrainingSince = aNow.mSteady;
+  }
+  if (isNew) {
+    // An earlier scheduler may have renewed its lease just before the takeover.
+    worker.mHeldUntil = mTakeover + mSettings.mAutonomy + mSettings.mHold;
+  }
+  const auto known = worker.mEntry.mBirth;
+  worker.mEntry = aEntry;
+  worker.mEntry.mBirth = std::max(known, aEntry.mBirth);
+  worker.mListed = true;
+  mAwaited.erase(aEntry.mId);
+}
+
+void
+Scheduler::OnWorkerUnlisted(const WorkerId& aWorker)
+{
+  const auto it = mFleet.find(aWorker);
+  if (it != mFleet.end()) {
+    it->second.mListed = false;
+  }
+}
+
+void
+Scheduler::OnLeaseSent(const WorkerId& aWorker, const Now& aNow)
+{
+  const auto it = mFleet.find(aWorker);
+  if (it != mFleet.end()) {
+    const auto held = mSettings.mHold * (100 + mSettings.mClockDriftPercent) / 100;
+    it->second.mHeldUntil = std::max(it->second.mHeldUntil, aNow.mSteady + held);
+  }
+}
+
+void
+Scheduler::OnWorkerReplaced(const WorkerId& aWorker, const Now& aNow)
+{
+  const auto it = mFleet.find(aWorker);
+  if (it == mFleet.end()) {
+    return;
+  }
+  LogEvent("worker_replaced").With("worker", aWorker).With("runs", it->second.mRuns.size());
+  DropAllRuns(it->second, aNow);
+  it->second.mSeen = 0;
+  it->second.mStored = 0;
+  it->second.mFailures = 0;
+  it->second.mConfirmed = false;
+  it->second.mHeldUntil = aNow.mSteady;
+}
+
+void
+Scheduler::OnWorkerRefused(const WorkerId& aWorker, const Now& aNow)
+{
+  const auto it = mFleet.find(aWorker);
+  // While it is registered, the refusal may come from the network.
+  if (it != mFleet.end() && !it->second.mListed) {
+    DropAllRuns(it->second, aNow);
+    mFleet.erase(it);
+  }
+}
+
+void
+Scheduler::DropAllRuns(Worker& aWorker, const Now& aNow)
+{
+  const auto runs = aWorker.mRuns;
+  for (const auto& it : runs) {
+    DropRun(aWorker, it.mRun, RunEnd::Lapsed, "", aNow);
+    ++mCounts.mLapsedRuns;
+  }
+}
+
+void
+Scheduler::DropRun(Worker& aWorker, const RunRef& aRun, RunEnd aEnd, const std::string& aCheckpoint,
+                   const Now& aNow)
+{
+  aWorker.Remove(aRun);
+  ApplyEnd(aWorker.mEntry.mId, aRun, aEnd, aCheckpoint, aNow);
+}
+
+void
+Scheduler::KeepCheckpoint(Job& aJob, const TaskRef& aTask, const std::string& aCheckpoint)
+{
+  auto* task = aJob.Find(aTask);
+  if (!task || aCheckpoint.empty()) {
+    return;
+  }
+  if (!aJob.Spec(aTask.mStep).mGang) {
+    task->mCheckpoint = aCheckpoint;
+    return;
+  }
+  // A checkpoint of any member is good for the whole gang; they sort by progress.
+  auto& tasks = aJob.At(aTask.mOccurrence).mSteps[aTask.mStep].mTasks;
+  if (aCheckpoint > tasks.front().mCheckpoint) {
+    tasks.front().mCheckpoint = aCheckpoint;
+  }
+}
+
+void
+Scheduler::ApplyEnd(const WorkerId& aWorker, const RunRef& aRun, RunEnd aEnd,
+                    const std::string& aCheckpoint, const Now& aNow)
+{
+  auto* job = FindMutable(aRun.mTask.mJob);
+  auto* task = job ? job->Find(aRun.mTask) : nullptr;
+  if (!task || task->mPhase == TaskPhase::Done) {
+    return;
+  }
+  const bool isCurrent =
+    task->mPhase != TaskPhase::Waiting && task->mWorker == aWorker && task->mRun == aRun.mRun;
+  const bool isNews = aRun.mRun > task->mEndedRun;
+  if (!isCurrent && !isNews && aEnd != RunEnd::Done) {
+    return;
+  }
+  Touch(aRun.mTask.mJob);
+  task->mRun = std::max(task->mRun, aRun.mRun);
+  task->mEndedRun = std::max(task->mEndedRun, aRun.mRun);
+  KeepCheckpoint(*job, aRun.mTask, aCheckpoint);
+  if (isCurrent) {
+    task->mPhase = TaskPhase::Waiting;
+    task->mWorker = WorkerId();
+    task->mPercent = 0;
+  }
+  if (aEnd == RunEnd::Done && !job->Spec(aRun.mTask.mStep).mLongRunning) {
+    job->mBegun = true;
+    job->MarkDone(aRun.mTask, aNow.mWallMs);
+    if (job->IsOver()) {
+      LogEvent("job_ended").With("job", aRun.mTask.mJob).With("state", JobStateName(job->State()));
+    }
+  } else if (aEnd == RunEnd::Failed) {
+    ApplyFailure(*job, aRun, aWorker, aNow);
+  }
+}
+
+void
+Scheduler::ApplyFailure(Job& aJob, const RunRef& aRun, const WorkerId& aWorker, const Now& aNow)
+{
+  ++mCounts.mFailedRuns;
+  const auto& spec = aJob.Spec(aRun.mTask.mStep);
+  auto* task = aJob.Find(aRun.mTask);
+  auto& counted =
+    spec.mGang ? aJob.At(aRun.mTask.mOccurrence).mSteps[aRun.mTask.mStep].mTasks.front() : *task;
+  if (task->mAvoid.size() < kMaxAvoided) {
+    task->mAvoid.push_back(aWorker);
+  }
+  if (aRun.mRun <= counted.mFailedRun) {
+    return;
+  }
+  counted.mFailedRun = aRun.mRun;
+  ++counted.mFailures;
+  LogEvent("run_failed")
+    .With("job", aRun.mTask.mJob)
+    .With("step", aRun.mTask.mStep)
+    .With("task", aRun.mTask.mIndex)
+    .With("run", aRun.mRun)
+    .With("worker", aWorker)
+    .With("failures", counted.mFailures)
+    .With("max_attempts", aJob.Policy().mMaxAttempts);
+  if (!spec.mLongRunning && counted.mFailures >= aJob.Policy().mMaxAttempts) {
+    aJob.Finish(JobState::Failed, aNow.mWallMs);
+  }
+}
+
+void
+Scheduler::NoteWorkerResult(const WorkerId& aWorker, const RunRef& aRun, RunEnd aEnd,
+                            const Now& aNow)
+{
+  const auto it = mFleet.find(aWorker);
+  if (it == mFleet.end()) {
+    return;
+  }
+  auto& worker = it->second;
+  if (aEnd == RunEnd::Done) {
+    worker.mFailures = 0;
+  } else if (aEnd == RunEnd::Failed && worker.mFailedJob != aRun.mTask.mJob) {
+    worker.mFailedJob = aRun.mTask.mJob;
+    if (++worker.mFailures >= mSettings.mFailingAfter) {
+      worker.mAvoidUntil = std::max(worker.mAvoidUntil, aNow.mSteady + mSettings.mFailingPause);
+      LogEvent("worker_avoided").With("worker", aWorker).With("reason", "failing_runs");
+    }
+  }
+}
+
+void
+Scheduler::OnHoldReport(const WorkerId& aWorker, const HoldReport& aReport, const Now& aNow)
+{
+  const auto it = mFleet.find(aWorker);
+  if (it == mFleet.end()) {
+    return;
+  }
+  auto& worker = it->second;
+  if (aReport.mBirth.Value() != 0 && aReport.mBirth != worker.mEntry.mBirth) {
+    if (worker.mEntry.mBirth.Value() != 0) {
+      OnWorkerReplaced(aWorker, aNow);
+    }
+    worker.mEntry.mBirth = aReport.mBirth;
+    OnLeaseSent(aWorker, aNow);
+  }
+  worker.mConfirmed = true;
+  for (const auto& ended : aReport.mFinished) {
+    if (ended.mNumber <= worker.mSeen) {
+      continue;
+    }
+    worker.mSeen = ended.mNumber;
+    mHasUnstoredEnds = true;
+    NoteWorkerResult(aWorker, ended.mRun, ended.mEnd, aNow);
+    DropRun(worker, ended.mRun, ended.mEnd, ended.mCheckpoint, aNow);
+  }
+  ReadRunning(worker, aReport, aNow);
+  CheckMissing(worker, aReport, aNow);
+}
+
+void
+Scheduler::ReadRunning(Worker& aWorker, const HoldReport& aReport, const Now& aNow)
+{
+  for (const auto& it : aReport.mRunning) {
+    auto* placed = aWorker.Find(it.mRun);
+    if (!placed) {
+      AdoptRun(aWorker, it, aReport.mClock, aNow);
+      continue;
+    }
+    placed->mMissed = 0;
+    placed->mKnownFrom = std::max(placed->mKnownFrom, aReport.mClock);
+    if (placed->mPhase == RunPhase::Ordered) {
+      placed->mPhase = RunPhase::Running;
+    }
+    auto* job = FindMutable(it.mRun.mTask.mJob);
+    auto* task = job ? job->Find(it.mRun.mTask) : nullptr;
+    if (!task || task->mRun != it.mRun.mRun || task->mPhase == TaskPhase::Done) {
+      continue;
+    }
+    task->mPercent = it.mPercent;
+    if (!job->mBegun) {
+      job->mBegun = true;
+      Touch(it.mRun.mTask.mJob);
+    }
+    KeepCheckpoint(*job, it.mRun.mTask, it.mCheckpoint);
+  }
+}
+
+void
+Scheduler::CheckMissing(Worker& aWorker, const HoldReport& aReport, const Now& aNow)
+{
+  std::set<RunRef> listed;
+  for (const auto& it : aReport.mRunning) {
+    listed.insert(it.mRun);
+  }
+  const auto runs = aWorker.mRuns;
+  for (const auto& it : runs) {
+    if (listed.contains(it.mRun)) {
+      continue;
+    }
+    if (it.mStopConfirmed && aReport.mClock > *it.mStopConfirmed) {
+      DropRun(aWorker, it.mRun, RunEnd::Stopped, "", aNow);
+    } else if (it.mPhase != RunPhase::Ordered && !it.mInFlight && aReport.mClock > it.mKnownFrom) {
+      auto* placed = aWorker.Find(it.mRun);
+      if (++placed->mMissed >= kMaxMissed) {
+        LogEvent("run_vanished", LogLevel::Warning)
+          .With("worker", aWorker.mEntry.mId)
+          .With("job", it.mRun.mTask.mJob)
+          .With("run", it.mRun.mRun);
+        DropRun(aWorker, it.mRun, RunEnd::Lapsed, "", aNow);
+      }
+    }
+  }
+}
+
+void
+Scheduler::AdoptRun(Worker& aWorker, const RunningRun& aRun, WorkerClock aClock, const Now& aNow)
+{
+  PlacedRun placed;
+  placed.mRun = aRun.mRun;
+  placed.mPhase = RunPhase::Running;
+  placed.mStarted = aNow.mSteady;
+  placed.mKnownFrom = aClock;
+  auto* job = FindMutable(aRun.mRun.mTask.mJob);
+  auto* task = job ? job->Find(aRun.mRun.mTask) : nullptr;
+  if (job && aRun.mRun.mTask.mStep >= 0 &&
+      aRun.mRun.mTask.mStep < static_cast<int>(job->Accepted().mSpec.mSteps.size())) {
+    const auto& spec = job->Spec(aRun.mRun.mTask.mStep);
+    placed.mDemand = spec.mDemand;
+    placed.mCheckpointing = spec.mCheckpointing;
+  }
+  if (task && !job->IsOver() && task->mPhase == TaskPhase::Waiting &&
+      aRun.mRun.mRun >= task->mRun && aRun.mRun.mRun > task->mEndedRun) {
+    task->mPhase = TaskPhase::Active;
+    task->mWorker = aWorker.mEntry.mId;
+    task->mRun = aRun.mRun.mRun;
+    task->mStarted = aNow.mSteady;
+    task->mPercent = aRun.mPercent;
+    job->mBegun = true;
+    KeepCheckpoint(*job, aRun.mRun.mTask, aRun.mCheckpoint);
+    Touch(aRun.mRun.mTask.mJob);
+  }
+  aWorker.Add(placed);
+}
+
+void
+Scheduler::OnStartOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
+                          WorkerClock aClock, const Now& aNow)
+{
+  const auto it = mFleet.find(aWorker);
+  auto* placed = it == mFleet.end() ? nullptr : it->second.Find(aRun);
+  if (!placed) {
+    return;
+  }
+  placed->mInFlight = false;
+  auto& worker = it->second;
+  const auto refuse = [&](Duration aPause) {
+    worker.mAvoidUntil = std::max(worker.mAvoidUntil, aNow.mSteady + aPause);
+    DropRun(worker, aRun, RunEnd::Stopped, "", aNow);
+  };
+  switch (aOutcome) {
+    case OrderOutcome::Done: {
+      if (placed->mPhase == RunPhase::Ordered) {
+        placed->mPhase = RunPhase::Running;
+      }
+      placed->mKnownFrom = std::max(placed->mKnownFrom, aClock);
+      auto* job = FindMutable(aRun.mTask.mJob);
+      if (job && !job->mBegun) {
+        job->mBegun = true;
+        Touch(aRun.mTask.mJob);
+      }
+      return;
+    }
+    case OrderOutcome::NoRoom:
+      return refuse(mSettings.mNoRoomPause);
+    case OrderOutcome::Unhealthy:
+    case OrderOutcome::Invalid:
+      return refuse(mSettings.mUnhealthyPause);
+    case OrderOutcome::NotSent:
+      // An earlier start of the same run may have arrived.
+      if (placed->mUnanswered == 0) {
+        return refuse(mSettings.mNoRoomPause);
+      }
+      break;
+    case OrderOutcome::Superseded:
+    case OrderOutcome::TooLate:
+      return refuse(Duration(0));
+    case OrderOutcome::WrongWorker:
+      return OnWorkerReplaced(aWorker, aNow);
+    case OrderOutcome::Fenced:
+      return;
+    case OrderOutcome::Unknown:
+      break;
+  }
+  worker.mAvoidUntil = std::max(worker.mAvoidUntil, aNow.mSteady + mSettings.mNoRoomPause);
+  if (++placed->mUnanswered >= mSettings.mMaxUnanswered && placed->mPhase == RunPhase::Ordered) {
+    BeginStop(worker, *placed);
+  }
+}
+
+void
+Scheduler::OnStopOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
+                         WorkerClock aClock, const Now& aNow)
+{
+  const auto it = mFleet.find(aWorker);
+  auto* placed = it == mFleet.end() ? nullptr : it->second.Find(aRun);
+  if (!placed) {
+    return;
+  }
+  placed->mInFlight = false;
+  if (aOutcome == OrderOutcome::Done) {
+    placed->mStopConfirmed = aClock;
+  } else if (aOutcome == OrderOutcome::WrongWorker) {
+    OnWorkerReplaced(aWorker, aNow);
+  }
+}
+
+bool
+Scheduler::IsGangBroken(const Job& aJob, const PlacedRun& aRun) const
+{
+  const auto& ref = aRun.mRun.mTask;
+  const auto it = aJob.Open().find(ref.mOccurrence);
+  if (!aJob.Spec(ref.mStep).mGang || it == aJob.Open().end()) {
+    return false;
+  }
+  if (aJob.mInherited && !mIsSettled) {
+    return false;
+  }
+  const auto& tasks = it->second.mSteps[ref.mStep].mTasks;
+  return std::any_of(tasks.begin(), tasks.end(), [&aRun](const auto& aTask) {
+    return aTask.mPhase != TaskPhase::Active || aTask.mRun != aRun.mRun.mRun;
+  });
+}
+
+bool
+Scheduler::IsWanted(const Worker& aWorker, const PlacedRun& aRun) const
+{
+  const auto* job = FindJob(aRun.mRun.mTask.mJob);
+  if (!job || job->IsOver()) {
+    return false;
+  }
+  const auto* task = job->Find(aRun.mRun.mTask);
+  return task && task->mPhase == TaskPhase::Active && task->mWorker == aWorker.mEntry.mId &&
+         task->mRun == aRun.mRun.mRun && !IsGangBroken(*job, aRun);
+}
+
+void
+Scheduler::BeginStop(Worker& aWorker, PlacedRun& aRun)
+{
+  aRun.mPhase = RunPhase::Stopping;
+  aRun.mOrdered = TimePoint();
+  auto* job = FindMutable(aRun.mRun.mTask.mJob);
+  auto* task = job ? job->Find(aRun.mRun.mTask) : nullptr;
+  if (task && task->mPhase == TaskPhase::Active && task->mWorker == aWorker.mEntry.mId &&
+      task->mRun == aRun.mRun.mRun) {
+    task->mPhase = TaskPhase::Stopping;
+  }
+}
+
+void
+Scheduler::StopRun(const WorkerId& aWorker, const RunRef& aRun)
+{
+  const auto it = mFleet.find(aWorker);
+  auto* placed = it == mFleet.end() ? nullptr : it->second.Find(aRun);
+  if (placed && placed->mPhase != RunPhase::Stopping) {
+    BeginStop(it->second, *placed);
+  }
+}
+
+ProgressBatch
+Scheduler::TakeProgress()
+{
+  ProgressBatch batch;
+  for (const auto& id : mDirty) {
+    if (const auto* job = FindJob(id)) {
+      batch.mWrites.push_back({ id, WriteProgress(*job) });
+      mStoring.insert(id);
+    }
+  }
+  mDirty.clear();
+  for (const auto& [id, worker] : mFleet) {
+    if (worker.mSeen > worker.mStored) {
+      batch.mSeen.push_back({ id, worker.mEntry.mBirth, worker.mSeen });
+    }
+  }
+  mHasUnstoredEnds = false;
+  return batch;
+}
+
+void
+Scheduler::OnStored(const ProgressBatch& aBatch)
+{
+  for (const auto& it : aBatch.mWrites) {
+    mStoring.erase(it.mJob);
+  }
+  for (const auto& it : aBatch.mSeen) {
+    const auto worker = mFleet.find(it.mWorker);
+    if (worker != mFleet.end() && worker->second.mEntry.mBirth == it.mBirth) {
+      worker->second.mStored = std::max(worker->second.mStored, it.mNumber);
+    }
+  }
+}
+
+void
+Scheduler::OnNotStored(const ProgressBatch& aBatch)
+{
+  for (const auto& it : aBatch.mWrites) {
+    mStoring.erase(it.mJob);
+    mDirty.insert(it.mJob);
+  }
+  mHasUnstoredEnds = mHasUnstoredEnds || !aBatch.mSeen.empty();
+}
+
+bool
+Scheduler::IsStored(const JobId& aJob) const
+{
+  return !mDirty.contains(aJob) && !mStoring.contains(aJob);
+}
+
+} // namespace lovagerock::scheduler
