Place by numbers, pace the plans, and let the larger machines lead

Ruled out: the store (its answers to other nodes came in time) and cut links (the leader wasn't cut). Change: the placer reads the fleet once a plan and compares numbers; after a plan the leader rests four times as long as it took; a vacant leadership is claimed sooner by larger machines.

--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -20,12 +20,21 @@
   Duration mGrace{ 6000 };
   // A key that was taken away must not be accepted any more after this time; 0 is unlimited.
   Duration mRevocation{ 0 };
+  // What the machine has: cores, and megabits a second on its link.
+  double mCores = 1;
+  double mLinkMbps = 1000;
   scheduler::SchedulerSettings mScheduler;
 };
 
 // The lease on the leadership, and how often it is renewed.
 inline constexpr Duration kLeadershipLease{ 1500 };
 inline constexpr Duration kLeadershipRenewal{ 400 };
+// A vacant leadership is claimed after these times divided by the machine's cores and by the
+// megabits a second of its link, so that the larger machines lead.
+inline constexpr double kClaimDelayPerCoreMs = 12;
+inline constexpr double kClaimDelayPerMbpsMs = 1000;
+// Spreads the claims of equal machines.
+inline constexpr Duration kClaimJitter{ 20 };
 // A watch without events is asked anew after this time, which bounds the age of what is known.
 inline constexpr Duration kWatchWait{ 1000 };
 // The pause after a call to the store that failed.
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -132,9 +132,15 @@
       return;
     }
     mIsClaiming = true;
-    // Spreads the claims of several nodes.
-    const Duration delay(static_cast<std::int64_t>(mRandom.Below(40)));
-    mClaimTimer = mLoop.After(delay, [this] { Claim(); });
+    mClaimTimer = mLoop.After(ClaimDelay(), [this] { Claim(); });
+  }
+
+  Duration ClaimDelay()
+  {
+    const double bySize =
+      kClaimDelayPerCoreMs / mSettings.mCores + kClaimDelayPerMbpsMs / mSettings.mLinkMbps;
+    return Duration(static_cast<std::int64_t>(bySize)) +
+           Duration(static_cast<std::int64_t>(mRandom.Below(kClaimJitter.count())));
   }
 
   void Claim()
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -5,6 +5,7 @@
 #include "base/WallClock.h"
 #include "control/Deployment.h"
 #include "control/Election.h"
+#include "control/PlanPacer.h"
 #include "control/ProgressWriter.h"
 #include "control/WorkerCalls.h"
 #include "scheduler/JobRecord.h"
@@ -173,7 +174,7 @@
     if (!IsLoaded()) {
       LogEvent("jobs_loaded").With("jobs", mScheduler.JobCount()).With("token", mToken);
       WatchWorkers();
-      mPlanPeriod = mLoop.Every(kPlanPeriod, [this] { Plan(); });
+      mPlanPeriod = mLoop.Every(kPlanPeriod, [this] { PlanSoon(); });
       mExpiry = mLoop.Every(Duration(10000), [this] { mDeleteExpired = true; });
     }
     PlanSoon();
@@ -239,7 +240,9 @@
       LogEvent("worker_entry_unreadable", LogLevel::Warning).With("key", aKey);
       return;
     }
-    if (entry->mDraining) {
+    const auto known = mScheduler.Workers().find(entry->mId);
+    const bool wasDraining = known != mScheduler.Workers().end() && known->second.mEntry.mDraining;
+    if (entry->mDraining && !wasDraining) {
       LogEvent("worker_draining")
         .With("worker", entry->mId)
         .With("remaining_ms", entry->mRemaining);
@@ -344,7 +347,7 @@
   void PlanSoon()
   {
     if (IsLoaded() && !mPlanSoon.IsPending()) {
-      mPlanSoon = mLoop.After(kPlanDelay, [this] { Plan(); });
+      mPlanSoon = mLoop.After(mPacer.Delay(std::chrono::steady_clock::now()), [this] { Plan(); });
     }
   }
 
@@ -353,7 +356,10 @@
     if (!mElection.IsLeader()) {
       return;
     }
+    const auto begin = std::chrono::steady_clock::now();
     const auto orders = mScheduler.Plan(Now());
+    const auto end = std::chrono::steady_clock::now();
+    mPacer.OnPlanned(end, std::chrono::ceil<Duration>(end - begin));
     // Stops go first, because the room of what they end is waited for.
     for (const auto& it : orders.mStops) {
       SendStop(it);
@@ -483,6 +489,7 @@
   std::vector<std::string> mDeletes;
   bool mDeleteExpired = false;
   Timer mRetry;
+  PlanPacer mPacer;
   Timer mPlanSoon;
   Timer mPlanPeriod;
   Timer mStoreSoon;
--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -17,23 +17,49 @@
 
 } // namespace
 
+Placer::Placer(const Fleet& aFleet, TimePoint aNow)
+{
+  std::map<RackId, std::vector<const Worker*>> racks;
+  for (const auto& [id, worker] : aFleet) {
+    const bool isUsable = worker.mConfirmed && worker.mListed && !worker.mEntry.mDraining &&
+                          worker.mAvoidUntil <= aNow && worker.mHeldUntil > aNow;
+    if (isUsable) {
+      racks[worker.mEntry.mRack].push_back(&worker);
+    }
+  }
+  int rack = 0;
+  for (const auto& [id, workers] : racks) {
+    for (const auto* worker : workers) {
+      const auto service =
+        mServices.try_emplace(worker->mEntry.mService, static_cast<int>(mServices.size()));
+      mPositions[worker->mEntry.mId] = mCandidates.size();
+      mCandidates.push_back({ worker, worker->Free(), rack, service.first->second, 0 });
+    }
+    ++rack;
+  }
+}
+
 void
 Placer::SetAside(const WorkerId& aWorker, const Capacity& aDemand)
 {
-  mAside[aWorker] += aDemand;
+  if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
+    mCandidates[it->second].mFree -= aDemand;
+  }
 }
 
 void
 Placer::GiveBack(const WorkerId& aWorker, const Capacity& aDemand)
 {
-  mAside[aWorker] -= aDemand;
+  if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
+    mCandidates[it->second].mFree += aDemand;
+  }
 }
 
-Capacity
-Placer::Free(const Worker& aWorker) const
+int
+Placer::ServiceNumber(const ServiceId& aService) const
 {
-  const auto it = mAside.find(aWorker.mEntry.mId);
-  return it == mAside.end() ? aWorker.Free() : aWorker.Free() - it->second;
+  const auto it = mServices.find(aService);
+  return it == mServices.end() ? -1 : it->second;
 }
 
 int
@@ -48,12 +74,12 @@
 }
 
 bool
-Placer::IsEligible(const Worker& aWorker, const PlacementRequest& aRequest) const
+Placer::IsEligible(const Candidate& aCandidate, int aService,
+                   const PlacementRequest& aRequest) const
 {
-  const auto& entry = aWorker.mEntry;
+  const auto& entry = aCandidate.mWorker->mEntry;
   const auto& label = aRequest.mStep->mRequiredLabel;
-  return aWorker.mConfirmed && aWorker.mListed && !entry.mDraining && aWorker.mAvoidUntil <= mNow &&
-         aWorker.mHeldUntil > mNow && entry.mService == aRequest.mService &&
+  return aCandidate.mService == aService &&
          (aRequest.mRack.IsEmpty() || entry.mRack == aRequest.mRack) &&
          (label.empty() ||
           std::find(entry.mLabels.begin(), entry.mLabels.end(), label) != entry.mLabels.end()) &&
@@ -64,27 +90,33 @@
 std::vector<Placer::Group>
 Placer::Groups(const PlacementRequest& aRequest, bool aIsEmpty) const
 {
-  std::map<RackId, Group> racks;
-  for (const auto& [id, worker] : mFleet) {
-    if (!IsEligible(worker, aRequest)) {
+  std::vector<Group> groups;
+  const int service = ServiceNumber(aRequest.mService);
+  const bool isByRack = aRequest.mStep->mRackLocal;
+  for (const auto& it : mCandidates) {
+    if (!IsEligible(it, service, aRequest)) {
       continue;
     }
-    Candidate candidate{ &worker, aIsEmpty ? worker.mEntry.mCapacity : Free(worker), 0 };
-    candidate.mCopies = aRequest.mStep->mDemand.CopiesIn(candidate.mFree, Limit(worker, aRequest));
-    racks[aRequest.mStep->mRackLocal ? worker.mEntry.mRack : RackId()].push_back(candidate);
-  }
-  std::vector<Group> groups;
-  for (auto& [rack, group] : racks) {
-    groups.push_back(std::move(group));
+    auto candidate = it;
+    if (aIsEmpty) {
+      candidate.mFree = it.mWorker->mEntry.mCapacity;
+    }
+    candidate.mCopies =
+      aRequest.mStep->mDemand.CopiesIn(candidate.mFree, Limit(*it.mWorker, aRequest));
+    if (groups.empty() || (isByRack && groups.back().back().mRack != it.mRack)) {
+      groups.emplace_back();
+    }
+    groups.back().push_back(candidate);
   }
   return groups;
 }
 
 std::vector<WorkerId>
-Placer::Fill(Group aGroup, const PlacementRequest& aRequest) const
+Placer::Fill(Group aGroup, const PlacementRequest& aRequest)
 {
+  std::erase_if(aGroup, [](const auto& aIt) { return aIt.mCopies <= 0; });
   const auto& preferred = aRequest.mStep->mPreferredRack;
-  const auto rank = [&](const Candidate& aIt) {
+  const auto rank = [&preferred](const Candidate& aIt) {
     const bool isRemote = !preferred.IsEmpty() && aIt.mWorker->mEntry.mRack != preferred;
     return std::tuple(isRemote, aIt.mFree.mAccelerators, aIt.mFree.mCpu);
   };
@@ -133,12 +165,6 @@
   return best;
 }
 
-std::vector<WorkerId>
-Placer::Gather(const PlacementRequest& aRequest) const
-{
-  return PlaceSome(aRequest);
-}
-
 bool
 Placer::FitsEmpty(const PlacementRequest& aRequest) const
 {
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace lovagerock::scheduler {
@@ -36,15 +36,11 @@
 using EvictionCost = std::function<std::optional<double>(const PlacedRun&)>;
 
 // Chooses workers for tasks. Keeps the resources set aside so far, so that the choices of one plan
-// don't collide.
+// don't collide. Reads the fleet once, so that a choice costs a few comparisons per worker.
 class Placer
 {
 public:
-  Placer(const Fleet& aFleet, TimePoint aNow)
-    : mFleet(aFleet)
-    , mNow(aNow)
-  {
-  }
+  Placer(const Fleet& aFleet, TimePoint aNow);
 
   // Sets resources on a worker aside; all later choices leave them free.
   void SetAside(const WorkerId& aWorker, const Capacity& aDemand);
@@ -60,32 +56,34 @@
   Evict(const PlacementRequest& aRequest, const EvictionCost& aCost) const;
   // Whether the request would fit if nothing ran on the workers it may use.
   bool FitsEmpty(const PlacementRequest& aRequest) const;
-  // The workers of the rack that has most room for the request now, as far as they have room, to
-  // be kept free for it.
-  std::vector<WorkerId> Gather(const PlacementRequest& aRequest) const;
-  // Whether the worker may take the request's tasks, room aside.
-  bool IsEligible(const Worker& aWorker, const PlacementRequest& aRequest) const;
 
 private:
+  // A worker that may take work, with what is free on it.
   struct Candidate
   {
     const Worker* mWorker = nullptr;
     Capacity mFree;
+    // Racks and services are numbered in the order of their first worker.
+    int mRack = 0;
+    int mService = 0;
     int mCopies = 0;
   };
   using Group = std::vector<Candidate>;
 
-  Capacity Free(const Worker& aWorker) const;
+  int ServiceNumber(const ServiceId& aService) const;
   int Limit(const Worker& aWorker, const PlacementRequest& aRequest) const;
+  bool
+  IsEligible(const Candidate& aCandidate, int aService, const PlacementRequest& aRequest) const;
   // The eligible workers, by rack if the tasks must share one, else all together.
   std::vector<Group> Groups(const PlacementRequest& aRequest, bool aIsEmpty) const;
-  std::vector<WorkerId> Fill(Group aGroup, const PlacementRequest& aRequest) const;
+  static std::vector<WorkerId> Fill(Group aGroup, const PlacementRequest& aRequest);
   std::optional<EvictionPlan> EvictIn(const Group& aGroup, const PlacementRequest& aRequest,
                                       const EvictionCost& aCost, double& aTotal) const;
 
-  const Fleet& mFleet;
-  TimePoint mNow;
-  std::map<WorkerId, Capacity> mAside;
+  // Sorted by rack.
+  std::vector<Candidate> mCandidates;
+  std::unordered_map<WorkerId, std::size_t> mPositions;
+  std::map<ServiceId, int> mServices;
 };
 
 } // namespace lovagerock::scheduler
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -136,7 +136,7 @@
 
   void ExpireLeases(const Now& aNow);
   void UpdateSettled(const Now& aNow);
-  void StopUnwanted(const Now& aNow);
+  void StopUnwanted();
   void LeaveDrainingWorkers(const Now& aNow);
   void BeginStop(Worker& aWorker, PlacedRun& aRun);
   void StopRun(const WorkerId& aWorker, const RunRef& aRun);
@@ -153,8 +153,8 @@
                  Orders& aOrders);
   bool
   MakeRoom(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer, const Now& aNow);
-  void StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, const Now& aNow,
-                  Orders& aOrders);
+  void StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, Placer& aPlacer,
+                  const Now& aNow, Orders& aOrders);
   std::optional<double> CostOfStopping(const PlacedRun& aRun, const DueStep& aFor,
                                        const std::set<JobId>& aEntitled, const Now& aNow) const;
   StartOrder MakeStart(const WorkerId& aWorker, const RunRef& aRun) const;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -41,7 +41,7 @@
     }
   }
   LeaveDrainingWorkers(aNow);
-  StopUnwanted(aNow);
+  StopUnwanted();
   Placer placer(mFleet, aNow.mSteady);
   std::erase_if(mReservations,
                 [&aNow](const auto& aIt) { return aIt.second.mUntil < aNow.mSteady; });
@@ -53,6 +53,8 @@
   for (const auto& due : DueSteps(aNow)) {
     PlaceDue(due, placer, aNow, orders);
   }
+  // The rest of the gangs of which a member was stopped to make room.
+  StopUnwanted();
   SendAgain(aNow, orders);
   return orders;
 }
@@ -115,7 +117,7 @@
 }
 
 void
-Scheduler::StopUnwanted(const Now&)
+Scheduler::StopUnwanted()
 {
   for (auto& [id, worker] : mFleet) {
     for (auto& run : worker.mRuns) {
@@ -271,7 +273,8 @@
   request.mStep = &spec;
   request.mCount = static_cast<int>(aDue.mTasks.size());
   for (const auto& task : step.mTasks) {
-    if (task.mPhase == TaskPhase::Active || task.mPhase == TaskPhase::Stopping) {
+    const bool isPresent = task.mPhase == TaskPhase::Active || task.mPhase == TaskPhase::Stopping;
+    if (isPresent && (spec.mMaxPerWorker > 0 || spec.mRackLocal)) {
       ++request.mPresent[task.mWorker];
       if (const auto it = mFleet.find(task.mWorker); spec.mRackLocal && it != mFleet.end()) {
         request.mRack = it->second.mEntry.mRack;
@@ -317,7 +320,7 @@
   }
   if (workers) {
     mReservations.erase(it);
-    StartTasks(aDue, *workers, aNow, aOrders);
+    StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
     return true;
   }
   for (const auto& worker : reservation.mWorkers) {
@@ -339,7 +342,7 @@
     aRequest.mStep = &relaxed;
   }
   if (const auto workers = aPlacer.Place(aRequest)) {
-    StartTasks(aDue, *workers, aNow, aOrders);
+    StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
     return;
   }
   if (MakeRoom(aDue, aRequest, aPlacer, aNow)) {
@@ -356,7 +359,7 @@
 {
   const auto workers = aPlacer.PlaceSome(aRequest);
   if (!workers.empty()) {
-    StartTasks(aDue, workers, aNow, aOrders);
+    StartTasks(aDue, workers, aPlacer, aNow, aOrders);
   }
   if (workers.size() == aDue.mTasks.size()) {
     return;
@@ -416,7 +419,6 @@
     StopRun(worker, run);
     ++mCounts.mEvictions;
   }
-  StopUnwanted(aNow);
   for (const auto& worker : plan->mWorkers) {
     aPlacer.SetAside(worker, aRequest.mStep->mDemand);
   }
@@ -427,8 +429,8 @@
 }
 
 void
-Scheduler::StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, const Now& aNow,
-                      Orders& aOrders)
+Scheduler::StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, Placer& aPlacer,
+                      const Now& aNow, Orders& aOrders)
 {
   const auto& job = *aDue.mJob;
   const auto& spec = job.Spec(aDue.mStep);
@@ -453,6 +455,7 @@
     placed.mInFlight = true;
     placed.mCheckpointing = spec.mCheckpointing;
     mFleet.at(aWorkers[i]).Add(placed);
+    aPlacer.SetAside(aWorkers[i], spec.mDemand);
     aOrders.mStarts.push_back(MakeStart(aWorkers[i], placed.mRun));
     ++mCounts.mStarts;
   }
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -161,8 +161,9 @@
 
 struct Candidate
 {
-  Candidate(Fixture& aFixture, const std::string& aName)
+  Candidate(Fixture& aFixture, const std::string& aName, double aCores = 0.25)
   {
+    mSettings.mCores = aCores;
     mSettings.mNode = NodeId(aName);
     mSettings.mPeers = SocketAddress("127.0.0.1", 7000);
     ElectionCallbacks callbacks;
@@ -211,3 +212,13 @@
   f.Until([&] { return a.mTokens.size() == 2; });
   cr_assert_gt(a.mTokens[1], a.mTokens[0]);
 }
+
+// Guards against a leadership on the smallest machine, which can't keep up with the workers' news.
+Test(Election, prefers_the_larger_machine)
+{
+  Fixture f;
+  Candidate small(f, "small", 0.05);
+  Candidate large(f, "large", 0.5);
+  f.Until([&] { return small.mElection->IsLeader() || large.mElection->IsLeader(); });
+  cr_assert(large.mElection->IsLeader());
+}
