Count failed runs one by one, in whatever order workers list them

Ruled out: ends after a lapsed lease (no lease had lapsed), and attempts counted but not stored. Change: the record keeps the runs that counted, in place of their number and the last of them.

--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -38,9 +38,9 @@
   int mRun = 0;
   // The highest run number whose end was taken into account.
   int mEndedRun = 0;
-  int mFailures = 0;
-  // The last run that counted as an attempt; a gang keeps both in its first task.
-  int mFailedRun = 0;
+  // The runs that counted as attempts; a gang keeps them in its first task. Workers list ends in
+  // any order and more than once, so a number alone wouldn't tell which are counted.
+  std::vector<int> mFailedRuns;
   std::string mCheckpoint;
   // The worker of the current run.
   WorkerId mWorker;
--- a/src/scheduler/JobRecord.cpp
+++ b/src/scheduler/JobRecord.cpp
@@ -96,18 +96,18 @@
 }
 
 // A task's row: 1 if it is done, 0 if it never ran, else the highest run, the highest ended run,
-// the failures, the last failed run, the worker and the checkpoint.
+// the failed runs, the worker and the checkpoint.
 Json
 WriteTask(const Task& aTask)
 {
   if (aTask.mPhase == TaskPhase::Done) {
     return 1;
   }
-  if (aTask.mRun == 0 && aTask.mFailures == 0) {
+  if (aTask.mRun == 0 && aTask.mFailedRuns.empty()) {
     return 0;
   }
   const bool isActive = aTask.mPhase != TaskPhase::Waiting;
-  return Json::array({ aTask.mRun, aTask.mEndedRun, aTask.mFailures, aTask.mFailedRun,
+  return Json::array({ aTask.mRun, aTask.mEndedRun, aTask.mFailedRuns,
                        isActive ? aTask.mWorker.Value() : std::string(), aTask.mCheckpoint });
 }
 
@@ -123,10 +123,9 @@
   }
   aTask.mRun = aJson.at(0).get<int>();
   aTask.mEndedRun = aJson.at(1).get<int>();
-  aTask.mFailures = aJson.at(2).get<int>();
-  aTask.mFailedRun = aJson.at(3).get<int>();
-  aTask.mWorker = WorkerId(aJson.at(4).get<std::string>());
-  aTask.mCheckpoint = aJson.at(5).get<std::string>();
+  aTask.mFailedRuns = aJson.at(2).get<std::vector<int>>();
+  aTask.mWorker = WorkerId(aJson.at(3).get<std::string>());
+  aTask.mCheckpoint = aJson.at(4).get<std::string>();
 }
 
 void
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -252,7 +252,9 @@
   const bool isCurrent =
     task->mPhase != TaskPhase::Waiting && task->mWorker == aWorker && task->mRun == aRun.mRun;
   const bool isNews = aRun.mRun > task->mEndedRun;
-  if (!isCurrent && !isNews && aEnd != RunEnd::Done) {
+  // The ends of several runs may be listed by several workers in any order.
+  const bool alwaysCounts = aEnd == RunEnd::Done || aEnd == RunEnd::Failed;
+  if (!isCurrent && !isNews && !alwaysCounts) {
     return;
   }
   Touch(aRun.mTask.mJob);
@@ -286,20 +288,20 @@
   if (task->mAvoid.size() < kMaxAvoided) {
     task->mAvoid.push_back(aWorker);
   }
-  if (aRun.mRun <= counted.mFailedRun) {
+  auto& failed = counted.mFailedRuns;
+  if (spec.mLongRunning || std::find(failed.begin(), failed.end(), aRun.mRun) != failed.end()) {
     return;
   }
-  counted.mFailedRun = aRun.mRun;
-  ++counted.mFailures;
+  failed.push_back(aRun.mRun);
   LogEvent("run_failed")
     .With("job", aRun.mTask.mJob)
     .With("step", aRun.mTask.mStep)
     .With("task", aRun.mTask.mIndex)
     .With("run", aRun.mRun)
     .With("worker", aWorker)
-    .With("failures", counted.mFailures)
+    .With("failures", failed.size())
     .With("max_attempts", aJob.Policy().mMaxAttempts);
-  if (!spec.mLongRunning && counted.mFailures >= aJob.Policy().mMaxAttempts) {
+  if (static_cast<int>(failed.size()) >= aJob.Policy().mMaxAttempts) {
     aJob.Finish(JobState::Failed, aNow.mWallMs);
   }
 }
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -88,6 +88,29 @@
   cr_assert_eq(second.mStarts[0].mRun.mRun, 2);
 }
 
+// Guards against an attempt that isn't counted because the worker of a later run answered first.
+Test(Takeover, counts_failures_in_whatever_order_workers_list_them)
+{
+  SchedulerFixture f;
+  f.AddWorkers(3);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  std::vector<WorkerId> workers;
+  for (int i = 0; i < 2; ++i) {
+    const auto start = f.Plan().mStarts.at(0);
+    workers.push_back(start.mWorker);
+    f.End(start.mRun, RunEnd::Failed);
+    if (i == 0) {
+      f.HoldAll();
+    }
+  }
+  // None of it was stored.
+  f.TakeOver({});
+  f.Hold(workers[1]);
+  f.HoldAll();
+  cr_assert(f.Plan().mStarts.empty());
+  cr_assert(f.State("j") == JobState::Failed);
+}
+
 Test(Takeover, does_not_run_again_what_is_done)
 {
   SchedulerFixture f;
