--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -37,6 +37,8 @@
 inline constexpr Duration kClaimJitter{ 20 };
 // A watch without events is asked anew after this time, which bounds the age of what is known.
 inline constexpr Duration kWatchWait{ 1000 };
+// Workers rewrite their entries all the time; their changes are read together after this time.
+inline constexpr Duration kWorkerNewsRest{ 200 };
 // The pause after a call to the store that failed.
 inline constexpr Duration kStoreRetry{ 150 };
 // The configuration counts as current for this much less than a key may outlive its removal.
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -229,7 +229,7 @@
       }
       PlanSoon();
     };
-    mWorkers.emplace(mLoop, mStore, Registry::Prefix(), std::move(callbacks));
+    mWorkers.emplace(mLoop, mStore, Registry::Prefix(), std::move(callbacks), kWorkerNewsRest);
   }
 
   void OnWorkerItem(const std::string& aKey, const std::string& aValue)
--- a/src/control/PrefixWatch.h
+++ b/src/control/PrefixWatch.h
@@ -32,8 +32,12 @@
 class PrefixWatch
 {
 public:
-  PrefixWatch(EventLoop& aLoop, Store& aStore, std::string aPrefix, WatchCallbacks aCallbacks)
-    : mLoop(aLoop)
+  // After changes, waits for the rest time before asking for more, so that frequent ones come
+  // together.
+  PrefixWatch(EventLoop& aLoop, Store& aStore, std::string aPrefix, WatchCallbacks aCallbacks,
+              Duration aRest = Duration(0))
+    : mRest(aRest)
+    , mLoop(aLoop)
     , mStore(aStore)
     , mPrefix(std::move(aPrefix))
     , mCallbacks(std::move(aCallbacks))
@@ -106,7 +110,11 @@
       mCallbacks.mOnEvent(it);
     }
     Confirm();
-    WatchNext();
+    if (mRest > Duration(0) && !aPage.mEvents.empty()) {
+      mRetry = mLoop.After(mRest, [this] { WatchNext(); });
+    } else {
+      WatchNext();
+    }
   }
 
   void Confirm()
@@ -140,6 +148,7 @@
     };
   }
 
+  Duration mRest;
   EventLoop& mLoop;
   Store& mStore;
   std::string mPrefix;
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -63,6 +63,7 @@
   void Watch(const std::string& aPrefix, kv::Revision aAfter, Duration aWait,
              kv::EventsCallback aCallback)
   {
+    ++mWatchCalls;
     if (mIsDown) {
       Answer([aCallback] { aCallback(kv::KvError::Unavailable, {}); });
       return;
@@ -186,6 +187,7 @@
   int mLoseAnswers = 0;
   std::size_t mPageSize = 500;
   int mLists = 0;
+  int mWatchCalls = 0;
   int mWrites = 0;
   std::map<std::string, kv::Item> mItems;
 
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -100,6 +100,30 @@
   f.Until([&] { return lists == 1; });
 }
 
+// Guards against a call for each of many small changes.
+Test(PrefixWatch, reads_frequent_changes_together)
+{
+  Fixture f;
+  int lists = 0;
+  int events = 0;
+  WatchCallbacks callbacks;
+  callbacks.mOnList = [&](const auto&) { ++lists; };
+  int before = 0;
+  callbacks.mOnEvent = [&](const auto&) {
+    if (++events == 1) {
+      before = f.mStore.mWatchCalls;
+      for (int i = 0; i < 20; ++i) {
+        f.mStore.Put("p/" + std::to_string(i), "1");
+      }
+    }
+  };
+  PrefixWatch watch(f.mLoop, f.mStore, "p/", std::move(callbacks), Duration(50));
+  f.Until([&] { return lists == 1; });
+  f.mStore.Put("p/first", "1");
+  f.Until([&] { return events == 21; });
+  cr_assert_eq(f.mStore.mWatchCalls, before + 1);
+}
+
 // Guards against old progress that overwrites newer one when the store carries a write out late.
 Test(ProgressWriter, keeps_a_late_batch_from_overwriting_a_newer_one)
 {
