Let the lease of a silent worker end

Ruled out: the news of draining workers (late, but read), and room (most of it was free). Change: after a call without an answer the leader asks without renewing until one is answered. The new test failed before.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -103,6 +103,9 @@
   struct HoldLoop
   {
     bool mInFlight = false;
+    // The last call had no answer. Until the next one has, nothing is renewed, so that the lease of
+    // a worker that has gone ends.
+    bool mIsSilent = false;
     // The worker's clock at a time of ours.
     std::optional<scheduler::WorkerClock> mClock;
     TimePoint mClockAt;
@@ -287,7 +290,7 @@
     }
     const auto& worker = it->second;
     HoldCall call;
-    call.mUntil = Deadline(loop);
+    call.mUntil = loop.mIsSilent ? std::nullopt : Deadline(loop);
     call.mStored = worker.mStored;
     call.mWait = call.mUntil && worker.mConfirmed ? kHoldWait : Duration(0);
     loop.mInFlight = true;
@@ -307,6 +310,7 @@
   {
     auto& loop = mHolds[aWorker];
     loop.mInFlight = false;
+    loop.mIsSilent = aReply.mOutcome != scheduler::OrderOutcome::Done;
     PlanSoon();
     switch (aReply.mOutcome) {
       case scheduler::OrderOutcome::Done:
--- /dev/null
+++ b/tests/control/LeaderFixture.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "FakeStore.h"
+#include "base/Random.h"
+#include "control/Leader.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lovagerock::control {
+
+// Workers that answer as the test says.
+class FakeCalls
+{
+public:
+  explicit FakeCalls(EventLoop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  void Start(const WorkerTarget& aTarget, const StartCall& aCall, OrderCallback aCallback)
+  {
+    mStarts.emplace_back(aTarget.mWorker, aCall);
+    mRunning[aTarget.mWorker].push_back({ aCall.mRun, aCall.mCheckpoint, 0 });
+    Answer([this, aCallback] { aCallback({ mOrderOutcome, scheduler::WorkerClock(++mClock) }); });
+  }
+
+  void Stop(const WorkerTarget&, const scheduler::RunRef&, OrderCallback aCallback)
+  {
+    Answer([this, aCallback] { aCallback({ mOrderOutcome, scheduler::WorkerClock(++mClock) }); });
+  }
+
+  void Hold(const WorkerTarget& aTarget, const HoldCall& aCall, HoldCallback aCallback)
+  {
+    mHolds.push_back(aCall);
+    // An answer at once would make the leader call again and again.
+    mTimers.push_back(mLoop.After(Duration(5), [this, aTarget, aCallback] {
+      HoldReply reply;
+      reply.mOutcome = mHoldOutcome;
+      reply.mReport.mClock = scheduler::WorkerClock(++mClock);
+      reply.mReport.mRunning = mRunning[aTarget.mWorker];
+      aCallback(reply);
+    }));
+  }
+
+  scheduler::OrderOutcome mOrderOutcome = scheduler::OrderOutcome::Done;
+  scheduler::OrderOutcome mHoldOutcome = scheduler::OrderOutcome::Done;
+  std::vector<std::pair<WorkerId, StartCall>> mStarts;
+  std::vector<HoldCall> mHolds;
+  std::map<WorkerId, std::vector<scheduler::RunningRun>> mRunning;
+
+private:
+  template<typename Task>
+  void Answer(Task aTask)
+  {
+    mLoop.Post(std::move(aTask));
+  }
+
+  EventLoop& mLoop;
+  std::int64_t mClock = 1000;
+  std::vector<Timer> mTimers;
+};
+
+// Entries are the names of their racks.
+struct FakeRegistry
+{
+  static std::string Prefix() { return "workers/"; }
+  static WorkerId Worker(const std::string& aKey) { return WorkerId(aKey.substr(8)); }
+  static std::optional<scheduler::WorkerEntry>
+  Read(const std::string& aKey, const std::string& aValue)
+  {
+    scheduler::WorkerEntry entry;
+    entry.mId = Worker(aKey);
+    entry.mService = ServiceId("service");
+    entry.mRack = RackId(aValue);
+    entry.mCapacity = { scheduler::MilliCores(8000), MemoryMiB(8000), Accelerators(8) };
+    return entry;
+  }
+};
+
+// A leader with one worker.
+struct LeaderFixture
+{
+  LeaderFixture()
+  {
+    mSettings.mNode = NodeId("n");
+    mSettings.mPeers = SocketAddress("127.0.0.1", 7000);
+    mDeployment.mQueues.push_back({ "queue", "host", "/q/", true, mPolicy });
+    mStore.Put("workers/w", "r");
+    ElectionCallbacks callbacks;
+    callbacks.mOnElected = [this](FencingToken) {
+      mLeader.emplace(mLoop, mStore, mCalls, *mElection, mSettings, mDeployment);
+    };
+    callbacks.mOnLost = [this](const char*) { ++mLost; };
+    mElection.emplace(mLoop, mStore, mRandom, mSettings, std::move(callbacks));
+  }
+
+  // Runs the loop until the condition holds; fails the test if it never does.
+  template<typename Condition>
+  void Until(Condition aCondition)
+  {
+    constexpr Duration kLimit{ 20000 };
+    const auto limit = std::chrono::steady_clock::now() + kLimit;
+    const auto check = mLoop.Every(Duration(2), [&] {
+      if (aCondition() || std::chrono::steady_clock::now() > limit) {
+        mLoop.Stop();
+      }
+    });
+    if (!aCondition()) {
+      mLoop.Run();
+    }
+    cr_assert(aCondition());
+  }
+
+  void Submit(const std::string& aId)
+  {
+    scheduler::AcceptedJob job;
+    job.mId = JobId(aId);
+    job.mQueue = "queue";
+    job.mAcceptedMs = WallClockMs();
+    job.mPolicy = mPolicy;
+    job.mSpec.mSteps.emplace_back().mDemand.mAccelerators = Accelerators(1);
+    mStore.Put(KeyOf(kJobPrefix, job.mId), scheduler::WriteAcceptedJob(job));
+  }
+
+  const scheduler::QueuePolicy mPolicy{ ServiceId("service"), 1, 2, 3.0, Duration(1000) };
+  EventLoop mLoop;
+  FakeStore mStore{ mLoop };
+  FakeCalls mCalls{ mLoop };
+  Random mRandom{ 7 };
+  ControlSettings mSettings;
+  Deployment mDeployment;
+  std::optional<Election<FakeStore>> mElection;
+  std::optional<Leader<FakeStore, FakeCalls, FakeRegistry>> mLeader;
+  int mLost = 0;
+};
+
+} // namespace lovagerock::control
--- /dev/null
+++ b/tests/control/LeaderTests.cpp
@@ -0,0 +1,41 @@
+#include "LeaderFixture.h"
+
+using namespace lovagerock;
+using namespace lovagerock::control;
+using scheduler::OrderOutcome;
+
+Test(Leader, starts_a_stored_job_and_stores_its_progress)
+{
+  LeaderFixture f;
+  f.Until([&] { return f.mCalls.mHolds.size() > 2; });
+  f.Submit("j");
+  f.Until([&] { return f.mCalls.mStarts.size() == 1; });
+  f.Until([&] { return f.mStore.mItems.contains("progress/job/j"); });
+  cr_assert(f.mLeader->State(JobId("j"))->mState == scheduler::JobState::InProgress);
+}
+
+// Guards against work on a worker that has gone without a word: its lease must end, or the work is
+// never started elsewhere.
+Test(Leader, renews_no_lease_of_a_worker_that_does_not_answer)
+{
+  LeaderFixture f;
+  f.Until([&] { return f.mCalls.mHolds.size() > 2; });
+  cr_assert(f.mCalls.mHolds.back().mUntil.has_value());
+  f.mCalls.mHoldOutcome = OrderOutcome::NotSent;
+  const auto failing = f.mCalls.mHolds.size() + 1;
+  f.Until([&] { return f.mCalls.mHolds.size() > failing + 2; });
+  for (auto i = failing; i < f.mCalls.mHolds.size(); ++i) {
+    cr_assert_not(f.mCalls.mHolds[i].mUntil.has_value());
+  }
+  f.mCalls.mHoldOutcome = OrderOutcome::Done;
+  f.Until([&] { return f.mCalls.mHolds.back().mUntil.has_value(); });
+}
+
+// Guards against two leaders that order workers by turns.
+Test(Leader, gives_up_when_a_worker_obeys_another_one)
+{
+  LeaderFixture f;
+  f.Until([&] { return f.mCalls.mHolds.size() > 2; });
+  f.mCalls.mHoldOutcome = OrderOutcome::Fenced;
+  f.Until([&] { return f.mLost > 0; });
+}
