Gather room for waiting gangs, and log refused requests by their subject

Ruled out: a lost takeover (the job was known and planned all the time) and its label. Change: once a gang has waited for a second, the workers that will have room for it first take no later work of the plan; at most two steps at a time. The new test failed before, with the load. Log lines of refused and denied requests carry the path or the job, and how old the configuration was or its version, so that an answer can be explained from its id.

--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace lovagerock::control {
@@ -60,6 +61,8 @@
   std::function<const Deployment*()> mDeployment;
   // Whether a key that the configuration holds may still be accepted.
   std::function<bool()> mAreKeysCurrent;
+  // How old the configuration may be, for the log.
+  std::function<Duration()> mConfigurationAge;
   // Whether the store has answered lately.
   std::function<bool()> mIsStoreReachable;
   std::function<void(const JobId&, StateAnswer)> mAskState;
@@ -83,23 +86,23 @@
   {
     const auto* deployment = mHooks.mDeployment();
     if (!deployment) {
-      Refuse(aResponder, "no_configuration");
+      Refuse(aResponder, "no_configuration", aRequest.mPath);
       return;
     }
     const auto* queue = deployment->FindQueue(aRequest.mHeaders.Get("Host"), aRequest.mPath);
     if (!queue) {
-      aResponder.Send({ 404, {}, "" });
+      Deny(aResponder, 404, "no_queue", aRequest.mPath, *deployment);
       return;
     }
     AccountId account;
     if (!queue->mIsPublic) {
       if (!mHooks.mAreKeysCurrent()) {
-        Refuse(aResponder, "configuration_not_confirmed");
+        Refuse(aResponder, "configuration_not_confirmed", aRequest.mPath);
         return;
       }
       const auto* found = deployment->FindAccount(Codec::Key(aRequest));
       if (!found) {
-        aResponder.Send({ 401, {}, "" });
+        Deny(aResponder, 401, "unknown_key", aRequest.mPath, *deployment);
         return;
       }
       account = *found;
@@ -155,13 +158,28 @@
     }
   }
 
-  // Answers that the request has not run and when to come back.
-  static void Refuse(const http::Responder& aResponder, const char* aReason)
+  // Answers that the request has not run and when to come back. The subject is the request's path
+  // or job.
+  void Refuse(const http::Responder& aResponder, const char* aReason, std::string_view aSubject)
   {
-    LogEvent("request_refused").With("reason", aReason);
+    LogEvent("request_refused")
+      .With("subject", aSubject)
+      .With("reason", aReason)
+      .With("configuration_age_ms", mHooks.mConfigurationAge());
     aResponder.Send({ 503, { { "Retry-After", std::to_string(kRetryAfterSeconds) } }, "" });
   }
 
+  // Answers that the configuration in force doesn't allow the request.
+  static void Deny(const http::Responder& aResponder, int aStatus, const char* aReason,
+                   std::string_view aSubject, const Deployment& aDeployment)
+  {
+    LogEvent("request_denied")
+      .With("subject", aSubject)
+      .With("reason", aReason)
+      .With("version", aDeployment.mVersion);
+    aResponder.Send({ aStatus, {}, "" });
+  }
+
   static TimePoint GiveUpTime(const http::Request& aRequest)
   {
     // Leaves the answer time to reach the caller.
@@ -180,7 +198,7 @@
       return;
     }
     if (!mHooks.mIsStoreReachable()) {
-      Refuse(aResponder, "store_unreachable");
+      Refuse(aResponder, "store_unreachable", aJob.Value());
       return;
     }
     const scheduler::AcceptedJob job{ aJob,          aQueue.mName,   aAccount,
@@ -196,7 +214,7 @@
               const http::Responder& aResponder)
   {
     if (!mHooks.mIsStoreReachable()) {
-      Refuse(aResponder, "store_unreachable");
+      Refuse(aResponder, "store_unreachable", aJob.Value());
       return;
     }
     auto write = NewWrite(aRequest, aResponder, aJob, "cancel");
@@ -205,7 +223,7 @@
       KeyOf(kJobPrefix, aJob),
       Guarded([this, write, aAccount](std::error_code aError, std::optional<kv::Item> aItem) {
         if (aError) {
-          Refuse(write->mResponder, "store_unreachable");
+          Refuse(write->mResponder, "store_unreachable", write->mJob.Value());
         } else if (!IsVisible(aItem, aAccount)) {
           write->mResponder.Send({ 410, {}, "" });
         } else {
@@ -244,7 +262,7 @@
     aWrite->mIsUncertain = aWrite->mIsUncertain || !isRefused;
     const bool isOver = std::chrono::steady_clock::now() + kStoreRetry > aWrite->mGiveUp;
     if (!aWrite->mIsUncertain && (++aWrite->mRefusals >= kMaxRefusals || isOver)) {
-      Refuse(aWrite->mResponder, "store_refused");
+      Refuse(aWrite->mResponder, "store_refused", aWrite->mJob.Value());
       return;
     }
     if (isOver) {
@@ -301,7 +319,7 @@
                Guarded([this, aJob, aAccount, aResponder](std::error_code aError,
                                                           std::optional<kv::Item> aItem) {
                  if (aError) {
-                   Refuse(aResponder, "store_unreachable");
+                   Refuse(aResponder, "store_unreachable", aJob.Value());
                  } else if (!IsVisible(aItem, aAccount)) {
                    aResponder.Send({ 410, {}, "" });
                  } else {
@@ -312,27 +330,28 @@
 
   void ReadStoredProgress(const JobId& aJob, const http::Responder& aResponder)
   {
-    mStore.Get(KeyOf(kProgressPrefix, aJob),
-               Guarded([aResponder](std::error_code aError, std::optional<kv::Item> aItem) {
-                 if (aError) {
-                   Refuse(aResponder, "store_unreachable");
-                   return;
-                 }
-                 auto state = scheduler::JobState::Queued;
-                 if (aItem) {
-                   state = scheduler::ReadState(aItem->mValue).value_or(state);
-                 }
-                 aResponder.Send(http::JsonResponse(200, Codec::WriteState(state)));
-               }));
+    mStore.Get(
+      KeyOf(kProgressPrefix, aJob),
+      Guarded([this, aJob, aResponder](std::error_code aError, std::optional<kv::Item> aItem) {
+        if (aError) {
+          Refuse(aResponder, "store_unreachable", aJob.Value());
+          return;
+        }
+        auto state = scheduler::JobState::Queued;
+        if (aItem) {
+          state = scheduler::ReadState(aItem->mValue).value_or(state);
+        }
+        aResponder.Send(http::JsonResponse(200, Codec::WriteState(state)));
+      }));
   }
 
   void AnswerPending(const std::string& aQueue, const http::Responder& aResponder)
   {
-    mHooks.mAskPending(aQueue, [aResponder](std::optional<int> aCount) {
+    mHooks.mAskPending(aQueue, [this, aQueue, aResponder](std::optional<int> aCount) {
       if (aCount) {
         aResponder.Send(http::JsonResponse(200, Codec::WritePending(*aCount)));
       } else {
-        Refuse(aResponder, "no_leader");
+        Refuse(aResponder, "no_leader", aQueue);
       }
     });
   }
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -203,6 +203,7 @@
       return mSettings.mRevocation == Duration(0) ||
              ConfirmedAge() < mSettings.mRevocation - kRevocationMargin;
     };
+    hooks.mConfigurationAge = [this] { return ConfirmedAge(); };
     hooks.mIsStoreReachable = [this] { return mContact.IsReachable(BootTime()); };
     hooks.mAskState = [this](const JobId& aJob, StateAnswer aAnswer) {
       AskState(aJob, std::move(aAnswer));
--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -166,6 +166,38 @@
   return best;
 }
 
+void
+Placer::Gather(const PlacementRequest& aRequest)
+{
+  std::vector<WorkerId> best;
+  Accelerators bestFree(-1);
+  for (auto& group : Groups(aRequest, false)) {
+    std::sort(group.begin(), group.end(), [](const auto& aLeft, const auto& aRight) {
+      return std::pair(aLeft.mFree.mAccelerators, aLeft.mFree.mCpu) >
+             std::pair(aRight.mFree.mAccelerators, aRight.mFree.mCpu);
+    });
+    std::vector<WorkerId> workers;
+    Accelerators free;
+    int copies = 0;
+    for (const auto& it : group) {
+      if (copies >= aRequest.mCount) {
+        break;
+      }
+      const auto& capacity = it.mWorker->mEntry.mCapacity;
+      copies += aRequest.mStep->mDemand.CopiesIn(capacity, Limit(*it.mWorker, aRequest));
+      free += it.mFree.mAccelerators;
+      workers.push_back(it.mWorker->mEntry.mId);
+    }
+    if (copies >= aRequest.mCount && free > bestFree) {
+      best = std::move(workers);
+      bestFree = free;
+    }
+  }
+  for (const auto& it : best) {
+    mCandidates[mPositions.at(it)].mFree = {};
+  }
+}
+
 bool
 Placer::FitsEmpty(const PlacementRequest& aRequest) const
 {
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -54,6 +54,9 @@
   // The cheapest runs to stop so that all tasks of the request fit.
   std::optional<EvictionPlan>
   Evict(const PlacementRequest& aRequest, const EvictionCost& aCost) const;
+  // Keeps all that is free now on the workers on which all tasks of the request will fit soonest,
+  // because they have most room, from all later choices.
+  void Gather(const PlacementRequest& aRequest);
   // Whether the request would fit if nothing ran on the workers it may use.
   bool FitsEmpty(const PlacementRequest& aRequest) const;
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -151,6 +151,9 @@
                   Orders& aOrders);
   void PlaceEach(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer, const Now& aNow,
                  Orders& aOrders);
+  // Keeps smaller work off the workers that will have room for a waiting gang first.
+  void GatherRoom(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+                  const Now& aNow);
   bool
   MakeRoom(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer, const Now& aNow);
   void StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, Placer& aPlacer,
@@ -168,6 +171,8 @@
   Fleet mFleet;
   std::map<StepKey, Reservation> mReservations;
   std::set<JobId> mEntitled;
+  // Steps that room is gathered for in this plan.
+  int mGathering = 0;
   std::set<JobId> mDirty;
   // Jobs whose progress is being stored.
   std::set<JobId> mStoring;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -35,6 +35,7 @@
   ExpireLeases(aNow);
   UpdateSettled(aNow);
   mEntitled = EntitledJobs();
+  mGathering = 0;
   for (auto& [id, job] : mJobs) {
     if (!job.IsOver()) {
       job.OpenDue(aNow.mWallMs, aNow.mSteady);
@@ -348,6 +349,7 @@
   if (MakeRoom(aDue, aRequest, aPlacer, aNow)) {
     return;
   }
+  GatherRoom(aDue, aRequest, aPlacer, aNow);
   if (!relaxed.mGang) {
     PlaceEach(aDue, aRequest, aPlacer, aNow, aOrders);
   }
@@ -398,6 +400,18 @@
   return width * members * (static_cast<double>(lost.count()) + 100);
 }
 
+void
+Scheduler::GatherRoom(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+                      const Now& aNow)
+{
+  const auto ready = aDue.mJob->Open().at(aDue.mOccurrence).mReady[aDue.mStep];
+  const bool isDue = aNow.mSteady - ready >= mSettings.mGatherAfter;
+  if (aRequest.mStep->mGang && isDue && mGathering < mSettings.mMaxGathering) {
+    ++mGathering;
+    aPlacer.Gather(aRequest);
+  }
+}
+
 bool
 Scheduler::MakeRoom(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                     const Now& aNow)
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -27,6 +27,10 @@
   int mFailingAfter = 2;
   // The least time that a draining worker still serves.
   Duration mDrain{ 2000 };
+  // Room is gathered for tasks that must start together once they have waited for this time, and
+  // for this many such steps at once.
+  Duration mGatherAfter{ 1000 };
+  int mMaxGathering = 2;
   // For how long resources stay reserved for work whose room is being made.
   Duration mReservation{ 1500 };
   // A job's data is kept this long after its end.
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -175,6 +175,28 @@
   cr_assert_eq(orders.mStarts[0].mRun.mTask.mJob, JobId("owner"));
 }
 
+// Load: small tasks come as fast as others end, and a gang needs two whole workers. Guards against
+// small work that takes each piece of room at once, so that the gang never starts.
+Test(Scheduler, gathers_room_for_a_gang_beside_a_stream_of_small_tasks)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  f.Submit(f.Job("first", { f.Step(32, 1) }, 2));
+  f.Plan();
+  f.Submit(f.Job("gang", { f.Gang(2, 8) }, 1));
+  f.Plan();
+  f.Pass(f.mSettings.mGatherAfter);
+  constexpr int kRounds = 32;
+  for (int i = 0; i < kRounds && f.State("gang") == JobState::Queued; ++i) {
+    f.Submit(f.Job("small" + std::to_string(i), { f.Step(1, 1) }, 2));
+    f.End(f.Running().front(), RunEnd::Done);
+    f.HoldAll();
+    f.Plan();
+    f.HoldAll();
+  }
+  cr_assert(f.State("gang") == JobState::InProgress);
+}
+
 // Guards against room that is made for one job and taken by another one first.
 Test(Scheduler, keeps_the_room_that_is_made_for_urgent_work)
 {
