--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -51,6 +51,10 @@
 inline constexpr Duration kPlanDelay{ 3 };
 // Plans are made at least this often, for what becomes due with time alone.
 inline constexpr Duration kPlanPeriod{ 60 };
+// How often the records of jobs that ended long ago are deleted.
+inline constexpr Duration kExpiryPeriod{ 10000 };
+// How often a node that shuts down looks whether it may end.
+inline constexpr Duration kStopCheckPeriod{ 50 };
 // A renewal of a worker's lease waits for an end for this time.
 inline constexpr Duration kHoldWait{ 1000 };
 // The pause before a worker is called again after a failure, or while its ends aren't stored.
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -114,7 +114,7 @@
     LogEvent("shutdown_started").With("active", mCallerServer.ActiveRequests());
     mCallerServer.SetDraining();
     mElection->Withdraw();
-    mStopCheck = mLoop.Every(Duration(50), [this] { CheckStopped(); });
+    mStopCheck = mLoop.Every(kStopCheckPeriod, [this] { CheckStopped(); });
   }
 
 private:
--- a/src/control/Keys.h
+++ b/src/control/Keys.h
@@ -16,6 +16,7 @@
 inline constexpr std::string_view kJobPrefix = "requests/job/";
 inline constexpr std::string_view kCancelPrefix = "requests/cancel/";
 // What the leader writes.
+inline constexpr std::string_view kRecordPrefix = "progress/";
 inline constexpr std::string_view kProgressPrefix = "progress/job/";
 // Rewritten with each batch of progress, so that a batch that is carried out late has no effect.
 inline constexpr std::string_view kBatchKey = "progress/batch";
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -96,7 +96,6 @@
   }
 
   int PendingJobs(const std::string& aQueue) const { return mScheduler.PendingJobs(aQueue); }
-  const scheduler::Scheduler& State() const { return mScheduler; }
 
 private:
   // The renewal of one worker's lease.
@@ -116,7 +115,7 @@
 
   void LoadProgress(const std::string& aAfter)
   {
-    mStore.List(std::string("progress/"), aAfter,
+    mStore.List(std::string(kRecordPrefix), aAfter,
                 Guarded([this](std::error_code aError, kv::ItemPage aPage) {
                   OnProgressPage(aError, std::move(aPage));
                 }));
@@ -178,7 +177,7 @@
       LogEvent("jobs_loaded").With("jobs", mScheduler.JobCount()).With("token", mToken);
       WatchWorkers();
       mPlanPeriod = mLoop.Every(kPlanPeriod, [this] { PlanSoon(); });
-      mExpiry = mLoop.Every(Duration(10000), [this] { mDeleteExpired = true; });
+      mExpiry = mLoop.Every(kExpiryPeriod, [this] { mDeleteExpired = true; });
     }
     PlanSoon();
   }
@@ -197,6 +196,13 @@
       LogEvent("job_record_malformed", LogLevel::Error).With("key", aKey);
       return;
     }
+    const auto age = WallClockMs() - job->mAcceptedMs;
+    if (!aInherited && !mScheduler.FindJob(job->mId) &&
+        age > mSettings.mScheduler.mKeepFinished.count()) {
+      // A listing from before its deletion: all jobs of that age are known, or over and deleted.
+      LogEvent("job_record_outdated").With("job", job->mId).With("age_ms", age);
+      return;
+    }
     const auto progress = mProgress.find(job->mId);
     if (!mScheduler.AddJob(*job, progress == mProgress.end() ? "" : progress->second, aInherited,
                            Now())) {
@@ -441,20 +447,18 @@
     if (mWriter->IsBusy() || !mElection.IsLeader()) {
       return;
     }
-    auto batch = std::make_shared<scheduler::ProgressBatch>(mScheduler.TakeProgress());
+    const auto batch = std::make_shared<scheduler::ProgressBatch>(mScheduler.TakeProgress());
+    std::vector<JobId> expired;
     if (std::exchange(mDeleteExpired, false)) {
-      for (const auto& job : mScheduler.TakeExpired(Now())) {
-        for (const auto prefix : { kJobPrefix, kCancelPrefix, kProgressPrefix }) {
-          mDeletes.push_back(KeyOf(prefix, job));
-        }
-      }
+      expired = mScheduler.ExpiredJobs(Now());
     }
-    mWriter->Begin(batch->mWrites, mDeletes, [this, batch](bool aIsStored) {
+    mWriter->Begin(batch->mWrites, KeysOf(expired), [this, batch, expired](bool aIsStored) {
       if (aIsStored) {
-        mDeletes.clear();
         mScheduler.OnStored(*batch);
+        mScheduler.Forget(expired);
       } else {
         mScheduler.OnNotStored(*batch);
+        mDeleteExpired = !expired.empty();
       }
       for (const auto& it : batch->mSeen) {
         if (aIsStored) {
@@ -465,6 +469,20 @@
     });
   }
 
+  // All keys of the jobs; the progress goes last, so that a job that is still listed is never
+  // without it.
+  static std::vector<std::string> KeysOf(const std::vector<JobId>& aJobs)
+  {
+    std::vector<std::string> keys;
+    keys.reserve(3 * aJobs.size());
+    for (const auto prefix : { kJobPrefix, kCancelPrefix, kProgressPrefix }) {
+      for (const auto& job : aJobs) {
+        keys.push_back(KeyOf(prefix, job));
+      }
+    }
+    return keys;
+  }
+
   template<typename Callback>
   auto Guarded(Callback aCallback)
   {
@@ -490,7 +508,6 @@
   std::optional<PrefixWatch<Store>> mWorkers;
   std::map<WorkerId, HoldLoop> mHolds;
   std::vector<WorkerId> mUnlisted;
-  std::vector<std::string> mDeletes;
   bool mDeleteExpired = false;
   Timer mRetry;
   PlanPacer mPacer;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -114,7 +114,7 @@
 }
 
 std::vector<JobId>
-Scheduler::TakeExpired(const Now& aNow)
+Scheduler::ExpiredJobs(const Now& aNow) const
 {
   std::vector<JobId> expired;
   for (const auto& [id, job] : mJobs) {
@@ -123,10 +123,15 @@
       expired.push_back(id);
     }
   }
-  for (const auto& it : expired) {
+  return expired;
+}
+
+void
+Scheduler::Forget(const std::vector<JobId>& aJobs)
+{
+  for (const auto& it : aJobs) {
     mJobs.erase(it);
   }
-  return expired;
 }
 
 void
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -57,8 +57,10 @@
   std::size_t JobCount() const { return mJobs.size(); }
   // The accepted jobs of a queue of which no task has started.
   int PendingJobs(const std::string& aQueue) const;
-  // Jobs that ended longer ago than they are kept; they are forgotten by the call.
-  std::vector<JobId> TakeExpired(const Now& aNow);
+  // Jobs that ended longer ago than they are kept.
+  std::vector<JobId> ExpiredJobs(const Now& aNow) const;
+  // Forgets jobs whose records are deleted.
+  void Forget(const std::vector<JobId>& aJobs);
 
   void OnWorkerEntry(const WorkerEntry& aEntry, const Now& aNow);
   void OnWorkerUnlisted(const WorkerId& aWorker);
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -118,12 +118,12 @@
     cr_assert(aCondition());
   }
 
-  void Submit(const std::string& aId)
+  void Submit(const std::string& aId, std::int64_t aAcceptedMs = WallClockMs())
   {
     scheduler::AcceptedJob job;
     job.mId = JobId(aId);
     job.mQueue = "queue";
-    job.mAcceptedMs = WallClockMs();
+    job.mAcceptedMs = aAcceptedMs;
     job.mPolicy = mPolicy;
     job.mSpec.mSteps.emplace_back().mDemand.mAccelerators = Accelerators(1);
     mStore.Put(KeyOf(kJobPrefix, job.mId), scheduler::WriteAcceptedJob(job));
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -39,3 +39,16 @@
   f.mCalls.mHoldOutcome = OrderOutcome::Fenced;
   f.Until([&] { return f.mLost > 0; });
 }
+
+// Guards against a second run of a job whose deleted record a late listing still shows.
+Test(Leader, takes_no_record_that_is_older_than_ended_jobs_are_kept)
+{
+  LeaderFixture f;
+  f.Until([&] { return f.mCalls.mHolds.size() > 2; });
+  f.Submit("old", WallClockMs() - 2 * f.mSettings.mScheduler.mKeepFinished.count());
+  f.Submit("new");
+  f.Until([&] { return !f.mCalls.mStarts.empty(); });
+  cr_assert_eq(f.mCalls.mStarts.size(), 1);
+  cr_assert_eq(f.mCalls.mStarts[0].second.mRun.mTask.mJob, JobId("new"));
+  cr_assert_not(f.mLeader->State(JobId("old")).has_value());
+}
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -159,6 +159,24 @@
   cr_assert(f.State("j") == JobState::Completed);
 }
 
+// Guards against a job that is forgotten while it is still listed, and so run a second time.
+Test(Scheduler, keeps_an_ended_job_until_its_record_is_deleted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  f.End(f.Plan().mStarts.at(0).mRun, RunEnd::Done);
+  f.HoldAll();
+  f.StoreProgress();
+  cr_assert(f.mScheduler->ExpiredJobs(f.mNow).empty());
+  f.mNow.mWallMs += f.mSettings.mKeepFinished.count() + 1;
+  const auto expired = f.mScheduler->ExpiredJobs(f.mNow);
+  cr_assert_eq(expired, std::vector{ JobId("j") });
+  cr_assert_not_null(f.mScheduler->FindJob(JobId("j")));
+  f.mScheduler->Forget(expired);
+  cr_assert_null(f.mScheduler->FindJob(JobId("j")));
+}
+
 Test(JobRecord, keeps_a_job_and_its_progress)
 {
   SchedulerFixture f;
