Wait for the end of a run whose repeated start is superseded

Cause: a start had no answer for 600 ms and was carried out; the run ended as done before the start was sent again, which the worker then refused as superseded. The same held for refusals for want of room or health after an unanswered start, which may be carried out late. Ruled out: a lapsed lease and another leader (the same one had sent all starts). Change: after an unanswered start a superseded one waits for the worker's next list, and any other refusal is followed by a stop, whose confirmation keeps the start from being carried out later. Both new tests failed before.

--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -460,9 +460,16 @@
   }
   placed->mInFlight = false;
   auto& worker = it->second;
+  // An earlier start of the same run had no answer: it may have been carried out, or may yet be.
+  const bool mayHaveStarted = placed->mUnanswered > 0;
   const auto refuse = [&](Duration aPause) {
     worker.mAvoidUntil = std::max(worker.mAvoidUntil, aNow.mSteady + aPause);
-    DropRun(worker, aRun, RunEnd::Stopped, "", aNow);
+    if (mayHaveStarted) {
+      // A confirmed stop keeps it from being carried out later.
+      BeginStop(worker, *placed);
+    } else {
+      DropRun(worker, aRun, RunEnd::Stopped, "", aNow);
+    }
   };
   switch (aOutcome) {
     case OrderOutcome::Done: {
@@ -483,12 +490,18 @@
     case OrderOutcome::Invalid:
       return refuse(mSettings.mUnhealthyPause);
     case OrderOutcome::NotSent:
-      // An earlier start of the same run may have arrived.
-      if (placed->mUnanswered == 0) {
+      if (!mayHaveStarted) {
         return refuse(mSettings.mNoRoomPause);
       }
       break;
     case OrderOutcome::Superseded:
+      if (mayHaveStarted) {
+        // It has run and ended there; the worker's next list has its end.
+        placed->mPhase = RunPhase::Running;
+        placed->mKnownFrom = std::max(placed->mKnownFrom, aClock);
+        return;
+      }
+      return refuse(Duration(0));
     case OrderOutcome::TooLate:
       return refuse(Duration(0));
     case OrderOutcome::WrongWorker:
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -83,6 +83,50 @@
   cr_assert_eq(again.mStarts[0].mRun, first.mRun);
 }
 
+// Guards against a second run of a task whose first one ended before its start was answered.
+Test(Scheduler, waits_for_the_end_of_a_run_whose_repeated_start_is_superseded)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.mScheduler->Plan(f.mNow).mStarts.at(0);
+  const auto outcome = [&](OrderOutcome aOutcome) {
+    f.mScheduler->OnStartOutcome(first.mWorker, first.mRun, aOutcome,
+                                 WorkerClock(f.mWorkers.at(first.mWorker).mClock), f.mNow);
+  };
+  outcome(OrderOutcome::Unknown);
+  f.mNow.mSteady += f.mSettings.mResendAfter;
+  cr_assert_eq(f.mScheduler->Plan(f.mNow).mStarts.size(), 1);
+  outcome(OrderOutcome::Superseded);
+  cr_assert(f.mScheduler->Plan(f.mNow).mStarts.empty(), "the task was started a second time");
+  f.mWorkers.at(first.mWorker).mRunning.push_back({ first.mRun, "", 0 });
+  f.End(first.mRun, RunEnd::Done);
+  f.HoldAll();
+  cr_assert(f.State("j") == JobState::Completed);
+}
+
+// Guards against an unanswered start that is carried out late, when its task runs elsewhere.
+Test(Scheduler, stops_an_unanswered_run_before_its_task_moves)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.mScheduler->Plan(f.mNow).mStarts.at(0);
+  f.mScheduler->OnStartOutcome(first.mWorker, first.mRun, OrderOutcome::Unknown, WorkerClock(),
+                               f.mNow);
+  f.mNow.mSteady += f.mSettings.mResendAfter;
+  cr_assert_eq(f.mScheduler->Plan(f.mNow).mStarts.size(), 1);
+  f.mScheduler->OnStartOutcome(first.mWorker, first.mRun, OrderOutcome::NoRoom, WorkerClock(),
+                               f.mNow);
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty());
+  cr_assert_eq(orders.mStops.size(), 1);
+  f.HoldAll();
+  const auto second = f.Plan();
+  cr_assert_eq(second.mStarts.size(), 1);
+  cr_assert_eq(second.mStarts[0].mRun.mRun, 2);
+}
+
 Test(Scheduler, waits_for_the_lease_of_a_silent_worker_before_it_starts_its_work_elsewhere)
 {
   SchedulerFixture f;
