--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -615,7 +615,9 @@
   for (const auto& it : aBatch.mSeen) {
     const auto worker = mFleet.find(it.mWorker);
     if (worker != mFleet.end() && worker->second.mEntry.mBirth == it.mBirth) {
-      worker->second.mStored = std::max(worker->second.mStored, it.mNumber);
+      // A worker that was replaced meanwhile counts its ends anew.
+      const auto number = std::min(it.mNumber, worker->second.mSeen);
+      worker->second.mStored = std::max(worker->second.mStored, number);
     }
   }
 }
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -177,6 +177,21 @@
   cr_assert_null(f.mScheduler->FindJob(JobId("j")));
 }
 
+// Guards against ends of a restarted worker that it forgets unread, because a batch of its earlier
+// life is stored late.
+Test(Scheduler, lets_a_replaced_worker_forget_nothing_of_its_new_life)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  f.End(f.Plan().mStarts.at(0).mRun, RunEnd::Done);
+  f.HoldAll();
+  const auto batch = f.mScheduler->TakeProgress();
+  f.mScheduler->OnWorkerReplaced(WorkerId("w0"), f.mNow);
+  f.mScheduler->OnStored(batch);
+  cr_assert_eq(f.mScheduler->Workers().at(WorkerId("w0")).mStored, 0);
+}
+
 Test(JobRecord, keeps_a_job_and_its_progress)
 {
   SchedulerFixture f;
