Record the workers on which a leader may start work

While the store is down and leases run out, workers' entries expire and the leader goes on starting work whose progress can't be stored. The next leader knew workers only from the registry and from stored progress, so it took itself for settled before those workers had registered again, and started their tasks a second time. Change: a leader starts work only on workers that a stored record of their rack names, and takes a worker out of it only with or after the progress of all that was started there. The next leader asks all recorded workers at their recorded addresses. In return, a worker that had left before holds back its own tasks after a takeover, no longer those of all others. The tests of recorded workers fail without the loaded record.

--- a/src/control/Keys.h
+++ b/src/control/Keys.h
@@ -18,6 +18,8 @@
 // What the leader writes.
 inline constexpr std::string_view kRecordPrefix = "progress/";
 inline constexpr std::string_view kProgressPrefix = "progress/job/";
+// The workers of each rack on which work may be started.
+inline constexpr std::string_view kRackPrefix = "progress/rack/";
 // Rewritten with each batch of progress, so that a batch that is carried out late has no effect.
 inline constexpr std::string_view kBatchKey = "progress/batch";
 
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -136,6 +136,8 @@
         mBatchRevision = it.mRevision;
       } else if (const auto job = JobOfKey(kProgressPrefix, it.mKey)) {
         mProgress[*job] = std::move(it.mValue);
+      } else if (it.mKey.starts_with(kRackPrefix)) {
+        OnRackRecord(it);
       }
     }
     if (aPage.mHasMore && !last.empty()) {
@@ -146,6 +148,16 @@
     WatchRequests();
   }
 
+  void OnRackRecord(const kv::Item& aItem)
+  {
+    const auto workers = scheduler::ReadRackRecord(aItem.mValue);
+    if (!workers) {
+      LogEvent("rack_record_malformed", LogLevel::Error).With("key", aItem.mKey);
+      return;
+    }
+    mScheduler.AddRecordedWorkers(RackId(aItem.mKey.substr(kRackPrefix.size())), *workers);
+  }
+
   void WatchRequests()
   {
     WatchCallbacks callbacks;
@@ -175,6 +187,7 @@
     mProgress.clear();
     if (!IsLoaded()) {
       LogEvent("jobs_loaded").With("jobs", mScheduler.JobCount()).With("token", mToken);
+      AskRecordedWorkers();
       WatchWorkers();
       mPlanPeriod = mLoop.Every(kPlanPeriod, [this] { PlanSoon(); });
       mExpiry = mLoop.Every(kExpiryPeriod, [this] { mDeleteExpired = true; });
@@ -212,6 +225,18 @@
     }
   }
 
+  // Workers whose entries expired during an outage may run work that only their lists tell of.
+  void AskRecordedWorkers()
+  {
+    std::vector<WorkerId> recorded;
+    for (const auto& [id, worker] : mScheduler.Workers()) {
+      recorded.push_back(id);
+    }
+    for (const auto& it : recorded) {
+      HoldWorker(it);
+    }
+  }
+
   void WatchWorkers()
   {
     WatchCallbacks callbacks;
@@ -452,7 +477,9 @@
     if (std::exchange(mDeleteExpired, false)) {
       expired = mScheduler.ExpiredJobs(Now());
     }
-    mWriter->Begin(batch->mWrites, KeysOf(expired), [this, batch, expired](bool aIsStored) {
+    auto deletes = KeysOf(expired);
+    auto writes = WritesOf(*batch, deletes);
+    const auto done = [this, batch, expired](bool aIsStored) {
       if (aIsStored) {
         mScheduler.OnStored(*batch);
         mScheduler.Forget(expired);
@@ -466,7 +493,29 @@
         }
       }
       StoreSoon();
-    });
+    };
+    mWriter->Begin(std::move(writes), std::move(deletes), done);
+  }
+
+  // The batch in the order in which it has to be written; adds the keys of racks that have become
+  // empty to those to delete.
+  static std::vector<kv::ConditionalWrites::Write>
+  WritesOf(const scheduler::ProgressBatch& aBatch, std::vector<std::string>& aDeletes)
+  {
+    std::vector<kv::ConditionalWrites::Write> writes;
+    writes.reserve(aBatch.mWrites.size() + aBatch.mRacks.size());
+    for (const auto& it : aBatch.mWrites) {
+      writes.push_back({ KeyOf(kProgressPrefix, it.mJob), it.mText, {} });
+    }
+    for (const auto& it : aBatch.mRacks) {
+      auto key = std::string(kRackPrefix) + it.mRack.Value();
+      if (it.mWorkers.empty()) {
+        aDeletes.push_back(std::move(key));
+      } else {
+        writes.push_back({ std::move(key), scheduler::WriteRackRecord(it.mWorkers), {} });
+      }
+    }
+    return writes;
   }
 
   // All keys of the jobs; the progress goes last, so that a job that is still listed is never
--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -5,7 +5,6 @@
 #include "control/Keys.h"
 #include "kv/KvError.h"
 #include "kv/PrefixStore.h"
-#include "scheduler/Orders.h"
 
 #include <algorithm>
 #include <functional>
@@ -36,8 +35,9 @@
   // Whether the last write failed.
   bool IsFailing() const { return mIsFailing; }
 
-  // Stores the writes and deletes the keys; calls back with whether all of it is stored.
-  void Begin(std::vector<scheduler::ProgressWrite> aWrites, std::vector<std::string> aDeletes,
+  // Stores the writes in their order, then deletes the keys; calls back with whether all of it is
+  // stored.
+  void Begin(std::vector<kv::ConditionalWrites::Write> aWrites, std::vector<std::string> aDeletes,
              std::function<void(bool)> aDone)
   {
     mIsBusy = true;
@@ -62,9 +62,8 @@
     call.mWrites.push_back({ std::string(kBatchKey), std::to_string(++mNumber), {} });
     auto room = kv::kMaxTransactionEntries - kOwnEntries;
     mSentWrites = std::min(room, mWrites.size());
-    for (std::size_t i = 0; i < mSentWrites; ++i) {
-      call.mWrites.push_back({ KeyOf(kProgressPrefix, mWrites[i].mJob), mWrites[i].mText, {} });
-    }
+    call.mWrites.insert(call.mWrites.end(), mWrites.begin(),
+                        mWrites.begin() + static_cast<long>(mSentWrites));
     room -= mSentWrites;
     mSentDeletes = std::min(room, mDeletes.size());
     call.mDeletes.assign(mDeletes.begin(), mDeletes.begin() + static_cast<long>(mSentDeletes));
@@ -120,7 +119,7 @@
   std::uint64_t mNumber = 0;
   bool mIsBusy = false;
   bool mIsFailing = false;
-  std::vector<scheduler::ProgressWrite> mWrites;
+  std::vector<kv::ConditionalWrites::Write> mWrites;
   std::vector<std::string> mDeletes;
   std::size_t mSentWrites = 0;
   std::size_t mSentDeletes = 0;
--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -46,6 +46,8 @@
   WorkerEntry mEntry;
   // Whether it is registered at present.
   bool mListed = true;
+  // Whether a scheduler that takes over would know that work may have been started there.
+  bool mRecorded = false;
   // Whether it has answered this scheduler, and so obeys no earlier one.
   bool mConfirmed = false;
   // Until when anything may run there without another renewal; an upper bound.
@@ -62,6 +64,8 @@
   std::vector<PlacedRun> mRuns;
   Capacity mUsed;
 
+  // Whether its rack's record has to contain it.
+  bool BelongsInRecord() const { return mListed || (mRecorded && !mConfirmed); }
   Capacity Free() const { return mEntry.mCapacity - mUsed; }
   PlacedRun* Find(const RunRef& aRun);
   PlacedRun& Add(PlacedRun aRun);
--- a/src/scheduler/Orders.h
+++ b/src/scheduler/Orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduler/RackRecord.h"
 #include "scheduler/TaskRef.h"
 #include "scheduler/WorkerReport.h"
 
@@ -46,10 +47,19 @@
   std::int64_t mNumber = 0;
 };
 
-// Writes that belong together, and what may be forgotten by the workers once they are stored.
+// The workers of a rack on which work may be started, to store.
+struct RackWrite
+{
+  RackId mRack;
+  std::vector<WorkerContact> mWorkers;
+};
+
+// Writes that belong together, and what may be forgotten by the workers once they are stored. The
+// racks have to be written after the progress.
 struct ProgressBatch
 {
   std::vector<ProgressWrite> mWrites;
+  std::vector<RackWrite> mRacks;
   std::vector<SeenMark> mSeen;
 };
 
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -134,11 +134,31 @@
   }
 }
 
+void
+Scheduler::AddRecordedWorkers(const RackId& aRack, const std::vector<WorkerContact>& aWorkers)
+{
+  for (const auto& contact : aWorkers) {
+    auto& worker = mFleet[contact.mWorker];
+    worker.mEntry.mId = contact.mWorker;
+    worker.mEntry.mAddress = contact.mAddress;
+    worker.mEntry.mRack = aRack;
+    worker.mListed = false;
+    worker.mRecorded = true;
+    worker.mHeldUntil = mTakeover + mSettings.mAutonomy + mSettings.mHold;
+  }
+}
+
 void
 Scheduler::OnWorkerEntry(const WorkerEntry& aEntry, const Now& aNow)
 {
   auto [it, isNew] = mFleet.try_emplace(aEntry.mId);
   auto& worker = it->second;
+  const auto& known = worker.mEntry;
+  if (isNew || !worker.mListed || known.mRack != aEntry.mRack ||
+      !(known.mAddress == aEntry.mAddress)) {
+    mDirtyRacks.insert(aEntry.mRack);
+    mDirtyRacks.insert(isNew ? aEntry.mRack : known.mRack);
+  }
   const auto birth = worker.mEntry.mBirth;
   const bool isReborn = !isNew && aEntry.mBirth > birth && birth.Value() != 0;
   if (isReborn) {
@@ -151,9 +171,9 @@
     // An earlier scheduler may have renewed its lease just before the takeover.
     worker.mHeldUntil = mTakeover + mSettings.mAutonomy + mSettings.mHold;
   }
-  const auto known = worker.mEntry.mBirth;
   worker.mEntry = aEntry;
-  worker.mEntry.mBirth = std::max(known, aEntry.mBirth);
+  // A report of the worker may have told of a later life than its entry.
+  worker.mEntry.mBirth = std::max(birth, aEntry.mBirth);
   worker.mListed = true;
   mAwaited.erase(aEntry.mId);
 }
@@ -162,8 +182,9 @@
 Scheduler::OnWorkerUnlisted(const WorkerId& aWorker)
 {
   const auto it = mFleet.find(aWorker);
-  if (it != mFleet.end()) {
+  if (it != mFleet.end() && it->second.mListed) {
     it->second.mListed = false;
+    mDirtyRacks.insert(it->second.mEntry.mRack);
   }
 }
 
@@ -205,6 +226,7 @@
   // While it is registered, the refusal may come from the network.
   if (it != mFleet.end() && !it->second.mListed) {
     DropAllRuns(it->second, aNow);
+    mDirtyRacks.insert(it->second.mEntry.mRack);
     mFleet.erase(it);
   }
 }
@@ -535,7 +557,7 @@
 }
 
 bool
-Scheduler::IsGangBroken(const Job& aJob, const PlacedRun& aRun) const
+Scheduler::IsGangBroken(const Job& aJob, const PlacedRun& aRun, const Now& aNow) const
 {
   const auto& ref = aRun.mRun.mTask;
   const auto it = aJob.Open().find(ref.mOccurrence);
@@ -546,13 +568,26 @@
     return false;
   }
   const auto& tasks = it->second.mSteps[ref.mStep].mTasks;
-  return std::any_of(tasks.begin(), tasks.end(), [&aRun](const auto& aTask) {
-    return aTask.mPhase != TaskPhase::Active || aTask.mRun != aRun.mRun.mRun;
+  return std::any_of(tasks.begin(), tasks.end(), [this, &aRun, &aNow](const auto& aTask) {
+    const bool isPresent = aTask.mPhase == TaskPhase::Active || MayRunUnseen(aTask, aNow);
+    return !isPresent || aTask.mRun != aRun.mRun.mRun;
   });
 }
 
 bool
-Scheduler::IsWanted(const Worker& aWorker, const PlacedRun& aRun) const
+Scheduler::MayRunUnseen(const Task& aTask, const Now& aNow) const
+{
+  if (aTask.mPhase != TaskPhase::Waiting || aTask.mWorker.IsEmpty()) {
+    return false;
+  }
+  const auto it = mFleet.find(aTask.mWorker);
+  const bool isSilent =
+    it != mFleet.end() && !it->second.mConfirmed && it->second.mHeldUntil >= aNow.mSteady;
+  return isSilent || mAwaited.contains(aTask.mWorker);
+}
+
+bool
+Scheduler::IsWanted(const Worker& aWorker, const PlacedRun& aRun, const Now& aNow) const
 {
   const auto* job = FindJob(aRun.mRun.mTask.mJob);
   if (!job || job->IsOver()) {
@@ -560,7 +595,7 @@
   }
   const auto* task = job->Find(aRun.mRun.mTask);
   return task && task->mPhase == TaskPhase::Active && task->mWorker == aWorker.mEntry.mId &&
-         task->mRun == aRun.mRun.mRun && !IsGangBroken(*job, aRun);
+         task->mRun == aRun.mRun.mRun && !IsGangBroken(*job, aRun, aNow);
 }
 
 void
@@ -586,6 +621,24 @@
   }
 }
 
+RackWrite
+Scheduler::TakeRack(const RackId& aRack)
+{
+  RackWrite write{ aRack, {} };
+  for (auto& [id, worker] : mFleet) {
+    if (worker.mEntry.mRack != aRack) {
+      continue;
+    }
+    if (worker.BelongsInRecord()) {
+      write.mWorkers.push_back({ id, worker.mEntry.mAddress });
+    } else {
+      // All that was started there is in the progress that is written before.
+      worker.mRecorded = false;
+    }
+  }
+  return write;
+}
+
 ProgressBatch
 Scheduler::TakeProgress()
 {
@@ -597,6 +650,9 @@
     }
   }
   mDirty.clear();
+  for (const auto& rack : std::exchange(mDirtyRacks, {})) {
+    batch.mRacks.push_back(TakeRack(rack));
+  }
   for (const auto& [id, worker] : mFleet) {
     if (worker.mSeen > worker.mStored) {
       batch.mSeen.push_back({ id, worker.mEntry.mBirth, worker.mSeen });
@@ -612,6 +668,13 @@
   for (const auto& it : aBatch.mWrites) {
     mStoring.erase(it.mJob);
   }
+  for (const auto& rack : aBatch.mRacks) {
+    for (const auto& it : rack.mWorkers) {
+      if (const auto worker = mFleet.find(it.mWorker); worker != mFleet.end()) {
+        worker->second.mRecorded = true;
+      }
+    }
+  }
   for (const auto& it : aBatch.mSeen) {
     const auto worker = mFleet.find(it.mWorker);
     if (worker != mFleet.end() && worker->second.mEntry.mBirth == it.mBirth) {
@@ -629,6 +692,9 @@
     mStoring.erase(it.mJob);
     mDirty.insert(it.mJob);
   }
+  for (const auto& it : aBatch.mRacks) {
+    mDirtyRacks.insert(it.mRack);
+  }
   mHasUnstoredEnds = mHasUnstoredEnds || !aBatch.mSeen.empty();
 }
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -36,9 +36,10 @@
 // Decides which task runs where, for all jobs and workers of a deployment. Holds no connection and
 // reads no clock: events go in, orders and records to store come out.
 //
-// A scheduler that takes over knows the accepted jobs and their stored progress. It starts no
-// inherited work until every worker has either answered it, and so obeys no earlier scheduler, or
-// can hold nothing any more.
+// A scheduler that takes over knows the accepted jobs, their stored progress and the workers on
+// which work may have been started without stored progress. It starts no inherited work until each
+// of these workers and of the registered ones has either answered it, and so obeys no earlier
+// scheduler, or can hold nothing any more.
 class Scheduler
 {
 public:
@@ -62,6 +63,8 @@
   // Forgets jobs whose records are deleted.
   void Forget(const std::vector<JobId>& aJobs);
 
+  // Adds the workers of a rack that an earlier scheduler recorded.
+  void AddRecordedWorkers(const RackId& aRack, const std::vector<WorkerContact>& aWorkers);
   void OnWorkerEntry(const WorkerEntry& aEntry, const Now& aNow);
   void OnWorkerUnlisted(const WorkerId& aWorker);
   // Told before each order or renewal is sent, since it may prolong the worker's lease.
@@ -85,7 +88,10 @@
   void OnStored(const ProgressBatch& aBatch);
   // The batch wasn't stored and has to be taken again.
   void OnNotStored(const ProgressBatch& aBatch);
-  bool HasProgress() const { return !mDirty.empty() || mHasUnstoredEnds; }
+  bool HasProgress() const
+  {
+    return !mDirty.empty() || mHasUnstoredEnds || !mDirtyRacks.empty();
+  }
   // Whether the job's present state is stored.
   bool IsStored(const JobId& aJob) const;
 
@@ -133,12 +139,15 @@
   void CheckMissing(Worker& aWorker, const HoldReport& aReport, const Now& aNow);
   // Takes over a run that an earlier scheduler started.
   void AdoptRun(Worker& aWorker, const RunningRun& aRun, WorkerClock aClock, const Now& aNow);
-  bool IsWanted(const Worker& aWorker, const PlacedRun& aRun) const;
-  bool IsGangBroken(const Job& aJob, const PlacedRun& aRun) const;
+  bool IsWanted(const Worker& aWorker, const PlacedRun& aRun, const Now& aNow) const;
+  bool IsGangBroken(const Job& aJob, const PlacedRun& aRun, const Now& aNow) const;
+  // Whether the task of an inherited job may run on a worker that has not answered yet.
+  bool MayRunUnseen(const Task& aTask, const Now& aNow) const;
+  RackWrite TakeRack(const RackId& aRack);
 
   void ExpireLeases(const Now& aNow);
   void UpdateSettled(const Now& aNow);
-  void StopUnwanted();
+  void StopUnwanted(const Now& aNow);
   void LeaveDrainingWorkers(const Now& aNow);
   void BeginStop(Worker& aWorker, PlacedRun& aRun);
   void StopRun(const WorkerId& aWorker, const RunRef& aRun);
@@ -179,7 +188,9 @@
   // Jobs whose progress is being stored.
   std::set<JobId> mStoring;
   bool mHasUnstoredEnds = false;
-  // Workers that hold runs of stored progress and haven't registered.
+  // Racks whose recorded workers have changed.
+  std::set<RackId> mDirtyRacks;
+  // Workers that hold runs of stored progress, are not recorded and haven't registered.
   std::set<WorkerId> mAwaited;
   SchedulerCounts mCounts;
 };
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -42,7 +42,7 @@
     }
   }
   LeaveDrainingWorkers(aNow);
-  StopUnwanted();
+  StopUnwanted(aNow);
   Placer placer(mFleet, aNow.mSteady);
   std::erase_if(mReservations,
                 [&aNow](const auto& aIt) { return aIt.second.mUntil < aNow.mSteady; });
@@ -55,7 +55,7 @@
     PlaceDue(due, placer, aNow, orders);
   }
   // The rest of the gangs of which a member was stopped to make room.
-  StopUnwanted();
+  StopUnwanted(aNow);
   SendAgain(aNow, orders);
   return orders;
 }
@@ -72,21 +72,29 @@
         .With("runs", worker.mRuns.size());
       DropAllRuns(worker, aNow);
     }
-    it = isExpired && !worker.mListed ? mFleet.erase(it) : std::next(it);
+    if (isExpired && !worker.mListed) {
+      mDirtyRacks.insert(worker.mEntry.mRack);
+      it = mFleet.erase(it);
+    } else {
+      ++it;
+    }
   }
 }
 
 void
 Scheduler::UpdateSettled(const Now& aNow)
 {
+  const bool isOver = aNow.mSteady > mTakeover + mSettings.mAutonomy + mSettings.mHold;
+  if (isOver) {
+    mAwaited.clear();
+  }
   if (mIsSettled) {
     return;
   }
   const bool allAnswered = std::all_of(mFleet.begin(), mFleet.end(), [](const auto& aIt) {
-    return aIt.second.mConfirmed || !aIt.second.mListed;
+    return aIt.second.mConfirmed || !aIt.second.BelongsInRecord();
   });
-  const auto limit = mTakeover + mSettings.mAutonomy + mSettings.mHold;
-  mIsSettled = (allAnswered && mAwaited.empty()) || aNow.mSteady > limit;
+  mIsSettled = allAnswered || isOver;
   if (mIsSettled) {
     LogEvent("takeover_settled").With("workers", mFleet.size()).With("jobs", mJobs.size());
   }
@@ -118,11 +126,11 @@
 }
 
 void
-Scheduler::StopUnwanted()
+Scheduler::StopUnwanted(const Now& aNow)
 {
   for (auto& [id, worker] : mFleet) {
     for (auto& run : worker.mRuns) {
-      if (run.mPhase != RunPhase::Stopping && !IsWanted(worker, run)) {
+      if (run.mPhase != RunPhase::Stopping && !IsWanted(worker, run, aNow)) {
         BeginStop(worker, run);
       }
     }
@@ -226,7 +234,8 @@
       }
       DueStep due{ &aJob, number, index, {}, aIsEntitled, planClass, objective };
       for (std::size_t j = 0; j < step.mTasks.size(); ++j) {
-        if (step.mTasks[j].mPhase == TaskPhase::Waiting) {
+        const auto& task = step.mTasks[j];
+        if (task.mPhase == TaskPhase::Waiting && !MayRunUnseen(task, aNow)) {
           due.mTasks.push_back(static_cast<int>(j));
         }
       }
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +40,7 @@
   void Hold(const WorkerTarget& aTarget, const HoldCall& aCall, HoldCallback aCallback)
   {
     mHolds.push_back(aCall);
+    mAsked.insert(aTarget.mWorker);
     // An answer at once would make the leader call again and again.
     mTimers.push_back(mLoop.After(Duration(5), [this, aTarget, aCallback] {
       HoldReply reply;
@@ -53,6 +55,7 @@
   scheduler::OrderOutcome mHoldOutcome = scheduler::OrderOutcome::Done;
   std::vector<std::pair<WorkerId, StartCall>> mStarts;
   std::vector<HoldCall> mHolds;
+  std::set<WorkerId> mAsked;
   std::map<WorkerId, std::vector<scheduler::RunningRun>> mRunning;
 
 private:
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -52,3 +52,21 @@
   cr_assert_eq(f.mCalls.mStarts[0].second.mRun.mTask.mJob, JobId("new"));
   cr_assert_not(f.mLeader->State(JobId("old")).has_value());
 }
+
+// Guards against work that a former leader started on a worker whose entry has expired: the next
+// leader has to find the worker without it.
+Test(Leader, asks_recorded_workers_that_are_not_registered)
+{
+  LeaderFixture f;
+  f.mStore.Put("progress/rack/r", R"([["w","10.0.0.1:1"],["gone","10.0.0.2:1"]])");
+  f.Until([&] { return f.mCalls.mAsked.contains(WorkerId("gone")); });
+}
+
+// Guards against starts that the next leader could learn of from nobody.
+Test(Leader, records_a_worker_before_it_starts_work_there)
+{
+  LeaderFixture f;
+  f.Submit("j");
+  f.Until([&] { return !f.mCalls.mStarts.empty(); });
+  cr_assert(f.mStore.mItems.at("progress/rack/r").mValue.find("\"w\"") != std::string::npos);
+}
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -134,10 +134,10 @@
   std::vector<bool> results;
   const auto done = [&](bool aIsStored) { results.push_back(aIsStored); };
   f.mStore.mHoldWrites = 1;
-  writer.Begin({ { JobId("j"), "old" } }, {}, done);
+  writer.Begin({ { KeyOf(kProgressPrefix, JobId("j")), "old", {} } }, {}, done);
   f.Until([&] { return results.size() == 1; });
   cr_assert_not(results[0]);
-  writer.Begin({ { JobId("j"), "new" } }, {}, done);
+  writer.Begin({ { KeyOf(kProgressPrefix, JobId("j")), "new", {} } }, {}, done);
   f.Until([&] { return results.size() == 2; });
   cr_assert(results[1]);
   cr_assert_eq(f.mStore.ReleaseHeld(), 0);
@@ -153,7 +153,7 @@
   int failures = 0;
   bool isStored = false;
   std::function<void(bool)> done;
-  const auto begin = [&] { writer.Begin({ { JobId("j"), "text" } }, {}, done); };
+  const auto begin = [&] { writer.Begin({ { KeyOf(kProgressPrefix, JobId("j")), "text", {} } }, {}, done); };
   done = [&](bool aIsStored) {
     isStored = aIsStored;
     if (!aIsStored && ++failures < 3) {
@@ -172,10 +172,10 @@
   const auto leader = f.mStore.mItems.at(std::string(kLeaderKey)).mRevision;
   ProgressWriter writer(f.mStore, { std::string(kLeaderKey), leader }, kv::Revision());
   constexpr int kWrites = 70;
-  std::vector<scheduler::ProgressWrite> writes;
+  std::vector<kv::ConditionalWrites::Write> writes;
   writes.reserve(kWrites);
   for (int i = 0; i < kWrites; ++i) {
-    writes.push_back({ JobId("j" + std::to_string(i)), "text" });
+    writes.push_back({ KeyOf(kProgressPrefix, JobId("j" + std::to_string(i))), "text", {} });
   }
   bool isStored = false;
   writer.Begin(writes, { "requests/job/old" }, [&](bool aIsStored) { isStored = aIsStored; });
--- a/tests/scheduler/SchedulerFixture.h
+++ b/tests/scheduler/SchedulerFixture.h
@@ -48,6 +48,7 @@
       mScheduler->OnWorkerEntry(worker.mEntry, mNow);
       Hold(worker.mEntry.mId);
     }
+    StoreProgress();
   }
 
   static StepSpec Step(int aCount, int aAccelerators)
@@ -85,10 +86,14 @@
     cr_assert(mScheduler->AddJob(aJob, "", false, mNow));
   }
 
-  // A new scheduler that knows the jobs, their stored progress and the workers' entries.
+  // A new scheduler that knows the jobs, their stored progress, the stored racks and the workers'
+  // entries.
   void TakeOver(const std::map<JobId, std::string>& aProgress)
   {
     Restart();
+    for (const auto& [rack, workers] : mRacks) {
+      mScheduler->AddRecordedWorkers(rack, workers);
+    }
     for (const auto& it : mJobs) {
       const auto progress = aProgress.find(it.mId);
       cr_assert(
@@ -185,6 +190,9 @@
     for (const auto& it : batch.mWrites) {
       progress[it.mJob] = it.mText;
     }
+    for (const auto& it : batch.mRacks) {
+      mRacks[it.mRack] = it.mWorkers;
+    }
     mScheduler->OnStored(batch);
     return progress;
   }
@@ -219,6 +227,8 @@
   std::unique_ptr<Scheduler> mScheduler;
   std::map<WorkerId, FakeWorker> mWorkers;
   std::vector<AcceptedJob> mJobs;
+  // The stored workers of each rack.
+  std::map<RackId, std::vector<WorkerContact>> mRacks;
 };
 
 } // namespace lovagerock::scheduler
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -217,3 +217,73 @@
   cr_assert_eq(copy.Open().at(0).mSteps[0].mTasks[0].mRun, 1);
   cr_assert_not(ReadProgress("[]", copy));
 }
+
+// Guards against a second run of a task that an earlier scheduler started in an outage of the
+// store, on a worker whose entry expired meanwhile: neither the progress nor the registry tells.
+Test(Takeover, waits_for_a_recorded_worker_that_is_not_registered)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  const auto worker = f.mWorkers.at(first.mWorker);
+  f.mWorkers.erase(first.mWorker);
+  f.TakeOver({});
+  f.HoldAll();
+  cr_assert(f.Plan().mStarts.empty(), "the run was started a second time");
+  f.mWorkers[first.mWorker] = worker;
+  f.Hold(first.mWorker);
+  cr_assert(f.Plan().mStarts.empty());
+  f.End(first.mRun, RunEnd::Done);
+  f.HoldAll();
+  cr_assert(f.State("j") == JobState::Completed);
+}
+
+// Guards against a worker that left long ago and holds up each takeover.
+Test(Takeover, does_not_wait_for_a_worker_that_left_before)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.mScheduler->OnWorkerUnlisted(WorkerId("w0"));
+  f.mWorkers.erase(WorkerId("w0"));
+  f.StoreProgress();
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  f.TakeOver({});
+  f.HoldAll();
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
+// Guards against a start that the next scheduler could learn of from nobody.
+Test(Scheduler, starts_nothing_on_a_worker_that_is_not_recorded)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.mScheduler->OnWorkerUnlisted(WorkerId("w0"));
+  f.StoreProgress();
+  f.mScheduler->OnWorkerEntry(f.mWorkers.at(WorkerId("w0")).mEntry, f.mNow);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto batch = f.mScheduler->TakeProgress();
+  cr_assert(f.Plan().mStarts.empty());
+  f.mScheduler->OnStored(batch);
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
+// Guards against one silent worker that holds up the work of all others after a takeover.
+Test(Takeover, keeps_only_the_tasks_of_a_worker_that_left_with_them)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.Submit(f.Job("other", { f.Step(1, 1) }));
+  f.mScheduler->OnWorkerUnlisted(first.mWorker);
+  const auto progress = f.StoreProgress();
+  f.mWorkers.erase(first.mWorker);
+  f.TakeOver(progress);
+  f.HoldAll();
+  const auto starts = f.Plan().mStarts;
+  cr_assert_eq(starts.size(), 1);
+  cr_assert(starts[0].mRun.mTask.mJob == JobId("other"));
+  f.Pass(f.mSettings.mAutonomy + f.mSettings.mHold + Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
