Add a stand-in that speaks the users' platform, and run entry nodes on it

Ruled out: the stand-ins for the other deployments speak another protocol and know no leases of the store. Change: lovagerock-platform serves the metadata store and workers with outages, leases that run out, late registrations, lost answers and discarded history, and keeps a ledger that finds a task running twice or after its end. Six tests run entry nodes on it; the ledger is fed with broken histories.

--- /dev/null
+++ b/src/standin/platform/Main.cpp
@@ -0,0 +1,38 @@
+#include "base/EventLoop.h"
+#include "base/LogEvent.h"
+#include "base/Settings.h"
+#include "standin/platform/PlatformControl.h"
+
+#include <csignal>
+
+using namespace lovagerock;
+
+int
+main(int aCount, char** aArguments)
+{
+  SocketAddress store("127.0.0.1", 9600);
+  SocketAddress control("127.0.0.1", 9601);
+  int workers = 3;
+  LogLevel level = LogLevel::Info;
+  CLI::App app("Stand-in for the users' platform: metadata store and workers");
+  AddSetting(app, "--store", store, "Address of the metadata store");
+  AddSetting(app, "--control", control,
+             "Address for the operator and for faults; workers take the ports after it");
+  AddSetting(app, "--workers", workers, "Number of workers");
+  AddSetting(app, "--log-level", level, "Lowest level that is logged");
+  int status = 0;
+  if (!ParseSettings(app, aCount, aArguments, status)) {
+    return status;
+  }
+  ConfigureLogging(level, "lovagerock-platform", store.ToString());
+  EventLoop loop;
+  standin::PlatformControl platform(loop, workers);
+  if (const auto ec = platform.Listen(store, control)) {
+    LogEvent("listen_failed", LogLevel::Error).With("error", ec.message());
+    return 1;
+  }
+  loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
+  loop.OnSignal(SIGINT, [&loop] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
--- /dev/null
+++ b/src/standin/platform/MetadataService.cpp
@@ -0,0 +1,260 @@
+#include "standin/platform/MetadataService.h"
+
+#include "kv/Base64.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace lovagerock::standin {
+
+namespace {
+
+constexpr Duration kTick{ 10 };
+constexpr std::size_t kPageItems = 500;
+
+Json
+WriteItem(const MetadataItem& aItem)
+{
+  return { { "key", aItem.mKey },
+           { "value", kv::EncodeBase64(aItem.mValue) },
+           { "revision", aItem.mRevision },
+           { "created", aItem.mCreated },
+           { "lease", aItem.mLease } };
+}
+
+Json
+WriteEvent(const MetadataEvent& aEvent)
+{
+  if (aEvent.mItem) {
+    return WriteItem(*aEvent.mItem);
+  }
+  return { { "key", aEvent.mKey }, { "revision", aEvent.mRevision }, { "deleted", true } };
+}
+
+void
+Reply(const http::Responder& aTo, const Json& aBody, int aStatus = 200)
+{
+  aTo.Send(http::JsonResponse(aStatus, DumpJson(aBody)));
+}
+
+std::int64_t
+QueryNumber(const http::Request& aRequest, std::string_view aName)
+{
+  const auto json = ParseJson(aRequest.QueryParameter(aName));
+  return json && json->is_number_integer() ? json->get<std::int64_t>() : 0;
+}
+
+std::int64_t
+LeaseOf(const http::Request& aRequest)
+{
+  const auto json = ParseJson(aRequest.PathParameter("lease"));
+  return json && json->is_number_integer() ? json->get<std::int64_t>() : 0;
+}
+
+// Throws Json::exception if the body isn't a transaction.
+MetadataTransaction
+ReadTransaction(const Json& aJson)
+{
+  MetadataTransaction transaction;
+  for (const auto& it : aJson.at("expected")) {
+    transaction.mExpected.push_back({ it.at("key"), it.at("revision") });
+  }
+  for (const auto& it : aJson.at("writes")) {
+    const auto value = kv::DecodeBase64(it.at("value").get<std::string>());
+    transaction.mWrites.push_back(
+      { it.at("key"), value.value_or(""), JsonValue(it, "lease", std::int64_t{ 0 }) });
+  }
+  transaction.mRemoves = aJson.at("remove").get<std::vector<std::string>>();
+  return transaction;
+}
+
+TimePoint
+SteadyNow()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+MetadataService::MetadataService(EventLoop& aLoop)
+  : mServer(aLoop)
+{
+  using http::Method;
+  Handle(Method::Get, "/lovagerock/kv-key", &MetadataService::OnGet);
+  Handle(Method::Get, "/lovagerock/kv-range", &MetadataService::OnRange);
+  Handle(Method::Get, "/lovagerock/kv-watch", &MetadataService::OnWatch);
+  Handle(Method::Post, "/lovagerock/kv-txn", &MetadataService::OnTransaction);
+  Handle(Method::Post, "/lovagerock/kv-lease", &MetadataService::OnGrant);
+  Handle(Method::Post, "/lovagerock/kv-keep/{lease}", &MetadataService::OnRenew);
+  Handle(Method::Delete, "/lovagerock/kv-lease-end/{lease}", &MetadataService::OnEndLease);
+  mTick = aLoop.Every(kTick, [this] { Tick(); });
+}
+
+void
+MetadataService::Handle(http::Method aMethod, const char* aPattern, Handler aHandler)
+{
+  mServer.Handle(aMethod, aPattern, [this, aHandler](http::Request aRequest, http::Responder aTo) {
+    if (mFaults.mSilent) {
+      mUnanswered.push_back(aTo);
+    } else if (mFaults.mRefusing) {
+      aTo.Send({ 503, {}, "" });
+    } else {
+      (this->*aHandler)(aRequest, aTo);
+    }
+  });
+}
+
+void
+MetadataService::Put(const std::string& aKey, const std::string& aValue)
+{
+  MetadataTransaction write;
+  write.mWrites.push_back({ aKey, aValue, 0 });
+  mTable.Commit(write);
+  ServeWatches();
+}
+
+void
+MetadataService::Remove(const std::string& aKey)
+{
+  MetadataTransaction removal;
+  removal.mRemoves.push_back(aKey);
+  mTable.Commit(removal);
+  ServeWatches();
+}
+
+void
+MetadataService::OnGet(const http::Request& aRequest, const http::Responder& aTo)
+{
+  if (const auto item = mTable.Get(aRequest.QueryParameter("key"))) {
+    Reply(aTo, WriteItem(*item));
+  } else {
+    Reply(aTo, Json::object(), 404);
+  }
+}
+
+void
+MetadataService::OnRange(const http::Request& aRequest, const http::Responder& aTo)
+{
+  auto items = mTable.Range(aRequest.QueryParameter("prefix"), aRequest.QueryParameter("after"),
+                            kPageItems + 1);
+  const bool hasMore = items.size() > kPageItems;
+  items.resize(std::min(items.size(), kPageItems));
+  Json rows = Json::array();
+  for (const auto& it : items) {
+    rows.push_back(WriteItem(it));
+  }
+  Reply(aTo,
+        { { "items", std::move(rows) }, { "has_more", hasMore }, { "as_of", mTable.Revision() } });
+}
+
+void
+MetadataService::OnWatch(const http::Request& aRequest, const http::Responder& aTo)
+{
+  const auto now = SteadyNow();
+  const WaitingWatch watch{ aRequest.QueryParameter("prefix"), QueryNumber(aRequest, "after"),
+                            now + Duration(QueryNumber(aRequest, "wait_ms")), aTo };
+  if (!Serve(watch, now)) {
+    mWatches.push_back(watch);
+  }
+}
+
+bool
+MetadataService::Serve(const WaitingWatch& aWatch, TimePoint aNow)
+{
+  const auto events = mTable.EventsAfter(aWatch.mPrefix, aWatch.mAfter);
+  if (!events) {
+    Reply(aWatch.mResponder, Json::object(), 410);
+    return true;
+  }
+  if (events->empty() && aNow < aWatch.mUntil) {
+    return false;
+  }
+  Json rows = Json::array();
+  for (const auto& it : *events) {
+    rows.push_back(WriteEvent(it));
+  }
+  Reply(aWatch.mResponder, { { "events", std::move(rows) }, { "as_of", mTable.Revision() } });
+  return true;
+}
+
+void
+MetadataService::ServeWatches()
+{
+  if (IsServing()) {
+    std::erase_if(mWatches, [this, now = SteadyNow()](const auto& aIt) { return Serve(aIt, now); });
+  }
+}
+
+void
+MetadataService::DiscardHistory()
+{
+  mTable.DiscardHistory();
+  for (const auto& it : std::exchange(mWatches, {})) {
+    it.mResponder.Abort();
+  }
+}
+
+void
+MetadataService::OnTransaction(const http::Request& aRequest, const http::Responder& aTo)
+{
+  MetadataTransaction transaction;
+  try {
+    transaction = ReadTransaction(Json::parse(aRequest.mBody));
+  } catch (const Json::exception& ex) {
+    Reply(aTo, { { "error", ex.what() } }, 400);
+    return;
+  }
+  const auto result = mTable.Commit(transaction);
+  if (mFaults.mLostAnswers > 0) {
+    --mFaults.mLostAnswers;
+    mUnanswered.push_back(aTo);
+  } else if (result == CommitResult::Committed) {
+    Reply(aTo, { { "revision", mTable.Revision() } });
+  } else if (result == CommitResult::NoLease) {
+    Reply(aTo, Json::object(), 404);
+  } else {
+    Json items = Json::array();
+    for (const auto& it : transaction.mExpected) {
+      if (const auto item = mTable.Get(it.mKey)) {
+        items.push_back(WriteItem(*item));
+      }
+    }
+    Reply(aTo, { { "items", std::move(items) } }, 412);
+  }
+  ServeWatches();
+}
+
+void
+MetadataService::OnGrant(const http::Request& aRequest, const http::Responder& aTo)
+{
+  const auto json = ParseJson(aRequest.mBody).value_or(Json::object());
+  const auto time = JsonValue(json, "ttl_ms", std::int64_t{ 1000 });
+  Reply(aTo, { { "lease", mTable.GrantLease(Duration(time), SteadyNow()) }, { "ttl_ms", time } });
+}
+
+void
+MetadataService::OnRenew(const http::Request& aRequest, const http::Responder& aTo)
+{
+  const bool isKnown = mTable.RenewLease(LeaseOf(aRequest), SteadyNow());
+  Reply(aTo, Json::object(), isKnown ? 200 : 404);
+}
+
+void
+MetadataService::OnEndLease(const http::Request& aRequest, const http::Responder& aTo)
+{
+  mTable.EndLease(LeaseOf(aRequest));
+  Reply(aTo, Json::object());
+  ServeWatches();
+}
+
+void
+MetadataService::Tick()
+{
+  if (IsServing()) {
+    mTable.ExpireLeases(SteadyNow());
+  }
+  ServeWatches();
+}
+
+} // namespace lovagerock::standin
--- /dev/null
+++ b/src/standin/platform/MetadataService.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "base/Json.h"
+#include "http/HttpServer.h"
+#include "standin/platform/MetadataTable.h"
+
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace lovagerock::standin {
+
+// How the store misbehaves.
+struct MetadataFaults
+{
+  // Answers each call with 503 and does nothing.
+  bool mRefusing = false;
+  // Answers nothing and does nothing.
+  bool mSilent = false;
+  // This many transactions are carried out without an answer.
+  int mLostAnswers = 0;
+};
+
+// Serves a metadata table over the platform's protocol, with faults.
+class MetadataService
+{
+public:
+  explicit MetadataService(EventLoop& aLoop);
+
+  std::error_code Listen(const SocketAddress& aAddress) { return mServer.Listen(aAddress); }
+  MetadataTable& Table() { return mTable; }
+  MetadataFaults& Faults() { return mFaults; }
+  bool IsServing() const { return !mFaults.mRefusing && !mFaults.mSilent; }
+  // Writes a key as the operator or a worker does, whatever the faults.
+  void Put(const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aKey);
+  // Answers the watches for which something has happened.
+  void ServeWatches();
+  // Discards the history and cuts all watches.
+  void DiscardHistory();
+
+private:
+  struct WaitingWatch
+  {
+    std::string mPrefix;
+    std::int64_t mAfter = 0;
+    TimePoint mUntil;
+    http::Responder mResponder;
+  };
+  using Handler = void (MetadataService::*)(const http::Request&, const http::Responder&);
+
+  void Handle(http::Method aMethod, const char* aPattern, Handler aHandler);
+  void OnGet(const http::Request& aRequest, const http::Responder& aTo);
+  void OnRange(const http::Request& aRequest, const http::Responder& aTo);
+  void OnWatch(const http::Request& aRequest, const http::Responder& aTo);
+  void OnTransaction(const http::Request& aRequest, const http::Responder& aTo);
+  void OnGrant(const http::Request& aRequest, const http::Responder& aTo);
+  void OnRenew(const http::Request& aRequest, const http::Responder& aTo);
+  void OnEndLease(const http::Request& aRequest, const http::Responder& aTo);
+  void Tick();
+  bool Serve(const WaitingWatch& aWatch, TimePoint aNow);
+
+  MetadataTable mTable;
+  MetadataFaults mFaults;
+  std::vector<WaitingWatch> mWatches;
+  // Calls that are never answered.
+  std::vector<http::Responder> mUnanswered;
+  http::HttpServer mServer;
+  Timer mTick;
+};
+
+} // namespace lovagerock::standin
--- /dev/null
+++ b/tests/integration/EdgeSystem.cpp
@@ -0,0 +1,231 @@
+#include "integration/EdgeSystem.h"
+
+#include "integration/FreePorts.h"
+#include "integration/TestFailure.h"
+#include "kv/Base64.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+namespace lovagerock::integration {
+
+namespace {
+
+// Callers name the host that they connect to.
+constexpr const char* kHost = "127.0.0.1";
+constexpr const char* kPrefix = "/batch/";
+
+std::string
+NodeName(int aNode)
+{
+  return "edge-" + std::to_string(aNode);
+}
+
+Json
+Configuration()
+{
+  return { { "version", 1 },
+           { "routes",
+             { { { "name", "batch" },
+                 { "host", kHost },
+                 { "prefix", kPrefix },
+                 { "service", "batch" },
+                 { "public", true },
+                 { "priority", 1 },
+                 { "max_attempts", 3 },
+                 { "slack_factor", 3.0 },
+                 { "target_latency_ms", 1000 } } } } };
+}
+
+http::ClientRequest
+JobCall(http::Method aMethod, const SocketAddress& aServer, const std::string& aJob)
+{
+  http::ClientRequest call;
+  call.mServer = aServer;
+  call.mMethod = aMethod;
+  call.mTarget = kPrefix + aJob;
+  return call;
+}
+
+} // namespace
+
+EdgeSystem::EdgeSystem(int aNodes, int aWorkers)
+{
+  mDirectory = (std::filesystem::temp_directory_path() / "lovagerock-XXXXXX").string();
+  Require(mkdtemp(mDirectory.data()) != nullptr, "can't create a temporary directory");
+  mStore = FreeAddress();
+  mControl = FreeAddress(aWorkers + 1);
+  mPlatform = std::make_unique<Process>(
+    "platform", std::string(LOVAGEROCK_PROGRAMS) + "/lovagerock-platform",
+    std::vector<std::string>{ "--store", mStore.ToString(), "--control", mControl.ToString(),
+                              "--workers", std::to_string(aWorkers) },
+    mDirectory + "/platform.log");
+  AwaitTrue("the configuration to be written", [this] {
+    return mCaller.Post(mControl, "/configuration", DumpJson(Configuration())).Is(200);
+  });
+  for (int i = 0; i < aNodes; ++i) {
+    AddNode(i);
+    Start(i);
+  }
+  for (int i = 0; i < aNodes; ++i) {
+    AwaitReady(i);
+  }
+}
+
+EdgeSystem::~EdgeSystem()
+{
+  for (auto& it : mNodes) {
+    it.mProcess.reset();
+  }
+  mPlatform.reset();
+  if (!std::getenv("LOVAGEROCK_KEEP_LOGS")) {
+    std::error_code ec;
+    std::filesystem::remove_all(mDirectory, ec);
+    if (ec) {
+      std::cerr << mDirectory << " can't be removed: " << ec.message() << '\n';
+    }
+  }
+}
+
+void
+EdgeSystem::AddNode(int aNode)
+{
+  Node node;
+  node.mCallers = FreeAddress();
+  node.mReadiness = FreeAddress();
+  const auto peers = FreeAddress();
+  node.mSettings = mDirectory + "/" + NodeName(aNode) + ".yaml";
+  std::ofstream file(node.mSettings);
+  file << "node_name: " << NodeName(aNode) << "\nzone: z\nip: " << peers.Ip()
+       << "\nlisten:\n  frontend: " << node.mCallers.ToString()
+       << "\n  ready: " << node.mReadiness.ToString() << "\ninternal_ports: [" << peers.Port()
+       << ", " << peers.Port() << "]\nplatform:\n  address: " << mStore.ToString() << '\n';
+  Require(file.good(), "can't write " + node.mSettings);
+  mNodes.push_back(std::move(node));
+}
+
+void
+EdgeSystem::Start(int aNode)
+{
+  auto& node = At(aNode);
+  node.mProcess = std::make_unique<Process>(NodeName(aNode),
+                                            std::string(LOVAGEROCK_PROGRAMS) + "/lovagerock-edge",
+                                            std::vector<std::string>{ "--boot", node.mSettings },
+                                            mDirectory + "/" + NodeName(aNode) + ".log");
+}
+
+void
+EdgeSystem::Kill(int aNode)
+{
+  At(aNode).mProcess->Kill();
+}
+
+void
+EdgeSystem::AwaitReady(int aNode)
+{
+  AwaitTrue(NodeName(aNode) + " to be ready", [this, aNode] {
+    return mCaller.Get(At(aNode).mReadiness, "/lovagerock/readyz").Is(200);
+  });
+}
+
+CallResult
+EdgeSystem::Submit(int aNode, const std::string& aJob, const Json& aSteps,
+                   std::chrono::milliseconds aTaskTime)
+{
+  auto call = JobCall(http::Method::Post, At(aNode).mCallers, aJob);
+  call.mHeaders.Add("Content-Type", "application/json");
+  call.mBody = DumpJson({ { "spec", std::to_string(aTaskTime.count()) }, { "steps", aSteps } });
+  return mCaller.Call(call);
+}
+
+CallResult
+EdgeSystem::Cancel(int aNode, const std::string& aJob)
+{
+  return mCaller.Call(JobCall(http::Method::Delete, At(aNode).mCallers, aJob));
+}
+
+std::string
+EdgeSystem::State(int aNode, const std::string& aJob)
+{
+  const auto result = mCaller.Call(JobCall(http::Method::Get, At(aNode).mCallers, aJob));
+  return result.Is(200) ? JsonValue(result.Body(), "state", std::string()) : std::string();
+}
+
+void
+EdgeSystem::AwaitState(int aNode, const std::string& aJob, const std::string& aState)
+{
+  AwaitTrue(aJob + " to be " + aState, [&] { return State(aNode, aJob) == aState; });
+}
+
+int
+EdgeSystem::Leader()
+{
+  const auto result = mCaller.Get(mStore, "/lovagerock/kv-key?key=leader%2Fnode");
+  const auto value = kv::DecodeBase64(JsonValue(result.Body(), "value", std::string()));
+  const auto holder = value ? ParseJson(*value) : std::nullopt;
+  const auto name = holder ? JsonValue(*holder, "node", std::string()) : std::string();
+  for (int i = 0; i < static_cast<int>(mNodes.size()); ++i) {
+    if (NodeName(i) == name) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+void
+EdgeSystem::SetFaults(const Json& aFaults)
+{
+  const auto result = mCaller.Post(mControl, "/faults", DumpJson(aFaults));
+  Require(result.Is(200), "the faults weren't set: " + result.Describe());
+}
+
+Json
+EdgeSystem::Ledger()
+{
+  const auto result = mCaller.Get(mControl, "/ledger");
+  Require(result.Is(200), "no ledger: " + result.Describe());
+  return result.Body();
+}
+
+void
+EdgeSystem::RequireNothingRanTwice()
+{
+  const auto violations = Ledger().at("violations");
+  Require(violations.empty(), "broken promises: " + DumpJson(violations));
+}
+
+std::string
+EdgeSystem::LogTails() const
+{
+  std::string tails = mPlatform ? mPlatform->LogTail() : std::string();
+  for (const auto& it : mNodes) {
+    if (it.mProcess) {
+      tails += "--- " + it.mProcess->Name() + '\n' + it.mProcess->LogTail();
+    }
+  }
+  return tails;
+}
+
+void
+RunWithEdges(int aNodes, int aWorkers, const std::function<void(EdgeSystem&)>& aTest)
+{
+  std::string failure;
+  try {
+    EdgeSystem system(aNodes, aWorkers);
+    try {
+      aTest(system);
+    } catch (const TestFailure& ex) {
+      failure = ex.what();
+      std::cerr << system.LogTails() << '\n';
+    }
+  } catch (const TestFailure& ex) {
+    failure = ex.what();
+  }
+  cr_assert(failure.empty(), "%s", failure.c_str());
+}
+
+} // namespace lovagerock::integration
--- /dev/null
+++ b/tests/integration/EdgeSystem.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/Json.h"
+#include "base/SocketAddress.h"
+#include "integration/HttpCaller.h"
+#include "integration/Process.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lovagerock::integration {
+
+// Entry nodes on the stand-in for the users' platform, which has a store and workers of 8
+// accelerators. All functions end the test on failure. The destructor ends all processes.
+class EdgeSystem
+{
+public:
+  // Starts everything and waits until all nodes are ready.
+  EdgeSystem(int aNodes, int aWorkers);
+  ~EdgeSystem();
+  EdgeSystem(const EdgeSystem&) = delete;
+  EdgeSystem& operator=(const EdgeSystem&) = delete;
+
+  // Submits a job at a node; each task takes the time.
+  CallResult Submit(int aNode, const std::string& aJob, const Json& aSteps,
+                    std::chrono::milliseconds aTaskTime);
+  CallResult Cancel(int aNode, const std::string& aJob);
+  // The job's state as the node tells it; empty without an answer of 200.
+  std::string State(int aNode, const std::string& aJob);
+  void AwaitState(int aNode, const std::string& aJob, const std::string& aState);
+
+  // The node that leads according to the store, or -1.
+  int Leader();
+  void Kill(int aNode);
+  void Start(int aNode);
+  void AwaitReady(int aNode);
+
+  // Sets faults of the platform, see PlatformControl.
+  void SetFaults(const Json& aFaults);
+  // What has run, see PlatformControl.
+  Json Ledger();
+  // Ends the test if a task ran twice at a time or after its end.
+  void RequireNothingRanTwice();
+  std::string LogTails() const;
+
+private:
+  struct Node
+  {
+    std::string mSettings;
+    SocketAddress mCallers;
+    SocketAddress mReadiness;
+    std::unique_ptr<Process> mProcess;
+  };
+
+  Node& At(int aNode) { return mNodes.at(static_cast<std::size_t>(aNode)); }
+  void AddNode(int aNode);
+
+  std::string mDirectory;
+  SocketAddress mStore;
+  SocketAddress mControl;
+  std::unique_ptr<Process> mPlatform;
+  std::vector<Node> mNodes;
+  HttpCaller mCaller;
+};
+
+// Runs the test with a fresh system. A TestFailure ends all processes, prints the ends of their
+// logs and fails the Criterion test.
+void
+RunWithEdges(int aNodes, int aWorkers, const std::function<void(EdgeSystem&)>& aTest);
+
+} // namespace lovagerock::integration
--- /dev/null
+++ b/tests/integration/EdgeTests.cpp
@@ -0,0 +1,161 @@
+#include "integration/EdgeSystem.h"
+#include "integration/TestFailure.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <string>
+
+using namespace lovagerock;
+using namespace lovagerock::integration;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kJob = "00000000000000aa";
+
+Json
+Tasks(int aCount, int aAccelerators)
+{
+  return { { "count", aCount },
+           { "cpu", 100 },
+           { "mem_mb", 100 },
+           { "gpu", aAccelerators },
+           { "estimate_ms", 500 } };
+}
+
+// A job id of 16 digits.
+std::string
+JobName(int aNumber)
+{
+  auto digits = std::to_string(aNumber);
+  return std::string(16 - digits.size(), '0') + digits;
+}
+
+bool
+IsRunning(EdgeSystem& aSystem, const std::string& aTask)
+{
+  return aSystem.Ledger().at("running").contains(aTask);
+}
+
+} // namespace
+
+Test(EdgeNodes, serve_a_job_from_its_submission_to_its_end)
+{
+  RunWithEdges(2, 2, [](EdgeSystem& aSystem) {
+    auto second = Tasks(2, 1);
+    second["after"] = { 0 };
+    Require(aSystem.Submit(0, kJob, { Tasks(3, 1), second }, 100ms).Is(200), "not accepted");
+    Require(aSystem.Submit(1, kJob, { Tasks(3, 1), second }, 100ms).Is(200),
+            "the same id was not accepted again");
+    aSystem.AwaitState(1, kJob, "completed");
+    Require(aSystem.Ledger().at("starts").size() == 5, "not each task was started");
+    aSystem.RequireNothingRanTwice();
+  });
+}
+
+// Guards against jobs that are lost or run again when the node that schedules them is killed.
+Test(EdgeNodes, lose_and_repeat_nothing_when_leaders_are_killed)
+{
+  constexpr int kJobs = 12;
+  RunWithEdges(3, 3, [](EdgeSystem& aSystem) {
+    for (int i = 0; i < kJobs; ++i) {
+      Require(aSystem.Submit(i % 3, JobName(i), Json::array({ Tasks(4, 1) }), 700ms).Is(200),
+              "not accepted");
+    }
+    for (int i = 0; i < 2; ++i) {
+      AwaitTrue("a leader", [&] { return aSystem.Leader() >= 0; });
+      const int leader = aSystem.Leader();
+      aSystem.Kill(leader);
+      AwaitTrue("another leader", [&] {
+        const int next = aSystem.Leader();
+        return next >= 0 && next != leader;
+      });
+      aSystem.Start(leader);
+      aSystem.AwaitReady(leader);
+    }
+    for (int i = 0; i < kJobs; ++i) {
+      aSystem.AwaitState((i + 1) % 3, JobName(i), "completed");
+    }
+    aSystem.RequireNothingRanTwice();
+  });
+}
+
+// Guards against a second run of what a leader started in an outage of the store: its progress was
+// never stored, and the worker registers late after the outage.
+Test(EdgeNodes, repeat_nothing_when_registrations_expire_in_an_outage)
+{
+  RunWithEdges(2, 3, [](EdgeSystem& aSystem) {
+    AwaitTrue("a leader", [&] { return aSystem.Leader() >= 0; });
+    const int leader = aSystem.Leader();
+    // Keeps the second step off the worker of the first one, which stored progress names.
+    auto other = Tasks(1, 1);
+    other["requirements"] = "worker-0";
+    Require(aSystem.Submit(leader, JobName(1), Json::array({ other }), 60000ms).Is(200),
+            "not accepted");
+    AwaitTrue("the other job to run", [&] { return IsRunning(aSystem, JobName(1) + ".0.0.0"); });
+    auto second = Tasks(1, 8);
+    second["after"] = { 0 };
+    Require(aSystem.Submit(leader, kJob, { Tasks(1, 1), second }, 3000ms).Is(200), "not accepted");
+    const auto first = std::string(kJob) + ".0.0.0";
+    const auto later = std::string(kJob) + ".0.1.0";
+    AwaitTrue("the first step to run", [&] { return IsRunning(aSystem, first); });
+    aSystem.SetFaults({ { "refusing", true }, { "lapse", true } });
+    AwaitTrue(
+      "the second step to run", [&] { return IsRunning(aSystem, later); }, 10ms);
+    aSystem.Kill(leader);
+    const auto worker = aSystem.Ledger().at("running").at(later).get<std::string>();
+    aSystem.SetFaults({ { "refusing", false }, { "late_worker", worker }, { "late_ms", 2000 } });
+    aSystem.AwaitState(1 - leader, kJob, "completed");
+    aSystem.RequireNothingRanTwice();
+  });
+}
+
+// Guards against runs that are repeated because an answer was lost after the order or the write had
+// taken effect.
+Test(EdgeNodes, repeat_nothing_when_answers_are_lost)
+{
+  constexpr int kJobs = 8;
+  RunWithEdges(2, 2, [](EdgeSystem& aSystem) {
+    for (int i = 0; i < kJobs; ++i) {
+      aSystem.SetFaults(
+        { { "lost_starts", 1 }, { "lost_answers", i % 2 }, { "discard_history", i % 3 == 0 } });
+      const auto result = aSystem.Submit(i % 2, JobName(i), Json::array({ Tasks(2, 1) }), 200ms);
+      Require(result.Is(200), "not accepted: " + result.Describe());
+    }
+    for (int i = 0; i < kJobs; ++i) {
+      aSystem.AwaitState(i % 2, JobName(i), "completed");
+    }
+    aSystem.RequireNothingRanTwice();
+  });
+}
+
+// Guards against "not accepted" for a job that runs all the same.
+Test(EdgeNodes, never_run_a_job_that_they_refused)
+{
+  RunWithEdges(2, 2, [](EdgeSystem& aSystem) {
+    aSystem.SetFaults({ { "refusing", true } });
+    const auto refused = aSystem.Submit(0, kJob, Json::array({ Tasks(1, 1) }), 100ms);
+    Require(refused.Is(503), "not refused: " + refused.Describe());
+    Require(refused.mResponse.mHeaders.Has("Retry-After"), "no time to come back");
+    aSystem.SetFaults({ { "refusing", false } });
+    AwaitTrue("another job to be accepted", [&] {
+      return aSystem.Submit(0, JobName(1), Json::array({ Tasks(1, 1) }), 100ms).Is(200);
+    });
+    aSystem.AwaitState(1, JobName(1), "completed");
+    Require(aSystem.State(0, kJob).empty(), "the refused job is known");
+    Require(aSystem.Ledger().at("starts").size() == 1, "the refused job was started");
+  });
+}
+
+// Guards against tasks that go on after the caller was told that their job is cancelled.
+Test(EdgeNodes, stop_what_a_cancelled_job_runs)
+{
+  RunWithEdges(2, 2, [](EdgeSystem& aSystem) {
+    Require(aSystem.Submit(0, kJob, Json::array({ Tasks(2, 1) }), 60000ms).Is(200), "not accepted");
+    AwaitTrue("both tasks to run", [&] { return aSystem.Ledger().at("running").size() == 2; });
+    Require(aSystem.Cancel(1, kJob).Is(200), "not cancelled");
+    AwaitTrue("the tasks to be gone", [&] { return aSystem.Ledger().at("running").empty(); });
+    aSystem.AwaitState(0, kJob, "cancelled");
+  });
+}
--- /dev/null
+++ b/tests/standin/PlatformTests.cpp
@@ -0,0 +1,104 @@
+#include "standin/platform/MetadataTable.h"
+#include "standin/platform/RunLedger.h"
+
+#include <criterion/criterion.h>
+
+using namespace lovagerock;
+using namespace lovagerock::standin;
+
+namespace {
+
+MetadataTransaction
+Write(const std::string& aKey, const std::string& aValue, std::int64_t aLease = 0)
+{
+  MetadataTransaction write;
+  write.mWrites.push_back({ aKey, aValue, aLease });
+  return write;
+}
+
+} // namespace
+
+// Guards against a checker that finds nothing: each broken history has to be found.
+Test(RunLedger, finds_two_runs_of_a_task_at_a_time)
+{
+  RunLedger ledger;
+  ledger.OnStart("a", "task", 1);
+  ledger.OnStart("b", "task", 2);
+  cr_assert_eq(ledger.Violations().size(), 1);
+}
+
+Test(RunLedger, finds_a_start_after_an_acknowledged_end)
+{
+  RunLedger ledger;
+  ledger.OnStart("a", "task", 1);
+  ledger.OnEnd("a", "task", 1, true);
+  ledger.OnAcknowledged("task", true);
+  cr_assert(ledger.Violations().empty());
+  ledger.OnStart("b", "task", 2);
+  cr_assert_eq(ledger.Violations().size(), 1);
+}
+
+Test(RunLedger, allows_another_run_after_a_stop)
+{
+  RunLedger ledger;
+  ledger.OnStart("a", "task", 1);
+  ledger.OnEnd("a", "task", 1, false);
+  ledger.OnAcknowledged("task", false);
+  ledger.OnStart("b", "task", 2);
+  cr_assert(ledger.Violations().empty());
+  cr_assert_eq(ledger.AllStarts().at("task"), 2);
+}
+
+Test(MetadataTable, commits_all_or_nothing)
+{
+  MetadataTable table;
+  cr_assert(table.Commit(Write("a", "1")) == CommitResult::Committed);
+  auto late = Write("b", "2");
+  late.mExpected.push_back({ "a", 0 });
+  cr_assert(table.Commit(late) == CommitResult::Conflict);
+  cr_assert_not(table.Get("b").has_value());
+  late.mExpected[0].mRevision = table.Get("a")->mRevision;
+  cr_assert(table.Commit(late) == CommitResult::Committed);
+}
+
+Test(MetadataTable, removes_the_keys_of_an_ended_lease)
+{
+  MetadataTable table;
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  const auto lease = table.GrantLease(Duration(1000), now);
+  table.Commit(Write("leader", "n", lease));
+  table.ExpireLeases(now + Duration(900));
+  cr_assert(table.RenewLease(lease, now + Duration(900)));
+  table.ExpireLeases(now + Duration(1800));
+  cr_assert(table.Get("leader").has_value());
+  table.ExpireLeases(now + Duration(1900));
+  cr_assert_not(table.Get("leader").has_value());
+  cr_assert_not(table.RenewLease(lease, now + Duration(1900)));
+}
+
+Test(MetadataTable, tells_changes_until_its_history_is_discarded)
+{
+  MetadataTable table;
+  table.Commit(Write("p/a", "1"));
+  const auto before = table.Revision();
+  table.Commit(Write("p/b", "2"));
+  table.Commit(Write("q/c", "3"));
+  cr_assert_eq(table.EventsAfter("p/", before)->size(), 1);
+  table.DiscardHistory();
+  cr_assert_not(table.EventsAfter("p/", before).has_value());
+  cr_assert(table.EventsAfter("p/", table.Revision())->empty());
+}
+
+Test(MetadataTable, lists_a_prefix_in_pages)
+{
+  MetadataTable table;
+  for (const auto* key : { "a", "p", "p/1", "p/2", "p/3", "q" }) {
+    table.Commit(Write(key, "v"));
+  }
+  const auto first = table.Range("p/", "", 2);
+  cr_assert_eq(first.size(), 2);
+  const auto rest = table.Range("p/", first.back().mKey, 2);
+  cr_assert_eq(rest.size(), 1);
+  cr_assert_eq(rest[0].mKey, std::string("p/3"));
+  cr_assert_eq(table.Range("p", "", 10).size(), 4);
+}
