Let a new leader ask the former one for what it could not store

The store was closed to the leader from 8.3 s. A draining worker told it of an end at 8.466 s and left at about 8.6 s. The next leader was elected at 9.267 s, found neither the end in the store nor the worker, and started the task again at 12.535 s. Ruled out: batches carried out late and writes after the election (conditions on both keys); the order of the workers' numbers (the end was applied once); registrations that expire (the worker was registered). Change: a new leader calls the former one, whose address the leader's key held, for the progress that is not known to be stored; the former one gives up and keeps it until its next leadership ends. The batch key holds the last writer, so that progress of a leader before the last one isn't taken. The three new tests need the hand-over and can't pass without it. An end that only a leader knows which is killed too stays lost.

--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -59,6 +59,9 @@
 inline constexpr Duration kHoldWait{ 1000 };
 // The pause before a worker is called again after a failure, or while its ends aren't stored.
 inline constexpr Duration kHoldRetry{ 250 };
+// A new leader's call to the former one. All work waits for it, and a former leader that is alive
+// answers within a few milliseconds.
+inline constexpr Duration kHandOverCall{ 100 };
 // A call to the leader for a job's state.
 inline constexpr Duration kLeaderCall{ 400 };
 // The time for finding out what became of a submission before the caller is told to ask again.
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -184,13 +184,44 @@
   void OnElected()
   {
     if (mDeployment && !mLeader) {
-      mLeader =
-        std::make_unique<LeaderType>(mLoop, mStore, mCalls, *mElection, mSettings, *mDeployment);
+      mLeader = std::make_unique<LeaderType>(
+        mLoop, mStore, mCalls, *mElection, mSettings, *mDeployment,
+        [this](const HandOverCallback& aCallback) { AskFormer(aCallback); });
     }
   }
 
+  void AskFormer(const HandOverCallback& aCallback)
+  {
+    const auto& former = mElection->Former();
+    if (!former || !former->mAddress) {
+      const bool isOwn = former && mUnstored && mUnstored->mToken == former->mToken;
+      aCallback(isOwn ? *mUnstored : HandOver());
+      return;
+    }
+    mPeers.Call(*former->mAddress, "hand_over", { { "token", former->mToken.Value() } },
+                kHandOverCall, [aCallback](std::error_code aError, const Json& aReply) {
+                  if (aError) {
+                    LogEvent("former_leader_silent").With("reason", aError.message());
+                  }
+                  aCallback(aError ? HandOver() : ReadHandOver(aReply));
+                });
+  }
+
+  // Gives a successor what this node may not have stored while it led, and gives up if it still
+  // does.
+  HandOver GiveHandOver(FencingToken aToken)
+  {
+    if (mElection && mElection->Token() == aToken) {
+      mElection->Resign("successor");
+    }
+    return mUnstored && mUnstored->mToken == aToken ? *mUnstored : HandOver();
+  }
+
   void OnLost()
   {
+    if (mLeader) {
+      mUnstored = mLeader->UnstoredState();
+    }
     // Freed from the loop, because the leader itself may have given up.
     mLoop.Post([leader = std::shared_ptr<LeaderType>(std::move(mLeader))] {});
   }
@@ -231,6 +262,10 @@
       }
       aReply(std::move(reply));
     });
+    mPeers.Handle("hand_over", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
+      const FencingToken token(JsonValue(aBody, "token", std::int64_t{ 0 }));
+      aReply(WriteHandOver(GiveHandOver(token)));
+    });
     mPeers.Handle("pending_jobs", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
       if (!IsLoadedLeader()) {
         aReply({ { "leader", false } });
@@ -306,6 +341,8 @@
   std::optional<PrefixWatch<Store>> mConfiguration;
   std::optional<Election<Store>> mElection;
   std::unique_ptr<LeaderType> mLeader;
+  // Of this node's last leadership.
+  std::optional<HandOver> mUnstored;
   const std::optional<SocketAddress> mNoAddress;
   bool mIsStopping = false;
   TimePoint mStopBegan;
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -13,6 +13,14 @@
 // Orders to workers carry it; a worker obeys no lower one than it has seen.
 using FencingToken = StrongCount<struct FencingTokenTag>;
 
+// The last leadership that ended before this node was elected.
+struct FormerLeader
+{
+  FencingToken mToken;
+  // Unset if this node was the leader.
+  std::optional<SocketAddress> mAddress;
+};
+
 // What the owner of an election wants to know.
 struct ElectionCallbacks
 {
@@ -53,6 +61,8 @@
   }
   // Where the present leader takes calls of other nodes; nothing if there is none, or this node.
   const std::optional<SocketAddress>& LeaderAddress() const { return mAddress; }
+  // Who led before; nothing if this node has heard of no leader.
+  const std::optional<FormerLeader>& Former() const { return mFormer; }
   // When the store last confirmed the leadership.
   TimePoint ConfirmedAt() const { return mConfirmed; }
 
@@ -118,6 +128,9 @@
 
   void OnVacant()
   {
+    if (!mIsVacant && mHolder.Value() != 0) {
+      mFormer = FormerLeader{ FencingToken(mHolder.Value()), mAddress };
+    }
     mIsVacant = true;
     mAddress.reset();
     if (mToken) {
@@ -235,6 +248,7 @@
   // The version of the leader's key that was last seen.
   kv::Revision mHolder;
   std::optional<SocketAddress> mAddress;
+  std::optional<FormerLeader> mFormer;
   bool mIsVacant = false;
   bool mIsClaiming = false;
   bool mIsWithdrawn = false;
--- /dev/null
+++ b/src/control/HandOver.cpp
@@ -0,0 +1,35 @@
+#include "control/HandOver.h"
+
+#include "base/Json.h"
+#include "base/LogEvent.h"
+
+namespace lovagerock::control {
+
+Json
+WriteHandOver(const HandOver& aHandOver)
+{
+  auto progress = Json::array();
+  for (const auto& it : aHandOver.mProgress) {
+    progress.push_back(Json::array({ it.mJob.Value(), it.mText }));
+  }
+  return { { "token", aHandOver.mToken.Value() }, { "progress", std::move(progress) } };
+}
+
+HandOver
+ReadHandOver(const Json& aJson)
+{
+  HandOver handOver;
+  try {
+    handOver.mToken = FencingToken(aJson.at("token").get<std::int64_t>());
+    for (const auto& it : aJson.at("progress")) {
+      handOver.mProgress.push_back(
+        { JobId(it.at(0).get<std::string>()), it.at(1).get<std::string>() });
+    }
+  } catch (const Json::exception& ex) {
+    LogEvent("hand_over_malformed", LogLevel::Warning).With("reason", ex.what());
+    return {};
+  }
+  return handOver;
+}
+
+} // namespace lovagerock::control
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -5,6 +5,7 @@
 #include "base/WallClock.h"
 #include "control/Deployment.h"
 #include "control/Election.h"
+#include "control/HandOver.h"
 #include "control/PlanPacer.h"
 #include "control/ProgressWriter.h"
 #include "control/WorkerCalls.h"
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -51,7 +53,8 @@
 {
 public:
   Leader(EventLoop& aLoop, Store& aStore, Calls& aCalls, Election<Store>& aElection,
-         const ControlSettings& aSettings, const Deployment& aDeployment)
+         const ControlSettings& aSettings, const Deployment& aDeployment,
+         const HandOverSource& aFormer)
     : mLoop(aLoop)
     , mStore(aStore)
     , mCalls(aCalls)
@@ -61,9 +64,17 @@
     , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
   {
     OnDeployment(aDeployment);
+    aFormer([this, alive = std::weak_ptr<bool>(mAlive)](HandOver aHandOver) {
+      if (!alive.expired()) {
+        OnHandOver(std::move(aHandOver));
+      }
+    });
     LoadProgress("");
   }
 
+  // What a successor has to know and may not find in the store.
+  HandOver UnstoredState() const { return { mToken, mScheduler.UnstoredProgress() }; }
+
   // The configuration has changed.
   void OnDeployment(const Deployment& aDeployment)
   {
@@ -113,6 +124,12 @@
 
   static scheduler::Now Now() { return { std::chrono::steady_clock::now(), WallClockMs() }; }
 
+  void OnHandOver(HandOver aHandOver)
+  {
+    mHandOver = std::move(aHandOver);
+    LoadJobs();
+  }
+
   void LoadProgress(const std::string& aAfter)
   {
     mStore.List(std::string(kRecordPrefix), aAfter,
@@ -134,6 +151,7 @@
       last = it.mKey;
       if (it.mKey == kBatchKey) {
         mBatchRevision = it.mRevision;
+        mLastWriter = ReadBatchOwner(it.mValue).value_or(kv::Revision());
       } else if (const auto job = JobOfKey(kProgressPrefix, it.mKey)) {
         mProgress[*job] = std::move(it.mValue);
       } else if (it.mKey.starts_with(kRackPrefix)) {
@@ -144,7 +162,27 @@
       LoadProgress(last);
       return;
     }
+    mIsProgressLoaded = true;
+    LoadJobs();
+  }
+
+  // Goes on once both the stored progress and the former leader's answer are there.
+  void LoadJobs()
+  {
+    if (!mIsProgressLoaded || !mHandOver) {
+      return;
+    }
     mWriter.emplace(mStore, mElection.Condition(), mBatchRevision);
+    // A leader of which this node hasn't heard may have stored progress after the former one.
+    if (mHandOver->mToken.Value() >= mLastWriter.Value()) {
+      for (auto& it : mHandOver->mProgress) {
+        mProgress[it.mJob] = std::move(it.mText);
+        mHandedOver.insert(it.mJob);
+      }
+      LogEvent("progress_handed_over")
+        .With("from_token", mHandOver->mToken)
+        .With("jobs", mHandedOver.size());
+    }
     WatchRequests();
   }
 
@@ -185,6 +223,9 @@
       }
     }
     mProgress.clear();
+    for (const auto& it : std::exchange(mHandedOver, {})) {
+      mScheduler.MarkUnstored(it);
+    }
     if (!IsLoaded()) {
       LogEvent("jobs_loaded").With("jobs", mScheduler.JobCount()).With("token", mToken);
       AskRecordedWorkers();
@@ -551,7 +592,14 @@
   FencingToken mToken;
   scheduler::Scheduler mScheduler;
   std::map<JobId, std::string> mProgress;
+  bool mIsProgressLoaded = false;
+  // Unset until the former leader has answered, or can't be waited for any longer.
+  std::optional<HandOver> mHandOver;
+  // Jobs whose progress the former leader told.
+  std::set<JobId> mHandedOver;
   kv::Revision mBatchRevision;
+  // The leader that stored progress last.
+  kv::Revision mLastWriter;
   std::optional<ProgressWriter<Store>> mWriter;
   std::optional<PrefixWatch<Store>> mRequests;
   std::optional<PrefixWatch<Store>> mWorkers;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -698,6 +698,18 @@
   mHasUnstoredEnds = mHasUnstoredEnds || !aBatch.mSeen.empty();
 }
 
+std::vector<ProgressWrite>
+Scheduler::UnstoredProgress() const
+{
+  std::vector<ProgressWrite> writes;
+  for (const auto& [id, job] : mJobs) {
+    if (!IsStored(id)) {
+      writes.push_back({ id, WriteProgress(job) });
+    }
+  }
+  return writes;
+}
+
 bool
 Scheduler::IsStored(const JobId& aJob) const
 {
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -92,6 +92,10 @@
   {
     return !mDirty.empty() || mHasUnstoredEnds || !mDirtyRacks.empty();
   }
+  // The progress that isn't known to be stored, by job.
+  std::vector<ProgressWrite> UnstoredProgress() const;
+  // The job's progress has to be stored, because it came from elsewhere than the store.
+  void MarkUnstored(const JobId& aJob) { Touch(aJob); }
   // Whether the job's present state is stored.
   bool IsStored(const JobId& aJob) const;
 
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -47,6 +47,7 @@
       reply.mOutcome = mHoldOutcome;
       reply.mReport.mClock = scheduler::WorkerClock(++mClock);
       reply.mReport.mRunning = mRunning[aTarget.mWorker];
+      reply.mReport.mFinished = mFinished;
       aCallback(reply);
     }));
   }
@@ -57,6 +58,8 @@
   std::vector<HoldCall> mHolds;
   std::set<WorkerId> mAsked;
   std::map<WorkerId, std::vector<scheduler::RunningRun>> mRunning;
+  // The ends that each worker lists.
+  std::vector<scheduler::FinishedRun> mFinished;
 
 private:
   template<typename Task>
@@ -98,7 +101,8 @@
     mStore.Put("workers/w", "r");
     ElectionCallbacks callbacks;
     callbacks.mOnElected = [this](FencingToken) {
-      mLeader.emplace(mLoop, mStore, mCalls, *mElection, mSettings, mDeployment);
+      mLeader.emplace(mLoop, mStore, mCalls, *mElection, mSettings, mDeployment,
+                      [this](const HandOverCallback& aCallback) { aCallback(mHandOver); });
     };
     callbacks.mOnLost = [this](const char*) { ++mLost; };
     mElection.emplace(mLoop, mStore, mRandom, mSettings, std::move(callbacks));
@@ -141,6 +145,8 @@
   Deployment mDeployment;
   std::optional<Election<FakeStore>> mElection;
   std::optional<Leader<FakeStore, FakeCalls, FakeRegistry>> mLeader;
+  // What the former leader tells.
+  HandOver mHandOver;
   int mLost = 0;
 };
 
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -70,3 +70,52 @@
   f.Until([&] { return !f.mCalls.mStarts.empty(); });
   cr_assert(f.mStore.mItems.at("progress/rack/r").mValue.find("\"w\"") != std::string::npos);
 }
+
+namespace {
+
+// The progress of a job that is completed.
+constexpr const char* kDone = R"({"state":"completed","next":1,"done":1,"finishedMs":1})";
+
+} // namespace
+
+// Guards against a second run of a task whose end only the former leader knows, since the store was
+// closed to it and the worker has left.
+Test(Leader, takes_over_what_the_former_one_could_not_store)
+{
+  LeaderFixture f;
+  f.mHandOver = { FencingToken(5), { { JobId("j"), kDone } } };
+  f.Submit("j");
+  f.Until([&] {
+    const auto state = f.mLeader ? f.mLeader->State(JobId("j")) : std::nullopt;
+    return state && state->mState == scheduler::JobState::Completed;
+  });
+  f.Until([&] { return f.mStore.mItems.contains("progress/job/j"); });
+  cr_assert(f.mCalls.mStarts.empty());
+}
+
+// Guards against outdated progress of a leader after which another one has stored some.
+Test(Leader, takes_nothing_from_a_leader_that_was_not_the_last_writer)
+{
+  LeaderFixture f;
+  f.mStore.Put(std::string(kBatchKey), "9");
+  f.mHandOver = { FencingToken(5), { { JobId("j"), kDone } } };
+  f.Submit("j");
+  f.Until([&] { return !f.mCalls.mStarts.empty(); });
+}
+
+// Guards against a hand-over that tells less than is unstored.
+Test(Leader, hands_over_what_is_not_stored)
+{
+  LeaderFixture f;
+  f.Until([&] { return f.mLeader && f.mLeader->IsLoaded(); });
+  f.Submit("j");
+  f.Until([&] { return f.mStore.mItems.contains("progress/job/j"); });
+  f.Until([&] { return f.mLeader->UnstoredState().mProgress.empty(); });
+  f.mStore.mIsDown = true;
+  f.mCalls.mRunning.begin()->second.clear();
+  f.mCalls.mFinished = { { 1, { { JobId("j"), 0, 0, 0 }, 1 }, scheduler::RunEnd::Done, "" } };
+  f.Until([&] { return !f.mLeader->UnstoredState().mProgress.empty(); });
+  const auto read = ReadHandOver(WriteHandOver(f.mLeader->UnstoredState()));
+  cr_assert_eq(read.mProgress.size(), 1);
+  cr_assert_eq(scheduler::ReadState(read.mProgress[0].mText), scheduler::JobState::Completed);
+}
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -153,7 +153,9 @@
   int failures = 0;
   bool isStored = false;
   std::function<void(bool)> done;
-  const auto begin = [&] { writer.Begin({ { KeyOf(kProgressPrefix, JobId("j")), "text", {} } }, {}, done); };
+  const auto begin = [&] {
+    writer.Begin({ { KeyOf(kProgressPrefix, JobId("j")), "text", {} } }, {}, done);
+  };
   done = [&](bool aIsStored) {
     isStored = aIsStored;
     if (!aIsStored && ++failures < 3) {
