--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/CallbackGuard.h"
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
 #include "base/WallClock.h"
@@ -221,7 +222,7 @@
     write->mWrites.mWrites.push_back({ KeyOf(kCancelPrefix, aJob), "{}", {} });
     mStore.Get(
       KeyOf(kJobPrefix, aJob),
-      Guarded([this, write, aAccount](std::error_code aError, std::optional<kv::Item> aItem) {
+      mGuard.Wrap([this, write, aAccount](std::error_code aError, std::optional<kv::Item> aItem) {
         if (aError) {
           Refuse(write->mResponder, "store_unreachable", write->mJob.Value());
         } else if (!IsVisible(aItem, aAccount)) {
@@ -242,7 +243,7 @@
   void SendWrite(const PendingPtr& aWrite)
   {
     mStore.Write(aWrite->mWrites,
-                 Guarded([this, aWrite](std::error_code aError, kv::WriteOutcome aOutcome) {
+                 mGuard.Wrap([this, aWrite](std::error_code aError, kv::WriteOutcome aOutcome) {
                    OnWritten(aWrite, aError, aOutcome);
                  }));
   }
@@ -316,8 +317,8 @@
   ReadStoredState(const JobId& aJob, const AccountId& aAccount, const http::Responder& aResponder)
   {
     mStore.Get(KeyOf(kJobPrefix, aJob),
-               Guarded([this, aJob, aAccount, aResponder](std::error_code aError,
-                                                          std::optional<kv::Item> aItem) {
+               mGuard.Wrap([this, aJob, aAccount, aResponder](std::error_code aError,
+                                                              std::optional<kv::Item> aItem) {
                  if (aError) {
                    Refuse(aResponder, "store_unreachable", aJob.Value());
                  } else if (!IsVisible(aItem, aAccount)) {
@@ -332,7 +333,7 @@
   {
     mStore.Get(
       KeyOf(kProgressPrefix, aJob),
-      Guarded([this, aJob, aResponder](std::error_code aError, std::optional<kv::Item> aItem) {
+      mGuard.Wrap([this, aJob, aResponder](std::error_code aError, std::optional<kv::Item> aItem) {
         if (aError) {
           Refuse(aResponder, "store_unreachable", aJob.Value());
           return;
@@ -356,23 +357,12 @@
     });
   }
 
-  template<typename Callback>
-  auto Guarded(Callback aCallback)
-  {
-    return [alive = std::weak_ptr<bool>(mAlive),
-            callback = std::move(aCallback)](std::error_code aError, auto aResult) {
-      if (!alive.expired()) {
-        callback(aError, std::move(aResult));
-      }
-    };
-  }
-
   EventLoop& mLoop;
   Store& mStore;
   CallerHooks mHooks;
   // Writes that wait for their next attempt.
   std::vector<PendingPtr> mWaiting;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+  CallbackGuard mGuard;
 };
 
 } // namespace lovagerock::control
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/CallbackGuard.h"
 #include "base/Json.h"
 #include "base/Random.h"
 #include "control/Keys.h"
@@ -176,18 +177,15 @@
       return;
     }
     mRenewalSent = std::chrono::steady_clock::now();
-    mStore.GrantLease(kLeadershipLease, [this, alive = std::weak_ptr<bool>(mAlive)](
-                                          std::error_code aError, kv::StoreLease aLease) {
-      if (alive.expired()) {
-        return;
-      }
-      if (aError) {
-        mIsClaiming = false;
-        return;
-      }
-      mLease = aLease;
-      WriteClaim();
-    });
+    mStore.GrantLease(kLeadershipLease,
+                      mGuard.Wrap([this](std::error_code aError, kv::StoreLease aLease) {
+                        if (aError) {
+                          mIsClaiming = false;
+                          return;
+                        }
+                        mLease = aLease;
+                        WriteClaim();
+                      }));
   }
 
   void WriteClaim()
@@ -200,12 +198,10 @@
                                DumpJson({ { "node", mSettings.mNode.Value() },
                                           { "address", mSettings.mPeers.ToString() } }),
                                mLease });
-    mStore.Write(writes, [this, alive = std::weak_ptr<bool>(mAlive)](std::error_code aError,
-                                                                     kv::WriteOutcome aOutcome) {
-      if (!alive.expired()) {
-        OnClaimed(aError, aOutcome);
-      }
-    });
+    mStore.Write(writes,
+                 mGuard.Wrap([this](std::error_code aError, const kv::WriteOutcome& aOutcome) {
+                   OnClaimed(aError, aOutcome);
+                 }));
   }
 
   void OnClaimed(std::error_code aError, const kv::WriteOutcome& aOutcome)
@@ -251,17 +247,20 @@
       Lose("store_unreachable");
       return;
     }
-    mStore.RenewLease(mLease, [this, now, token = mToken,
-                               alive = std::weak_ptr<bool>(mAlive)](std::error_code aError) {
-      if (alive.expired() || mToken != token) {
-        return;
+    mStore.RenewLease(mLease, mGuard.Wrap([this, now, token = mToken](std::error_code aError) {
+      if (mToken == token) {
+        OnRenewed(aError, now);
       }
-      if (!aError) {
-        mConfirmed = std::max(mConfirmed, now);
-      } else if (aError == kv::KvError::LeaseEnded) {
-        Lose("lease_ended");
-      }
-    });
+    }));
+  }
+
+  void OnRenewed(std::error_code aError, TimePoint aSent)
+  {
+    if (!aError) {
+      mConfirmed = std::max(mConfirmed, aSent);
+    } else if (aError == kv::KvError::LeaseEnded) {
+      Lose("lease_ended");
+    }
   }
 
   void Lose(const char* aReason)
@@ -294,7 +293,7 @@
   TimePoint mConfirmed;
   Timer mRenewal;
   Timer mClaimTimer;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+  CallbackGuard mGuard;
 };
 
 } // namespace lovagerock::control
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/CallbackGuard.h"
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
 #include "base/WallClock.h"
@@ -9,6 +10,7 @@
 #include "control/PlanPacer.h"
 #include "control/ProgressWriter.h"
 #include "control/WorkerCalls.h"
+#include "control/WorkerLeases.h"
 #include "scheduler/JobRecord.h"
 #include "scheduler/Scheduler.h"
 
@@ -62,13 +64,11 @@
     , mSettings(aSettings)
     , mToken(aElection.Token())
     , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
+    , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler.mHold,
+              LeaseHooks())
   {
     OnDeployment(aDeployment);
-    aFormer([this, alive = std::weak_ptr<bool>(mAlive)](HandOver aHandOver) {
-      if (!alive.expired()) {
-        OnHandOver(std::move(aHandOver));
-      }
-    });
+    aFormer(mGuard.Wrap([this](HandOver aHandOver) { OnHandOver(std::move(aHandOver)); }));
     LoadProgress("");
   }
 
@@ -112,21 +112,17 @@
   int PendingJobs(const std::string& aQueue) const { return mScheduler.PendingJobs(aQueue); }
 
 private:
-  // The renewal of one worker's lease.
-  struct HoldLoop
-  {
-    bool mInFlight = false;
-    // The last call had no answer. Until the next one has, nothing is renewed, so that the lease of
-    // a worker that has gone ends.
-    bool mIsSilent = false;
-    // The worker's clock at a time of ours.
-    std::optional<scheduler::WorkerClock> mClock;
-    TimePoint mClockAt;
-    Timer mRetry;
-  };
-
   static scheduler::Now Now() { return { std::chrono::steady_clock::now(), WallClockMs() }; }
 
+  WorkerLeaseHooks LeaseHooks()
+  {
+    WorkerLeaseHooks hooks;
+    hooks.mIsLeading = [this] { return mElection.IsLeader(); };
+    hooks.mOnNews = [this] { PlanSoon(); };
+    hooks.mOnFenced = [this](const WorkerId& aWorker) { OnFenced(aWorker); };
+    return hooks;
+  }
+
   void OnHandOver(HandOver aHandOver)
   {
     mHandOver = std::move(aHandOver);
@@ -136,7 +132,7 @@
   void LoadProgress(const std::string& aAfter)
   {
     mStore.List(std::string(kRecordPrefix), aAfter,
-                Guarded([this](std::error_code aError, kv::ItemPage aPage) {
+                mGuard.Wrap([this](std::error_code aError, kv::ItemPage aPage) {
                   OnProgressPage(aError, std::move(aPage));
                 }));
   }
@@ -279,7 +275,7 @@
       recorded.push_back(id);
     }
     for (const auto& it : recorded) {
-      HoldWorker(it);
+      mLeases.Renew(it);
     }
   }
 
@@ -328,95 +324,7 @@
         .With("remaining_ms", entry->mRemaining);
     }
     mScheduler.OnWorkerEntry(*entry, Now());
-    HoldWorker(entry->mId);
-  }
-
-  WorkerTarget Target(const scheduler::Worker& aWorker) const
-  {
-    return { aWorker.mEntry.mId, aWorker.mEntry.mAddress, mToken };
-  }
-
-  // A deadline on the worker's clock; unset until the clock is known.
-  std::optional<scheduler::WorkerClock> Deadline(const HoldLoop& aLoop) const
-  {
-    if (!aLoop.mClock) {
-      return std::nullopt;
-    }
-    const auto since =
-      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - aLoop.mClockAt);
-    return *aLoop.mClock + scheduler::WorkerClock((since + mSettings.mScheduler.mHold).count());
-  }
-
-  void NoteClock(const WorkerId& aWorker, scheduler::WorkerClock aClock)
-  {
-    auto& loop = mHolds[aWorker];
-    loop.mClock = aClock;
-    loop.mClockAt = std::chrono::steady_clock::now();
-  }
-
-  void HoldWorker(const WorkerId& aWorker)
-  {
-    const auto it = mScheduler.Workers().find(aWorker);
-    auto& loop = mHolds[aWorker];
-    if (it == mScheduler.Workers().end()) {
-      mHolds.erase(aWorker);
-      return;
-    }
-    if (loop.mInFlight || !mElection.IsLeader()) {
-      return;
-    }
-    const auto& worker = it->second;
-    HoldCall call;
-    call.mUntil = loop.mIsSilent ? std::nullopt : Deadline(loop);
-    call.mStored = worker.mStored;
-    call.mWait = call.mUntil && worker.mConfirmed ? kHoldWait : Duration(0);
-    loop.mInFlight = true;
-    loop.mRetry.Cancel();
-    if (call.mUntil) {
-      mScheduler.OnLeaseSent(aWorker, Now());
-    }
-    mCalls.Hold(Target(worker), call,
-                [this, aWorker, alive = std::weak_ptr<bool>(mAlive)](HoldReply aReply) {
-                  if (!alive.expired()) {
-                    OnHeld(aWorker, std::move(aReply));
-                  }
-                });
-  }
-
-  void OnHeld(const WorkerId& aWorker, HoldReply aReply)
-  {
-    auto& loop = mHolds[aWorker];
-    loop.mInFlight = false;
-    loop.mIsSilent = aReply.mOutcome != scheduler::OrderOutcome::Done;
-    PlanSoon();
-    switch (aReply.mOutcome) {
-      case scheduler::OrderOutcome::Done:
-        NoteClock(aWorker, aReply.mReport.mClock);
-        mScheduler.OnHoldReport(aWorker, aReply.mReport, Now());
-        break;
-      case scheduler::OrderOutcome::Fenced:
-        OnFenced(aWorker);
-        return;
-      case scheduler::OrderOutcome::WrongWorker:
-        mScheduler.OnWorkerReplaced(aWorker, Now());
-        loop.mClock.reset();
-        break;
-      default:
-        if (aReply.mIsRefused) {
-          mScheduler.OnWorkerRefused(aWorker, Now());
-        }
-        break;
-    }
-    const bool isDone = aReply.mOutcome == scheduler::OrderOutcome::Done;
-    const auto it = mScheduler.Workers().find(aWorker);
-    // Ends that aren't stored would be listed again at once.
-    const bool hasUnstored =
-      it != mScheduler.Workers().end() && it->second.mSeen > it->second.mStored;
-    if (isDone && !hasUnstored) {
-      HoldWorker(aWorker);
-    } else {
-      loop.mRetry = mLoop.After(kHoldRetry, [this, aWorker] { HoldWorker(aWorker); });
-    }
+    mLeases.Renew(entry->mId);
   }
 
   void OnFenced(const WorkerId& aWorker)
@@ -454,16 +362,13 @@
   void SendStart(const scheduler::StartOrder& aOrder)
   {
     const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
-    const auto until = Deadline(mHolds[aOrder.mWorker]);
+    const auto until = mLeases.Deadline(aOrder.mWorker);
     StartCall call{ aOrder.mRun, aOrder.mPayload, aOrder.mCheckpoint,
                     until.value_or(scheduler::WorkerClock()) };
     mScheduler.OnLeaseSent(aOrder.mWorker, Now());
-    mCalls.Start(Target(worker), call,
-                 [this, aOrder, alive = std::weak_ptr<bool>(mAlive)](OrderReply aReply) {
-                   if (!alive.expired()) {
-                     OnStartReply(aOrder, aReply);
-                   }
-                 });
+    mCalls.Start(
+      mLeases.Target(worker), call,
+      mGuard.Wrap([this, aOrder](const OrderReply& aReply) { OnStartReply(aOrder, aReply); }));
   }
 
   void OnStartReply(const scheduler::StartOrder& aOrder, const OrderReply& aReply)
@@ -488,19 +393,20 @@
   void SendStop(const scheduler::StopOrder& aOrder)
   {
     const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
-    mCalls.Stop(Target(worker), aOrder.mRun,
-                [this, aOrder, alive = std::weak_ptr<bool>(mAlive)](OrderReply aReply) {
-                  if (alive.expired()) {
-                    return;
-                  }
-                  if (aReply.mOutcome == scheduler::OrderOutcome::Fenced) {
-                    OnFenced(aOrder.mWorker);
-                    return;
-                  }
-                  mScheduler.OnStopOutcome(aOrder.mWorker, aOrder.mRun, aReply.mOutcome,
-                                           aReply.mClock.value_or(scheduler::WorkerClock()), Now());
-                  PlanSoon();
-                });
+    mCalls.Stop(
+      mLeases.Target(worker), aOrder.mRun,
+      mGuard.Wrap([this, aOrder](const OrderReply& aReply) { OnStopReply(aOrder, aReply); }));
+  }
+
+  void OnStopReply(const scheduler::StopOrder& aOrder, const OrderReply& aReply)
+  {
+    if (aReply.mOutcome == scheduler::OrderOutcome::Fenced) {
+      OnFenced(aOrder.mWorker);
+      return;
+    }
+    mScheduler.OnStopOutcome(aOrder.mWorker, aOrder.mRun, aReply.mOutcome,
+                             aReply.mClock.value_or(scheduler::WorkerClock()), Now());
+    PlanSoon();
   }
 
   void StoreSoon()
@@ -535,7 +441,7 @@
       }
       for (const auto& it : batch->mSeen) {
         if (aIsStored) {
-          HoldWorker(it.mWorker);
+          mLeases.Renew(it.mWorker);
         }
       }
       StoreSoon();
@@ -578,17 +484,6 @@
     return keys;
   }
 
-  template<typename Callback>
-  auto Guarded(Callback aCallback)
-  {
-    return [alive = std::weak_ptr<bool>(mAlive),
-            callback = std::move(aCallback)](std::error_code aError, auto aResult) {
-      if (!alive.expired()) {
-        callback(aError, std::move(aResult));
-      }
-    };
-  }
-
   EventLoop& mLoop;
   Store& mStore;
   Calls& mCalls;
@@ -606,7 +501,7 @@
   std::optional<ProgressWriter<Store>> mWriter;
   std::optional<PrefixWatch<Store>> mRequests;
   std::optional<PrefixWatch<Store>> mWorkers;
-  std::map<WorkerId, HoldLoop> mHolds;
+  WorkerLeases<Calls> mLeases;
   std::vector<WorkerId> mUnlisted;
   bool mDeleteExpired = false;
   Timer mRetry;
@@ -615,7 +510,7 @@
   Timer mPlanPeriod;
   Timer mStoreSoon;
   Timer mExpiry;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+  CallbackGuard mGuard;
 };
 
 } // namespace lovagerock::control
--- a/src/control/PrefixWatch.h
+++ b/src/control/PrefixWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/BootClock.h"
+#include "base/CallbackGuard.h"
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
 #include "control/ControlSettings.h"
@@ -56,9 +57,9 @@
 
   void ListAfter(const std::string& aAfter)
   {
-    mStore.List(mPrefix, aAfter, Guarded([this](std::error_code aError, kv::ItemPage aPage) {
-                  OnPage(aError, std::move(aPage));
-                }));
+    mStore.List(mPrefix, aAfter, mGuard.Wrap([this](std::error_code aError, kv::ItemPage aPage) {
+      OnPage(aError, std::move(aPage));
+    }));
   }
 
   void OnPage(std::error_code aError, kv::ItemPage aPage)
@@ -89,9 +90,10 @@
   void WatchNext()
   {
     mBegan = BootTime();
-    mStore.Watch(
-      mPrefix, mAsOf, kWatchWait,
-      Guarded([this](std::error_code aError, kv::EventPage aPage) { OnEvents(aError, aPage); }));
+    mStore.Watch(mPrefix, mAsOf, kWatchWait,
+                 mGuard.Wrap([this](std::error_code aError, kv::EventPage aPage) {
+                   OnEvents(aError, aPage);
+                 }));
   }
 
   void OnEvents(std::error_code aError, const kv::EventPage& aPage)
@@ -136,18 +138,6 @@
     mRetry = mLoop.After(kStoreRetry, std::move(aTask));
   }
 
-  // Drops the callback if this object has gone.
-  template<typename Callback>
-  auto Guarded(Callback aCallback)
-  {
-    return [alive = std::weak_ptr<bool>(mAlive),
-            callback = std::move(aCallback)](std::error_code aError, auto aResult) {
-      if (!alive.expired()) {
-        callback(aError, std::move(aResult));
-      }
-    };
-  }
-
   Duration mRest;
   EventLoop& mLoop;
   Store& mStore;
@@ -158,7 +148,7 @@
   Duration mBegan{ 0 };
   int mFailures = 0;
   Timer mRetry;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+  CallbackGuard mGuard;
 };
 
 } // namespace lovagerock::control
--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/CallbackGuard.h"
 #include "base/LogEvent.h"
 #include "control/ControlSettings.h"
 #include "control/Keys.h"
@@ -67,9 +68,9 @@
     room -= mSentWrites;
     mSentDeletes = std::min(room, mDeletes.size());
     call.mDeletes.assign(mDeletes.begin(), mDeletes.begin() + static_cast<long>(mSentDeletes));
-    mStore.Write(call, Guarded([this](std::error_code aError, kv::WriteOutcome aOutcome) {
-                   OnWritten(aError, aOutcome);
-                 }));
+    mStore.Write(call, mGuard.Wrap([this](std::error_code aError, kv::WriteOutcome aOutcome) {
+      OnWritten(aError, aOutcome);
+    }));
   }
 
   void OnWritten(std::error_code aError, const kv::WriteOutcome& aOutcome)
@@ -102,17 +103,6 @@
     std::exchange(mDone, nullptr)(aIsStored);
   }
 
-  template<typename Callback>
-  auto Guarded(Callback aCallback)
-  {
-    return [alive = std::weak_ptr<bool>(mAlive),
-            callback = std::move(aCallback)](std::error_code aError, auto aResult) {
-      if (!alive.expired()) {
-        callback(aError, std::move(aResult));
-      }
-    };
-  }
-
   Store& mStore;
   Condition mLeader;
   kv::Revision mBatchRevision;
@@ -124,7 +114,7 @@
   std::size_t mSentWrites = 0;
   std::size_t mSentDeletes = 0;
   std::function<void(bool)> mDone;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+  CallbackGuard mGuard;
 };
 
 } // namespace lovagerock::control
