Log which runs a new leader can't account for and why runs are presumed ended

The logs of the incident couldn't tell its hypotheses apart: whether a new leader knew of runs on silent workers, why a leader took a run for ended, and whether a caller saw an end that was not stored.

jobs_loaded now counts the runs that the progress names on workers that haven't answered; worker_runs_ended replaces worker_replaced and worker_lease_expired, gives the reason and the incarnation, and is also written when a worker's address refuses the connection, which was silent before; step_started names the highest run number; unstored_end_shown is written when a caller is shown an end that isn't stored. No behaviour changes; the tests of the scheduler and of the control pass.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -105,8 +105,12 @@
     }
     JobStatus known{ job->State(), job->Accepted().mAccount };
     if (job->IsOver() && known.mState != scheduler::JobState::Cancelled &&
-        !mScheduler.IsStored(aJob) && !mWriter->IsFailing()) {
-      known.mState = scheduler::JobState::InProgress;
+        !mScheduler.IsStored(aJob)) {
+      if (mWriter->IsFailing()) {
+        LogEvent("unstored_end_shown", LogLevel::Warning).With("job", aJob);
+      } else {
+        known.mState = scheduler::JobState::InProgress;
+      }
     }
     return known;
   }
@@ -233,7 +237,10 @@
       if (mHandOver->mIsComplete) {
         mScheduler.OnHandedOver(Now());
       }
-      LogEvent("jobs_loaded").With("jobs", mScheduler.JobCount()).With("token", mToken);
+      LogEvent("jobs_loaded")
+        .With("jobs", mScheduler.JobCount())
+        .With("unreported_runs", mScheduler.UnreportedRuns(Now()))
+        .With("token", mToken);
       RenewRecordedLeases();
       WatchWorkers();
       mPeriodicPlanTimer = mLoop.Every(kPlanPeriod, [this] { SchedulePlan(); });
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -102,6 +102,22 @@
   LogEvent("job_cancelled").With("job", aJob);
 }
 
+int
+Scheduler::UnreportedRuns(const CurrentTime& aNow) const
+{
+  int runs = 0;
+  for (const auto& [id, job] : mJobs) {
+    for (const auto& [number, occurrence] : job.OpenOccurrences()) {
+      for (const auto& step : occurrence.mSteps) {
+        runs += static_cast<int>(
+          std::count_if(step.mTasks.begin(), step.mTasks.end(),
+                        [&](const auto& aTask) { return MayRunUnreported(aTask, aNow); }));
+      }
+    }
+  }
+  return runs;
+}
+
 int
 Scheduler::PendingJobs(const std::string& aQueue) const
 {
@@ -208,8 +224,7 @@
   if (it == mFleet.end()) {
     return;
   }
-  LogEvent("worker_replaced").With("worker", aWorker).With("runs", it->second.mRuns.size());
-  DropAllRuns(it->second, aNow);
+  DropAllRuns(it->second, "worker_replaced", aNow);
   it->second.mLastProcessedEnd = 0;
   it->second.mLastStoredEnd = 0;
   it->second.mConsecutiveFailures = 0;
@@ -223,15 +238,20 @@
   const auto it = mFleet.find(aWorker);
   // While the worker is registered, the refusal may come from the network rather than the worker.
   if (it != mFleet.end() && !it->second.mRegistered) {
-    DropAllRuns(it->second, aNow);
+    DropAllRuns(it->second, "connection_refused", aNow);
     mDirtyRacks.insert(it->second.mEntry.mRack);
     mFleet.erase(it);
   }
 }
 
 void
-Scheduler::DropAllRuns(Worker& aWorker, const CurrentTime& aNow)
+Scheduler::DropAllRuns(Worker& aWorker, const char* aReason, const CurrentTime& aNow)
 {
+  LogEvent("worker_runs_ended", aWorker.mRuns.empty() ? LogLevel::Info : LogLevel::Warning)
+    .With("worker", aWorker.mEntry.mId)
+    .With("incarnation", aWorker.mEntry.mIncarnation)
+    .With("reason", aReason)
+    .With("runs", aWorker.mRuns.size());
   const auto runs = aWorker.mRuns;
   for (const auto& it : runs) {
     DropRun(aWorker, it.mRun, RunEnd::LeaseExpired, "", aNow);
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -111,6 +111,9 @@
   void OnHandedOver(const CurrentTime& aNow);
   // Whether tasks of inherited jobs may be started.
   bool IsTakeoverSettled() const { return mIsTakeoverSettled; }
+  // Returns the number of runs that loaded progress names and that may be in progress on workers
+  // which haven't answered yet.
+  int UnreportedRuns(const CurrentTime& aNow) const;
 
 private:
   // The tasks of one step of one occurrence that are ready and wait for a worker.
@@ -158,7 +161,8 @@
   void UpdateCheckpoint(Job& aJob, const TaskRef& aTask, const std::string& aCheckpoint);
   // The longest that a lease may last after a renewal, on this process's clock.
   Duration MaxLeaseDuration() const;
-  void DropAllRuns(Worker& aWorker, const CurrentTime& aNow);
+  // Applies the end of all runs of a worker that can't be in progress any more; aReason is logged.
+  void DropAllRuns(Worker& aWorker, const char* aReason, const CurrentTime& aNow);
   // Updates runs and tasks from the worker's report of runs in progress.
   void ReadRunning(Worker& aWorker, const LeaseReport& aReport, const CurrentTime& aNow);
   // Removes runs that the worker doesn't report any more.
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -73,10 +73,7 @@
     auto& worker = it->second;
     const bool isExpired = worker.mLeaseExpiry < aNow.mSteady;
     if (isExpired && !worker.mRuns.empty()) {
-      LogEvent("worker_lease_expired", LogLevel::Warning)
-        .With("worker", it->first)
-        .With("runs", worker.mRuns.size());
-      DropAllRuns(worker, aNow);
+      DropAllRuns(worker, "lease_expired", aNow);
     }
     if (isExpired && !worker.mRegistered) {
       mDirtyRacks.insert(worker.mEntry.mRack);
@@ -488,9 +485,11 @@
   for (const auto& it : step.mTasks) {
     gangRun = std::max(gangRun, it.mRun);
   }
+  int highestRun = 0;
   for (std::size_t i = 0; i < aWorkers.size(); ++i) {
     auto& task = step.mTasks[aDue.mTasks[i]];
     task.mRun = (spec.mGang ? gangRun : task.mRun) + 1;
+    highestRun = std::max(highestRun, task.mRun);
     task.mPhase = TaskPhase::Active;
     task.mWorker = aWorkers[i];
     task.mStarted = aNow.mSteady;
@@ -515,6 +514,7 @@
     .With("step", aDue.mStep)
     .With("tasks", aWorkers.size())
     .With("waiting", aDue.mTasks.size() - aWorkers.size())
+    .With("highest_run", highestRun)
     .With("gang", spec.mGang)
     .With("class", aDue.mClass)
     .With("worker", aWorkers.front());
