Keep naming a silent worker in the progress after a takeover

What callers saw: tasks ran twice at a time after two changes of leadership in a row.

Cause: a new leader loads from the progress that a run is on worker W and waits for W. In memory that was a waiting task with a worker. Writing the progress named a worker only for tasks with a current run, so the first write of the job for any other reason (a run taken over, an end, a hand-over) removed W. The next leader, whose hand-over was complete, started the task again at once.

Takeover/names_a_silent_worker_to_the_next_scheduler failed before ("the run on the silent worker was started a second time") and passes now, as does Takeover/names_no_worker_that_has_answered_without_the_run.

Change: such a task has a phase of its own, Unreported. It keeps its worker in memory and in the store until the worker has answered without the run, has ended it, or its lease has expired; only then does the task wait for a worker.

--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -24,6 +24,9 @@
 {
   // The task has no current run.
   Waiting,
+  // The loaded progress names a run that its worker hasn't reported to this scheduler. The run may
+  // be in progress until the worker has answered, or its lease has expired.
+  Unreported,
   // A run was ordered or is in progress, and occupies resources.
   Active,
   // The run is being stopped. It occupies resources until the worker reports its end or the
@@ -44,8 +47,7 @@
   // not tell which failures were counted already.
   std::vector<int> mFailedRuns;
   std::string mCheckpoint;
-  // The worker of the current run. In a waiting task, the worker of the run that the loaded
-  // progress names, which may still be in progress there.
+  // The worker of the current run; empty if there is none.
   WorkerId mWorker;
   TimePoint mStarted;
   int mPercent = 0;
--- a/src/scheduler/JobRecord.cpp
+++ b/src/scheduler/JobRecord.cpp
@@ -107,9 +107,8 @@
   if (aTask.mRun == 0 && aTask.mFailedRuns.empty()) {
     return 0;
   }
-  const bool isActive = aTask.mPhase != TaskPhase::Waiting;
-  return Json::array({ aTask.mRun, aTask.mEndedRun, aTask.mFailedRuns,
-                       isActive ? aTask.mWorker.Value() : std::string(), aTask.mCheckpoint });
+  return Json::array(
+    { aTask.mRun, aTask.mEndedRun, aTask.mFailedRuns, aTask.mWorker.Value(), aTask.mCheckpoint });
 }
 
 void
@@ -126,6 +125,7 @@
   aTask.mEndedRun = aJson.at(1).get<int>();
   aTask.mFailedRuns = aJson.at(2).get<std::vector<int>>();
   aTask.mWorker = WorkerId(aJson.at(3).get<std::string>());
+  aTask.mPhase = aTask.mWorker.IsEmpty() ? TaskPhase::Waiting : TaskPhase::Unreported;
   aTask.mCheckpoint = aJson.at(4).get<std::string>();
 }
 
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -60,7 +60,11 @@
   for (const auto& [number, occurrence] : job.OpenOccurrences()) {
     for (const auto& step : occurrence.mSteps) {
       for (const auto& task : step.mTasks) {
-        if (!task.mWorker.IsEmpty() && !mFleet.contains(task.mWorker)) {
+        if (task.mPhase != TaskPhase::Unreported) {
+          continue;
+        }
+        mUnreportedJobs.insert(aJob.mId);
+        if (!mFleet.contains(task.mWorker)) {
           mAwaitedWorkers.insert(task.mWorker);
         }
       }
@@ -397,7 +401,7 @@
 bool
 Scheduler::MayRunUnreported(const Task& aTask, const CurrentTime& aNow) const
 {
-  if (aTask.mPhase != TaskPhase::Waiting || aTask.mWorker.IsEmpty()) {
+  if (aTask.mPhase != TaskPhase::Unreported) {
     return false;
   }
   const auto it = mFleet.find(aTask.mWorker);
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -174,7 +174,7 @@
   bool IsWanted(const Worker& aWorker, const PlacedRun& aRun, const CurrentTime& aNow) const;
   // Whether a member of the run's gang has no run in progress with the same number.
   bool IsGangBroken(const Job& aJob, const PlacedRun& aRun, const CurrentTime& aNow) const;
-  // Whether a waiting task may have a run on the worker that stored progress names, because that
+  // Whether the run that the loaded progress names for a task may be in progress, because its
   // worker hasn't answered this scheduler yet.
   bool MayRunUnreported(const Task& aTask, const CurrentTime& aNow) const;
   // Returns the record of a rack to store.
@@ -182,6 +182,10 @@
 
   // Removes the runs of workers whose lease has expired, and those workers that aren't registered.
   void ExpireLeases(const CurrentTime& aNow);
+  // Makes the tasks wait for a worker whose unreported runs can't be in progress any more.
+  void ResolveUnreportedRuns(const CurrentTime& aNow);
+  // The same for one job; returns whether none of its tasks has such a run any more.
+  bool ResolveUnreportedRuns(Job& aJob, const CurrentTime& aNow);
   // Settles the takeover once all workers reject an earlier scheduler's orders or its leases end.
   void UpdateTakeoverSettled(const CurrentTime& aNow);
   void SettleTakeover();
@@ -249,6 +253,8 @@
   bool mHasUnstoredEnds = false;
   // Racks whose stored record may be out of date.
   std::set<RackId> mDirtyRacks;
+  // Jobs that may have tasks in TaskPhase::Unreported.
+  std::set<JobId> mUnreportedJobs;
   // Workers that loaded progress names but neither a rack record nor the registry does.
   std::set<WorkerId> mAwaitedWorkers;
   SchedulerCounts mCounts;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -47,6 +47,7 @@
       job.OpenDueOccurrences(aNow.mWallMs, aNow.mSteady);
     }
   }
+  ResolveUnreportedRuns(aNow);
   EvacuateDrainingWorkers(aNow);
   StopUnwanted(aNow);
   Placer placer(mFleet, aNow.mSteady);
@@ -119,6 +120,36 @@
   LogEvent("takeover_settled").With("workers", mFleet.size()).With("jobs", mJobs.size());
 }
 
+void
+Scheduler::ResolveUnreportedRuns(const CurrentTime& aNow)
+{
+  for (auto it = mUnreportedJobs.begin(); it != mUnreportedJobs.end();) {
+    auto* job = FindMutable(*it);
+    const bool isResolved = !job || job->IsOver() || ResolveUnreportedRuns(*job, aNow);
+    it = isResolved ? mUnreportedJobs.erase(it) : std::next(it);
+  }
+}
+
+bool
+Scheduler::ResolveUnreportedRuns(Job& aJob, const CurrentTime& aNow)
+{
+  bool isResolved = true;
+  for (auto& [number, occurrence] : aJob.OpenOccurrences()) {
+    for (auto& step : occurrence.mSteps) {
+      for (auto& task : step.mTasks) {
+        if (MayRunUnreported(task, aNow)) {
+          isResolved = false;
+        } else if (task.mPhase == TaskPhase::Unreported) {
+          task.mPhase = TaskPhase::Waiting;
+          task.mWorker = WorkerId();
+          MarkDirty(aJob.Accepted().mId);
+        }
+      }
+    }
+  }
+  return isResolved;
+}
+
 void
 Scheduler::EvacuateDrainingWorkers(const CurrentTime& aNow)
 {
@@ -255,7 +286,7 @@
       DueStep due{ &aJob, number, index, {}, aIsEntitled, planClass, objective };
       for (std::size_t j = 0; j < step.mTasks.size(); ++j) {
         const auto& task = step.mTasks[j];
-        if (task.mPhase == TaskPhase::Waiting && !MayRunUnreported(task, aNow)) {
+        if (task.mPhase == TaskPhase::Waiting) {
           due.mTasks.push_back(static_cast<int>(j));
         }
       }
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -121,8 +121,10 @@
     placed.mDemand = spec.mDemand;
     placed.mCheckpointing = spec.mCheckpointing;
   }
-  if (task && !job->IsOver() && task->mPhase == TaskPhase::Waiting &&
-      aRun.mRun.mRun >= task->mRun && aRun.mRun.mRun > task->mEndedRun) {
+  const bool hasNoKnownRun =
+    task && (task->mPhase == TaskPhase::Waiting || task->mPhase == TaskPhase::Unreported);
+  if (hasNoKnownRun && !job->IsOver() && aRun.mRun.mRun >= task->mRun &&
+      aRun.mRun.mRun > task->mEndedRun) {
     task->mPhase = TaskPhase::Active;
     task->mWorker = aWorker.mEntry.mId;
     task->mRun = aRun.mRun.mRun;
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -274,6 +274,56 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a second run of a task whose worker has been silent since before the last
+// takeover: a scheduler that stores the job's progress for another reason must keep naming that
+// worker for the next one.
+Test(Takeover, names_a_silent_worker_to_the_next_scheduler)
+{
+  SchedulerFixture f;
+  f.AddWorkers(3);
+  f.Submit(f.Job("j", { f.Step(2, 8) }));
+  const auto first = f.Plan().mStarts;
+  const auto& silent = first.at(0);
+  auto progress = f.StoreProgress();
+  f.mWorkers.at(silent.mWorker).mIsReachable = false;
+  // Each scheduler resigns with all its progress stored, and learns something new of the other
+  // task.
+  for (int i = 0; i < 2; ++i) {
+    f.TakeOver(progress);
+    f.mScheduler->OnHandedOver(f.mNow);
+    f.RenewAllLeases();
+    cr_assert(f.Plan().mStarts.empty(), "the run on the silent worker was started a second time");
+    progress = f.StoreProgress();
+    cr_assert(progress.contains(JobId("j")));
+  }
+  f.mWorkers.at(silent.mWorker).mIsReachable = true;
+  f.EndRun(silent.mRun, RunEnd::Done);
+  f.EndRun(first.at(1).mRun, RunEnd::Done);
+  f.RenewAllLeases();
+  cr_assert(f.State("j") == JobState::Completed);
+}
+
+// Guards against a takeover that waits for a worker whose run is known to have ended: once the
+// worker has answered without the run, the progress must name it no more.
+Test(Takeover, names_no_worker_that_has_answered_without_the_run)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  const auto progress = f.StoreProgress();
+  f.mWorkers.at(first.mWorker).mRunning.clear();
+  for (auto& [id, worker] : f.mWorkers) {
+    worker.mEntry.mCapacity = {};
+  }
+  f.TakeOver(progress);
+  f.RenewAllLeases();
+  cr_assert(f.Plan().mStarts.empty());
+  const auto later = f.StoreProgress();
+  cr_assert(later.contains(JobId("j")));
+  cr_assert_eq(later.at(JobId("j")).find(first.mWorker.Value()), std::string::npos);
+}
+
 // Guards against a worker that left with a run and delays the work of all others after a takeover.
 Test(Takeover, delays_only_the_tasks_of_a_worker_that_left)
 {
