Show the end of a job only once it is stored

Cause: while the leader's writes failed, it showed ends that were not stored, because the worker would report them again. A worker that drains leaves with its ends, and the next leader reads from the store that the run is in progress.

Leader/shows_no_end_that_is_not_stored failed before (Completed instead of InProgress) and passes now.

Change: an end is shown once the store has it, whatever the state of the writer. Callers who ask during an outage of the store see the job in progress a little longer; what they are told is then never taken back.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -95,8 +95,8 @@
   bool IsLoaded() const { return mWorkers.has_value(); }
 
   // Returns the job's state; nullopt if the leader doesn't know the job. An ended job is reported
-  // as in progress until its end is stored, unless the last store write failed: the worker then
-  // keeps the end until it is stored. Cancellations are reported at once.
+  // as in progress until its end is stored: until then, only this leader and a worker that may leave
+  // know of the end. Cancellations are stored before the leader learns of them.
   std::optional<JobStatus> State(const JobId& aJob) const
   {
     const auto* job = mScheduler.FindJob(aJob);
@@ -106,11 +106,7 @@
     JobStatus known{ job->State(), job->Accepted().mAccount };
     if (job->IsOver() && known.mState != scheduler::JobState::Cancelled &&
         !mScheduler.IsStored(aJob)) {
-      if (mWriter->IsFailing()) {
-        LogEvent("unstored_end_shown", LogLevel::Warning).With("job", aJob);
-      } else {
-        known.mState = scheduler::JobState::InProgress;
-      }
+      known.mState = scheduler::JobState::InProgress;
     }
     return known;
   }
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -93,6 +93,30 @@
   cr_assert(f.mCalls.mStarts.empty());
 }
 
+// Guards against running a job again after a caller was told that it is completed: the store is down
+// to the leader, and the worker that could report the end again leaves before the next leader.
+Test(Leader, shows_no_end_that_is_not_stored)
+{
+  LeaderFixture f;
+  f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
+  f.Submit("j");
+  f.RunUntil([&] { return f.mStore.mItems.contains("progress/job/j"); });
+  f.RunUntil([&] { return f.mLeader->UnstoredState().mProgress.empty(); });
+  f.mStore.mIsDown = true;
+  f.mCalls.mRunning.begin()->second.clear();
+  f.mCalls.mFinished = { { 1, { { JobId("j"), 0, 0, 0 }, 1 }, scheduler::RunEnd::Done, "" } };
+  f.RunUntil([&] { return !f.mLeader->UnstoredState().mProgress.empty(); });
+  // Several writes fail meanwhile.
+  const auto later = std::chrono::steady_clock::now() + 3 * kStoreRetryDelay;
+  f.RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  cr_assert(f.mLeader->State(JobId("j"))->mState == scheduler::JobState::InProgress);
+  f.mStore.mIsDown = false;
+  f.RunUntil(
+    [&] { return f.mLeader->State(JobId("j"))->mState == scheduler::JobState::Completed; });
+  cr_assert_eq(scheduler::ReadState(f.mStore.mItems.at("progress/job/j").mValue),
+               scheduler::JobState::Completed);
+}
+
 // Guards against a hand-over that omits unstored progress.
 Test(Leader, hands_over_unstored_progress)
 {
