Send no orders after a pause before the leadership is checked

Cause: a leader that was frozen for 5.6 s went on as leader when it woke up, since it may lead for 7 s without an answer of the store. Another leader had been elected and had stored the end. Fencing tokens protect the workers from the old one, but a worker that had restarted a second before had seen no token and obeyed.

Change: Election::MayAct() requires that a renewal of the leadership sent within the last lease period has been answered, or has failed as in an outage of the store. Plans and renewals of workers' leases need it. Times are those of the boot clock, which also counts while a VM is suspended.

Why it works: another leader can only be elected once the lease has run out, and a renewal sent after that is answered with its end. Evidence: Leader/sends_nothing_after_a_pause_ until_its_leadership_is_checked failed before ("a run was started") and passes now. What remains: a leader that only the store has cut off still acts for up to 7 s; workers that have been called by its successor refuse it.

--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/BootClock.h"
 #include "base/CallbackGuard.h"
 #include "base/Json.h"
 #include "base/Random.h"
@@ -59,6 +60,10 @@
   }
 
   bool IsLeader() const { return mToken.has_value(); }
+  // Whether the leader may send orders and renew workers' leases. After a pause of this process or
+  // its VM it may not until the store has answered or failed a renewal of the leadership, because
+  // another leader may have been elected meanwhile.
+  bool MayAct() const { return IsLeader() && BootTime() - mCheckedAt < kLeadershipLease; }
   FencingToken Token() const { return mToken.value_or(FencingToken()); }
   // The condition on a leader's writes: the leader key still is the one that this node wrote.
   kv::ConditionalWrites::Condition Condition() const
@@ -74,9 +79,6 @@
     const bool isLast = mFormer && mFormer->mToken.Value() == mPreviousClaim.Value();
     return isLast ? mFormer : std::nullopt;
   }
-  // The send time of the last claim or renewal that the store confirmed.
-  TimePoint ConfirmedAt() const { return mConfirmedAt; }
-
   // Gives up the leadership and ends its lease, so that another node can take over at once.
   void Resign(const char* aReason)
   {
@@ -178,7 +180,7 @@
       mIsClaiming = false;
       return;
     }
-    mClaimSentAt = std::chrono::steady_clock::now();
+    mClaimSentAt = BootTime();
     mStore.GrantLease(kLeadershipLease,
                       mGuard.Wrap([this](std::error_code aError, kv::StoreLease aLease) {
                         if (aError) {
@@ -222,6 +224,7 @@
     mLeaderRevision = aOutcome.mRevision;
     mIsVacant = false;
     mConfirmedAt = mClaimSentAt;
+    mCheckedAt = mClaimSentAt;
     mRenewalTimer = mLoop.Every(kLeadershipRenewal, [this] { Renew(); });
     LogEvent("elected").With("token", *mToken);
     mCallbacks.mOnElected(*mToken);
@@ -244,7 +247,7 @@
 
   void Renew()
   {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = BootTime();
     if (now - mConfirmedAt > mSettings.mScheduler.mStoreOutageTolerance - kLeadershipRenewal) {
       EndLeadership("store_unreachable");
       return;
@@ -256,12 +259,15 @@
     }));
   }
 
-  void OnRenewed(std::error_code aError, TimePoint aSent)
+  void OnRenewed(std::error_code aError, Duration aSent)
   {
+    if (aError == kv::KvError::LeaseEnded) {
+      EndLeadership("lease_ended");
+      return;
+    }
+    mCheckedAt = std::max(mCheckedAt, aSent);
     if (!aError) {
       mConfirmedAt = std::max(mConfirmedAt, aSent);
-    } else if (aError == kv::KvError::LeaseEnded) {
-      EndLeadership("lease_ended");
     }
   }
 
@@ -291,8 +297,11 @@
   bool mIsVacant = false;
   bool mIsClaiming = false;
   bool mIsWithdrawn = false;
-  TimePoint mClaimSentAt;
-  TimePoint mConfirmedAt;
+  // All times are BootTime(). The send time of the last claim or renewal that the store confirmed,
+  // and of the last one that it confirmed or failed without telling that the lease has ended.
+  Duration mClaimSentAt{ 0 };
+  Duration mConfirmedAt{ 0 };
+  Duration mCheckedAt{ 0 };
   Timer mRenewalTimer;
   Timer mClaimTimer;
   CallbackGuard mGuard;
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -95,8 +95,8 @@
   bool IsLoaded() const { return mWorkers.has_value(); }
 
   // Returns the job's state; nullopt if the leader doesn't know the job. An ended job is reported
-  // as in progress until its end is stored: until then, only this leader and a worker that may leave
-  // know of the end. Cancellations are stored before the leader learns of them.
+  // as in progress until its end is stored: until then, only this leader and a worker that may
+  // leave know of the end. Cancellations are stored before the leader learns of them.
   std::optional<JobStatus> State(const JobId& aJob) const
   {
     const auto* job = mScheduler.FindJob(aJob);
@@ -122,7 +122,7 @@
   WorkerLeaseHooks MakeLeaseHooks()
   {
     WorkerLeaseHooks hooks;
-    hooks.mIsLeading = [this] { return mElection.IsLeader(); };
+    hooks.mMayRenew = [this] { return mElection.MayAct(); };
     hooks.mOnUpdate = [this] { SchedulePlan(); };
     hooks.mOnFenced = [this](const WorkerId& aWorker) { OnFenced(aWorker); };
     return hooks;
@@ -352,7 +352,7 @@
 
   void Plan()
   {
-    if (!mElection.IsLeader()) {
+    if (!mElection.MayAct()) {
       return;
     }
     const auto begin = std::chrono::steady_clock::now();
--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -18,8 +18,8 @@
 // Functions of the leader that WorkerLeases calls.
 struct WorkerLeaseHooks
 {
-  // Whether leases may still be renewed.
-  std::function<bool()> mIsLeading;
+  // Whether leases may be renewed now.
+  std::function<bool()> mMayRenew;
   // A worker's reply, or the lack of one, may require a new plan.
   std::function<void()> mOnUpdate;
   // The worker has seen a higher fencing token, so there is a newer leader.
@@ -70,7 +70,11 @@
       return;
     }
     auto& renewal = mRenewals[aWorker];
-    if (renewal.mInFlight || !mHooks.mIsLeading()) {
+    if (renewal.mInFlight) {
+      return;
+    }
+    if (!mHooks.mMayRenew()) {
+      renewal.mRetryTimer = mLoop.After(kRenewalRetryDelay, [this, aWorker] { Renew(aWorker); });
       return;
     }
     const auto& worker = it->second;
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -112,6 +112,9 @@
 
   void RenewLease(kv::StoreLease aLease, kv::DoneCallback aCallback)
   {
+    if (mHoldsRenewals) {
+      return;
+    }
     Answer([this, aLease, aCallback] {
       if (mIsDown) {
         aCallback(kv::KvError::Unavailable);
@@ -183,6 +186,8 @@
   }
 
   bool mIsDown = false;
+  // Renewals of leases get no answer.
+  bool mHoldsRenewals = false;
   // Numbers of upcoming writes that report OutcomeUnknown: those that are applied only by
   // ApplyDelayedWrites(), and those that are applied at once.
   int mWritesToDelay = 0;
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -1,5 +1,7 @@
 #include "LeaderFixture.h"
 
+#include <thread>
+
 using namespace lovagerock;
 using namespace lovagerock::control;
 using scheduler::OrderOutcome;
@@ -40,6 +42,24 @@
   f.RunUntil([&] { return f.mLost > 0; });
 }
 
+// Guards against orders of a leader that stood still until another one may have been elected, and
+// that has not learned of it yet: a worker that has restarted meanwhile would obey them.
+Test(Leader, sends_nothing_after_a_pause_until_its_leadership_is_checked)
+{
+  LeaderFixture f;
+  f.RunUntil([&] { return f.mCalls.mRenewalCalls.size() > 2; });
+  f.mStore.mHoldsRenewals = true;
+  std::this_thread::sleep_for(kLeadershipLease);
+  const auto calls = f.mCalls.mRenewalCalls.size();
+  f.Submit("j");
+  const auto later = std::chrono::steady_clock::now() + 4 * kPlanPeriod;
+  f.RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  cr_assert(f.mCalls.mStarts.empty(), "a run was started");
+  cr_assert_leq(f.mCalls.mRenewalCalls.size(), calls, "a worker's lease was renewed");
+  f.mStore.mHoldsRenewals = false;
+  f.RunUntil([&] { return f.mCalls.mStarts.size() == 1; });
+}
+
 // Guards against running a job again because a late listing still contains its deleted record.
 Test(Leader, ignores_job_records_older_than_the_retention_time)
 {
@@ -93,8 +113,8 @@
   cr_assert(f.mCalls.mStarts.empty());
 }
 
-// Guards against running a job again after a caller was told that it is completed: the store is down
-// to the leader, and the worker that could report the end again leaves before the next leader.
+// Guards against running a job again after a caller was told that it is completed: the store is
+// down to the leader, and the worker that could report the end again leaves before the next leader.
 Test(Leader, shows_no_end_that_is_not_stored)
 {
   LeaderFixture f;
