Don't take a refused connection for the end of a worker's runs

Cause: when the address of an unregistered worker refused a connection, the leader took its runs for ended and started them elsewhere.

Change: a refusal is a call without an answer like any other. Runs are presumed ended when the worker says so, another worker or incarnation answers, or its lease has expired. The price: what ran on a worker that crashed is started again after its lease, not at once.

--- a/src/control/WorkerCalls.h
+++ b/src/control/WorkerCalls.h
@@ -49,8 +49,6 @@
 struct RenewalReply
 {
   scheduler::OrderOutcome mOutcome = scheduler::OrderOutcome::Unknown;
-  // The connection was refused: nothing listens at the worker's address.
-  bool mIsConnectionRefused = false;
   scheduler::LeaseReport mReport;
 };
 
--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -132,9 +132,8 @@
         renewal.mClock.reset();
         break;
       default:
-        if (aReply.mIsConnectionRefused) {
-          mScheduler.OnWorkerRefused(aWorker, Now());
-        }
+        // Even a refused connection doesn't show that the worker's runs have ended: the network
+        // between may refuse it.
         break;
     }
     if (isDone && !HasUnstoredEnds(aWorker)) {
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -236,18 +236,6 @@
   it->second.mLeaseExpiry = aNow.mSteady;
 }
 
-void
-Scheduler::OnWorkerRefused(const WorkerId& aWorker, const CurrentTime& aNow)
-{
-  const auto it = mFleet.find(aWorker);
-  // While the worker is registered, the refusal may come from the network rather than the worker.
-  if (it != mFleet.end() && !it->second.mRegistered) {
-    DropAllRuns(it->second, "connection_refused", aNow);
-    mDirtyRacks.insert(it->second.mEntry.mRack);
-    mFleet.erase(it);
-  }
-}
-
 void
 Scheduler::DropAllRuns(Worker& aWorker, const char* aReason, const CurrentTime& aNow)
 {
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -77,8 +77,6 @@
   void OnLeaseReport(const WorkerId& aWorker, const LeaseReport& aReport, const CurrentTime& aNow);
   // Another incarnation of the worker answered, so the runs of the earlier one have ended.
   void OnWorkerReplaced(const WorkerId& aWorker, const CurrentTime& aNow);
-  // The worker's address refused the connection, so its process isn't listening.
-  void OnWorkerRefused(const WorkerId& aWorker, const CurrentTime& aNow);
   void OnStartOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
                       WorkerClock aClock, const CurrentTime& aNow);
   void OnStopOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -156,6 +156,15 @@
     ServeWatches();
   }
 
+  // Removes a key unconditionally.
+  void Remove(const std::string& aKey)
+  {
+    kv::ConditionalWrites removal;
+    removal.mDeletes.push_back(aKey);
+    Apply(removal);
+    ServeWatches();
+  }
+
   // Applies the delayed writes whose conditions hold; returns how many did.
   int ApplyDelayedWrites()
   {
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -44,7 +44,8 @@
     // The delay keeps the leader from renewing in a tight loop.
     mTimers.push_back(mLoop.After(Duration(5), [this, aTarget, aCallback] {
       RenewalReply reply;
-      reply.mOutcome = mRenewalOutcome;
+      reply.mOutcome =
+        mUnreachable.contains(aTarget.mWorker) ? scheduler::OrderOutcome::NotSent : mRenewalOutcome;
       reply.mReport.mClock = scheduler::WorkerClock(++mClock);
       reply.mReport.mRunning = mRunning[aTarget.mWorker];
       reply.mReport.mFinished = mFinished;
@@ -57,6 +58,8 @@
   std::vector<std::pair<WorkerId, StartCall>> mStarts;
   std::vector<RenewalCall> mRenewalCalls;
   std::set<WorkerId> mContacted;
+  // Workers whose address refuses connections.
+  std::set<WorkerId> mUnreachable;
   std::map<WorkerId, std::vector<scheduler::RunningRun>> mRunning;
   // The ended runs that every worker reports.
   std::vector<scheduler::FinishedRun> mFinished;
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -33,6 +33,24 @@
   f.RunUntil([&] { return f.mCalls.mRenewalCalls.back().mLeaseDeadline.has_value(); });
 }
 
+// Guards against a second run of a task whose worker is cut off from the store and from the leader
+// by a network that refuses connections: its entry expires and its address refuses calls, but its
+// runs go on until its lease has expired.
+Test(Leader, does_not_take_a_refused_connection_for_the_end_of_runs)
+{
+  LeaderFixture f;
+  f.mStore.Put("workers/other", "r");
+  f.Submit("j");
+  f.RunUntil([&] { return f.mCalls.mStarts.size() == 1; });
+  const auto worker = f.mCalls.mStarts[0].first;
+  f.RunUntil([&] { return f.mStore.mItems.contains("progress/job/j"); });
+  f.mCalls.mUnreachable.insert(worker);
+  f.mStore.Remove("workers/" + worker.Value());
+  const auto later = std::chrono::steady_clock::now() + 4 * kRenewalRetryDelay;
+  f.RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  cr_assert_eq(f.mCalls.mStarts.size(), 1, "the run was started a second time");
+}
+
 // Guards against two leaders that send orders to the same workers.
 Test(Leader, resigns_when_a_worker_reports_a_newer_leader)
 {
