Start no other run before an unanswered start is stopped

What callers could see: two runs of a task at the same time. A start order without an answer may be carried out seconds later. After three unanswered ones the run is stopped, but if the stops had no answer either, three reports without the run were taken as proof that it never began, and the task was started elsewhere.

Change: a run with an unanswered start leaves the plan only by its reported end, a confirmed stop, which makes the worker refuse the late order, or the end of the worker's lease, which the order's deadline can't exceed.

Scheduler/starts_no_other_run_before_a_start_without_an_answer_is_stopped failed before ("another run was started") and passes now.

--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -45,6 +45,10 @@
 };
 
 // A worker and the runs that are known to occupy its resources.
+
+  // Whether a start order without an answer may still be carried out, so that the run can begin
+  // although the worker doesn't report it. A confirmed stop rules that out.
+  bool MayStartLate() const { return mUnansweredStarts > 0 && !mStopConfirmedClock; }
 struct Worker
 {
   WorkerEntry mEntry;
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -172,6 +172,9 @@
   bool IsWanted(const Worker& aWorker, const PlacedRun& aRun, const CurrentTime& aNow) const;
   // Whether a member of the run's gang has no run in progress with the same number.
   bool IsGangBroken(const Job& aJob, const PlacedRun& aRun, const CurrentTime& aNow) const;
+  // Counts a report that lacks a run, and removes the run if too many did. A run that may start
+  // late has to be stopped first.
+  void OnMissedReport(Worker& aWorker, PlacedRun& aRun, const CurrentTime& aNow);
   // Whether the run that the loaded progress names for a task may be in progress, because its
   // worker hasn't answered this scheduler yet.
   bool MayRunUnreported(const Task& aTask, const CurrentTime& aNow) const;
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -92,19 +92,31 @@
       DropRun(aWorker, it.mRun, RunEnd::Stopped, "", aNow);
     } else if (it.mPhase != RunPhase::Starting && !it.mOrderInFlight &&
                aReport.mClock > it.mLastConfirmedClock) {
-      auto* placed = aWorker.Find(it.mRun);
-      if (++placed->mMissedReports >= kMaxMissedReports) {
-        LogEvent("run_vanished", LogLevel::Warning)
-          .With("worker", aWorker.mEntry.mId)
-          .With("job", it.mRun.mTask.mJob)
-          .With("run", it.mRun.mRun);
-        DropRun(aWorker, it.mRun, RunEnd::LeaseExpired, "", aNow);
-      }
+      OnMissedReport(aWorker, *aWorker.Find(it.mRun), aNow);
+    }
+  }
+}
+
+void
+Scheduler::OnMissedReport(Worker& aWorker, PlacedRun& aRun, const CurrentTime& aNow)
+{
+  if (++aRun.mMissedReports < kMaxMissedReports) {
+    return;
+  }
+  if (aRun.MayStartLate()) {
+    if (aRun.mPhase != RunPhase::Stopping) {
+      BeginStop(aWorker, aRun);
     }
   }
 }
 
 void
+  const auto run = aRun.mRun;
+  LogEvent("run_vanished", LogLevel::Warning)
+    .With("worker", aWorker.mEntry.mId)
+    .With("job", run.mTask.mJob)
+    .With("run", run.mRun);
+  DropRun(aWorker, run, RunEnd::LeaseExpired, "", aNow);
 Scheduler::AdoptRun(Worker& aWorker, const RunningRun& aRun, WorkerClock aClock,
                     const CurrentTime& aNow)
 {
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -164,6 +164,32 @@
   cr_assert_eq(second.mStarts[0].mRun.mRun, 2);
 }
 
+// Guards against a second run of a task whose start order had no answer and is carried out late:
+// that the worker doesn't report the run tells nothing until a stop is confirmed.
+Test(Scheduler, starts_no_other_run_before_a_start_without_an_answer_is_stopped)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  for (auto& [id, worker] : f.mWorkers) {
+    worker.mAnswersOrders = false;
+  }
+  const auto first = f.Plan().mStarts.at(0);
+  for (int i = 0; i < 20; ++i) {
+    f.AdvanceTime(Duration(500));
+    for (const auto& it : f.Plan().mStarts) {
+      cr_assert_eq(it.mRun, first.mRun, "another run was started");
+    }
+  }
+  for (auto& [id, worker] : f.mWorkers) {
+    worker.mAnswersOrders = true;
+  }
+  f.AdvanceTime(Duration(500));
+  f.Plan();
+  f.RenewAllLeases();
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 Test(Scheduler, starts_nothing_on_a_draining_worker_and_moves_runs_that_would_not_finish)
 {
   SchedulerFixture f;
--- a/tests/scheduler/SchedulerFixture.h
+++ b/tests/scheduler/SchedulerFixture.h
@@ -29,6 +29,8 @@
     // The number of the last ended run, see FinishedRun::mNumber.
     std::int64_t mNumber = 0;
     bool mIsReachable = true;
+    // Whether start and stop orders get an answer. Without one they aren't carried out.
+    bool mAnswersOrders = true;
   };
 
   SchedulerFixture() { Restart(); }
@@ -115,7 +117,7 @@
     for (const auto& it : orders.mStarts) {
       mScheduler->OnLeaseSent(it.mWorker, mNow);
       auto& worker = mWorkers.at(it.mWorker);
-      if (!worker.mIsReachable) {
+      if (!worker.mIsReachable || !worker.mAnswersOrders) {
         mScheduler->OnStartOutcome(it.mWorker, it.mRun, OrderOutcome::Unknown, WorkerClock(), mNow);
         continue;
       }
@@ -130,7 +132,7 @@
     }
     for (const auto& it : orders.mStops) {
       auto& worker = mWorkers.at(it.mWorker);
-      if (!worker.mIsReachable) {
+      if (!worker.mIsReachable || !worker.mAnswersOrders) {
         mScheduler->OnStopOutcome(it.mWorker, it.mRun, OrderOutcome::Unknown, WorkerClock(), mNow);
         continue;
       }
