Stop unanswered starts on a restarted worker, and expect its longest lease

What callers could see: two runs of a task at the same time after a worker restarted under its id. The runs of the earlier incarnation have ended, but a start order without an answer may still be carried out by the new one, which has seen no stop and has a clock that starts anew, so that the order's deadline doesn't bind it. For the same reason an order with a deadline of the old clock gives the new incarnation the longest lease that workers grant (10 s) while the leader expected 6 s.

Change: after a restart, runs with unanswered starts are stopped first, and the outcome of an order sent before the restart counts for nothing; the lease of a worker that has restarted is expected to last mLongestLease; a deadline is only computed from the clock of the current incarnation; a report that was sent before the restart is ignored.

--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -53,7 +53,8 @@
   std::optional<scheduler::WorkerClock> Deadline(const WorkerId& aWorker) const
   {
     const auto it = mRenewals.find(aWorker);
-    if (it == mRenewals.end() || !it->second.mClock) {
+    if (it == mRenewals.end() || !it->second.mClock ||
+        it->second.mIncarnation != Incarnation(aWorker)) {
       return std::nullopt;
     }
     const auto elapsed = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
@@ -87,10 +88,11 @@
     if (call.mLeaseDeadline) {
       mScheduler.OnLeaseSent(aWorker, Now());
     }
-    mCalls.RenewLease(Target(worker), call,
-                      mGuard.Wrap([this, aWorker](const RenewalReply& aReply) {
-                        OnRenewalReply(aWorker, aReply);
-                      }));
+    mCalls.RenewLease(
+      Target(worker), call,
+      mGuard.Wrap([this, aWorker, sentTo = worker.mEntry.mIncarnation](const auto& aReply) {
+        OnRenewalReply(aWorker, sentTo, aReply);
+      }));
   }
 
 private:
@@ -100,8 +102,10 @@
     // The last call failed. Until one succeeds, calls don't renew the lease, so that the lease of a
     // lost worker ends.
     bool mLastCallFailed = false;
-    // The worker's clock in its last report, and the local time when that arrived.
+    // The worker's clock in its last report, the incarnation that it belongs to, and the local time
+    // when the report arrived.
     std::optional<scheduler::WorkerClock> mClock;
+    scheduler::WorkerIncarnation mIncarnation;
     TimePoint mClockReadAt;
     Timer mRetryTimer;
   };
@@ -111,7 +115,9 @@
     return { std::chrono::steady_clock::now(), WallClockMs() };
   }
 
-  void OnRenewalReply(const WorkerId& aWorker, const RenewalReply& aReply)
+  // aSentTo is the worker's incarnation when the call was sent.
+  void OnRenewalReply(const WorkerId& aWorker, scheduler::WorkerIncarnation aSentTo,
+                      const RenewalReply& aReply)
   {
     const bool isDone = aReply.mOutcome == scheduler::OrderOutcome::Done;
     auto& renewal = mRenewals[aWorker];
@@ -120,9 +126,14 @@
     mHooks.mOnUpdate();
     switch (aReply.mOutcome) {
       case scheduler::OrderOutcome::Done:
+        if (aReply.mReport.mIncarnation == aSentTo && aSentTo != Incarnation(aWorker)) {
+          // The worker has restarted since it sent this report.
+          break;
+        }
         renewal.mClock = aReply.mReport.mClock;
         renewal.mClockReadAt = std::chrono::steady_clock::now();
         mScheduler.OnLeaseReport(aWorker, aReply.mReport, Now());
+        renewal.mIncarnation = Incarnation(aWorker);
         break;
       case scheduler::OrderOutcome::Fenced:
         mHooks.mOnFenced(aWorker);
@@ -143,6 +154,14 @@
     }
   }
 
+  // Returns the worker's incarnation as far as the scheduler knows it.
+  scheduler::WorkerIncarnation Incarnation(const WorkerId& aWorker) const
+  {
+    const auto it = mScheduler.Workers().find(aWorker);
+    return it == mScheduler.Workers().end() ? scheduler::WorkerIncarnation()
+                                            : it->second.mEntry.mIncarnation;
+  }
+
   // Whether the worker reported ended runs that aren't stored yet. A renewal would be answered with
   // them again at once.
   bool HasUnstoredEnds(const WorkerId& aWorker) const
--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -38,17 +38,20 @@
   int mUnansweredStarts = 0;
   // Whether an order for the run awaits its outcome.
   bool mOrderInFlight = false;
+  // Whether the worker has restarted since that order was sent, so that its outcome tells nothing
+  // of the worker as it is now.
+  bool mIsOrderOutdated = false;
   // The worker's clock when it confirmed the stop order.
   std::optional<WorkerClock> mStopConfirmedClock;
   // The task saves checkpoints, so that a stop loses only the work since the last one.
   bool mCheckpointing = false;
-};
-
-// A worker and the runs that are known to occupy its resources.
 
   // Whether a start order without an answer may still be carried out, so that the run can begin
   // although the worker doesn't report it. A confirmed stop rules that out.
   bool MayStartLate() const { return mUnansweredStarts > 0 && !mStopConfirmedClock; }
+};
+
+// A worker and the runs that are known to occupy its resources.
 struct Worker
 {
   WorkerEntry mEntry;
@@ -60,6 +63,9 @@
   // Whether the worker has answered a lease renewal of this scheduler. From then on it rejects the
   // orders of earlier schedulers.
   bool mHasAnswered = false;
+  // Whether the worker has restarted under its id. An order that was meant for an earlier
+  // incarnation may have extended its lease, see SchedulerSettings::mLongestLease.
+  bool mHasRestarted = false;
   // Upper bound on when the worker's lease expires unless it is renewed. Nothing runs there later.
   TimePoint mLeaseExpiry;
   // No run is started on the worker before this time.
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -180,7 +180,7 @@
   const auto birth = worker.mEntry.mIncarnation;
   const bool isRestarted = !isNew && aEntry.mIncarnation > birth && birth.Value() != 0;
   if (isRestarted) {
-    OnWorkerReplaced(aEntry.mId, aNow);
+    OnWorkerRestarted(worker, aNow);
   }
   if (aEntry.mDraining && !(worker.mEntry.mDraining && worker.mRegistered)) {
     worker.mDrainingSince = aNow.mSteady;
@@ -216,9 +216,9 @@
 }
 
 Duration
-Scheduler::MaxLeaseDuration() const
+Scheduler::WithClockDrift(Duration aTime) const
 {
-  return mSettings.mLeaseDuration * (100 + mSettings.mClockDriftPercent) / 100;
+  return aTime * (100 + mSettings.mClockDriftPercent) / 100;
 }
 
 void
@@ -229,13 +229,46 @@
     return;
   }
   DropAllRuns(it->second, "worker_replaced", aNow);
-  it->second.mLastProcessedEnd = 0;
-  it->second.mLastStoredEnd = 0;
-  it->second.mConsecutiveFailures = 0;
-  it->second.mHasAnswered = false;
+  ForgetIncarnation(it->second);
   it->second.mLeaseExpiry = aNow.mSteady;
 }
 
+void
+Scheduler::OnWorkerRestarted(Worker& aWorker, const CurrentTime& aNow)
+{
+  std::vector<PlacedRun> mayStart;
+  for (const auto& it : aWorker.mRuns) {
+    const bool isStartInFlight = it.mOrderInFlight && it.mPhase == RunPhase::Starting;
+    if (it.mUnansweredStarts > 0 || isStartInFlight) {
+      mayStart.push_back(it);
+    }
+  }
+  for (const auto& it : mayStart) {
+    aWorker.Remove(it.mRun);
+  }
+  DropAllRuns(aWorker, "worker_restarted", aNow);
+  ForgetIncarnation(aWorker);
+  for (auto& it : mayStart) {
+    it.mUnansweredStarts = std::max(it.mUnansweredStarts, 1);
+    it.mIsOrderOutdated = it.mOrderInFlight;
+    it.mStopConfirmedClock.reset();
+    it.mLastConfirmedClock = WorkerClock();
+    it.mMissedReports = 0;
+    BeginStop(aWorker, aWorker.Add(it));
+  }
+  aWorker.mHasRestarted = true;
+  aWorker.mLeaseExpiry = aNow.mSteady + WithClockDrift(mSettings.mLongestLease);
+}
+
+void
+Scheduler::ForgetIncarnation(Worker& aWorker)
+{
+  aWorker.mLastProcessedEnd = 0;
+  aWorker.mLastStoredEnd = 0;
+  aWorker.mConsecutiveFailures = 0;
+  aWorker.mHasAnswered = false;
+}
+
 void
 Scheduler::DropAllRuns(Worker& aWorker, const char* aReason, const CurrentTime& aNow)
 {
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -75,7 +75,7 @@
   // its lease even if no answer arrives.
   void OnLeaseSent(const WorkerId& aWorker, const CurrentTime& aNow);
   void OnLeaseReport(const WorkerId& aWorker, const LeaseReport& aReport, const CurrentTime& aNow);
-  // Another incarnation of the worker answered, so the runs of the earlier one have ended.
+  // Another worker answered at the worker's address, so the worker's runs have ended.
   void OnWorkerReplaced(const WorkerId& aWorker, const CurrentTime& aNow);
   void OnStartOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
                       WorkerClock aClock, const CurrentTime& aNow);
@@ -157,14 +157,24 @@
   void UpdateWorkerFailures(const WorkerId& aWorker, const RunRef& aRun, RunEnd aEnd,
                             const CurrentTime& aNow);
   void UpdateCheckpoint(Job& aJob, const TaskRef& aTask, const std::string& aCheckpoint);
+  // Returns the longest time on this process's clock in which a worker's clock advances by aTime.
+  Duration WithClockDrift(Duration aTime) const;
   // The longest that a lease may last after a renewal, on this process's clock.
-  Duration MaxLeaseDuration() const;
+  Duration MaxLeaseDuration() const { return WithClockDrift(mSettings.mLeaseDuration); }
+  // The worker has restarted under its id: the runs of its earlier incarnation have ended, but
+  // start orders without an answer may still be carried out by the new one.
+  void OnWorkerRestarted(Worker& aWorker, const CurrentTime& aNow);
+  // Resets what is known of the incarnation that answered last.
+  static void ForgetIncarnation(Worker& aWorker);
   // Applies the end of all runs of a worker that can't be in progress any more; aReason is logged.
   void DropAllRuns(Worker& aWorker, const char* aReason, const CurrentTime& aNow);
   // Updates runs and tasks from the worker's report of runs in progress.
   void ReadRunning(Worker& aWorker, const LeaseReport& aReport, const CurrentTime& aNow);
   // Removes runs that the worker doesn't report any more.
   void CheckMissing(Worker& aWorker, const LeaseReport& aReport, const CurrentTime& aNow);
+  // Counts a report that lacks a run, and removes the run if too many did. A run that may start
+  // late has to be stopped first.
+  void OnMissedReport(Worker& aWorker, PlacedRun& aRun, const CurrentTime& aNow);
   // Adds a reported run that this scheduler didn't know, which an earlier one has started.
   void
   AdoptRun(Worker& aWorker, const RunningRun& aRun, WorkerClock aClock, const CurrentTime& aNow);
@@ -172,9 +182,6 @@
   bool IsWanted(const Worker& aWorker, const PlacedRun& aRun, const CurrentTime& aNow) const;
   // Whether a member of the run's gang has no run in progress with the same number.
   bool IsGangBroken(const Job& aJob, const PlacedRun& aRun, const CurrentTime& aNow) const;
-  // Counts a report that lacks a run, and removes the run if too many did. A run that may start
-  // late has to be stopped first.
-  void OnMissedReport(Worker& aWorker, PlacedRun& aRun, const CurrentTime& aNow);
   // Whether the run that the loaded progress names for a task may be in progress, because its
   // worker hasn't answered this scheduler yet.
   bool MayRunUnreported(const Task& aTask, const CurrentTime& aNow) const;
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -2,6 +2,7 @@
 #include "scheduler/Scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lovagerock::scheduler {
 
@@ -24,16 +25,17 @@
   auto& worker = it->second;
   if (aReport.mIncarnation.Value() != 0 && aReport.mIncarnation != worker.mEntry.mIncarnation) {
     if (worker.mEntry.mIncarnation.Value() != 0) {
-      OnWorkerReplaced(aWorker, aNow);
+      OnWorkerRestarted(worker, aNow);
     }
     worker.mEntry.mIncarnation = aReport.mIncarnation;
-    OnLeaseSent(aWorker, aNow);
   }
   if (!worker.mHasAnswered) {
     // From now on the worker rejects renewals of earlier schedulers, so its lease lasts no longer
     // than one renewal from now.
     worker.mHasAnswered = true;
-    worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, aNow.mSteady + MaxLeaseDuration());
+    const auto longest =
+      worker.mHasRestarted ? WithClockDrift(mSettings.mLongestLease) : MaxLeaseDuration();
+    worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, aNow.mSteady + longest);
   }
   for (const auto& ended : aReport.mFinished) {
     if (ended.mNumber <= worker.mLastProcessedEnd) {
@@ -107,16 +109,17 @@
     if (aRun.mPhase != RunPhase::Stopping) {
       BeginStop(aWorker, aRun);
     }
+    return;
   }
-}
-
-void
   const auto run = aRun.mRun;
   LogEvent("run_vanished", LogLevel::Warning)
     .With("worker", aWorker.mEntry.mId)
     .With("job", run.mTask.mJob)
     .With("run", run.mRun);
   DropRun(aWorker, run, RunEnd::LeaseExpired, "", aNow);
+}
+
+void
 Scheduler::AdoptRun(Worker& aWorker, const RunningRun& aRun, WorkerClock aClock,
                     const CurrentTime& aNow)
 {
@@ -159,6 +162,9 @@
     return;
   }
   placed->mOrderInFlight = false;
+  if (std::exchange(placed->mIsOrderOutdated, false)) {
+    return;
+  }
   auto& worker = it->second;
   // An earlier start order for the run had no answer: it may have been carried out, or may still
   // be.
@@ -230,6 +236,9 @@
     return;
   }
   placed->mOrderInFlight = false;
+  if (std::exchange(placed->mIsOrderOutdated, false)) {
+    return;
+  }
   if (aOutcome == OrderOutcome::Done) {
     placed->mStopConfirmedClock = aClock;
   } else if (aOutcome == OrderOutcome::WrongWorker) {
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -9,6 +9,9 @@
 {
   // Duration of a worker's lease after a renewal, on the worker's clock.
   Duration mLeaseDuration{ 6000 };
+  // The longest lease that a worker grants, on its own clock. An order that was meant for an
+  // earlier incarnation, whose clock was ahead, makes the lease last that long.
+  Duration mLongestLease{ 10000 };
   // By how many percent a worker's clock may run slower than this process's clock.
   int mClockDriftPercent = 2;
   // Time a scheduler may keep working without an answer from the store. A scheduler that takes
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -164,6 +164,30 @@
   cr_assert_eq(second.mStarts[0].mRun.mRun, 2);
 }
 
+// Guards against a second run of a task whose start order had no answer before its worker
+// restarted: the new incarnation may still carry the order out.
+Test(Scheduler, stops_a_start_without_an_answer_on_a_restarted_worker_before_it_starts_another_run)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  for (auto& [id, worker] : f.mWorkers) {
+    worker.mAnswersOrders = false;
+  }
+  const auto first = f.Plan().mStarts.at(0);
+  f.RestartWorker(first.mWorker);
+  for (auto& [id, worker] : f.mWorkers) {
+    worker.mAnswersOrders = true;
+  }
+  f.RenewAllLeases();
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty(), "another run was started before the first was stopped");
+  cr_assert_eq(orders.mStops.size(), 1);
+  cr_assert_eq(orders.mStops[0].mRun, first.mRun);
+  f.RenewAllLeases();
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against a second run of a task whose start order had no answer and is carried out late:
 // that the worker doesn't report the run tells nothing until a stop is confirmed.
 Test(Scheduler, starts_no_other_run_before_a_start_without_an_answer_is_stopped)
@@ -190,6 +214,28 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a second run of a task on a worker whose lease is longer than expected: after a
+// restart, orders carried deadlines of the earlier incarnation's clock.
+Test(Scheduler, expects_the_longest_lease_of_a_worker_that_has_restarted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  for (auto& [id, worker] : f.mWorkers) {
+    worker.mAnswersOrders = false;
+  }
+  const auto first = f.Plan().mStarts.at(0);
+  f.RestartWorker(first.mWorker);
+  auto& worker = f.mWorkers.at(first.mWorker);
+  worker.mRunning.push_back({ first.mRun, "", 0 });
+  f.RenewLease(first.mWorker);
+  worker.mIsReachable = false;
+  f.AdvanceTime(f.mSettings.mLongestLease);
+  cr_assert(f.Plan().mStarts.empty(), "the lease may not have expired");
+  f.AdvanceTime(Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 Test(Scheduler, starts_nothing_on_a_draining_worker_and_moves_runs_that_would_not_finish)
 {
   SchedulerFixture f;
--- a/tests/scheduler/SchedulerFixture.h
+++ b/tests/scheduler/SchedulerFixture.h
@@ -190,6 +190,18 @@
     }
   }
 
+  // Replaces the worker by a new incarnation, which runs nothing and whose clock and numbers start
+  // anew. The scheduler learns of it with the next report.
+  void RestartWorker(const WorkerId& aWorker)
+  {
+    auto& worker = mWorkers.at(aWorker);
+    worker.mEntry.mIncarnation = WorkerIncarnation(worker.mEntry.mIncarnation.Value() + 100);
+    worker.mRunning.clear();
+    worker.mFinished.clear();
+    worker.mClock = 1;
+    worker.mNumber = 0;
+  }
+
   // Stores the changed progress and rack records. Returns the progress by job.
   std::map<JobId, std::string> StoreProgress()
   {
