Expect leases to last as long as on the slowest clock that is allowed

What callers could see: two runs of a task at the same time for a few milliseconds. A lease of 6000 ms lasts 6123 ms on a clock that is 2 % slow, not 6120 ms. The deadline of an order also counted the time since the worker's last report in full, while a slow clock advances less: 20 ms for a report of a second ago, more for an older one.

Scheduler/expects_a_lease_to_last_as_long_as_on_the_slowest_clock failed before ("the lease may not have expired") and passes now.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -65,8 +65,7 @@
     , mSettings(aSettings)
     , mToken(aElection.Token())
     , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
-    , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler.mLeaseDuration,
-              MakeLeaseHooks())
+    , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
   {
     OnDeployment(aDeployment);
     aHandOverSource(mGuard.Wrap([this](HandOver aHandOver) { OnHandOver(std::move(aHandOver)); }));
--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -33,12 +33,13 @@
 {
 public:
   WorkerLeases(EventLoop& aLoop, Calls& aCalls, scheduler::Scheduler& aScheduler,
-               FencingToken aToken, Duration aLeaseDuration, WorkerLeaseHooks aHooks)
+               FencingToken aToken, const scheduler::SchedulerSettings& aSettings,
+               WorkerLeaseHooks aHooks)
     : mLoop(aLoop)
     , mCalls(aCalls)
     , mScheduler(aScheduler)
     , mToken(aToken)
-    , mLeaseDuration(aLeaseDuration)
+    , mSettings(aSettings)
     , mHooks(std::move(aHooks))
   {
   }
@@ -59,7 +60,10 @@
     }
     const auto elapsed = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
                                                               it->second.mClockReadAt);
-    return *it->second.mClock + scheduler::WorkerClock((elapsed + mLeaseDuration).count());
+    // The worker's clock may have advanced less, and must not get a longer lease by that.
+    const auto advanced = elapsed * (100 - mSettings.mClockDriftPercent) / 100;
+    return *it->second.mClock +
+           scheduler::WorkerClock((advanced + mSettings.mLeaseDuration).count());
   }
 
   // Renews the worker's lease now and repeatedly from then on, unless a call is already in flight.
@@ -175,7 +179,7 @@
   Calls& mCalls;
   scheduler::Scheduler& mScheduler;
   FencingToken mToken;
-  Duration mLeaseDuration;
+  scheduler::SchedulerSettings mSettings;
   WorkerLeaseHooks mHooks;
   std::map<WorkerId, Renewal> mRenewals;
   CallbackGuard mGuard;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -17,7 +17,7 @@
 
 Scheduler::Scheduler(const SchedulerSettings& aSettings, TimePoint aTakeover)
   : mSettings(aSettings)
-  , mInheritedUntil(aTakeover + aSettings.mStoreOutageTolerance + aSettings.mLeaseDuration)
+  , mInheritedUntil(aTakeover + aSettings.mStoreOutageTolerance + MaxLeaseDuration())
 {
 }
 
@@ -218,7 +218,9 @@
 Duration
 Scheduler::WithClockDrift(Duration aTime) const
 {
-  return aTime * (100 + mSettings.mClockDriftPercent) / 100;
+  // Rounded up.
+  const int percent = 100 - mSettings.mClockDriftPercent;
+  return (aTime * 100 + Duration(percent - 1)) / percent;
 }
 
 void
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -164,6 +164,22 @@
   cr_assert_eq(second.mStarts[0].mRun.mRun, 2);
 }
 
+// Guards against a second run of a task on a worker whose clock runs as slow as is allowed: its
+// lease lasts 1 / (1 - drift) times as long, which is more than 1 + drift.
+Test(Scheduler, expects_a_lease_to_last_as_long_as_on_the_slowest_clock)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.mWorkers.at(first.mWorker).mIsReachable = false;
+  const auto percent = 100 - f.mSettings.mClockDriftPercent;
+  f.AdvanceTime(f.mSettings.mLeaseDuration * 100 / percent);
+  cr_assert(f.Plan().mStarts.empty(), "the lease may not have expired");
+  f.AdvanceTime(Duration(2));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against a second run of a task whose start order had no answer before its worker
 // restarted: the new incarnation may still carry the order out.
 Test(Scheduler, stops_a_start_without_an_answer_on_a_restarted_worker_before_it_starts_another_run)
