--- a/tests/jobs/CoordinatorTests.cpp
+++ b/tests/jobs/CoordinatorTests.cpp
@@ -1,4 +1,5 @@
 #include "JobFixture.h"
+#include "base/WallClock.h"
 
 using namespace lovagerock;
 using namespace lovagerock::jobs;
@@ -108,9 +109,16 @@
   // At frozen workers the reservation calls of the first gang stay open for a while.
   cluster.SetFaults(0, R"({"freeze":true})");
   cluster.SetFaults(1, R"({"freeze":true})");
-  const auto first = cluster.Submit(cluster.Job("k1", 2, kShortPayload)).mJob;
-  const auto large = cluster.Submit(cluster.Job("k2", 5, kShortPayload)).mJob;
-  const auto small = cluster.Submit(cluster.Job("k3", 2, kShortPayload)).mJob;
+  const auto now = WallClockMs();
+  const auto submit = [&](const char* aKey, int aTasks, std::int64_t aSubmittedMs) {
+    auto job = cluster.Job(aKey, aTasks, kShortPayload);
+    job.mSubmittedMs = aSubmittedMs;
+    return cluster.Submit(job).mJob;
+  };
+  // The order of the jobs is that of their submission times.
+  const auto first = submit("k1", 2, now - 300);
+  const auto large = submit("k2", 5, now - 200);
+  const auto small = submit("k3", 2, now - 100);
   planner.mCoordinator.Activate();
   const auto phase = [&](const JobId& aJob) { return planner.mCoordinator.Jobs().at(aJob).mPhase; };
   cluster.Until([&] { return planner.mCoordinator.Jobs().size() == 3; });
