Read long JSON lists in linear time

What callers would see: a node that answers nobody for minutes, and loses its leadership, after one list or body with many small objects.

Cause: the depth of the nesting was limited by a callback of the parser, and with a callback the parser searches the parent of each object for discarded members when the object ends.

Change: the depth is checked in a pass that builds nothing, as it was for CBOR already. Both formats now use the same check.

--- a/src/base/Json.h
+++ b/src/base/Json.h
@@ -14,6 +14,11 @@
 std::optional<Json>
 ParseJson(std::string_view aText);
 
+// Whether the text, JSON or CBOR, is well-formed and not nested too deeply to be handled by
+// recursive functions.
+bool
+IsWellFormedJson(std::string_view aText, Json::input_format_t aFormat = Json::input_format_t::json);
+
 // Writes JSON text; bytes that aren't UTF-8 are replaced.
 std::string
 DumpJson(const Json& aValue);
--- a/tests/base/TextTests.cpp
+++ b/tests/base/TextTests.cpp
@@ -6,7 +6,9 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 using namespace lovagerock;
 
@@ -17,6 +19,9 @@
   cr_assert_not(SocketAddress::Parse("127.0.0.1:65536").has_value());
   cr_assert_not(SocketAddress::Parse("127.0.0.1:").has_value());
   cr_assert_not(SocketAddress::Parse("127.0.0.1:8x").has_value());
+  cr_assert_not(SocketAddress::Parse("127.0.0.1:99999999999").has_value());
+  cr_assert_not(SocketAddress::Parse("127.0.0.1:-1").has_value());
+  cr_assert_not(SocketAddress::Parse("127.0.0.1").has_value());
 }
 
 // Guards against stack exhaustion by hostile nesting.
@@ -25,6 +30,28 @@
   cr_assert(ParseJson(R"({"a":[1]})").has_value());
   cr_assert_not(ParseJson("{").has_value());
   cr_assert_not(ParseJson(std::string(100000, '[')).has_value());
+  const auto deep = std::string(100000, '[') + std::string(100000, ']');
+  cr_assert_not(ParseJson(deep).has_value());
+  cr_assert_not(ParseJson("{\"a\":" + deep + "}").has_value());
+}
+
+// Guards against a number that ends the process or is read as infinite.
+Test(Json, rejects_numbers_that_no_type_holds)
+{
+  cr_assert_not(ParseJson("1e999").has_value());
+  cr_assert_not(ParseJson("{\"a\":[-1e999]}").has_value());
+}
+
+// Guards against a time to read that grows with the square of the number of elements: a list of
+// this size then takes many minutes, in which the process answers nobody.
+Test(Json, reads_long_lists_of_objects, .timeout = 120)
+{
+  constexpr int kElements = 1000000;
+  std::string text = "[{}";
+  for (int i = 1; i < kElements; ++i) {
+    text += ",{}";
+  }
+  cr_assert_eq(ParseJson(text + "]")->size(), kElements);
 }
 
 Test(Hash, is_the_same_on_every_node)
