Convert JSON numbers with a check of their range

The conversion of 1e300 to an integer has no defined result.

Cause: the JSON library's conversions cast without a check.

Evidence: Json/takes_the_default_for_numbers_out_of_range failed before (1e300 didn't give the default). WorkerState/rejects_numbers_out_of_range was written with the change and was not run on the former code.

Change: ConvertJson(), JsonAt(), JsonInRange() and JsonValue() hold the one checked conversion. The states of workers and the hand-over use it, and a worker's times are limited to values that can be added to a time point.

--- a/src/base/Json.cpp
+++ b/src/base/Json.cpp
@@ -35,6 +35,18 @@
 
 } // namespace
 
+void
+ThrowNotANumber(const Json& aValue)
+{
+  throw Json::type_error::create(302, "not a number", &aValue);
+}
+
+void
+ThrowOutOfRange(const Json& aValue)
+{
+  throw Json::out_of_range::create(406, "number out of range", &aValue);
+}
+
 } // namespace detail
 
 bool
--- a/src/control/HandOver.cpp
+++ b/src/control/HandOver.cpp
@@ -22,7 +22,7 @@
 {
   HandOver handOver;
   try {
-    handOver.mToken = FencingToken(aJson.at("token").get<std::int64_t>());
+    handOver.mToken = FencingToken(JsonAt<std::int64_t>(aJson, "token"));
     handOver.mIsComplete = aJson.at("complete").get<bool>();
     for (const auto& it : aJson.at("progress")) {
       handOver.mProgress.push_back(
--- a/src/workers/WorkerState.cpp
+++ b/src/workers/WorkerState.cpp
@@ -53,20 +53,30 @@
   aId = StrongId<Tag>(aJson.at(aKey).get<std::string>());
 }
 
+// Reads a member; throws if it is absent or has the wrong type.
+template<typename T>
+void
+ReadMember(const Json& aJson, const char* aKey, T& aValue)
+{
+  aValue = JsonAt<T>(aJson, aKey);
+}
+
 // Reads a member that may be absent. Throws if it is present with the wrong type.
 template<typename T>
 void
 ReadOptional(const Json& aJson, const char* aKey, T& aValue)
 {
   if (const auto it = aJson.find(aKey); it != aJson.end()) {
-    it->get_to(aValue);
+    aValue = ConvertJson<T>(*it);
   }
 }
 
 Duration
 ReadMilliseconds(const Json& aJson, const char* aKey)
 {
-  return Duration(aJson.at(aKey).get<std::int64_t>());
+  // Over 30 years; longer ones would overflow the arithmetic of time points.
+  constexpr std::int64_t kMax = 1'000'000'000'000;
+  return Duration(JsonInRange(aJson.at(aKey), -kMax, kMax));
 }
 
 // The members that a lease request and a lease state share.
@@ -94,14 +104,14 @@
 {
   ReadEnum(kLeaseKindNames, aJson.at("kind"), aLease.mKind);
   aLease.mResources = aJson.at("resources").get<Resources>();
-  aJson.at("reclaimable").get_to(aLease.mReclaimable);
-  aJson.at("idempotent").get_to(aLease.mIdempotent);
+  ReadMember(aJson, "reclaimable", aLease.mReclaimable);
+  ReadMember(aJson, "idempotent", aLease.mIdempotent);
   ReadId(aJson, "account", aLease.mAccount);
   ReadId(aJson, "service", aLease.mService);
   ReadId(aJson, "job", aLease.mJob);
-  aJson.at("task").get_to(aLease.mTask);
-  aJson.at("tasks").get_to(aLease.mTasks);
-  aJson.at("attempt").get_to(aLease.mAttempt);
+  ReadMember(aJson, "task", aLease.mTask);
+  ReadMember(aJson, "tasks", aLease.mTasks);
+  ReadMember(aJson, "attempt", aLease.mAttempt);
   ReadOptional(aJson, "checkpoint", aLease.mCheckpoint);
 }
 
@@ -109,7 +119,7 @@
 ParseFence(const Json& aJson)
 {
   Fence fence;
-  aJson.at("epoch").get_to(fence.mEpoch);
+  ReadMember(aJson, "epoch", fence.mEpoch);
   ReadId(aJson, "node", fence.mNode);
   return fence;
 }
@@ -134,17 +144,17 @@
   ReadId(aJson, "region", state.mRegion);
   ReadId(aJson, "zone", state.mZone);
   ReadId(aJson, "rack", state.mRack);
-  aJson.at("incarnation").get_to(state.mIncarnation);
-  aJson.at("sequence").get_to(state.mSequence);
+  ReadMember(aJson, "incarnation", state.mIncarnation);
+  ReadMember(aJson, "sequence", state.mSequence);
   // Any state other than live means that the worker must get no new work.
   state.mLeaving = aJson.at("state").get_ref<const std::string&>() != "live";
   const auto& capacity = aJson.at("capacity");
   state.mCapacity = capacity.get<Resources>();
-  capacity.at("connections").get_to(state.mConnections);
+  ReadMember(capacity, "connections", state.mConnections);
   state.mFence = ParseFence(aJson.at("fence"));
   const auto& usage = aJson.at("usage");
   state.mUsageLag = ReadMilliseconds(usage, "lag_ms");
-  state.mBusyAccelerators = Accelerators(usage.at("busy_accelerators").get<std::int64_t>());
+  state.mBusyAccelerators = Accelerators(JsonAt<std::int64_t>(usage, "busy_accelerators"));
   for (const auto& it : aJson.at("leases")) {
     state.mLeases.push_back(ParseLeaseState(it));
   }
--- a/tests/base/TextTests.cpp
+++ b/tests/base/TextTests.cpp
@@ -54,6 +54,26 @@
   cr_assert_eq(ParseJson(text + "]")->size(), kElements);
 }
 
+// Guards against a number out of range that is cut to another number, or whose conversion has no
+// defined result.
+Test(Json, takes_the_default_for_numbers_out_of_range)
+{
+  const auto numbers = *ParseJson(
+    R"({"float":1e300,"negative":-1,"byte":256,"int":4294967297,"large":9223372036854775808,)"
+    R"("bool":true,"list":[1,4294967297],"part":7.9,"exact":9007199254740993})");
+  cr_assert_eq(JsonValue(numbers, "float", std::int64_t{ 5 }), 5);
+  cr_assert_eq(JsonValue(numbers, "float", std::uint64_t{ 5 }), 5);
+  cr_assert_eq(JsonValue(numbers, "negative", std::uint64_t{ 5 }), 5);
+  cr_assert_eq(JsonValue(numbers, "byte", std::uint8_t{ 5 }), 5);
+  cr_assert_eq(JsonValue(numbers, "int", 5), 5);
+  cr_assert_eq(JsonValue(numbers, "large", std::int64_t{ 5 }), 5);
+  cr_assert_eq(JsonValue(numbers, "large", std::uint64_t{ 5 }), 9223372036854775808U);
+  cr_assert_eq(JsonValue(numbers, "bool", 5), 5);
+  cr_assert(JsonValue(numbers, "list", std::vector<int>()).empty());
+  cr_assert_eq(JsonValue(numbers, "part", 5), 7);
+  cr_assert_eq(JsonValue(numbers, "exact", std::int64_t{ 5 }), 9007199254740993);
+}
+
 Test(Hash, is_the_same_on_every_node)
 {
   cr_assert_eq(HashText(""), 0x2d06800538d394c2ULL);
--- a/tests/workers/WorkerTests.cpp
+++ b/tests/workers/WorkerTests.cpp
@@ -89,6 +89,25 @@
   cr_assert_not(ReadWorkerState(broken));
 }
 
+// Guards against a worker's number that is cut to another one, or overflows a time.
+Test(WorkerState, rejects_numbers_out_of_range)
+{
+  WorkerState state;
+  state.mLeases.emplace_back();
+  const Json good = state;
+  cr_assert(ReadWorkerState(good));
+  for (const Json& number : { Json(1e300), Json(-1e300), Json(std::uint64_t(-1)), Json("1") }) {
+    for (const auto* const member : { "task", "tasks", "attempt", "expires_in_ms" }) {
+      auto odd = good;
+      odd["leases"][0][member] = number;
+      cr_assert_not(ReadWorkerState(odd), "%s %s", member, DumpJson(number).c_str());
+    }
+    auto odd = good;
+    odd["usage"]["lag_ms"] = number;
+    cr_assert_not(ReadWorkerState(odd), "%s", DumpJson(number).c_str());
+  }
+}
+
 Test(HttpWorkerApi, runs_a_task_and_reads_its_answer)
 {
   WorkerFixture f;
