--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -90,10 +90,11 @@
   }
 };
 
-// A leader with one registered worker.
-struct LeaderFixture
+// A leader with one registered worker, whose entry is readable only to FakeRegistry.
+template<WorkerRegistry Registry>
+struct BasicLeaderFixture
 {
-  LeaderFixture()
+  BasicLeaderFixture()
   {
     mSettings.mNode = NodeId("n");
     mSettings.mPeers = SocketAddress("127.0.0.1", 7000);
@@ -144,10 +145,12 @@
   ControlSettings mSettings;
   Deployment mDeployment;
   std::optional<Election<FakeStore>> mElection;
-  std::optional<Leader<FakeStore, FakeCalls, FakeRegistry>> mLeader;
+  std::optional<Leader<FakeStore, FakeCalls, Registry>> mLeader;
   // The former leader's hand-over.
   HandOver mHandOver;
   int mLost = 0;
 };
 
+using LeaderFixture = BasicLeaderFixture<FakeRegistry>;
+
 } // namespace lovagerock::control
