--- a/tests/platform/ReplyTests.cpp
+++ b/tests/platform/ReplyTests.cpp
@@ -1,5 +1,7 @@
 #include "base/EventLoop.h"
 #include "http/HttpServer.h"
+#include "kv/KvError.h"
+#include "platform/StoreClient.h"
 #include "platform/WorkerClient.h"
 #include "support/LocalAddress.h"
 
@@ -48,6 +50,35 @@
   return *reply;
 }
 
+std::pair<std::error_code, kv::ItemPage>
+List(const std::string& aBody)
+{
+  FixedReply server(aBody);
+  StoreClient client(server.mLoop, server.mServer.Address());
+  std::optional<std::pair<std::error_code, kv::ItemPage>> reply;
+  client.List("servers/", "", [&](std::error_code aError, kv::ItemPage aPage) {
+    reply = std::pair(aError, std::move(aPage));
+    server.mLoop.Stop();
+  });
+  server.mLoop.Run();
+  return *reply;
+}
+
+std::pair<std::error_code, kv::EventPage>
+Watch(const std::string& aBody)
+{
+  FixedReply server(aBody);
+  StoreClient client(server.mLoop, server.mServer.Address());
+  std::optional<std::pair<std::error_code, kv::EventPage>> reply;
+  client.Watch("servers/", kv::Revision(1), Duration(10),
+               [&](std::error_code aError, kv::EventPage aPage) {
+                 reply = std::pair(aError, std::move(aPage));
+                 server.mLoop.Stop();
+               });
+  server.mLoop.Run();
+  return *reply;
+}
+
 } // namespace
 
 // Guards against losing a worker's whole report, and with it the worker's lease and runs, because
@@ -115,3 +146,45 @@
     cr_assert(reply.mOutcome == scheduler::OrderOutcome::Unknown, "%s", odd);
   }
 }
+
+// Guards against losing the rest of a listing because one of its items can't be read.
+Test(StoreClient, lists_the_items_beside_an_odd_one)
+{
+  for (const auto* const odd :
+       { "7", "null", "{}", R"({"key":7,"value":"eA=="})", R"({"key":"","value":"eA=="})" }) {
+    const auto [ec, page] = List(R"({"items":[{"key":"servers/a","value":"eA==","revision":3},)" +
+                                 std::string(odd) + R"(],"has_more":true,"as_of":5})");
+    cr_assert_not(ec, "%s", odd);
+    cr_assert_eq(page.mItems.size(), 1, "%s", odd);
+    cr_assert(page.mHasMore);
+    const auto [watchError, events] =
+      Watch(R"({"events":[)" + std::string(odd) +
+            R"(,{"key":"servers/a","revision":4,"deleted":true}],"as_of":5})");
+    cr_assert_not(watchError, "%s", odd);
+    cr_assert_eq(events.mEvents.size(), 1, "%s", odd);
+  }
+  // The key tells that the entry exists; the value is one that no reader understands.
+  const auto [ec, page] =
+    List(R"({"items":[{"key":"servers/a","value":"?","revision":3},)"
+         R"({"key":"servers/b","value":7,"revision":3}],"has_more":false,"as_of":5})");
+  cr_assert_not(ec);
+  cr_assert_eq(page.mItems.size(), 2);
+}
+
+// Guards against taking a malformed reply for an empty list, which would end the use of all
+// workers, or for the end of a list.
+Test(StoreClient, rejects_pages_without_a_list_or_a_revision)
+{
+  for (const auto* const odd :
+       { R"({"has_more":false,"as_of":5})", R"({"items":7,"has_more":false,"as_of":5})",
+         R"({"items":[],"has_more":false})", R"({"items":[],"has_more":false,"as_of":"5"})",
+         R"({"items":[],"has_more":false,"as_of":1e300})",
+         R"({"items":[],"has_more":false,"as_of":-1})", R"({"items":[],"has_more":7,"as_of":5})",
+         R"({"items":[7],"has_more":true,"as_of":5})", "[]", "7", "" }) {
+    cr_assert_eq(List(odd).first, make_error_code(kv::KvError::BadAnswer), "%s", odd);
+  }
+  for (const auto* const odd : { R"({"as_of":5})", R"({"events":{},"as_of":5})", R"({"events":[]})",
+                                 R"({"events":[],"as_of":18446744073709551615})" }) {
+    cr_assert_eq(Watch(odd).first, make_error_code(kv::KvError::BadAnswer), "%s", odd);
+  }
+}
