Follow the VM list although one of its entries is unreadable

What callers would see: nodes stopped following the VM list while one entry was nested too deeply, held a number too large for any type, or bytes that aren't UTF-8. They kept the last list, so new workers received no work and lost ones stayed listed.

Cause: the list is one JSON text, and one such value makes the whole text unreadable. One target of another type also hid the other targets of its entry, and port 0 was accepted.

Change: ParseJsonList() finds the elements of an array by their brackets and reads each on its own. A list without any readable element, or cut off, is still an error.

--- a/src/membership/VmList.cpp
+++ b/src/membership/VmList.cpp
@@ -1,6 +1,6 @@
 #include "membership/VmList.h"
 
-#include "base/Json.h"
+#include "base/JsonList.h"
 #include "base/LogEvent.h"
 
 #include <chrono>
@@ -25,8 +25,10 @@
   vm.mZone = ZoneId(JsonValue(labels, "zone", std::string()));
   vm.mRegion = RegionId(JsonValue(labels, "region", std::string()));
   vm.mName = JsonValue(labels, "node", std::string());
-  for (const auto& it : JsonValue(aGroup, "targets", std::vector<std::string>())) {
-    if (auto address = SocketAddress::Parse(it)) {
+  for (const auto& it : JsonValue(aGroup, "targets", Json::array_t())) {
+    auto address =
+      it.is_string() ? SocketAddress::Parse(it.get_ref<const std::string&>()) : std::nullopt;
+    if (address && address->Port() != 0) {
       vm.mAddress = std::move(*address);
       aVms.push_back(vm);
     }
@@ -39,12 +41,15 @@
 std::optional<std::vector<Vm>>
 ParseVmList(std::string_view aText)
 {
-  const auto json = ParseJson(aText);
-  if (!json || !json->is_array()) {
+  const auto list = ParseJsonList(aText);
+  if (!list) {
     return std::nullopt;
   }
+  if (list->mUnreadable > 0) {
+    LogEvent("vm_entries_unreadable", LogLevel::Warning).With("entries", list->mUnreadable);
+  }
   std::vector<Vm> vms;
-  for (const auto& it : *json) {
+  for (const auto& it : list->mElements) {
     detail::ReadGroup(it, vms);
   }
   return vms;
--- a/tests/membership/MembershipTests.cpp
+++ b/tests/membership/MembershipTests.cpp
@@ -209,6 +209,49 @@
   cr_assert_not(ParseVmList("{}"));
 }
 
+// Guards against a node that no longer follows the list because one of its entries can't be read.
+Test(VmList, reads_the_entries_beside_an_odd_one)
+{
+  const std::string good = R"({"targets":["10.0.0.2:7000"],"labels":{"role":"worker"}})";
+  const std::string last = R"({"targets":["10.0.0.3:7000"],"labels":{"role":"worker"}})";
+  const std::vector<std::string> odd{
+    std::string(100000, '[') + std::string(100000, ']'),
+    R"({"targets":["10.0.0.9:1"],"labels":{"role":"worker","x":)" + std::string(5000, '[') +
+      std::string(5000, ']') + "}}",
+    R"({"targets":["10.0.0.9:1"],"labels":{"role":"worker"},"load":1e999})",
+    R"({"targets":["10.0.0.9:65536"],"labels":{"role":"worker"}})",
+    R"({"targets":["10.0.0.9:0"],"labels":{"role":"worker"}})",
+    R"({"targets":["10.0.0.9:-1"],"labels":{"role":"worker"}})",
+    R"({"targets":"10.0.0.9:1","labels":{"role":"worker"}})",
+    R"({"targets":["10.0.0.9:1"],"labels":{"role":7}})",
+    R"({"targets":["10.0.0.9:1"],"labels":"worker"})",
+    "{\"targets\":[\"10.0.0.9:1\"],\"labels\":{\"role\":\"worker\",\"zone\":\"\xff\xfe\"}}",
+    R"({"targets":["10.0.0.9:1"],"labels":{"role":"worker"}}})",
+    R"("a quoted \"] bracket")",
+    "null",
+    "nonsense",
+  };
+  for (const auto& it : odd) {
+    const auto vms = ParseVmList("[" + good + " , " + it + ",\n" + last + "]");
+    cr_assert(vms.has_value(), "%s", it.substr(0, 100).c_str());
+    cr_assert_eq(vms->size(), 2, "%s", it.substr(0, 100).c_str());
+    cr_assert_eq(vms->back().mAddress, SocketAddress("10.0.0.3", 7000));
+  }
+  const auto mixed =
+    ParseVmList(R"([{"targets":["10.0.0.2:1",7,"10.0.0.3:1"],"labels":{"role":"worker"}}])");
+  cr_assert_eq(mixed->size(), 2);
+}
+
+// Guards against taking text that was cut off, or whose entries are all unreadable, for a list
+// without VMs.
+Test(VmList, rejects_text_without_any_readable_entry)
+{
+  for (const auto* const it : { "", "[", "[{}", "[{}]]", "[{},", "[nonsense]", "[\"", "[,]" }) {
+    cr_assert_not(ParseVmList(it).has_value(), "%s", it);
+  }
+  cr_assert(ParseVmList(" [ ] ").has_value());
+}
+
 // Guards against losing all entries when the list service returns an error or malformed text.
 Test(VmList, keeps_the_last_list_while_reading_fails)
 {
