Read the workers of a rack record beside a malformed row

What callers would see: after a takeover, work on unregistered workers of the rack was unknown to the new leader and could be started a second time.

Cause: one malformed row made the whole record unreadable. An entry with port 0, which was accepted until now, could end up in a record.

Evidence: RackRecord/reads_the_workers_beside_an_odd_one failed before.

Change: malformed rows are skipped with a log line.

--- a/src/scheduler/RackRecord.cpp
+++ b/src/scheduler/RackRecord.cpp
@@ -1,9 +1,32 @@
 #include "scheduler/RackRecord.h"
 
-#include "base/Json.h"
+#include "base/JsonList.h"
+#include "base/LogEvent.h"
+
+#include <utility>
 
 namespace lovagerock::scheduler {
 
+namespace {
+
+// A contact is [worker, address].
+std::optional<WorkerContact>
+ReadContact(const Json& aJson)
+{
+  try {
+    const auto address = SocketAddress::Parse(aJson.at(1).get<std::string>());
+    WorkerId worker(aJson.at(0).get<std::string>());
+    if (!address || address->Port() == 0 || worker.IsEmpty()) {
+      return std::nullopt;
+    }
+    return WorkerContact{ std::move(worker), *address };
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
 std::string
 WriteRackRecord(const std::vector<WorkerContact>& aWorkers)
 {
@@ -17,21 +40,21 @@
 std::optional<std::vector<WorkerContact>>
 ReadRackRecord(const std::string& aText)
 {
-  const auto json = ParseJson(aText);
-  if (!json || !json->is_array()) {
+  const auto list = ParseJsonList(aText);
+  if (!list) {
     return std::nullopt;
   }
+  auto unreadable = list->mUnreadable;
   std::vector<WorkerContact> workers;
-  try {
-    for (const auto& it : *json) {
-      const auto address = SocketAddress::Parse(it.at(1).get<std::string>());
-      if (!address) {
-        return std::nullopt;
-      }
-      workers.push_back({ WorkerId(it.at(0).get<std::string>()), *address });
+  for (const auto& it : list->mElements) {
+    if (auto contact = ReadContact(it)) {
+      workers.push_back(std::move(*contact));
+    } else {
+      ++unreadable;
     }
-  } catch (const Json::exception&) {
-    return std::nullopt;
+  }
+  if (unreadable > 0) {
+    LogEvent("rack_record_rows_malformed", LogLevel::Error).With("rows", unreadable);
   }
   return workers;
 }
