Limit the numbers of jobs and queues

A stored record with a negative count would end the process: the vector of its tasks can't be allocated, and that exception isn't caught (concluded from the code, not run).

Cause: unchecked conversions, and values that overflow when they are multiplied or added to time points.

The tests of Callers and Configuration were written with the change and not run on the former code.

Change: records and requests with numbers out of range are rejected. A queue's factor and latency are limited instead, so that one odd value doesn't block a configuration. Sums of run times are limited.

--- a/src/scheduler/Job.cpp
+++ b/src/scheduler/Job.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/Job.h"
 
+#include "scheduler/Limits.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -186,7 +188,7 @@
     }
     const bool isDone = aOccurrence && aOccurrence->mSteps[i].IsDone();
     const auto time = steps[i].mEstimate.count() > 0 ? steps[i].mEstimate : kDefaultRunTime;
-    ends.push_back(begin + (isDone ? Duration(0) : time));
+    ends.push_back(std::min(begin + (isDone ? Duration(0) : time), kMaxDuration));
   }
   return ends;
 }
@@ -214,8 +216,8 @@
 TimePoint
 Job::Objective() const
 {
-  const auto allowedRunTime =
-    std::chrono::duration_cast<Duration>(ExpectedRunTime() * mPolicy.mSlackFactor);
+  const auto allowedRunTime = std::min(
+    std::chrono::duration_cast<Duration>(ExpectedRunTime() * mPolicy.mSlackFactor), kMaxDuration);
   return mAcceptedAt + mPolicy.mTargetLatency + allowedRunTime;
 }
 
--- a/src/scheduler/JobRecord.cpp
+++ b/src/scheduler/JobRecord.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/JobRecord.h"
 
+#include "scheduler/Limits.h"
+
 #include <array>
 #include <utility>
 
@@ -51,15 +53,33 @@
   return json;
 }
 
+Duration
+ReadDuration(const Json& aJson, const char* aKey)
+{
+  return Duration(JsonInRange(aJson.at(aKey), std::int64_t{ 0 }, kMaxDuration.count()));
+}
+
+std::int64_t
+ReadTimeMs(const Json& aJson, const char* aKey)
+{
+  return JsonInRange(aJson.at(aKey), std::int64_t{ 0 }, kMaxTimeMs);
+}
+
+std::int64_t
+ReadAmount(const Json& aJson, const char* aKey)
+{
+  return JsonInRange(aJson.at(aKey), std::int64_t{ 0 }, kMaxAmount);
+}
+
 StepSpec
 ReadStepSpec(const Json& aJson)
 {
   StepSpec step;
-  step.mCount = aJson.at("count").get<int>();
-  step.mDemand.mCpu = MilliCores(aJson.at("cpu").get<std::int64_t>());
-  step.mDemand.mMemory = MemoryMiB(aJson.at("memory").get<std::int64_t>());
-  step.mDemand.mAccelerators = Accelerators(aJson.at("accelerators").get<std::int64_t>());
-  step.mEstimate = Duration(aJson.at("estimate").get<std::int64_t>());
+  step.mCount = JsonInRange(aJson.at("count"), 1, kMaxTasks);
+  step.mDemand.mCpu = MilliCores(ReadAmount(aJson, "cpu"));
+  step.mDemand.mMemory = MemoryMiB(ReadAmount(aJson, "memory"));
+  step.mDemand.mAccelerators = Accelerators(ReadAmount(aJson, "accelerators"));
+  step.mEstimate = ReadDuration(aJson, "estimate");
   step.mAfter = JsonValue(aJson, "after", std::vector<int>());
   step.mCheckpointing = JsonValue(aJson, "checkpointing", false);
   step.mGang = JsonValue(aJson, "gang", false);
@@ -88,10 +108,10 @@
 {
   QueuePolicy policy;
   policy.mService = ServiceId(aJson.at("service").get<std::string>());
-  policy.mPriority = aJson.at("priority").get<int>();
-  policy.mMaxAttempts = aJson.at("maxAttempts").get<int>();
-  policy.mSlackFactor = aJson.at("slackFactor").get<double>();
-  policy.mTargetLatency = Duration(aJson.at("targetLatency").get<std::int64_t>());
+  policy.mPriority = JsonAt<int>(aJson, "priority");
+  policy.mMaxAttempts = JsonAt<int>(aJson, "maxAttempts");
+  policy.mSlackFactor = JsonInRange(aJson.at("slackFactor"), 0.0, kMaxSlackFactor);
+  policy.mTargetLatency = ReadDuration(aJson, "targetLatency");
   return policy;
 }
 
@@ -115,15 +135,15 @@
 ReadTask(const Json& aJson, Step& aStep, Task& aTask)
 {
   if (aJson.is_number()) {
-    if (aJson.get<int>() == 1) {
+    if (ConvertJson<int>(aJson) == 1) {
       aTask.mPhase = TaskPhase::Done;
       ++aStep.mDone;
     }
     return;
   }
-  aTask.mRun = aJson.at(0).get<int>();
-  aTask.mEndedRun = aJson.at(1).get<int>();
-  aTask.mFailedRuns = aJson.at(2).get<std::vector<int>>();
+  aTask.mRun = JsonInRange(aJson.at(0), 0, kMaxRun);
+  aTask.mEndedRun = JsonInRange(aJson.at(1), 0, kMaxRun);
+  aTask.mFailedRuns = ConvertJson<std::vector<int>>(aJson.at(2));
   aTask.mWorker = WorkerId(aJson.at(3).get<std::string>());
   aTask.mPhase = aTask.mWorker.IsEmpty() ? TaskPhase::Waiting : TaskPhase::Unreported;
   aTask.mCheckpoint = aJson.at(4).get<std::string>();
@@ -132,7 +152,8 @@
 void
 ReadOccurrence(const Json& aJson, Job& aJob)
 {
-  auto& occurrence = aJob.FindOrCreateOccurrence(aJson.at("number").get<int>());
+  const int last = aJob.Accepted().mSpec.Occurrences() - 1;
+  auto& occurrence = aJob.FindOrCreateOccurrence(JsonInRange(aJson.at("number"), 0, last));
   const auto& steps = aJson.at("steps");
   for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
     auto& step = occurrence.mSteps[i];
@@ -175,15 +196,15 @@
     job.mId = JobId(json->at("id").get<std::string>());
     job.mQueue = json->at("queue").get<std::string>();
     job.mAccount = AccountId(json->at("account").get<std::string>());
-    job.mAcceptedMs = json->at("acceptedMs").get<std::int64_t>();
+    job.mAcceptedMs = ReadTimeMs(*json, "acceptedMs");
     job.mPolicy = ReadPolicy(json->at("policy"));
     job.mSpec.mPayload = json->at("payload").get<std::string>();
     for (const auto& it : json->at("steps")) {
       job.mSpec.mSteps.push_back(ReadStepSpec(it));
     }
-    job.mSpec.mRepetitions = json->at("repetitions").get<int>();
-    job.mSpec.mFirstRunMs = json->at("firstRunMs").get<std::int64_t>();
-    job.mSpec.mInterval = Duration(json->at("interval").get<std::int64_t>());
+    job.mSpec.mRepetitions = JsonInRange(json->at("repetitions"), 0, kMaxOccurrences);
+    job.mSpec.mFirstRunMs = ReadTimeMs(*json, "firstRunMs");
+    job.mSpec.mInterval = ReadDuration(*json, "interval");
     return job;
   } catch (const Json::exception&) {
     return std::nullopt;
@@ -227,15 +248,15 @@
     if (!state) {
       return false;
     }
-    aJob.mNextOccurrence = json->at("next").get<int>();
-    aJob.mDoneOccurrences = json->at("done").get<int>();
+    aJob.mNextOccurrence = JsonInRange(json->at("next"), 0, aJob.Accepted().mSpec.Occurrences());
+    aJob.mDoneOccurrences = JsonInRange(json->at("done"), 0, aJob.Accepted().mSpec.Occurrences());
     aJob.mBegun = *state != JobState::Queued;
     if (json->contains("open")) {
       for (const auto& it : json->at("open")) {
         ReadOccurrence(it, aJob);
       }
     } else {
-      JobRecordAccess::SetFinal(aJob, *state, json->at("finishedMs").get<std::int64_t>());
+      JobRecordAccess::SetFinal(aJob, *state, ReadTimeMs(*json, "finishedMs"));
     }
     return true;
   } catch (const Json::exception&) {
--- a/tests/platform/FormatTests.cpp
+++ b/tests/platform/FormatTests.cpp
@@ -78,6 +78,36 @@
   cr_assert_not(Callers::ReadJobId("5c0e7a21d94b36fz").has_value());
 }
 
+// Guards against a job that is accepted with another number than its caller sent.
+Test(Callers, rejects_jobs_with_numbers_out_of_range)
+{
+  for (const auto* const odd :
+       { R"({"count":4294967297})", R"({"count":1e300})", R"({"count":1,"gpu":1e300})",
+         R"({"count":1,"cpu":-1})", R"({"count":1,"mem_mb":18446744073709551615})",
+         R"({"count":1,"estimate_ms":9223372036854775807})",
+         R"({"count":1,"anti_affinity":4294967297})" }) {
+    const auto text = R"({"spec":"t","steps":[)" + std::string(odd) + "]}";
+    cr_assert_not(Callers::ReadJob(text).has_value(), "%s", odd);
+  }
+  for (const auto* const odd : { R"("repetitions":4294967297)", R"("repetitions":-1)",
+                                 R"("first_run_ms":1e300)", R"("interval_ms":1e300)" }) {
+    const auto text = R"({"spec":"t","steps":[{"count":1}],)" + std::string(odd) + "}";
+    cr_assert_not(Callers::ReadJob(text).has_value(), "%s", odd);
+  }
+}
+
+// Guards against times that overflow when jobs are ranked.
+Test(Configuration, limits_times_and_factors)
+{
+  const auto deployment = ReadConfiguration(
+    R"({"version":7,"routes":[{"name":"a","host":"h","prefix":"/x/","service":"s",)"
+    R"("slack_factor":1e300,"target_latency_ms":9223372036854775807}]})");
+  const auto& policy = deployment->mQueues.at(0).mPolicy;
+  cr_assert_leq(policy.mSlackFactor, 1e6);
+  cr_assert_leq(policy.mTargetLatency, std::chrono::hours(24 * 365 * 100));
+  cr_assert_not(ReadConfiguration(R"({"version":1e300,"routes":[]})").has_value());
+}
+
 Test(Configuration, finds_the_queue_by_host_and_longest_prefix)
 {
   const auto deployment = ReadConfiguration(
