--- /dev/null
+++ b/tests/platform/ReplyTests.cpp
@@ -0,0 +1,190 @@
+#include "base/EventLoop.h"
+#include "http/HttpServer.h"
+#include "kv/KvError.h"
+#include "platform/StoreClient.h"
+#include "platform/WorkerClient.h"
+#include "support/LocalAddress.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+using namespace lovagerock;
+using namespace lovagerock::platform;
+
+namespace {
+
+// A server that answers every call with the same body.
+struct FixedReply
+{
+  explicit FixedReply(std::string aBody)
+    : mServer(mLoop)
+    , mBody(std::move(aBody))
+  {
+    cr_assert_not(mServer.Listen(testing::LocalAddress()));
+    for (const auto method : { http::Method::Get, http::Method::Post }) {
+      mServer.Handle(method, "/{path*}", [this](const http::Request&, http::Responder aTo) {
+        aTo.Send(http::JsonResponse(200, mBody));
+      });
+    }
+  }
+
+  EventLoop mLoop;
+  http::HttpServer mServer;
+  std::string mBody;
+};
+
+control::RenewalReply
+Renew(const std::string& aBody)
+{
+  FixedReply server(aBody);
+  WorkerClient client(server.mLoop);
+  std::optional<control::RenewalReply> reply;
+  client.RenewLease({ WorkerId("w"), server.mServer.Address(), {} }, {}, [&](auto aReply) {
+    reply = std::move(aReply);
+    server.mLoop.Stop();
+  });
+  server.mLoop.Run();
+  return *reply;
+}
+
+std::pair<std::error_code, kv::ItemPage>
+List(const std::string& aBody)
+{
+  FixedReply server(aBody);
+  StoreClient client(server.mLoop, server.mServer.Address());
+  std::optional<std::pair<std::error_code, kv::ItemPage>> reply;
+  client.List("servers/", "", [&](std::error_code aError, kv::ItemPage aPage) {
+    reply = std::pair(aError, std::move(aPage));
+    server.mLoop.Stop();
+  });
+  server.mLoop.Run();
+  return *reply;
+}
+
+std::pair<std::error_code, kv::EventPage>
+Watch(const std::string& aBody)
+{
+  FixedReply server(aBody);
+  StoreClient client(server.mLoop, server.mServer.Address());
+  std::optional<std::pair<std::error_code, kv::EventPage>> reply;
+  client.Watch("servers/", kv::Revision(1), Duration(10),
+               [&](std::error_code aError, kv::EventPage aPage) {
+                 reply = std::pair(aError, std::move(aPage));
+                 server.mLoop.Stop();
+               });
+  server.mLoop.Run();
+  return *reply;
+}
+
+} // namespace
+
+// Guards against losing a worker's whole report, and with it the worker's lease and runs, because
+// one row can't be read.
+Test(WorkerClient, reads_the_rows_beside_an_odd_one)
+{
+  for (const auto* const odd :
+       { "7", "null", "[]", "{}", "[7,1,\"\",0]", "[\"j.0.0.9\"]", "[\"j.0.0.9\",\"x\",\"\",0]",
+         "[\"j.0.0.9\",0,\"\",0]", "[\"j.0.0.9\",-1,\"\",0]", "[\"j.0.0.9\",4294967297,\"\",0]",
+         "[\"j.0.0.9\",1e300,\"\",0]", "[\"j.0.0.9\",18446744073709551615,\"\",0]",
+         "[\"j.0.0.99999999999\",1,\"\",0]", "[\"j.0.0.-9\",1,\"\",0]", "[\".0.0.9\",1,\"\",0]",
+         "[\"j.0.0.9x\",1,\"\",0]", "[\"j.0.0\",1,\"\",0]", "[\"j.0.0.9.7\",1,\"\",0]" }) {
+    const auto reply = Renew(R"({"clock_ms":5,"running":[["j.0.0.1",1,"c",41.5],)" +
+                             std::string(odd) + R"(,["j.0.0.2",2,"",0,3]],"finished":[]})");
+    cr_assert(reply.mOutcome == scheduler::OrderOutcome::Done, "%s", odd);
+    cr_assert_eq(reply.mReport.mRunning.size(), 2, "%s", odd);
+    cr_assert_eq(reply.mReport.mRunning[1].mRun.mRun, 2);
+  }
+  for (const auto* const odd :
+       { "7", "[]", "[\"x\",\"j.0.0.9\",1,\"done\",\"\"]", "[0,\"j.0.0.9\",1,\"done\",\"\"]",
+         "[1e300,\"j.0.0.9\",1,\"done\",\"\"]", "[9223372036854775807,\"j.0.0.9\",1,\"done\",\"\"]",
+         "[18446744073709551615,\"j.0.0.9\",1,\"done\",\"\"]", "[2,\"j.0.0.9\",1,\"eaten\",\"\"]",
+         "[2,\"j.0.0.9\",1,7,\"\"]", "[2,\"j.0.0.9\",4294967297,\"done\",\"\"]" }) {
+    const auto reply =
+      Renew(R"({"clock_ms":5,"running":[],"finished":[[1,"j.0.0.1",1,"done",""],)" +
+            std::string(odd) + R"(,[3,"j.0.0.2",1,"failed",""]]})");
+    cr_assert(reply.mOutcome == scheduler::OrderOutcome::Done, "%s", odd);
+    cr_assert_eq(reply.mReport.mFinished.size(), 2, "%s", odd);
+    cr_assert_eq(reply.mReport.mFinished[1].mNumber, 3);
+  }
+}
+
+// Guards against taking a run for ended, and starting it again, because a value that doesn't
+// identify it can't be read.
+Test(WorkerClient, keeps_runs_whose_percent_or_checkpoint_is_odd)
+{
+  for (const auto* const rest : { "7,0", "null,null", "\"c\",\"x\"", "\"c\",1e300", "\"c\",-1e300",
+                                  "\"c\",18446744073709551615", "\"c\",-5", "\"c\"" }) {
+    const auto reply = Renew(R"({"clock_ms":5,"running":[["j.0.0.1",1,)" + std::string(rest) +
+                             R"(]],"finished":[]})");
+    cr_assert(reply.mOutcome == scheduler::OrderOutcome::Done, "%s", rest);
+    cr_assert_eq(reply.mReport.mRunning.size(), 1, "%s", rest);
+    cr_assert_geq(reply.mReport.mRunning[0].mPercent, 0, "%s", rest);
+    cr_assert_leq(reply.mReport.mRunning[0].mPercent, 100, "%s", rest);
+  }
+}
+
+// Guards against a lease whose end overflows, and against runs that are taken for those of another
+// incarnation.
+Test(WorkerClient, rejects_reports_with_an_odd_clock_or_start_time)
+{
+  for (const auto* const odd :
+       { "1e300", "-1", "9223372036854775807", "18446744073709551615", "\"5\"", "null", "true" }) {
+    const auto rows = R"(,"running":[],"finished":[]})";
+    const auto clock = Renew(R"({"clock_ms":)" + std::string(odd) + rows);
+    cr_assert(clock.mOutcome == scheduler::OrderOutcome::Unknown, "%s", odd);
+    const auto born = Renew(R"({"clock_ms":5,"born":)" + std::string(odd) + rows);
+    cr_assert(born.mOutcome == scheduler::OrderOutcome::Unknown, "%s", odd);
+  }
+  cr_assert(Renew(R"({"clock_ms":5.5,"running":[],"finished":[]})").mOutcome ==
+            scheduler::OrderOutcome::Done);
+  for (const auto* const odd : { "7", "{}", "null", "\"x\"" }) {
+    const auto reply =
+      Renew(R"({"clock_ms":5,"running":)" + std::string(odd) + R"(,"finished":[]})");
+    cr_assert(reply.mOutcome == scheduler::OrderOutcome::Unknown, "%s", odd);
+  }
+}
+
+// Guards against losing the rest of a listing because one of its items can't be read.
+Test(StoreClient, lists_the_items_beside_an_odd_one)
+{
+  for (const auto* const odd :
+       { "7", "null", "{}", R"({"key":7,"value":"eA=="})", R"({"key":"","value":"eA=="})" }) {
+    const auto [ec, page] = List(R"({"items":[{"key":"servers/a","value":"eA==","revision":3},)" +
+                                 std::string(odd) + R"(],"has_more":true,"as_of":5})");
+    cr_assert_not(ec, "%s", odd);
+    cr_assert_eq(page.mItems.size(), 1, "%s", odd);
+    cr_assert(page.mHasMore);
+    const auto [watchError, events] =
+      Watch(R"({"events":[)" + std::string(odd) +
+            R"(,{"key":"servers/a","revision":4,"deleted":true}],"as_of":5})");
+    cr_assert_not(watchError, "%s", odd);
+    cr_assert_eq(events.mEvents.size(), 1, "%s", odd);
+  }
+  // The key tells that the entry exists; the value is one that no reader understands.
+  const auto [ec, page] =
+    List(R"({"items":[{"key":"servers/a","value":"?","revision":3},)"
+         R"({"key":"servers/b","value":7,"revision":3}],"has_more":false,"as_of":5})");
+  cr_assert_not(ec);
+  cr_assert_eq(page.mItems.size(), 2);
+}
+
+// Guards against taking a malformed reply for an empty list, which would end the use of all
+// workers, or for the end of a list.
+Test(StoreClient, rejects_pages_without_a_list_or_a_revision)
+{
+  for (const auto* const odd :
+       { R"({"has_more":false,"as_of":5})", R"({"items":7,"has_more":false,"as_of":5})",
+         R"({"items":[],"has_more":false})", R"({"items":[],"has_more":false,"as_of":"5"})",
+         R"({"items":[],"has_more":false,"as_of":1e300})",
+         R"({"items":[],"has_more":false,"as_of":-1})", R"({"items":[],"has_more":7,"as_of":5})",
+         R"({"items":[7],"has_more":true,"as_of":5})", "[]", "7", "" }) {
+    cr_assert_eq(List(odd).first, make_error_code(kv::KvError::BadAnswer), "%s", odd);
+  }
+  for (const auto* const odd : { R"({"as_of":5})", R"({"events":{},"as_of":5})", R"({"events":[]})",
+                                 R"({"events":[],"as_of":18446744073709551615})" }) {
+    cr_assert_eq(Watch(odd).first, make_error_code(kv::KvError::BadAnswer), "%s", odd);
+  }
+}
