--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -57,11 +59,12 @@
 {
   mDirectory = (std::filesystem::temp_directory_path() / "lovagerock-XXXXXX").string();
   Require(mkdtemp(mDirectory.data()) != nullptr, "can't create a temporary directory");
-  mStore = FreeAddress();
+  mStore = FreeAddress(aNodes + 1);
   mControl = FreeAddress(aWorkers + 1);
   mPlatform = std::make_unique<Process>(
     "platform", std::string(LOVAGEROCK_PROGRAMS) + "/lovagerock-platform",
-    std::vector<std::string>{ "--store", mStore.ToString(), "--control", mControl.ToString(),
+    std::vector<std::string>{ "--store", mStore.ToString(), "--store-addresses",
+                              std::to_string(aNodes + 1), "--control", mControl.ToString(),
                               "--workers", std::to_string(aWorkers) },
     mDirectory + "/platform.log");
   AwaitTrue("the configuration to be written", [this] {
@@ -103,11 +106,17 @@
   file << "node_name: " << NodeName(aNode) << "\nzone: z\nip: " << peers.Ip()
        << "\nlisten:\n  frontend: " << node.mCallers.ToString()
        << "\n  ready: " << node.mReadiness.ToString() << "\ninternal_ports: [" << peers.Port()
-       << ", " << peers.Port() << "]\nplatform:\n  address: " << mStore.ToString() << '\n';
+       << ", " << peers.Port() << "]\nplatform:\n  address: " << StoreOf(aNode).ToString() << '\n';
   Require(file.good(), "can't write " + node.mSettings);
   mNodes.push_back(std::move(node));
 }
 
+SocketAddress
+EdgeSystem::StoreOf(int aNode) const
+{
+  return SocketAddress(mStore.Ip(), static_cast<std::uint16_t>(mStore.Port() + 1 + aNode));
+}
+
 void
 EdgeSystem::Start(int aNode)
 {
@@ -124,6 +133,18 @@
   At(aNode).mProcess->Kill();
 }
 
+void
+EdgeSystem::Stop(int aNode)
+{
+  At(aNode).mProcess->Signal(SIGTERM);
+}
+
+void
+EdgeSystem::AwaitStopped(int aNode)
+{
+  At(aNode).mProcess->AwaitExit();
+}
+
 void
 EdgeSystem::AwaitReady(int aNode)
 {
@@ -135,10 +156,28 @@
 CallResult
 EdgeSystem::Submit(int aNode, const std::string& aJob, const Json& aSteps,
                    std::chrono::milliseconds aTaskTime)
+{
+  return SubmitPayload(aNode, aJob, aSteps, aTaskTime.count());
+}
+
+CallResult
+EdgeSystem::Submit(int aNode, const std::string& aJob, const Json& aSteps,
+                   const std::vector<std::chrono::milliseconds>& aTaskTimes)
+{
+  Json times = Json::array();
+  for (const auto it : aTaskTimes) {
+    times.push_back(it.count());
+  }
+  return SubmitPayload(aNode, aJob, aSteps, times);
+}
+
+CallResult
+EdgeSystem::SubmitPayload(int aNode, const std::string& aJob, const Json& aSteps,
+                          const Json& aPayload)
 {
   auto call = JobCall(http::Method::Post, At(aNode).mCallers, aJob);
   call.mHeaders.Add("Content-Type", "application/json");
-  call.mBody = DumpJson({ { "spec", std::to_string(aTaskTime.count()) }, { "steps", aSteps } });
+  call.mBody = DumpJson({ { "spec", DumpJson(aPayload) }, { "steps", aSteps } });
   return mCaller.Call(call);
 }
 
@@ -152,7 +191,11 @@
 EdgeSystem::State(int aNode, const std::string& aJob)
 {
   const auto result = mCaller.Call(JobCall(http::Method::Get, At(aNode).mCallers, aJob));
-  return result.Is(200) ? JsonValue(result.Body(), "state", std::string()) : std::string();
+  auto state = result.Is(200) ? JsonValue(result.Body(), "state", std::string()) : "";
+  if (state == "completed") {
+    Command("/completion-shown", { { "job", aJob } });
+  }
+  return state;
 }
 
 void
@@ -176,11 +219,53 @@
   return -1;
 }
 
+int
+EdgeSystem::AwaitLeaderExcept(const std::vector<int>& aNodes)
+{
+  int leader = -1;
+  AwaitTrue(
+    "another leader",
+    [&] {
+      leader = Leader();
+      return leader >= 0 && std::find(aNodes.begin(), aNodes.end(), leader) == aNodes.end();
+    },
+    std::chrono::milliseconds(10));
+  return leader;
+}
+
+void
+EdgeSystem::Command(const std::string& aPath, const Json& aBody)
+{
+  const auto result = mCaller.Post(mControl, aPath, DumpJson(aBody));
+  Require(result.Is(200), aPath + " failed: " + result.Describe());
+}
+
 void
 EdgeSystem::SetFaults(const Json& aFaults)
 {
-  const auto result = mCaller.Post(mControl, "/faults", DumpJson(aFaults));
-  Require(result.Is(200), "the faults weren't set: " + result.Describe());
+  Command("/faults", aFaults);
+}
+
+void
+EdgeSystem::CloseStoreTo(const std::vector<int>& aNodes)
+{
+  Json addresses = Json::array();
+  for (const int it : aNodes) {
+    addresses.push_back(StoreOf(it).Port() - mStore.Port());
+  }
+  SetFaults({ { "refusing_addresses", addresses } });
+}
+
+void
+EdgeSystem::Drain(const std::string& aWorker, std::chrono::milliseconds aRemaining)
+{
+  Command("/drain", { { "worker", aWorker }, { "remaining_ms", aRemaining.count() } });
+}
+
+void
+EdgeSystem::Restart(const std::string& aWorker)
+{
+  Command("/restart", { { "worker", aWorker } });
 }
 
 Json
--- a/tests/integration/EdgeSystem.h
+++ b/tests/integration/EdgeSystem.h
@@ -14,7 +14,8 @@
 namespace lovagerock::integration {
 
 // Entry nodes on the stand-in for the users' platform, which has a store and workers of 8
-// accelerators. All functions end the test on failure. The destructor ends all processes.
+// accelerators. Each node has an address of the store of its own. All functions end the test on
+// failure. The destructor ends all processes.
 class EdgeSystem
 {
 public:
@@ -27,19 +28,34 @@
   // Submits a job at a node; each task takes the time.
   CallResult Submit(int aNode, const std::string& aJob, const Json& aSteps,
                     std::chrono::milliseconds aTaskTime);
+  // The same with a time for the tasks of each step.
+  CallResult Submit(int aNode, const std::string& aJob, const Json& aSteps,
+                    const std::vector<std::chrono::milliseconds>& aTaskTimes);
   CallResult Cancel(int aNode, const std::string& aJob);
-  // The job's state as the node tells it; empty without an answer of 200.
+  // The job's state as the node tells it; empty without an answer of 200. The platform's ledger is
+  // told of jobs that are shown as completed.
   std::string State(int aNode, const std::string& aJob);
   void AwaitState(int aNode, const std::string& aJob, const std::string& aState);
 
   // The node that leads according to the store, or -1.
   int Leader();
+  // Waits for a leader that is none of the nodes.
+  int AwaitLeaderExcept(const std::vector<int>& aNodes);
   void Kill(int aNode);
+  // Asks the node to shut down; doesn't wait for its end.
+  void Stop(int aNode);
+  void AwaitStopped(int aNode);
   void Start(int aNode);
   void AwaitReady(int aNode);
 
   // Sets faults of the platform, see PlatformControl.
   void SetFaults(const Json& aFaults);
+  // Closes the store to the nodes, and opens it to all others.
+  void CloseStoreTo(const std::vector<int>& aNodes);
+  // Makes the worker drain and leave for good after the time.
+  void Drain(const std::string& aWorker, std::chrono::milliseconds aRemaining);
+  // Makes the worker crash and start again at once under the same id.
+  void Restart(const std::string& aWorker);
   // What has run, see PlatformControl.
   Json Ledger();
   // Ends the test if a task ran twice at a time or after its end.
@@ -55,6 +71,11 @@
     std::unique_ptr<Process> mProcess;
   };
 
+  CallResult
+  SubmitPayload(int aNode, const std::string& aJob, const Json& aSteps, const Json& aPayload);
+  void Command(const std::string& aPath, const Json& aBody);
+  // The node's address of the store; the first one is used by tests.
+  SocketAddress StoreOf(int aNode) const;
   Node& At(int aNode) { return mNodes.at(static_cast<std::size_t>(aNode)); }
   void AddNode(int aNode);
 
--- a/tests/integration/EdgeTests.cpp
+++ b/tests/integration/EdgeTests.cpp
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace lovagerock;
 using namespace lovagerock::integration;
@@ -38,6 +40,14 @@
   return aSystem.Ledger().at("running").contains(aTask);
 }
 
+void
+AwaitStarts(EdgeSystem& aSystem, std::size_t aTasks)
+{
+  AwaitTrue(
+    std::to_string(aTasks) + " tasks to have been started",
+    [&] { return aSystem.Ledger().at("starts").size() >= aTasks; }, 10ms);
+}
+
 } // namespace
 
 Test(EdgeNodes, serve_a_job_from_its_submission_to_its_end)
@@ -159,3 +169,95 @@
     aSystem.AwaitState(0, kJob, "cancelled");
   });
 }
+
+// Guards against a second run of a task on a silent worker: the second leader in a row stored the
+// progress of the job for the end of another task, and named the silent worker no more.
+Test(EdgeNodes, repeat_nothing_when_leaders_stop_in_a_row_while_a_worker_is_silent)
+{
+  constexpr int kShortSteps = 24;
+  const std::string shortWorker = "worker-3";
+  RunWithEdges(3, 4, [&shortWorker](EdgeSystem& aSystem) {
+    // Long tasks, one on a worker, and short ones in a row on a worker that stays.
+    Json steps = Json::array({ Tasks(3, 5) });
+    std::vector<std::chrono::milliseconds> times{ 9000ms };
+    for (int i = 0; i < kShortSteps; ++i) {
+      auto step = Tasks(1, 1);
+      step["requirements"] = shortWorker;
+      step["after"] = i == 0 ? Json::array() : Json::array({ i });
+      steps.push_back(step);
+      times.push_back(250ms);
+    }
+    int leader = aSystem.AwaitLeaderExcept({});
+    Require(aSystem.Submit(leader, kJob, steps, times).Is(200), "not accepted");
+    AwaitStarts(aSystem, 5);
+    const auto running = aSystem.Ledger().at("running");
+    std::string silent;
+    for (int i = 0; i < 3; ++i) {
+      const auto worker = running.at(kJob + (".0.0." + std::to_string(i))).get<std::string>();
+      silent = worker == shortWorker ? silent : worker;
+    }
+    aSystem.SetFaults({ { "silent_workers", { silent } } });
+    std::vector<int> stopped;
+    for (int i = 0; i < 2; ++i) {
+      aSystem.Stop(leader);
+      stopped.push_back(leader);
+      leader = aSystem.AwaitLeaderExcept(stopped);
+      // The new leader has processed an end of the job.
+      AwaitStarts(aSystem, aSystem.Ledger().at("starts").size() + 2);
+    }
+    aSystem.SetFaults({ { "silent_workers", Json::array() } });
+    aSystem.AwaitState(leader, kJob, "completed");
+    aSystem.RequireNothingRanTwice();
+  });
+}
+
+// Guards against an end that is shown but not stored: the worker that keeps it leaves, the leader
+// is killed, and the next one starts the task again although a caller took the job for completed.
+Test(EdgeNodes, never_take_back_a_completion_that_they_showed)
+{
+  // Longer than a leader needs to find that the store refuses it.
+  constexpr int kQuestions = 30;
+  RunWithEdges(2, 3, [](EdgeSystem& aSystem) {
+    const int leader = aSystem.AwaitLeaderExcept({});
+    Require(aSystem.Submit(leader, kJob, Json::array({ Tasks(1, 1) }), 1500ms).Is(200),
+            "not accepted");
+    const auto task = std::string(kJob) + ".0.0.0";
+    AwaitTrue("the task to run", [&] { return IsRunning(aSystem, task); });
+    const auto worker = aSystem.Ledger().at("running").at(task).get<std::string>();
+    aSystem.SetFaults({ { "refusing", true } });
+    AwaitTrue("the task to end", [&] { return !IsRunning(aSystem, task); });
+    for (int i = 0; i < kQuestions; ++i) {
+      aSystem.State(leader, kJob);
+      std::this_thread::sleep_for(100ms);
+    }
+    aSystem.Drain(worker, 0ms);
+    aSystem.Kill(leader);
+    aSystem.SetFaults({ { "refusing", false } });
+    aSystem.AwaitState(1 - leader, kJob, "completed");
+    aSystem.RequireNothingRanTwice();
+  });
+}
+
+// Guards against a start order that is carried out after its worker was restarted under the same
+// id: the worker knows neither the token nor the runs of before, and its clock starts anew.
+Test(EdgeNodes, repeat_nothing_when_a_late_start_reaches_a_restarted_worker)
+{
+  RunWithEdges(1, 2, [](EdgeSystem& aSystem) {
+    aSystem.SetFaults({ { "late_starts", 1 }, { "late_start_ms", 3000 } });
+    Require(aSystem.Submit(0, kJob, Json::array({ Tasks(1, 1) }), 6000ms).Is(200), "not accepted");
+    Json late;
+    AwaitTrue(
+      "a start order to be delayed",
+      [&] {
+        late = aSystem.Ledger().at("late_starts");
+        return !late.empty();
+      },
+      10ms);
+    aSystem.SetFaults({ { "late_starts", 0 } });
+    aSystem.Restart(late.begin().key());
+    AwaitTrue("the start order to be carried out",
+              [&] { return aSystem.Ledger().at("late_starts").empty(); });
+    aSystem.AwaitState(0, kJob, "completed");
+    aSystem.RequireNothingRanTwice();
+  });
+}
