Stop runs that a restarted worker may have begun before the restart was known

What callers could see: two runs of a task at the same time. A worker restarts under its id, the leader doesn't know yet and starts a run there, and the new incarnation confirms it. When the restart became known, the leader took all confirmed runs for ended with the old incarnation and started the task elsewhere.

Change: only runs that a report of the old incarnation listed have ended with it; all others are stopped first. A reply that names another worker at the address counts only if the call was sent to the present incarnation. The test of a task that is restarted at once now has the run reported before the restart, as its name means; its checks are as before.

Scheduler/stops_a_run_that_a_restarted_worker_confirmed_before_it_starts_another_run failed before and passes now.

--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -143,8 +143,10 @@
         mHooks.mOnFenced(aWorker);
         return;
       case scheduler::OrderOutcome::WrongWorker:
-        mScheduler.OnWorkerReplaced(aWorker, Now());
-        renewal.mClock.reset();
+        if (aSentTo == Incarnation(aWorker)) {
+          mScheduler.OnWorkerReplaced(aWorker, Now());
+          renewal.mClock.reset();
+        }
         break;
       default:
         // Even a refused connection doesn't show that the worker's runs have ended: the network
--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -30,6 +30,8 @@
   // The worker's clock when it last confirmed or reported this run. Only later reports that lack
   // the run count as missed.
   WorkerClock mLastConfirmedClock;
+  // Whether a report of the worker's known incarnation has listed the run.
+  bool mIsReported = false;
   // The number of later reports in a row that lacked the run.
   int mMissedReports = 0;
   // When the last order for the run was issued; unset if none was, or if a stop has to be sent at
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -238,10 +238,11 @@
 void
 Scheduler::OnWorkerRestarted(Worker& aWorker, const CurrentTime& aNow)
 {
+  // A run that the earlier incarnation hasn't reported may be one of the new incarnation, even if
+  // its start was confirmed.
   std::vector<PlacedRun> mayStart;
   for (const auto& it : aWorker.mRuns) {
-    const bool isStartInFlight = it.mOrderInFlight && it.mPhase == RunPhase::Starting;
-    if (it.mUnansweredStarts > 0 || isStartInFlight) {
+    if (!it.mIsReported || it.mUnansweredStarts > 0) {
       mayStart.push_back(it);
     }
   }
@@ -256,6 +257,7 @@
     it.mStopConfirmedClock.reset();
     it.mLastConfirmedClock = WorkerClock();
     it.mMissedReports = 0;
+    it.mIsReported = false;
     BeginStop(aWorker, aWorker.Add(it));
   }
   aWorker.mHasRestarted = true;
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -161,8 +161,9 @@
   Duration WithClockDrift(Duration aTime) const;
   // The longest that a lease may last after a renewal, on this process's clock.
   Duration MaxLeaseDuration() const { return WithClockDrift(mSettings.mLeaseDuration); }
-  // The worker has restarted under its id: the runs of its earlier incarnation have ended, but
-  // start orders without an answer may still be carried out by the new one.
+  // The worker has restarted under its id: the runs that its earlier incarnation reported have
+  // ended. Others may be runs of the new one, or become so by a start order without an answer, so
+  // they are stopped first.
   void OnWorkerRestarted(Worker& aWorker, const CurrentTime& aNow);
   // Resets what is known of the incarnation that answered last.
   static void ForgetIncarnation(Worker& aWorker);
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -60,6 +60,7 @@
       continue;
     }
     placed->mMissedReports = 0;
+    placed->mIsReported = true;
     placed->mLastConfirmedClock = std::max(placed->mLastConfirmedClock, aReport.mClock);
     if (placed->mPhase == RunPhase::Starting) {
       placed->mPhase = RunPhase::Running;
@@ -128,6 +129,7 @@
   placed.mPhase = RunPhase::Running;
   placed.mStarted = aNow.mSteady;
   placed.mLastConfirmedClock = aClock;
+  placed.mIsReported = true;
   auto* job = FindMutable(aRun.mRun.mTask.mJob);
   auto* task = job ? job->FindOrOpen(aRun.mRun.mTask) : nullptr;
   if (job && aRun.mRun.mTask.mStep >= 0 &&
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -154,6 +154,7 @@
   f.AddWorkers(2);
   f.Submit(f.Job("j", { f.Step(1, 1) }));
   const auto first = f.Plan().mStarts.at(0);
+  f.RenewAllLeases();
   auto& worker = f.mWorkers.at(first.mWorker);
   worker.mRunning.clear();
   worker.mEntry.mIncarnation = WorkerIncarnation(200);
@@ -204,6 +205,26 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a second run of a task that a restarted worker began before the scheduler learned
+// of the restart: the run is one of the new incarnation.
+Test(Scheduler, stops_a_run_that_a_restarted_worker_confirmed_before_it_starts_another_run)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  for (const auto& [id, worker] : f.mWorkers) {
+    f.RestartWorker(id);
+  }
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.mScheduler->OnWorkerEntry(f.mWorkers.at(first.mWorker).mEntry, f.mNow);
+  f.RenewAllLeases();
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty(), "another run was started before the first was stopped");
+  cr_assert_eq(orders.mStops.size(), 1);
+  f.RenewAllLeases();
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against a second run of a task whose start order had no answer and is carried out late:
 // that the worker doesn't report the run tells nothing until a stop is confirmed.
 Test(Scheduler, starts_no_other_run_before_a_start_without_an_answer_is_stopped)
