After a pause, act only once the store has confirmed the leadership

The check after a pause accepted a failed renewal like a confirmed one, as in an outage of the store. A leader that stood still and was then closed off by the store alone went on for the rest of its 7 s, with workers restarted meanwhile that know no newer token. Found by the review of that check.

Change: a gap between renewals that is longer than the lease leaves room for marks a pause, and orders wait for a confirmed renewal sent after it. A slow node that merely misses the bound of the check recovers with the next outcome, so that work goes on in an outage.

Leader/sends_nothing_after_a_pause_until_its_leadership_is_checked, extended by failing renewals, failed before ("a run was started after a failed renewal") and passes now.

--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -61,9 +61,12 @@
 
   bool IsLeader() const { return mToken.has_value(); }
   // Whether the leader may send orders and renew workers' leases. After a pause of this process or
-  // its VM it may not until the store has answered or failed a renewal of the leadership, because
-  // another leader may have been elected meanwhile.
-  bool MayAct() const { return IsLeader() && BootTime() - mCheckedAt < kLeadershipLease; }
+  // its VM it may not until the store has confirmed the leadership, because another leader may have
+  // been elected meanwhile.
+  bool MayAct() const
+  {
+    return IsLeader() && !mHasPaused && BootTime() - mCheckedAt < kLeadershipLease;
+  }
   FencingToken Token() const { return mToken.value_or(FencingToken()); }
   // The condition on a leader's writes: the leader key still is the one that this node wrote.
   kv::ConditionalWrites::Condition Condition() const
@@ -225,6 +228,8 @@
     mIsVacant = false;
     mConfirmedAt = mClaimSentAt;
     mCheckedAt = mClaimSentAt;
+    mRenewalSentAt = BootTime();
+    mHasPaused = false;
     mRenewalTimer = mLoop.Every(kLeadershipRenewal, [this] { Renew(); });
     LogEvent("elected").With("token", *mToken);
     mCallbacks.mOnElected(*mToken);
@@ -248,6 +253,11 @@
   void Renew()
   {
     const auto now = BootTime();
+    if (now - std::exchange(mRenewalSentAt, now) > kMaxRenewalGap) {
+      LogEvent("leader_paused", LogLevel::Warning).With("token", Token());
+      mHasPaused = true;
+      mPauseNoticedAt = now;
+    }
     if (now - mConfirmedAt > mSettings.mScheduler.mStoreOutageTolerance - kLeadershipRenewal) {
       EndLeadership("store_unreachable");
       return;
@@ -268,6 +278,7 @@
     mCheckedAt = std::max(mCheckedAt, aSent);
     if (!aError) {
       mConfirmedAt = std::max(mConfirmedAt, aSent);
+      mHasPaused = mHasPaused && aSent < mPauseNoticedAt;
     }
   }
 
@@ -302,6 +313,11 @@
   Duration mClaimSentAt{ 0 };
   Duration mConfirmedAt{ 0 };
   Duration mCheckedAt{ 0 };
+  // When the last renewal was sent. A longer gap than kMaxRenewalGap is a pause of this process or
+  // its VM; the flag holds until the store confirms a renewal that was sent after the pause.
+  Duration mRenewalSentAt{ 0 };
+  Duration mPauseNoticedAt{ 0 };
+  bool mHasPaused = false;
   Timer mRenewalTimer;
   Timer mClaimTimer;
   CallbackGuard mGuard;
