Pass on a hand-over that the leader has not applied yet

What callers could see: work done twice over, as its ends were lost. A leader that ends before its jobs are loaded gave its successor an empty hand-over, although it held that of its predecessor; ends that the predecessor couldn't store, on workers that have left, were lost. Nothing ran twice at a time, since the hand-over was marked incomplete. Found by the review.

Change: until the jobs are loaded, the hand-over received is passed on, as incomplete. Leader/passes_on_a_hand_over_that_it_has_not_applied failed before and passes now.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -75,6 +75,10 @@
   // Returns the state that the next leader needs and may not find in the store.
   HandOver UnstoredState() const
   {
+    if (!IsLoaded()) {
+      // What the former leader handed over isn't applied yet.
+      return { mToken, false, mHandOver ? mHandOver->mProgress : HandOver().mProgress };
+    }
     return { mToken, mScheduler.IsTakeoverSettled(), mScheduler.UnstoredProgress() };
   }
 
@@ -175,8 +179,8 @@
       return;
     }
     mWriter.emplace(mStore, mElection.Condition(), mBatchRevision);
-    for (auto& it : mHandOver->mProgress) {
-      mProgress[it.mJob] = std::move(it.mText);
+    for (const auto& it : mHandOver->mProgress) {
+      mProgress[it.mJob] = it.mText;
       mHandedOverJobs.insert(it.mJob);
     }
     if (mHandOver->mToken.Value() != 0) {
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -40,6 +40,9 @@
   void List(const std::string& aPrefix, const std::string& aAfter, kv::PageCallback aCallback)
   {
     ++mLists;
+    if (!mHeldPrefix.empty() && aPrefix == mHeldPrefix) {
+      return;
+    }
     Answer([this, aPrefix, aAfter, aCallback] {
       kv::ItemPage page;
       page.mAsOf = kv::Revision(mRevision);
@@ -195,6 +198,8 @@
   }
 
   bool mIsDown = false;
+  // Lists of this prefix get no answer; empty for none.
+  std::string mHeldPrefix;
   // Renewals of leases get no answer.
   bool mHoldsRenewals = false;
   // Numbers of upcoming writes that report OutcomeUnknown: those that are applied only by
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -74,7 +74,14 @@
   f.RunUntil([&] { return std::chrono::steady_clock::now() > later; });
   cr_assert(f.mCalls.mStarts.empty(), "a run was started");
   cr_assert_leq(f.mCalls.mRenewalCalls.size(), calls, "a worker's lease was renewed");
+  // A failure tells nothing of what happened in the pause.
   f.mStore.mHoldsRenewals = false;
+  f.mStore.mIsDown = true;
+  const auto failed = std::chrono::steady_clock::now() + 3 * kLeadershipRenewal;
+  f.RunUntil([&] { return std::chrono::steady_clock::now() > failed; });
+  cr_assert(f.mCalls.mStarts.empty(), "a run was started after a failed renewal");
+  cr_assert_leq(f.mCalls.mRenewalCalls.size(), calls);
+  f.mStore.mIsDown = false;
   f.RunUntil([&] { return f.mCalls.mStarts.size() == 1; });
 }
 
@@ -155,6 +162,21 @@
                scheduler::JobState::Completed);
 }
 
+// Guards against losing what a former leader handed over, when the leadership ends before the jobs
+// are loaded.
+Test(Leader, passes_on_a_hand_over_that_it_has_not_applied)
+{
+  LeaderFixture f;
+  f.mStore.mHeldPrefix = kRequestPrefix;
+  f.mHandOver = { FencingToken(5), true, { { JobId("j"), kDone } } };
+  f.RunUntil([&] { return f.mLeader && f.mStore.mLists >= 3; });
+  const auto state = f.mLeader->UnstoredState();
+  cr_assert_not(f.mLeader->IsLoaded());
+  cr_assert_not(state.mIsComplete);
+  cr_assert_eq(state.mProgress.size(), 1);
+  cr_assert_eq(state.mProgress[0].mText, std::string(kDone));
+}
+
 // Guards against a hand-over that omits unstored progress.
 Test(Leader, hands_over_unstored_progress)
 {
