Correct comments on restarts and unanswered starts

Comments only: what tells another worker from another incarnation, why the number of unanswered starts is never reset, and why writing progress needs no check of MayAct().

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -434,6 +434,7 @@
 
   void StoreProgress()
   {
+    // The writes have no effect after another leader was elected, so MayAct() isn't needed.
     if (mWriter->IsBusy() || !mElection.IsLeader()) {
       return;
     }
--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -37,6 +37,8 @@
   // When the last order for the run was issued; unset if none was, or if a stop has to be sent at
   // once.
   TimePoint mLastOrderSent;
+  // Start orders without an answer. A later answer doesn't reset the number, since they may still
+  // be carried out.
   int mUnansweredStarts = 0;
   // Whether an order for the run awaits its outcome.
   bool mOrderInFlight = false;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -527,7 +527,7 @@
   for (const auto& it : aBatch.mProcessedEnds) {
     const auto worker = mFleet.find(it.mWorker);
     if (worker != mFleet.end() && worker->second.mEntry.mIncarnation == it.mIncarnation) {
-      // OnWorkerReplaced() may have reset mLastProcessedEnd since the batch was taken, and the new
+      // ForgetIncarnation() may have reset mLastProcessedEnd since the batch was taken, and the new
       // incarnation numbers its ends from the start. Its ends must not count as stored.
       const auto number = std::min(it.mNumber, worker->second.mLastProcessedEnd);
       worker->second.mLastStoredEnd = std::max(worker->second.mLastStoredEnd, number);
--- a/src/scheduler/WorkerReport.h
+++ b/src/scheduler/WorkerReport.h
@@ -92,7 +92,7 @@
   Unhealthy,
   // The worker rejected the order as malformed or for a reason not listed here.
   Invalid,
-  // Another worker, or another incarnation of this one, answers at the address.
+  // Another worker answers at the address. An incarnation of the same worker is told by its report.
   WrongWorker,
   // The order can't have been carried out, because no byte of it was sent.
   NotSent,
