--- a/tests/membership/MembershipTests.cpp
+++ b/tests/membership/MembershipTests.cpp
@@ -232,7 +232,9 @@
     "nonsense",
   };
   for (const auto& it : odd) {
-    const auto vms = ParseVmList("[" + good + " , " + it + ",\n" + last + "]");
+    std::string list = "[";
+    list.append(good).append(" , ").append(it).append(",\n").append(last).append("]");
+    const auto vms = ParseVmList(list);
     cr_assert(vms.has_value(), "%s", it.substr(0, 100).c_str());
     cr_assert_eq(vms->size(), 2, "%s", it.substr(0, 100).c_str());
     cr_assert_eq(vms->back().mAddress, SocketAddress("10.0.0.3", 7000));
