Let a long answer of the store take its time on a slow link

Cause: the store's listings had a timeout of 900 ms for the whole answer. The log shows one list_interrupted and nothing after it. Ruled out: the hand-over, which is bounded by 100 ms; the election, whose lease was renewed all the while. A dead connection is noticed as soon as before. Tests: StoreClient/waits_for_a_long_page_on_a_slow_link fails with the old timeout; HttpClient/waits_for_an_answer_that_ keeps_arriving and HttpClient/ends_a_call_whose_answer_stalls.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -91,6 +92,9 @@
   bool mHeadersSeen = false;
   // The reason that evhttp gave for a failure.
   std::error_code mError;
+  // See ClientRequest::mStallTimeout and ClientRequest::mDeadline.
+  std::optional<Duration> mStallTimeout;
+  TimePoint mLatestEnd;
   Timer mConnectTimer;
   Timer mDeadline;
 };
@@ -193,6 +197,29 @@
   Finish(call, sent ? aErrorIfSent : HttpError::NotSent);
 }
 
+// Starts the time until the call's deadline, or until its answer has stalled, anew.
+void
+RestartDeadline(const std::shared_ptr<CallState>& aCall, EventLoop& aLoop)
+{
+  const auto left =
+    std::chrono::ceil<Duration>(aCall->mLatestEnd - std::chrono::steady_clock::now());
+  const auto time = std::min(left, aCall->mStallTimeout.value_or(left));
+  aCall->mDeadline =
+    aLoop.After(std::max(time, Duration(0)), [call = std::weak_ptr<CallState>(aCall)] {
+      OnTimeout(call, HttpError::DeadlineExceeded);
+    });
+}
+
+// A part of the answer has arrived.
+void
+OnProgress(const std::shared_ptr<CallState>& aCall)
+{
+  const auto client = aCall->mClient.lock();
+  if (aCall->mStallTimeout && client) {
+    RestartDeadline(aCall, client->mLoop);
+  }
+}
+
 Headers
 ReadHeaders(evhttp_request* aRequest)
 {
@@ -220,6 +247,7 @@
 OnHeaders(evhttp_request* aRequest, void* aArgument)
 {
   const auto call = static_cast<CallState*>(aArgument)->shared_from_this();
+  OnProgress(call);
   ReportHeaders(*call, aRequest);
   return 0;
 }
@@ -228,6 +256,7 @@
 OnChunk(evhttp_request* aRequest, void* aArgument)
 {
   const auto call = static_cast<CallState*>(aArgument)->shared_from_this();
+  OnProgress(call);
   ReportHeaders(*call, aRequest);
   auto* input = evhttp_request_get_input_buffer(aRequest);
   std::string data(evbuffer_get_length(input), '\0');
@@ -317,8 +346,9 @@
   const std::weak_ptr<CallState> call = aCall;
   aCall->mConnectTimer = aLoop.After(std::min(aRequest.mConnectTimeout, aRequest.mDeadline),
                                      [call] { OnTimeout(call, HttpError::NoAnswer); });
-  aCall->mDeadline =
-    aLoop.After(aRequest.mDeadline, [call] { OnTimeout(call, HttpError::DeadlineExceeded); });
+  aCall->mStallTimeout = aRequest.mStallTimeout;
+  aCall->mLatestEnd = std::chrono::steady_clock::now() + aRequest.mDeadline;
+  RestartDeadline(aCall, aLoop);
 }
 
 void
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -32,6 +33,10 @@
   Duration mConnectTimeout{ 1000 };
   // Time for the whole call; after it the call ends with DeadlineExceeded or NotSent.
   Duration mDeadline{ 10000 };
+  // The longest time without a byte of the answer, from the start of the call on; after it the call
+  // ends as after mDeadline. Lets a long answer take its time on a slow link, while a dead
+  // connection is noticed soon. Unset for no limit but mDeadline.
+  std::optional<Duration> mStallTimeout;
   // Answers above this size end the call with AnswerTooLarge; not used for streamed answers.
   Bytes mMaxAnswer{ 64 * 1024 * 1024 };
   // Opens a connection that is closed after the call, in place of a pooled one.
--- a/tests/http/HttpTests.cpp
+++ b/tests/http/HttpTests.cpp
@@ -14,6 +14,7 @@
 #include <sys/socket.h>
 #include <tuple>
 #include <unistd.h>
+#include <vector>
 
 using namespace lovagerock;
 using namespace lovagerock::http;
@@ -183,6 +184,59 @@
   close(fd);
 }
 
+namespace {
+
+// Answers with one byte after each pause, aCount in all, and then ends the answer or stalls.
+void
+AnswerSlowly(EventLoop& aLoop, const Responder& aResponder, int aCount, Duration aPause, bool aEnds,
+             std::vector<Timer>& aTimers)
+{
+  aResponder.Start(200, {});
+  for (int i = 1; i <= aCount; ++i) {
+    aTimers.push_back(aLoop.After(i * aPause, [aResponder] { aResponder.Write("x"); }));
+  }
+  if (aEnds) {
+    aTimers.push_back(aLoop.After((aCount + 1) * aPause, [aResponder] { aResponder.End(); }));
+  }
+}
+
+} // namespace
+
+// Guards against a listing that never arrives, because it is too long for a slow link: each call
+// ends with its timeout and begins anew.
+Test(HttpClient, waits_for_an_answer_that_keeps_arriving)
+{
+  Fixture f;
+  std::vector<Timer> timers;
+  f.mServer->Handle(Method::Get, "/a", [&](const http::Request&, const Responder& aResponder) {
+    AnswerSlowly(f.mLoop, aResponder, 10, Duration(200), true, timers);
+  });
+  auto request = f.Request(Method::Get, "/a");
+  request.mStallTimeout = Duration(1500);
+  request.mDeadline = Duration(50000);
+  const auto [error, response] = f.Call(request);
+  cr_assert_not(error);
+  cr_assert_eq(response.mBody.size(), 10);
+}
+
+// Guards against a dead connection that occupies a call until its deadline.
+Test(HttpClient, ends_a_call_whose_answer_stalls)
+{
+  Fixture f;
+  std::vector<Timer> timers;
+  // Keeps the answer open.
+  std::optional<Responder> responder;
+  f.mServer->Handle(Method::Get, "/a", [&](const http::Request&, const Responder& aResponder) {
+    responder = aResponder;
+    AnswerSlowly(f.mLoop, aResponder, 2, Duration(20), false, timers);
+  });
+  auto request = f.Request(Method::Get, "/a");
+  request.mStallTimeout = Duration(500);
+  // Longer than the fixture's limit.
+  request.mDeadline = Duration(600000);
+  cr_assert_eq(f.Call(request).first, make_error_code(HttpError::DeadlineExceeded));
+}
+
 Test(HttpClient, reuses_a_connection)
 {
   Fixture f;
--- a/tests/platform/ReplyTests.cpp
+++ b/tests/platform/ReplyTests.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace lovagerock;
 using namespace lovagerock::platform;
@@ -81,6 +82,36 @@
 
 } // namespace
 
+// Guards against a leader that never gets through its takeover, because a page of the listing takes
+// longer on its slow link than a short call may.
+Test(StoreClient, waits_for_a_long_page_on_a_slow_link)
+{
+  EventLoop loop;
+  http::HttpServer server(loop);
+  cr_assert_not(server.Listen(testing::LocalAddress()));
+  std::vector<Timer> timers;
+  const std::string body = R"({"items":[],"has_more":false,"as_of":7})";
+  server.Handle(http::Method::Get, "/{path*}", [&](const http::Request&, http::Responder aTo) {
+    aTo.Start(200, {});
+    constexpr Duration kPause{ 50 };
+    for (std::size_t i = 0; i < body.size(); ++i) {
+      timers.push_back(loop.After((static_cast<int>(i) + 1) * kPause,
+                                  [&body, aTo, i] { aTo.Write(body.substr(i, 1)); }));
+    }
+    timers.push_back(
+      loop.After((static_cast<int>(body.size()) + 1) * kPause, [aTo] { aTo.End(); }));
+  });
+  StoreClient client(loop, server.Address());
+  std::optional<std::error_code> error;
+  client.List("requests/", "", [&](std::error_code aError, const kv::ItemPage& aPage) {
+    error = aError;
+    cr_assert(aError || aPage.mAsOf == kv::Revision(7));
+    loop.Stop();
+  });
+  loop.Run();
+  cr_assert_not(*error);
+}
+
 // Guards against losing a worker's whole report, and with it the worker's lease and runs, because
 // one row can't be read.
 Test(WorkerClient, reads_the_rows_beside_an_odd_one)
