Give up a leadership whose listings keep failing, and read on from the page that failed

Cause: a listing began anew with each failed page, and a leader that couldn't list kept its leadership as long as the store confirmed its lease. The same holds for the records, the requests and the worker entries, at a takeover and when the store's history is gone. Change: PrefixReader reads the pages of all listings and reads a failed page again; Leader's own copy of that loop is gone. After 3 s of failures a leader whose lease the store confirms resigns and makes no claim for 2 s. If the store confirms nothing, the leader keeps the leadership as before, since no other node is better off. Failures are logged after each doubling of their number. Tests: Leader/lets_another_node_lead_if_its_takeover_fails fails without the resignation; Leader/keeps_the_leadership_while_the_store_answers_nothing, PrefixReader/reads_a_failed_page_again.

--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -43,6 +43,11 @@
 inline constexpr Duration kWorkerWatchPause{ 200 };
 // Delay before a failed store call is retried.
 inline constexpr Duration kStoreRetryDelay{ 150 };
+// A leader whose listings have failed for this time, although the store confirms its leadership,
+// lets another node lead.
+inline constexpr Duration kMaxListOutage{ 3000 };
+// Time without claims of a node that has resigned because it couldn't carry out the leadership.
+inline constexpr Duration kClaimPause{ 2000 };
 // API keys are accepted while the configuration's age is below the revocation limit minus this
 // margin.
 inline constexpr Duration kRevocationMargin{ 800 };
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -67,6 +67,11 @@
   {
     return IsLeader() && !mHasPaused && BootTime() - mCheckedAt < kLeadershipLease;
   }
+  // Whether the store has confirmed the leadership so recently that no other node can be elected.
+  bool IsConfirmed() const
+  {
+    return IsLeader() && !mHasPaused && BootTime() - mConfirmedAt < kLeadershipLease;
+  }
   FencingToken Token() const { return mToken.value_or(FencingToken()); }
   // The condition on a leader's writes: the leader key still is the one that this node wrote.
   kv::ConditionalWrites::Condition Condition() const
@@ -94,6 +99,12 @@
       EndLeadership(aReason);
     }
   }
+  // Resigns and makes no claims for kClaimPause, so that another node can lead.
+  void StandBack(const char* aReason)
+  {
+    mNextClaimAt = BootTime() + kClaimPause;
+    Resign(aReason);
+  }
   // Resigns and makes no further claims.
   void Withdraw()
   {
@@ -173,7 +184,8 @@
   {
     const double delayMs =
       kClaimDelayPerCoreMs / mSettings.mCores + kClaimDelayPerMbpsMs / mSettings.mLinkMbps;
-    return Duration(static_cast<std::int64_t>(delayMs)) +
+    const auto pause = std::max(mNextClaimAt - BootTime(), Duration(0));
+    return pause + Duration(static_cast<std::int64_t>(delayMs)) +
            Duration(static_cast<std::int64_t>(mRandom.Below(kClaimJitter.count())));
   }
 
@@ -318,6 +330,8 @@
   Duration mRenewalSentAt{ 0 };
   Duration mPauseNoticedAt{ 0 };
   bool mHasPaused = false;
+  // No claim is made before this time.
+  Duration mNextClaimAt{ 0 };
   Timer mRenewalTimer;
   Timer mClaimTimer;
   CallbackGuard mGuard;
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -8,6 +8,8 @@
 #include "control/Election.h"
 #include "control/HandOver.h"
 #include "control/PlanPacer.h"
+#include "control/PrefixReader.h"
+#include "control/PrefixWatch.h"
 #include "control/ProgressWriter.h"
 #include "control/WorkerCalls.h"
 #include "control/WorkerLeases.h"
@@ -65,11 +67,12 @@
     , mSettings(aSettings)
     , mToken(aElection.Token())
     , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
+    , mRecords(aLoop, aStore, std::string(kRecordPrefix), MakeRecordCallbacks())
     , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
   {
     OnDeployment(aDeployment);
     aHandOverSource(mGuard.Wrap([this](HandOver aHandOver) { OnHandOver(std::move(aHandOver)); }));
-    LoadProgress("");
+    mRecords.Start();
   }
 
   // Returns the state that the next leader needs and may not find in the store.
@@ -137,25 +140,21 @@
     LoadJobs();
   }
 
-  void LoadProgress(const std::string& aAfter)
+  ReaderCallbacks MakeRecordCallbacks()
   {
-    mStore.List(std::string(kRecordPrefix), aAfter,
-                mGuard.Wrap([this](std::error_code aError, kv::ItemPage aPage) {
-                  OnProgressPage(aError, std::move(aPage));
-                }));
+    ReaderCallbacks callbacks;
+    callbacks.mOnPage = [this](kv::ItemPage aPage) { OnRecords(std::move(aPage)); };
+    callbacks.mOnEnd = [this] {
+      mAreRecordsLoaded = true;
+      LoadJobs();
+    };
+    callbacks.mOnOutage = [this] { OnListOutage(); };
+    return callbacks;
   }
 
-  void OnProgressPage(std::error_code aError, kv::ItemPage aPage)
+  void OnRecords(kv::ItemPage aPage)
   {
-    if (aError) {
-      LogEvent("progress_not_loaded", LogLevel::Warning).With("reason", aError.message());
-      mProgress.clear();
-      mRetryTimer = mLoop.After(kStoreRetryDelay, [this] { LoadProgress(""); });
-      return;
-    }
-    std::string last;
     for (auto& it : aPage.mItems) {
-      last = it.mKey;
       if (it.mKey == kBatchKey) {
         mBatchRevision = it.mRevision;
       } else if (const auto job = JobOfKey(kProgressPrefix, it.mKey)) {
@@ -164,18 +163,21 @@
         OnRackRecord(it);
       }
     }
-    if (aPage.mHasMore && !last.empty()) {
-      LoadProgress(last);
-      return;
+  }
+
+  // The store has answered no listing for a while. If it confirms the leadership all the same,
+  // another node may have a better way to it; if it doesn't, no other node is better off.
+  void OnListOutage()
+  {
+    if (mElection.IsConfirmed()) {
+      mElection.StandBack("listing_failed");
     }
-    mIsProgressLoaded = true;
-    LoadJobs();
   }
 
   // Proceeds once the stored progress is loaded and the hand-over request is answered.
   void LoadJobs()
   {
-    if (!mIsProgressLoaded || !mHandOver) {
+    if (!mAreRecordsLoaded || !mHandOver) {
       return;
     }
     mWriter.emplace(mStore, mElection.Condition(), mBatchRevision);
@@ -212,6 +214,7 @@
         SchedulePlan();
       }
     };
+    callbacks.mOnListOutage = [this] { OnListOutage(); };
     mRequests.emplace(mLoop, mStore, std::string(kRequestPrefix), std::move(callbacks));
   }
 
@@ -318,6 +321,7 @@
       }
       SchedulePlan();
     };
+    callbacks.mOnListOutage = [this] { OnListOutage(); };
     mWorkers.emplace(mLoop, mStore, Registry::Prefix(), std::move(callbacks), kWorkerWatchPause);
   }
 
@@ -505,8 +509,10 @@
   const ControlSettings& mSettings;
   FencingToken mToken;
   scheduler::Scheduler mScheduler;
+  // Reads the records of former leaders: progress, racks and the batch key.
+  PrefixReader<Store> mRecords;
   std::map<JobId, std::string> mProgress;
-  bool mIsProgressLoaded = false;
+  bool mAreRecordsLoaded = false;
   // Unset until the hand-over request is answered or has timed out.
   std::optional<HandOver> mHandOver;
   // Jobs whose progress came from the former leader.
@@ -518,7 +524,6 @@
   WorkerLeases<Calls> mLeases;
   std::vector<WorkerId> mUnlisted;
   bool mDeleteExpired = false;
-  Timer mRetryTimer;
   PlanPacer mPacer;
   Timer mPlanTimer;
   Timer mPeriodicPlanTimer;
--- a/src/control/PrefixWatch.h
+++ b/src/control/PrefixWatch.h
@@ -5,13 +5,13 @@
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
 #include "control/ControlSettings.h"
+#include "control/PrefixReader.h"
 #include "kv/KvError.h"
 #include "kv/PrefixStore.h"
 
 #include <algorithm>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <utility>
 
@@ -25,6 +25,8 @@
   std::function<void(const kv::ItemEvent&)> mOnEvent;
   // Every change that the store acknowledged before this BootTime() has been reported.
   std::function<void(Duration)> mOnConfirmed;
+  // See ReaderCallbacks::mOnOutage.
+  std::function<void()> mOnListOutage;
 };
 
 // Watches the keys with a prefix: lists them, then reads changes, and lists them again when the
@@ -42,46 +44,44 @@
     , mStore(aStore)
     , mPrefix(std::move(aPrefix))
     , mCallbacks(std::move(aCallbacks))
+    , mReader(aLoop, aStore, mPrefix, MakeReaderCallbacks())
   {
     StartList();
   }
 
 private:
+  ReaderCallbacks MakeReaderCallbacks()
+  {
+    ReaderCallbacks callbacks;
+    callbacks.mOnPage = [this](kv::ItemPage aPage) { OnPage(std::move(aPage)); };
+    callbacks.mOnEnd = [this] { OnListed(); };
+    callbacks.mOnOutage = mCallbacks.mOnListOutage;
+    return callbacks;
+  }
+
   void StartList()
   {
     mItems.clear();
     mAsOf = kv::Revision();
     mCallSentAt = BootTime();
-    ListAfter("");
+    mReader.Start();
   }
 
-  void ListAfter(const std::string& aAfter)
+  void OnPage(kv::ItemPage aPage)
   {
-    mStore.List(mPrefix, aAfter, mGuard.Wrap([this](std::error_code aError, kv::ItemPage aPage) {
-      OnPage(aError, std::move(aPage));
-    }));
-  }
-
-  void OnPage(std::error_code aError, kv::ItemPage aPage)
-  {
-    if (aError) {
-      RetryLater("list", aError, [this] { StartList(); });
-      return;
-    }
     // The pages aren't one snapshot: the watch starts at the first page's revision, so that changes
     // made since are reported as events.
     if (mAsOf == kv::Revision()) {
       mAsOf = aPage.mAsOf;
     }
-    std::string last;
     for (auto& it : aPage.mItems) {
-      last = it.mKey;
-      mItems[last] = std::move(it);
-    }
-    if (aPage.mHasMore && !last.empty()) {
-      ListAfter(last);
-      return;
+      auto key = it.mKey;
+      mItems[std::move(key)] = std::move(it);
     }
+  }
+
+  void OnListed()
+  {
     mCallbacks.mOnList(mItems);
     mItems.clear();
     Confirm();
@@ -105,7 +105,8 @@
       return;
     }
     if (aError) {
-      RetryLater("watch", aError, [this] { WatchNext(); });
+      LogRepeatedFailure("watch_interrupted", mPrefix, "watch", ++mFailures, aError);
+      mRetryTimer = mLoop.After(kStoreRetryDelay, [this] { WatchNext(); });
       return;
     }
     mAsOf = std::max(mAsOf, aPage.mAsOf);
@@ -128,22 +129,12 @@
     }
   }
 
-  void RetryLater(const char* aCall, std::error_code aError, EventLoop::Task aTask)
-  {
-    if (mFailures++ == 0) {
-      LogEvent("watch_interrupted", LogLevel::Warning)
-        .With("prefix", mPrefix)
-        .With("call", aCall)
-        .With("reason", aError.message());
-    }
-    mRetryTimer = mLoop.After(kStoreRetryDelay, std::move(aTask));
-  }
-
   Duration mPause;
   EventLoop& mLoop;
   Store& mStore;
   std::string mPrefix;
   WatchCallbacks mCallbacks;
+  PrefixReader<Store> mReader;
   std::map<std::string, kv::Item> mItems;
   kv::Revision mAsOf;
   Duration mCallSentAt{ 0 };
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -46,7 +46,8 @@
     Answer([this, aPrefix, aAfter, aCallback] {
       kv::ItemPage page;
       page.mAsOf = kv::Revision(mRevision);
-      if (mIsDown) {
+      if (mIsDown || (!aAfter.empty() && mPagesToFail > 0 && mPagesToFail-- > 0) ||
+          aPrefix == mFailingPrefix) {
         aCallback(kv::KvError::Unavailable, page);
         return;
       }
@@ -200,6 +201,10 @@
   bool mIsDown = false;
   // Lists of this prefix get no answer; empty for none.
   std::string mHeldPrefix;
+  // Lists of this prefix fail; empty for none.
+  std::string mFailingPrefix;
+  // The number of upcoming lists that fail, of those that don't begin at the first key.
+  int mPagesToFail = 0;
   // Renewals of leases get no answer.
   bool mHoldsRenewals = false;
   // Numbers of upcoming writes that report OutcomeUnknown: those that are applied only by
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -193,3 +193,31 @@
   cr_assert_eq(read.mProgress.size(), 1);
   cr_assert_eq(scheduler::ReadState(read.mProgress[0].mText), scheduler::JobState::Completed);
 }
+
+// Guards against a leader that keeps a leadership which it can't carry out: the store confirms its
+// lease but answers none of its listings, so every node refuses requests.
+Test(Leader, lets_another_node_lead_if_its_takeover_fails)
+{
+  for (const auto prefix : { kRecordPrefix, kRequestPrefix }) {
+    LeaderFixture f;
+    f.mStore.mFailingPrefix = prefix;
+    f.RunUntil([&] { return f.mLost == 1; });
+    cr_assert_not(f.mElection->IsLeader());
+    f.mStore.mFailingPrefix.clear();
+    // There is no other node.
+    f.RunUntil([&] { return f.mElection->IsLeader(); });
+  }
+}
+
+// Guards against giving up the leadership in an outage of the whole store, in which no other node
+// could do better.
+Test(Leader, keeps_the_leadership_while_the_store_answers_nothing)
+{
+  LeaderFixture f;
+  f.mStore.mFailingPrefix = kRequestPrefix;
+  f.RunUntil([&] { return f.mElection->IsLeader(); });
+  f.mStore.mIsDown = true;
+  const auto later = std::chrono::steady_clock::now() + kMaxListOutage + 2 * kLeadershipLease;
+  f.RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  cr_assert_eq(f.mLost, 0);
+}
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -65,6 +65,32 @@
   cr_assert_eq(events[0].mKey, std::string("p/d"));
 }
 
+// Guards against a listing that never ends over a bad connection, because each failed page begins
+// it anew.
+Test(PrefixReader, reads_a_failed_page_again)
+{
+  Fixture f;
+  f.mStore.mPageSize = 1;
+  f.mStore.mPagesToFail = 2;
+  for (const auto* key : { "p/a", "p/b", "p/c" }) {
+    f.mStore.Put(key, "1");
+  }
+  std::vector<std::string> read;
+  bool hasEnded = false;
+  ReaderCallbacks callbacks;
+  callbacks.mOnPage = [&](const kv::ItemPage& aPage) {
+    for (const auto& it : aPage.mItems) {
+      read.push_back(it.mKey);
+    }
+  };
+  callbacks.mOnEnd = [&] { hasEnded = true; };
+  PrefixReader reader(f.mLoop, f.mStore, "p/", std::move(callbacks));
+  reader.Start();
+  f.RunUntil([&] { return hasEnded; });
+  cr_assert_eq(read, (std::vector<std::string>{ "p/a", "p/b", "p/c" }));
+  cr_assert_eq(f.mStore.mLists, 5);
+}
+
 // Guards against missing changes when the store drops its history.
 Test(PrefixWatch, lists_again_when_the_history_is_gone)
 {
