Don't take a partial list of ends for a whole report

Cause: a worker lists at most 500 ends at once. A run whose end stands in a later part is in neither list, and three such reports, or one after a takeover, were taken as proof that the run isn't there. Change: such a report is marked as partial; it ends no run, and a worker counts as having answered a takeover only with a whole report. The ends it lists are processed, stored and forgotten as before, until the rest is listed. Tests: Takeover/waits_for_the_ends_that_a_worker_has_not_listed_yet and Scheduler/gives_up_no_run_because_a_partial_list_of_ ends_lacks_it fail without the change; WorkerClient/tells_that_a_list_of_ends_is_partial.

--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -64,8 +64,9 @@
   // Whether the stored rack record names this worker. A scheduler that takes over thus learns that
   // runs may have been started there.
   bool mRecorded = false;
-  // Whether the worker has answered a lease renewal of this scheduler. From then on it rejects the
-  // orders of earlier schedulers.
+  // Whether the worker has answered a lease renewal of this scheduler with a whole report. From
+  // then on it rejects the orders of earlier schedulers, and all that it runs or has ended is
+  // known.
   bool mHasAnswered = false;
   // Whether the worker has restarted under its id. An order that was meant for an earlier
   // incarnation may have extended its lease, see SchedulerSettings::mLongestLease.
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-// After this many reports in a row that lack it, a run counts as gone. One report isn't enough,
-// since workers truncate long lists.
+// After this many reports in a row that lack it, a run counts as gone.
 constexpr int kMaxMissedReports = 3;
 
 } // namespace
@@ -29,7 +28,7 @@
     }
     worker.mEntry.mIncarnation = aReport.mIncarnation;
   }
-  if (!worker.mHasAnswered) {
+  if (!worker.mHasAnswered && !aReport.mIsPartial) {
     // From now on the worker rejects renewals of earlier schedulers, so its lease lasts no longer
     // than one renewal from now.
     worker.mHasAnswered = true;
@@ -47,7 +46,9 @@
     DropRun(worker, ended.mRun, ended.mEnd, ended.mCheckpoint, aNow);
   }
   ReadRunning(worker, aReport, aNow);
-  CheckMissing(worker, aReport, aNow);
+  if (!aReport.mIsPartial) {
+    CheckMissing(worker, aReport, aNow);
+  }
 }
 
 void
--- a/src/scheduler/WorkerReport.h
+++ b/src/scheduler/WorkerReport.h
@@ -74,6 +74,9 @@
   WorkerIncarnation mIncarnation;
   std::vector<RunningRun> mRunning;
   std::vector<FinishedRun> mFinished;
+  // Whether the worker may have more ended runs than mFinished lists. A run that such a report
+  // lacks may be one of those.
+  bool mIsPartial = false;
 };
 
 // The outcome of an order to a worker.
--- a/tests/platform/ReplyTests.cpp
+++ b/tests/platform/ReplyTests.cpp
@@ -157,6 +157,21 @@
   }
 }
 
+// Guards against taking a run for ended because its end is in a later part of a long list.
+Test(WorkerClient, tells_that_a_list_of_ends_is_partial)
+{
+  for (const int count : { 499, 500 }) {
+    std::string rows;
+    for (int i = 1; i <= count; ++i) {
+      rows += (i > 1 ? "," : "") + ("[" + std::to_string(i)) + R"(,"j.0.0.1",)" +
+              std::to_string(i) + R"(,"stopped",""])";
+    }
+    const auto reply = Renew(R"({"clock_ms":5,"running":[],"finished":[)" + rows + "]}");
+    cr_assert_eq(reply.mReport.mFinished.size(), static_cast<std::size_t>(count));
+    cr_assert_eq(reply.mReport.mIsPartial, count == 500);
+  }
+}
+
 // Guards against a lease whose end overflows, and against runs that are taken for those of another
 // incarnation.
 Test(WorkerClient, rejects_reports_with_an_odd_clock_or_start_time)
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -384,3 +384,48 @@
   f.AdvanceTime(Duration(1000));
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
+
+// Guards against a second run of a task whose end a worker lists only after earlier ends, because
+// it lists long ones in parts: the first part contains neither the run nor its end.
+Test(Takeover, waits_for_the_ends_that_a_worker_has_not_listed_yet)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  auto progress = f.StoreProgress();
+  f.EndRun(first.mRun, RunEnd::Done);
+  f.TakeOver(progress);
+  for (int i = 0; i < 5; ++i) {
+    for (const auto& [id, worker] : f.mWorkers) {
+      LeaseReport report;
+      report.mClock = WorkerClock(2000 + i);
+      report.mIncarnation = worker.mEntry.mIncarnation;
+      report.mIsPartial = id == first.mWorker;
+      f.mScheduler->OnLeaseReport(id, report, f.mNow);
+    }
+    cr_assert(f.Plan().mStarts.empty(), "the run was started a second time");
+  }
+  f.mWorkers.at(first.mWorker).mClock = 3000;
+  f.RenewAllLeases();
+  cr_assert(f.Plan().mStarts.empty());
+  cr_assert(f.State("j") == JobState::Completed);
+}
+
+// Guards against the same without a takeover.
+Test(Scheduler, gives_up_no_run_because_a_partial_list_of_ends_lacks_it)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.RenewAllLeases();
+  for (int i = 0; i < 5; ++i) {
+    LeaseReport report;
+    report.mClock = WorkerClock(2000 + i);
+    report.mIncarnation = f.mWorkers.at(first.mWorker).mEntry.mIncarnation;
+    report.mIsPartial = true;
+    f.mScheduler->OnLeaseReport(first.mWorker, report, f.mNow);
+    cr_assert(f.Plan().mStarts.empty(), "the run was started a second time");
+  }
+}
