Tell the next leader which workers may hold the longest lease

Cause: after a worker has restarted under its id, an order with a deadline of the earlier incarnation's clock may make its lease last as long as workers grant at most. Only the leader that saw the restart knew; its successor expected one renewal. Change: a rack's record names for each worker its incarnation and whether it has restarted. A new leader expects the longest lease on such a worker, and on one that answers as another incarnation. A takeover is settled worker by worker, since not all leases end at the same time.

--- a/src/scheduler/RackRecord.cpp
+++ b/src/scheduler/RackRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "base/JsonList.h"
 #include "base/LogEvent.h"
+#include "scheduler/Limits.h"
 
 #include <utility>
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-// A contact is [worker, address].
+// A contact is [worker, address, incarnation, has restarted]; earlier versions wrote the first two.
 std::optional<WorkerContact>
 ReadContact(const Json& aJson)
 {
@@ -19,7 +20,13 @@
     if (!address || address->Port() == 0 || worker.IsEmpty()) {
       return std::nullopt;
     }
-    return WorkerContact{ std::move(worker), *address };
+    WorkerContact contact{ std::move(worker), *address, {}, false };
+    if (aJson.size() > 3) {
+      contact.mIncarnation =
+        WorkerIncarnation(JsonInRange(aJson.at(2), std::int64_t{ 0 }, kMaxTimeMs));
+      contact.mHasRestarted = aJson.at(3).get<bool>();
+    }
+    return contact;
   } catch (const Json::exception&) {
     return std::nullopt;
   }
@@ -32,7 +39,8 @@
 {
   auto json = Json::array();
   for (const auto& it : aWorkers) {
-    json.push_back(Json::array({ it.mWorker.Value(), it.mAddress.ToString() }));
+    json.push_back(Json::array(
+      { it.mWorker.Value(), it.mAddress.ToString(), it.mIncarnation.Value(), it.mHasRestarted }));
   }
   return DumpJson(json);
 }
--- a/src/scheduler/RackRecord.h
+++ b/src/scheduler/RackRecord.h
@@ -2,6 +2,7 @@
 
 #include "base/Ids.h"
 #include "base/SocketAddress.h"
+#include "scheduler/WorkerReport.h"
 
 #include <optional>
 #include <string>
@@ -9,12 +10,15 @@
 
 namespace lovagerock::scheduler {
 
-// The address of a worker, so that a scheduler that takes over can reach it even if it isn't
-// registered.
+// What a scheduler that takes over must know of a worker, even if the worker isn't registered.
 struct WorkerContact
 {
   WorkerId mWorker;
   SocketAddress mAddress;
+  // The worker's last known incarnation; 0 if unknown.
+  WorkerIncarnation mIncarnation;
+  // See Worker::mHasRestarted.
+  bool mHasRestarted = false;
 };
 
 // Serializes the workers of a rack on which runs may be started, for the store.
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -160,9 +160,11 @@
     worker.mEntry.mId = contact.mWorker;
     worker.mEntry.mAddress = contact.mAddress;
     worker.mEntry.mRack = aRack;
+    worker.mEntry.mIncarnation = contact.mIncarnation;
+    worker.mHasRestarted = contact.mHasRestarted;
     worker.mRegistered = false;
     worker.mRecorded = true;
-    worker.mLeaseExpiry = mInheritedUntil;
+    worker.mLeaseExpiry = InheritedLeaseExpiry(worker);
   }
 }
 
@@ -261,7 +263,10 @@
     BeginStop(aWorker, aWorker.Add(it));
   }
   aWorker.mHasRestarted = true;
-  aWorker.mLeaseExpiry = aNow.mSteady + WithClockDrift(mSettings.mLongestLease);
+  // Until the new incarnation has answered, an earlier scheduler may renew its lease too.
+  aWorker.mLeaseExpiry =
+    std::max(aNow.mSteady + MaxLeaseDuration(aWorker), InheritedLeaseExpiry(aWorker));
+  mDirtyRacks.insert(aWorker.mEntry.mRack);
 }
 
 void
@@ -479,7 +484,8 @@
       continue;
     }
     if (worker.BelongsInRackRecord()) {
-      write.mWorkers.push_back({ id, worker.mEntry.mAddress });
+      write.mWorkers.push_back(
+        { id, worker.mEntry.mAddress, worker.mEntry.mIncarnation, worker.mHasRestarted });
     } else {
       // The progress that is written before the rack record names all runs that were started there.
       worker.mRecorded = false;
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -161,6 +161,16 @@
   Duration WithClockDrift(Duration aTime) const;
   // The longest that a lease may last after a renewal, on this process's clock.
   Duration MaxLeaseDuration() const { return WithClockDrift(mSettings.mLeaseDuration); }
+  // The same for any order to the worker; see Worker::mHasRestarted.
+  Duration MaxLeaseDuration(const Worker& aWorker) const
+  {
+    return aWorker.mHasRestarted ? WithClockDrift(mSettings.mLongestLease) : MaxLeaseDuration();
+  }
+  // Returns when the last lease expires that an earlier scheduler may have renewed on the worker.
+  TimePoint InheritedLeaseExpiry(const Worker& aWorker) const
+  {
+    return mInheritedUntil + (MaxLeaseDuration(aWorker) - MaxLeaseDuration());
+  }
   // The worker has restarted under its id: the runs that its earlier incarnation reported have
   // ended. Others may be runs of the new one, or become so by a start order without an answer, so
   // they are stopped first.
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -88,17 +88,18 @@
 void
 Scheduler::UpdateTakeoverSettled(const CurrentTime& aNow)
 {
-  const bool isOver = aNow.mSteady > mInheritedUntil;
-  if (isOver) {
+  if (aNow.mSteady > mInheritedUntil) {
     mAwaitedWorkers.clear();
   }
   if (mIsTakeoverSettled) {
     return;
   }
-  const bool allAnswered = std::all_of(mFleet.begin(), mFleet.end(), [](const auto& aIt) {
-    return aIt.second.mHasAnswered || !(aIt.second.mRegistered || aIt.second.mRecorded);
+  const bool isComplete = std::all_of(mFleet.begin(), mFleet.end(), [&aNow](const auto& aIt) {
+    const auto& worker = aIt.second;
+    const bool mayHaveRuns = worker.mRegistered || worker.mRecorded;
+    return worker.mHasAnswered || !mayHaveRuns || worker.mLeaseExpiry < aNow.mSteady;
   });
-  if (allAnswered || isOver) {
+  if (isComplete) {
     SettleTakeover();
   }
 }
@@ -108,7 +109,7 @@
 {
   mInheritedUntil = std::min(mInheritedUntil, aNow.mSteady + MaxLeaseDuration());
   for (auto& [id, worker] : mFleet) {
-    worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, mInheritedUntil);
+    worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, InheritedLeaseExpiry(worker));
   }
   SettleTakeover();
 }
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -27,14 +27,13 @@
       OnWorkerRestarted(worker, aNow);
     }
     worker.mEntry.mIncarnation = aReport.mIncarnation;
+    mDirtyRacks.insert(worker.mEntry.mRack);
   }
   if (!worker.mHasAnswered && !aReport.mIsPartial) {
     // From now on the worker rejects renewals of earlier schedulers, so its lease lasts no longer
     // than one renewal from now.
     worker.mHasAnswered = true;
-    const auto longest =
-      worker.mHasRestarted ? WithClockDrift(mSettings.mLongestLease) : MaxLeaseDuration();
-    worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, aNow.mSteady + longest);
+    worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, aNow.mSteady + MaxLeaseDuration(worker));
   }
   for (const auto& ended : aReport.mFinished) {
     if (ended.mNumber <= worker.mLastProcessedEnd) {
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -429,3 +429,53 @@
     cr_assert(f.Plan().mStarts.empty(), "the run was started a second time");
   }
 }
+
+// Guards against a second run of a task on a silent worker that had restarted before the takeover:
+// its lease may be longer than one renewal, which only the former scheduler saw.
+Test(Takeover, expects_the_longest_lease_of_a_worker_that_restarted_before_it)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  const WorkerId restarted("w0");
+  f.RestartWorker(restarted);
+  f.RenewLease(restarted);
+  f.StoreProgress();
+  f.mWorkers.at(WorkerId("w1")).mEntry.mCapacity = {};
+  f.mScheduler->OnWorkerEntry(f.mWorkers.at(WorkerId("w1")).mEntry, f.mNow);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  cr_assert_eq(f.Plan().mStarts.at(0).mWorker, restarted);
+  f.mWorkers.at(WorkerId("w1")).mEntry.mCapacity = f.mWorkers.at(restarted).mEntry.mCapacity;
+  f.mWorkers.at(restarted).mIsReachable = false;
+  // The start isn't in the stored progress.
+  f.TakeOver({});
+  f.AdvanceTime(f.mSettings.mStoreOutageTolerance + f.mSettings.mLongestLease);
+  cr_assert(f.Plan().mStarts.empty(), "the lease may not have expired");
+  f.AdvanceTime(Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
+// Guards against the same if the worker restarts around the takeover: the incarnation that answers
+// isn't the recorded one.
+Test(Takeover, notices_that_a_worker_is_not_the_recorded_incarnation)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.RestartWorker(WorkerId("w0"));
+  f.TakeOver({});
+  f.RenewAllLeases();
+  cr_assert(f.mScheduler->Workers().at(WorkerId("w0")).mHasRestarted);
+  f.StoreProgress();
+  f.TakeOver({});
+  cr_assert(f.mScheduler->Workers().at(WorkerId("w0")).mHasRestarted);
+}
+
+Test(RackRecord, reads_the_rows_of_earlier_versions)
+{
+  const auto workers = ReadRackRecord(R"([["a","10.0.0.1:1"],["b","10.0.0.2:1",7,true]])");
+  cr_assert(workers.has_value());
+  cr_assert_eq(workers->size(), 2);
+  cr_assert_eq(workers->at(0).mIncarnation, WorkerIncarnation(0));
+  cr_assert_eq(workers->at(1).mIncarnation, WorkerIncarnation(7));
+  cr_assert(workers->at(1).mHasRestarted);
+  cr_assert_eq(WriteRackRecord({ workers->at(1) }), std::string(R"([["b","10.0.0.2:1",7,true]])"));
+}
