Take an incarnation for a later one only when it appears in the registry

Cause: a worker's incarnation is its start on its wall clock. If that clock is set back before a restart, the report of the new incarnation names a lower number than the registry entry of the earlier one, and the next change of that entry was taken for another restart: the runs in progress counted as ended. Change: an entry tells of a restart only if its incarnation differs from that of the entry before, and is higher than the one that the worker reports. Test: Scheduler/keeps_the_runs_of_an_incarnation_that_is_lower_than_the_registered_one fails without the change.

--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -61,6 +61,8 @@
   WorkerEntry mEntry;
   // Whether the worker has an entry in the registry.
   bool mRegistered = true;
+  // The incarnation in its last entry. mEntry has the one that is taken for the present one.
+  WorkerIncarnation mRegisteredIncarnation;
   // Whether the stored rack record names this worker. A scheduler that takes over thus learns that
   // runs may have been started there.
   bool mRecorded = false;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -180,8 +180,11 @@
     mDirtyRacks.insert(isNew ? aEntry.mRack : known.mRack);
   }
   const auto birth = worker.mEntry.mIncarnation;
-  const bool isRestarted = !isNew && aEntry.mIncarnation > birth && birth.Value() != 0;
-  if (isRestarted) {
+  // An entry may be older than the worker's reports, so an incarnation counts as a later one only
+  // when it appears in the registry.
+  const bool isNewInRegistry = aEntry.mIncarnation != worker.mRegisteredIncarnation;
+  const bool isLater = isNewInRegistry && aEntry.mIncarnation > birth;
+  if (!isNew && isLater && birth.Value() != 0) {
     OnWorkerRestarted(worker, aNow);
   }
   if (aEntry.mDraining && !(worker.mEntry.mDraining && worker.mRegistered)) {
@@ -192,8 +195,8 @@
     worker.mLeaseExpiry = mInheritedUntil;
   }
   worker.mEntry = aEntry;
-  // A report of the worker may have named a later incarnation than its registry entry does.
-  worker.mEntry.mIncarnation = std::max(birth, aEntry.mIncarnation);
+  worker.mEntry.mIncarnation = isLater ? aEntry.mIncarnation : birth;
+  worker.mRegisteredIncarnation = aEntry.mIncarnation;
   worker.mRegistered = true;
   mAwaitedWorkers.erase(aEntry.mId);
 }
--- a/src/scheduler/WorkerReport.h
+++ b/src/scheduler/WorkerReport.h
@@ -12,8 +12,8 @@
 
 namespace lovagerock::scheduler {
 
-// Identifies one incarnation of a worker: differs after each restart, and of two values the higher
-// one is taken as the later incarnation. 0 if the worker doesn't report it.
+// Identifies one incarnation of a worker: differs after each restart. It is made from the worker's
+// wall clock, so a later one may be lower. 0 if the worker doesn't report it.
 using WorkerIncarnation = StrongCount<struct WorkerBirthTag>;
 // Milliseconds on a worker's own steady clock.
 using WorkerClock = StrongCount<struct WorkerClockTag>;
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -273,6 +273,30 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a second run of a task on a worker whose wall clock was set back before it
+// restarted: its registry entry still names the earlier incarnation, whose number is higher.
+Test(Scheduler, keeps_the_runs_of_an_incarnation_that_is_lower_than_the_registered_one)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  const WorkerId id("w0");
+  const auto outdated = f.mWorkers.at(id).mEntry;
+  f.mWorkers.at(id).mEntry.mIncarnation = WorkerIncarnation(50);
+  f.mWorkers.at(id).mClock = 1;
+  f.RenewLease(id);
+  f.mWorkers.at(WorkerId("w1")).mEntry.mDraining = true;
+  f.mScheduler->OnWorkerEntry(f.mWorkers.at(WorkerId("w1")).mEntry, f.mNow);
+  f.StoreProgress();
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  cr_assert_eq(f.Plan().mStarts.at(0).mWorker, id);
+  f.RenewLease(id);
+  f.mScheduler->OnWorkerEntry(outdated, f.mNow);
+  f.RenewLease(id);
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty(), "the run was started a second time");
+  cr_assert(orders.mStops.empty(), "the run was stopped");
+}
+
 Test(Scheduler, starts_nothing_on_a_draining_worker_and_moves_runs_that_would_not_finish)
 {
   SchedulerFixture f;
