Name ended runs in a renewal only while the worker lists them

Cause: each renewal told the worker which ends it may drop. A renewal that is carried out late, after the worker has restarted under its id, makes the new incarnation drop ends with the same numbers, which nobody has seen. Change: a renewal names a number only if the worker's last report listed ends, so few calls can do that. It can't be ruled out: the platform's call names the id of the worker, not its incarnation. Test: Leader/names_ended_runs_only_while_the_worker_lists_them fails without the change.

--- a/src/control/WorkerCalls.h
+++ b/src/control/WorkerCalls.h
@@ -33,7 +33,8 @@
 {
   // The lease's new end; if unset, the call only requests the report.
   std::optional<scheduler::WorkerClock> mLeaseDeadline;
-  // The worker may drop ended runs up to this number from its report, since they are stored.
+  // The worker may drop ended runs up to this number from its report, since they are stored; 0 for
+  // none.
   std::int64_t mLastStoredEnd = 0;
   // The longest time that the worker may hold back its reply until a run ends.
   Duration mWait{ 0 };
--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -85,7 +85,9 @@
     const auto& worker = it->second;
     RenewalCall call;
     call.mLeaseDeadline = renewal.mLastCallFailed ? std::nullopt : Deadline(aWorker);
-    call.mLastStoredEnd = worker.mLastStoredEnd;
+    // Named only if the worker has ends to drop: a call that is carried out late, after the worker
+    // has restarted, would make it drop ends of its new incarnation.
+    call.mLastStoredEnd = worker.mListsEnds ? worker.mLastStoredEnd : 0;
     call.mWait = call.mLeaseDeadline && worker.mHasAnswered ? kRenewalWait : Duration(0);
     renewal.mInFlight = true;
     renewal.mRetryTimer.Cancel();
--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -82,6 +82,8 @@
   // stored.
   std::int64_t mLastProcessedEnd = 0;
   std::int64_t mLastStoredEnd = 0;
+  // Whether the worker's last report listed ended runs.
+  bool mListsEnds = false;
   // Failed runs since the last one that completed. Successive failures of one job count once: a
   // worker counts as failing only if runs of several jobs fail there.
   int mConsecutiveFailures = 0;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -277,6 +277,7 @@
 {
   aWorker.mLastProcessedEnd = 0;
   aWorker.mLastStoredEnd = 0;
+  aWorker.mListsEnds = false;
   aWorker.mConsecutiveFailures = 0;
   aWorker.mHasAnswered = false;
 }
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -35,6 +35,7 @@
     worker.mHasAnswered = true;
     worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, aNow.mSteady + MaxLeaseDuration(worker));
   }
+  worker.mListsEnds = !aReport.mFinished.empty();
   for (const auto& ended : aReport.mFinished) {
     if (ended.mNumber <= worker.mLastProcessedEnd) {
       continue;
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -177,6 +177,21 @@
   cr_assert_eq(state.mProgress[0].mText, std::string(kDone));
 }
 
+// Guards against a restarted worker that drops ends which the leader hasn't seen, because a renewal
+// that was meant for its earlier incarnation is carried out late: few renewals may name ends.
+Test(Leader, names_ended_runs_only_while_the_worker_lists_them)
+{
+  LeaderFixture f;
+  f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
+  f.Submit("j");
+  f.RunUntil([&] { return f.mCalls.mStarts.size() == 1; });
+  f.mCalls.mRunning.begin()->second.clear();
+  f.mCalls.mFinished = { { 1, { { JobId("j"), 0, 0, 0 }, 1 }, scheduler::RunEnd::Done, "" } };
+  f.RunUntil([&] { return f.mCalls.mRenewalCalls.back().mLastStoredEnd == 1; });
+  f.mCalls.mFinished.clear();
+  f.RunUntil([&] { return f.mCalls.mRenewalCalls.back().mLastStoredEnd == 0; });
+}
+
 // Guards against a hand-over that omits unstored progress.
 Test(Leader, hands_over_unstored_progress)
 {
