Start a gang that is spread over racks as soon as its resources are free, and log why guaranteed work waits

What callers see: an urgent rack-local gang that fits into no rack starts up to 1.5 s late. Cause: the resources freed for it were reserved in several racks, but the check of the reservation looked for them in one rack, so the gang waited until the reservation had expired. Change: a reservation knows that it is spread. guaranteed_step_waits tells once a second and step what room there is. Test: Scheduler/starts_a_spread_gang_as_soon_as_its_resources_are_free fails without the change. Tried and not kept: guaranteed gangs that wait for a third of the time spread over racks that can't be cleared.

--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -207,6 +207,23 @@
   });
 }
 
+RoomReport
+Placer::Room(const PlacementRequest& aRequest) const
+{
+  RoomReport report;
+  for (const auto& group : Groups(aRequest, false)) {
+    report.mWorkers += static_cast<int>(group.size());
+    report.mFitting = std::max(report.mFitting, TotalCopies(group));
+  }
+  for (const auto& group : Groups(aRequest, true)) {
+    for (const auto& it : group) {
+      report.mAccelerators += it.mFree.mAccelerators;
+    }
+    report.mFittingIdle = std::max(report.mFittingIdle, TotalCopies(group));
+  }
+  return report;
+}
+
 Placer::CopyCost
 Placer::CostOfCopy(const Candidate& aCandidate, const std::vector<EvictionOption>& aOptions,
                    const PlacementRequest& aRequest) const
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -32,6 +32,19 @@
   std::vector<WorkerId> mWorkers;
 };
 
+// How much room there is for a request, for the log.
+struct RoomReport
+{
+  // The workers that may be chosen.
+  int mWorkers = 0;
+  // The tasks that fit now, and those that would fit if the workers were idle; for a rack-local
+  // step the most of any rack.
+  int mFitting = 0;
+  int mFittingIdle = 0;
+  // The accelerators of those workers.
+  Accelerators mAccelerators;
+};
+
 // Returns the cost of stopping a run; nullopt if it must not be stopped.
 using EvictionCost = std::function<std::optional<double>(const PlacedRun&)>;
 
@@ -60,6 +73,7 @@
   // once their present runs have ended. Takes the workers with the most free resources, which are
   // likely to have enough soonest.
   void Gather(const PlacementRequest& aRequest);
+  RoomReport Room(const PlacementRequest& aRequest) const;
   // Whether the request would fit if no run occupied the workers that it may use.
   bool FitsOnIdleWorkers(const PlacementRequest& aRequest) const;
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -135,6 +135,8 @@
     std::vector<WorkerId> mWorkers;
     // The demand of one task.
     Capacity mDemand;
+    // Whether the workers may be in several racks although the step is rack-local.
+    bool mIsSpread = false;
     TimePoint mUntil;
   };
   // Job, occurrence and step.
@@ -230,9 +232,14 @@
   // Places a gang or a rack-local step.
   void PlaceTogether(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
                      const CurrentTime& aNow, Orders& aOrders);
+  // Starts all tasks of the step, or evicts runs for them. Returns false if neither is possible.
+  bool PlaceWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+                  const CurrentTime& aNow, Orders& aOrders);
   // Places independent tasks, as many as fit, and evicts runs for the rest.
   void PlaceEach(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
                  const CurrentTime& aNow, Orders& aOrders);
+  // Returns how long the step has been ready.
+  static Duration WaitingTime(const DueStep& aDue, const CurrentTime& aNow);
   // For a gang that has waited for mGatherAfter, reserves the free resources of workers that can
   // hold it, so that their resources accumulate until it fits.
   void GatherCapacity(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
@@ -241,6 +248,12 @@
   // Returns false if the job may not evict others or no set of runs frees enough.
   bool EvictFor(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                 const CurrentTime& aNow);
+  // Returns the accelerators that the runs of guaranteed jobs occupy.
+  Accelerators GuaranteedInUse() const;
+  // Logs that a guaranteed step still waits, and what room there is for it, once per
+  // kWaitingLogPeriod.
+  void LogWaiting(const DueStep& aDue, const PlacementRequest& aRequest, const Placer& aPlacer,
+                  const CurrentTime& aNow);
   void StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, Placer& aPlacer,
                   const CurrentTime& aNow, Orders& aOrders);
   // Returns the cost of evicting a run for a step: the lost work, weighted by its resources.
@@ -260,6 +273,8 @@
   std::unordered_map<JobId, Job> mJobs;
   Fleet mFleet;
   std::map<StepKey, Reservation> mReservations;
+  // When LogWaiting() last logged each step.
+  std::map<StepKey, TimePoint> mWaitingLogged;
   // The result of EntitledJobs() for the current plan.
   std::set<JobId> mEntitled;
   // The number of steps for which the current plan gathers capacity.
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -17,6 +17,9 @@
 // A run that saves checkpoints loses at most the work of this time when it is stopped.
 constexpr Duration kMaxCheckpointInterval{ 500 };
 
+// A guaranteed step that waits is logged at most once in this time.
+constexpr Duration kWaitingLogPeriod{ 1000 };
+
 // The urgency of a job, by its account's guarantee and its expected end. DueSteps() places Entitled
 // jobs first and Worthless ones last. Between these, the queue's priority comes before the class,
 // and the objective decides last.
@@ -51,6 +54,9 @@
   EvacuateDrainingWorkers(aNow);
   StopUnwanted(aNow);
   Placer placer(mFleet, aNow.mSteady);
+  std::erase_if(mWaitingLogged, [&aNow](const auto& aIt) {
+    return aNow.mSteady - aIt.second > 2 * kWaitingLogPeriod;
+  });
   std::erase_if(mReservations,
                 [&aNow](const auto& aIt) { return aIt.second.mUntil < aNow.mSteady; });
   for (const auto& [key, reservation] : mReservations) {
@@ -378,6 +384,11 @@
     aPlacer.Release(worker, reservation.mDemand);
   }
   auto request = RequestFor(aDue);
+  auto spread = *request.mStep;
+  if (reservation.mIsSpread) {
+    spread.mRackLocal = false;
+    request.mStep = &spread;
+  }
   std::optional<std::vector<WorkerId>> workers;
   if (reservation.mWorkers.size() == aDue.mTasks.size()) {
     workers = aPlacer.Place(request);
@@ -397,28 +408,42 @@
 Scheduler::PlaceTogether(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
                          const CurrentTime& aNow, Orders& aOrders)
 {
+  auto spread = *aRequest.mStep;
+  spread.mRackLocal = false;
   // If the tasks wouldn't fit into any rack even with all its resources free, they are spread over
   // several racks instead of waiting forever.
-  auto relaxed = *aRequest.mStep;
-  const bool isSplit =
-    relaxed.mRackLocal && aRequest.mRack.IsEmpty() && !aPlacer.FitsOnIdleWorkers(aRequest);
-  if (isSplit) {
-    relaxed.mRackLocal = false;
-    aRequest.mStep = &relaxed;
-  }
-  if (const auto workers = aPlacer.Place(aRequest)) {
-    StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
-    return;
+  if (aRequest.mStep->mRackLocal && aRequest.mRack.IsEmpty() &&
+      !aPlacer.FitsOnIdleWorkers(aRequest)) {
+    aRequest.mStep = &spread;
   }
-  if (EvictFor(aDue, aRequest, aPlacer, aNow)) {
+  if (PlaceWhole(aDue, aRequest, aPlacer, aNow, aOrders)) {
     return;
   }
+  LogWaiting(aDue, aRequest, aPlacer, aNow);
   GatherCapacity(aDue, aRequest, aPlacer, aNow);
-  if (!relaxed.mGang) {
+  if (!aRequest.mStep->mGang) {
     PlaceEach(aDue, aRequest, aPlacer, aNow, aOrders);
   }
 }
 
+bool
+Scheduler::PlaceWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+                      const CurrentTime& aNow, Orders& aOrders)
+{
+  if (const auto workers = aPlacer.Place(aRequest)) {
+    StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
+    return true;
+  }
+  return EvictFor(aDue, aRequest, aPlacer, aNow);
+}
+
+Duration
+Scheduler::WaitingTime(const DueStep& aDue, const CurrentTime& aNow)
+{
+  const auto ready = aDue.mJob->OpenOccurrences().at(aDue.mOccurrence).mReadySince[aDue.mStep];
+  return std::chrono::duration_cast<Duration>(aNow.mSteady - ready);
+}
+
 void
 Scheduler::PlaceEach(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
                      const CurrentTime& aNow, Orders& aOrders)
@@ -436,7 +461,53 @@
   for (const auto& it : workers) {
     ++aRequest.mPresent[it];
   }
-  EvictFor(rest, aRequest, aPlacer, aNow);
+  if (!EvictFor(rest, aRequest, aPlacer, aNow)) {
+    LogWaiting(rest, aRequest, aPlacer, aNow);
+  }
+}
+
+void
+Scheduler::LogWaiting(const DueStep& aDue, const PlacementRequest& aRequest, const Placer& aPlacer,
+                      const CurrentTime& aNow)
+{
+  if (!aDue.mIsEntitled) {
+    return;
+  }
+  const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
+  auto& logged =
+    mWaitingLogged.try_emplace(key, aNow.mSteady - WaitingTime(aDue, aNow)).first->second;
+  if (aNow.mSteady - logged < kWaitingLogPeriod) {
+    return;
+  }
+  logged = aNow.mSteady;
+  const auto room = aPlacer.Room(aRequest);
+  LogEvent("guaranteed_step_waits", LogLevel::Warning)
+    .With("job", aDue.mJob->Accepted().mId)
+    .With("step", aDue.mStep)
+    .With("tasks", aRequest.mCount)
+    .With("accelerators", aRequest.mStep->mDemand.mAccelerators)
+    .With("cpu", aRequest.mStep->mDemand.mCpu)
+    .With("rack_local", aRequest.mStep->mRackLocal)
+    .With("label", aRequest.mStep->mRequiredLabel)
+    .With("workers", room.mWorkers)
+    .With("fitting", room.mFitting)
+    .With("fitting_idle", room.mFittingIdle)
+    .With("all_accelerators", room.mAccelerators)
+    .With("guaranteed_in_use", GuaranteedInUse());
+}
+
+Accelerators
+Scheduler::GuaranteedInUse() const
+{
+  Accelerators sum;
+  for (const auto& [id, worker] : mFleet) {
+    for (const auto& run : worker.mRuns) {
+      if (mEntitled.contains(run.mRun.mTask.mJob)) {
+        sum += run.mDemand.mAccelerators;
+      }
+    }
+  }
+  return sum;
 }
 
 std::optional<double>
@@ -468,8 +539,7 @@
 Scheduler::GatherCapacity(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                           const CurrentTime& aNow)
 {
-  const auto ready = aDue.mJob->OpenOccurrences().at(aDue.mOccurrence).mReadySince[aDue.mStep];
-  const bool isDue = aNow.mSteady - ready >= mSettings.mGatherAfter;
+  const bool isDue = WaitingTime(aDue, aNow) >= mSettings.mGatherAfter;
   if (aRequest.mStep->mGang && isDue && mGatheringSteps < mSettings.mMaxGatheringSteps) {
     ++mGatheringSteps;
     aPlacer.Gather(aRequest);
@@ -501,7 +571,8 @@
     aPlacer.Reserve(worker, aRequest.mStep->mDemand);
   }
   const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
-  mReservations[key] = { plan->mWorkers, aRequest.mStep->mDemand,
+  const bool isSpread = aDue.mJob->Spec(aDue.mStep).mRackLocal && !aRequest.mStep->mRackLocal;
+  mReservations[key] = { plan->mWorkers, aRequest.mStep->mDemand, isSpread,
                          aNow.mSteady + mSettings.mReservationDuration };
   return true;
 }
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -237,3 +237,23 @@
   f.RenewAllLeases();
   cr_assert(f.State("j") == JobState::Completed);
 }
+
+// Guards against a delay of urgent work that fits into no rack: the resources that are freed for it
+// in several racks must be used as soon as they are free.
+Test(Scheduler, starts_a_spread_gang_as_soon_as_its_resources_are_free)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  f.Submit(f.Job("borrowing", { f.Step(4, 8) }, 2));
+  cr_assert_eq(f.Plan().mStarts.size(), 4);
+  auto gang = f.Gang(3, 8);
+  gang.mRackLocal = true;
+  f.Submit(f.Job("urgent", { gang }, 0));
+  cr_assert_eq(f.Plan().mStops.size(), 3);
+  f.RenewAllLeases();
+  std::size_t started = 0;
+  for (const auto& it : f.Plan().mStarts) {
+    started += it.mRun.mTask.mJob == JobId("urgent") ? 1 : 0;
+  }
+  cr_assert_eq(started, 3);
+}
