Start no run while the store doesn't confirm the leadership

Cause: a leader that the store has closed off acted for up to 7 s, to ride out an outage of the whole store. A successor is elected after 1.5 s. Workers that it has called refuse the former leader's orders; a worker that it hasn't reached, or that has just restarted, obeys both. New jobs were started before the successor's takeover was settled, so both could start the same job. Change: starts, repeated starts and evictions need a leadership that the store has confirmed within its lease, less the time that an order takes. Leases are renewed and runs stopped for 7 s as before, so nothing that runs is lost in an outage. With that, two leaders never start runs at the same time, also where workers should not check the fencing token. Test: Leader/starts_nothing_while_the_store_does_not_confirm_its_leadership fails without the change.

--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -29,6 +29,8 @@
 // Duration of the leader's lease in the store, and how often it is renewed.
 inline constexpr Duration kLeadershipLease{ 1500 };
 inline constexpr Duration kLeadershipRenewal{ 400 };
+// An order reaches its worker within this time, unless it is held up.
+inline constexpr Duration kOrderTime{ 100 };
 // A leader that sent no renewal for this time has stood still, and its lease may have ended.
 inline constexpr Duration kMaxRenewalGap = kLeadershipLease - kLeadershipRenewal;
 // A node claims a vacant leadership after the first time divided by its cores plus the second one
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -60,7 +60,7 @@
   }
 
   bool IsLeader() const { return mToken.has_value(); }
-  // Whether the leader may send orders and renew workers' leases. After a pause of this process or
+  // Whether the leader may stop runs and renew workers' leases. After a pause of this process or
   // its VM it may not until the store has confirmed the leadership, because another leader may have
   // been elected meanwhile.
   bool MayAct() const
@@ -70,7 +70,7 @@
   // Whether the store has confirmed the leadership so recently that no other node can be elected.
   bool IsConfirmed() const
   {
-    return IsLeader() && !mHasPaused && BootTime() - mConfirmedAt < kLeadershipLease;
+    return IsLeader() && !mHasPaused && BootTime() - mConfirmedAt < kLeadershipLease - kOrderTime;
   }
   FencingToken Token() const { return mToken.value_or(FencingToken()); }
   // The condition on a leader's writes: the leader key still is the one that this node wrote.
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -363,7 +363,8 @@
       return;
     }
     const auto begin = std::chrono::steady_clock::now();
-    const auto orders = mScheduler.Plan(Now());
+    // While the leadership is unconfirmed, another leader may start the same tasks.
+    const auto orders = mScheduler.Plan(Now(), mElection.IsConfirmed());
     const auto end = std::chrono::steady_clock::now();
     mPacer.OnPlanned(end, std::chrono::ceil<Duration>(end - begin));
     // Stops are sent first, because other work waits for the capacity that they free.
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -82,8 +82,9 @@
   void OnStopOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
                      WorkerClock aClock, const CurrentTime& aNow);
 
-  // Decides which runs to start and stop, and returns the orders to send.
-  Orders Plan(const CurrentTime& aNow);
+  // Decides which runs to start and stop, and returns the orders to send. Without aMayStart, starts
+  // and evicts nothing.
+  Orders Plan(const CurrentTime& aNow, bool aMayStart = true);
 
   // Returns what changed since the last call and has to be stored.
   ProgressBatch TakeProgress();
@@ -216,7 +217,9 @@
   void BeginStop(Worker& aWorker, PlacedRun& aRun);
   void StopRun(const WorkerId& aWorker, const RunRef& aRun);
   // Adds due stop orders, and start orders that had no answer, to the plan's orders.
-  void AddStopsAndRetries(const CurrentTime& aNow, Orders& aOrders);
+  void AddStopsAndRetries(const CurrentTime& aNow, bool aMayStart, Orders& aOrders);
+  // Places the steps that wait for workers.
+  void PlaceAllDue(const CurrentTime& aNow, Orders& aOrders);
   // Returns the steps that wait for workers, in the order in which they are placed.
   std::vector<DueStep> DueSteps(const CurrentTime& aNow);
   void
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 Orders
-Scheduler::Plan(const CurrentTime& aNow)
+Scheduler::Plan(const CurrentTime& aNow, bool aMayStart)
 {
   Orders orders;
   ExpireLeases(aNow);
@@ -53,6 +53,18 @@
   ResolveUnreportedRuns(aNow);
   EvacuateDrainingWorkers(aNow);
   StopUnwanted(aNow);
+  if (aMayStart) {
+    PlaceAllDue(aNow, orders);
+    // If a member of a gang was evicted, the rest of the gang has to stop too.
+    StopUnwanted(aNow);
+  }
+  AddStopsAndRetries(aNow, aMayStart, orders);
+  return orders;
+}
+
+void
+Scheduler::PlaceAllDue(const CurrentTime& aNow, Orders& aOrders)
+{
   Placer placer(mFleet, aNow.mSteady);
   std::erase_if(mWaitingLogged, [&aNow](const auto& aIt) {
     return aNow.mSteady - aIt.second > 2 * kWaitingLogPeriod;
@@ -65,12 +77,8 @@
     }
   }
   for (const auto& due : DueSteps(aNow)) {
-    PlaceDue(due, placer, aNow, orders);
+    PlaceDue(due, placer, aNow, aOrders);
   }
-  // If a member of a gang was evicted, the rest of the gang has to stop too.
-  StopUnwanted(aNow);
-  AddStopsAndRetries(aNow, orders);
-  return orders;
 }
 
 void
@@ -195,7 +203,7 @@
 }
 
 void
-Scheduler::AddStopsAndRetries(const CurrentTime& aNow, Orders& aOrders)
+Scheduler::AddStopsAndRetries(const CurrentTime& aNow, bool aMayStart, Orders& aOrders)
 {
   for (auto& [id, worker] : mFleet) {
     if (!worker.mHasAnswered) {
@@ -210,7 +218,7 @@
            aNow.mSteady - run.mLastOrderSent >= mSettings.mResendStopAfter)) {
         aOrders.mStops.push_back({ id, run.mRun });
         ++mCounts.mStops;
-      } else if (run.mPhase == RunPhase::Starting && run.mUnansweredStarts > 0 &&
+      } else if (aMayStart && run.mPhase == RunPhase::Starting && run.mUnansweredStarts > 0 &&
                  aNow.mSteady - run.mLastOrderSent >= mSettings.mResendStartAfter) {
         aOrders.mStarts.push_back(MakeStart(id, run.mRun));
       } else {
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -120,7 +120,7 @@
       return;
     }
     Answer([this, aLease, aCallback] {
-      if (mIsDown) {
+      if (mIsDown || mFailsRenewals) {
         aCallback(kv::KvError::Unavailable);
       } else {
         aCallback(mLeases.contains(aLease.Value()) ? std::error_code()
@@ -207,6 +207,8 @@
   int mPagesToFail = 0;
   // Renewals of leases get no answer.
   bool mHoldsRenewals = false;
+  // Renewals of leases fail.
+  bool mFailsRenewals = false;
   // Numbers of upcoming writes that report OutcomeUnknown: those that are applied only by
   // ApplyDelayedWrites(), and those that are applied at once.
   int mWritesToDelay = 0;
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -85,6 +85,27 @@
   f.RunUntil([&] { return f.mCalls.mStarts.size() == 1; });
 }
 
+// Guards against two leaders that start the same task: the store answers this leader's watch of the
+// requests, but neither its renewals nor its watch of the leadership, and another node is elected.
+// A worker that the other leader hasn't reached yet would obey both.
+Test(Leader, starts_nothing_while_the_store_does_not_confirm_its_leadership)
+{
+  LeaderFixture f;
+  f.RunUntil([&] { return f.mCalls.mRenewalCalls.size() > 2; });
+  f.mStore.mFailsRenewals = true;
+  const auto lapsed = std::chrono::steady_clock::now() + kLeadershipLease;
+  f.RunUntil([&] { return std::chrono::steady_clock::now() > lapsed; });
+  f.Submit("j");
+  f.RunUntil([&] { return f.mLeader->State(JobId("j")).has_value(); });
+  const auto calls = f.mCalls.mRenewalCalls.size();
+  const auto later = std::chrono::steady_clock::now() + 4 * kPlanPeriod;
+  f.RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  cr_assert(f.mCalls.mStarts.empty(), "a run was started");
+  cr_assert_gt(f.mCalls.mRenewalCalls.size(), calls, "the workers' leases aren't renewed");
+  f.mStore.mFailsRenewals = false;
+  f.RunUntil([&] { return f.mCalls.mStarts.size() == 1; });
+}
+
 // Guards against running a job again because a late listing still contains its deleted record.
 Test(Leader, ignores_job_records_older_than_the_retention_time)
 {
