Show that nothing runs twice on workers that ignore the fencing token

Should workers ever not check, the rule that starts need a confirmed leadership holds without them. Change: the stand-in's workers can be told to ignore tokens; an integration test closes the store to three leaders in a row while work is waiting.

--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -142,6 +142,7 @@
     if (aFaults.contains("silent_workers")) {
       faults.mSilent = silent.contains(id);
     }
+    faults.mIgnoresTokens = JsonValue(aFaults, "ignore_tokens", faults.mIgnoresTokens);
     faults.mLostStarts = JsonValue(aFaults, "lost_starts", faults.mLostStarts);
     faults.mLateStarts = JsonValue(aFaults, "late_starts", faults.mLateStarts);
   }
--- a/src/standin/platform/PlatformControl.h
+++ b/src/standin/platform/PlatformControl.h
@@ -20,7 +20,7 @@
 //   POST /faults           sets some of {"refusing", "refusing_addresses": [number], "silent",
 //                          "lost_answers", "lapse", "discard_history", "late_worker", "late_ms",
 //                          "silent_workers": [worker], "lost_starts", "late_starts",
-//                          "late_start_ms"}; counts of starts hold for each worker
+//                          "late_start_ms", "ignore_tokens"}; counts of starts hold for each worker
 //   POST /drain            {"worker", "remaining_ms"}: drains, and leaves for good after that time
 //   POST /restart          {"worker"}: crashes and starts again at once under the same id
 //   POST /completion-shown {"job"}: a caller was told that the job is completed
--- a/src/standin/platform/PlatformWorker.cpp
+++ b/src/standin/platform/PlatformWorker.cpp
@@ -115,10 +115,10 @@
 PlatformWorker::Obeys(const Json& aBody)
 {
   const auto token = JsonValue(aBody, "fencing_token", std::int64_t{ 0 });
-  if (token < mHighestToken) {
+  if (token < mHighestToken && !mFaults.mIgnoresTokens) {
     return false;
   }
-  mHighestToken = token;
+  mHighestToken = std::max(mHighestToken, token);
   return true;
 }
 
--- a/src/standin/platform/PlatformWorker.h
+++ b/src/standin/platform/PlatformWorker.h
@@ -21,6 +21,8 @@
 {
   // Carries out no call and answers none; what runs goes on.
   bool mSilent = false;
+  // Carries out orders whatever their fencing token is.
+  bool mIgnoresTokens = false;
   // This many starts are carried out without an answer.
   int mLostStarts = 0;
   // This many starts are neither answered nor carried out now, but given to the function that
--- a/tests/integration/EdgeTests.cpp
+++ b/tests/integration/EdgeTests.cpp
@@ -261,3 +261,29 @@
     aSystem.RequireNothingRanTwice();
   });
 }
+
+// Guards against two leaders that start the same task where workers don't check the fencing token:
+// a leader that the store has closed off must not start anything after it may have a successor.
+Test(EdgeNodes, repeat_nothing_on_workers_that_ignore_the_fencing_token)
+{
+  constexpr int kJobs = 8;
+  RunWithEdges(3, 3, [](EdgeSystem& aSystem) {
+    aSystem.SetFaults({ { "ignore_tokens", true } });
+    // More work than fits, so that each leader has tasks to start as others end.
+    for (int i = 0; i < kJobs; ++i) {
+      Require(aSystem.Submit(i % 3, JobName(i), Json::array({ Tasks(6, 4) }), 400ms).Is(200),
+              "not accepted");
+    }
+    int leader = aSystem.AwaitLeaderExcept({});
+    for (int i = 0; i < 3; ++i) {
+      aSystem.CloseStoreTo({ leader });
+      leader = aSystem.AwaitLeaderExcept({ leader });
+    }
+    aSystem.CloseStoreTo({});
+    for (int i = 0; i < kJobs; ++i) {
+      aSystem.AwaitState(i % 3, JobName(i), "completed");
+    }
+    Require(aSystem.Ledger().at("starts").size() == kJobs * 6, "not each task was started");
+    aSystem.RequireNothingRanTwice();
+  });
+}
