--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -264,6 +264,11 @@
   std::optional<double>
   CostOfStopping(const PlacedRun& aRun, const DueStep& aFor, const std::set<JobId>& aEntitled,
                  const CurrentTime& aNow) const;
+  // Returns the running time that is lost if the run is stopped now.
+  static Duration LostTime(const PlacedRun& aRun, const CurrentTime& aNow);
+  // Logs that the run is stopped although its task has to go on, and what that costs.
+  static void LogStop(const char* aEvent, const WorkerId& aWorker, const PlacedRun& aRun,
+                      const CurrentTime& aNow, const JobId& aFor);
   StartOrder MakeStart(const WorkerId& aWorker, const RunRef& aRun) const;
 
   SchedulerSettings mSettings;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -184,6 +184,7 @@
       const auto estimate = job->Spec(run.mRun.mTask.mStep).mEstimate;
       const auto left = estimate * (100 - std::clamp(task->mPercent, 0, 100)) / 100;
       if (job->Spec(run.mRun.mTask.mStep).mLongRunning || aNow.mSteady + left > leavesAt) {
+        LogStop("run_evacuated", id, run, aNow, JobId());
         BeginStop(worker, run);
       }
     }
@@ -534,8 +535,7 @@
     return std::nullopt;
   }
   const auto& spec = victim->Spec(aRun.mRun.mTask.mStep);
-  const auto elapsed = std::chrono::duration_cast<Duration>(aNow.mSteady - aRun.mStarted);
-  const auto lost = aRun.mCheckpointing ? std::min(elapsed, kMaxCheckpointInterval) : elapsed;
+  const auto lost = LostTime(aRun, aNow);
   const double cores =
     static_cast<double>(spec.mDemand.mCpu.Value()) / 1000 +
     kCoresPerAccelerator * static_cast<double>(spec.mDemand.mAccelerators.Value());
@@ -543,6 +543,29 @@
   return cores * members * (static_cast<double>(lost.count()) + 100);
 }
 
+Duration
+Scheduler::LostTime(const PlacedRun& aRun, const CurrentTime& aNow)
+{
+  const auto elapsed = std::chrono::duration_cast<Duration>(aNow.mSteady - aRun.mStarted);
+  return aRun.mCheckpointing ? std::min(elapsed, kMaxCheckpointInterval) : elapsed;
+}
+
+void
+Scheduler::LogStop(const char* aEvent, const WorkerId& aWorker, const PlacedRun& aRun,
+                   const CurrentTime& aNow, const JobId& aFor)
+{
+  LogEvent(aEvent)
+    .With("job", aRun.mRun.mTask.mJob)
+    .With("step", aRun.mRun.mTask.mStep)
+    .With("task", aRun.mRun.mTask.mIndex)
+    .With("run", aRun.mRun.mRun)
+    .With("worker", aWorker)
+    .With("for_job", aFor)
+    .With("lost_ms", LostTime(aRun, aNow))
+    .With("accelerators", aRun.mDemand.mAccelerators)
+    .With("millicores", aRun.mDemand.mCpu);
+}
+
 void
 Scheduler::GatherCapacity(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                           const CurrentTime& aNow)
@@ -567,11 +590,9 @@
     return false;
   }
   for (const auto& [worker, run] : plan->mVictims) {
-    LogEvent("run_evicted")
-      .With("job", run.mTask.mJob)
-      .With("worker", worker)
-      .With("run", run.mRun)
-      .With("for_job", aDue.mJob->Accepted().mId);
+    if (const auto* placed = mFleet.at(worker).Find(run)) {
+      LogStop("run_evicted", worker, *placed, aNow, aDue.mJob->Accepted().mId);
+    }
     StopRun(worker, run);
     ++mCounts.mEvictions;
   }
