Prefer workers that neither fail their runs nor slow them down

Cause: a worker counted as unfit only after failed runs of two jobs in a row, and nothing noticed a slow one. Change: WorkerCondition keeps what the recent runs tell of a worker. Doubtful workers are chosen last; the last attempt of a job avoids workers that have just failed a run, unless no others could hold it. Tests: Scheduler/prefers_workers_whose_runs_progress_as_fast_as_others and Scheduler/makes_the_last_attempt_of_a_job_where_no_ run_has_failed fail without the change; two more guard against sound workers taken for slow.

--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduler/WorkerCondition.h"
 #include "scheduler/WorkerReport.h"
 
 #include <map>
@@ -47,6 +48,9 @@
   bool mIsOrderOutdated = false;
   // The worker's clock when it confirmed the stop order.
   std::optional<WorkerClock> mStopConfirmedClock;
+  // The last progress from which the speed was taken, and the worker's clock then; 0 if none was.
+  int mPercent = 0;
+  WorkerClock mPercentClock;
   // The task saves checkpoints, so that a stop loses only the work since the last one.
   bool mCheckpointing = false;
 
@@ -84,11 +88,7 @@
   std::int64_t mLastStoredEnd = 0;
   // Whether the worker's last report listed ended runs.
   bool mListsEnds = false;
-  // Failed runs since the last one that completed. Successive failures of one job count once: a
-  // worker counts as failing only if runs of several jobs fail there.
-  int mConsecutiveFailures = 0;
-  // The job of the last failed run.
-  JobId mLastFailedJob;
+  WorkerCondition mCondition;
   std::vector<PlacedRun> mRuns;
   // The sum of the demands of mRuns.
   Capacity mUsed;
--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <limits>
 #include <numeric>
+#include <tuple>
 
 namespace lovagerock::scheduler {
 
@@ -16,6 +17,15 @@
                          [](int aSum, const auto& aIt) { return aSum + aIt.mCopies; });
 }
 
+// Returns the tasks that fit on workers that aren't doubtful.
+int
+SoundCopies(const auto& aGroup)
+{
+  return std::accumulate(aGroup.begin(), aGroup.end(), 0, [](int aSum, const auto& aIt) {
+    return aSum + (aIt.mIsDoubtful ? 0 : aIt.mCopies);
+  });
+}
+
 } // namespace
 
 Placer::Placer(const Fleet& aFleet, TimePoint aNow)
@@ -34,7 +44,9 @@
       const auto service =
         mServices.try_emplace(worker->mEntry.mService, static_cast<int>(mServices.size()));
       mPositions[worker->mEntry.mId] = mCandidates.size();
-      mCandidates.push_back({ worker, worker->Free(), rack, service.first->second, 0 });
+      mCandidates.push_back({ worker, worker->Free(), rack, service.first->second,
+                              worker->mCondition.IsSuspect(aNow),
+                              worker->mCondition.IsDoubtful(aNow), 0 });
     }
     ++rack;
   }
@@ -80,7 +92,7 @@
 {
   const auto& entry = aCandidate.mWorker->mEntry;
   const auto& label = aRequest.mStep->mRequiredLabel;
-  return aCandidate.mService == aService &&
+  return aCandidate.mService == aService && !(aCandidate.mIsSuspect && aRequest.mAvoidsSuspects) &&
          (aRequest.mRack.IsEmpty() || entry.mRack == aRequest.mRack) &&
          (label.empty() ||
           std::find(entry.mLabels.begin(), entry.mLabels.end(), label) != entry.mLabels.end()) &&
@@ -119,7 +131,7 @@
   const auto& preferred = aRequest.mStep->mPreferredRack;
   const auto rank = [&preferred](const Candidate& aIt) {
     const bool isRemote = !preferred.IsEmpty() && aIt.mWorker->mEntry.mRack != preferred;
-    return std::tuple(isRemote, aIt.mFree.mAccelerators, aIt.mFree.mCpu);
+    return std::tuple(isRemote, aIt.mIsDoubtful, aIt.mFree.mAccelerators, aIt.mFree.mCpu);
   };
   std::sort(aGroup.begin(), aGroup.end(),
             [&](const auto& aLeft, const auto& aRight) { return rank(aLeft) < rank(aRight); });
@@ -135,7 +147,7 @@
 Placer::Place(const PlacementRequest& aRequest) const
 {
   const Group* best = nullptr;
-  std::pair<bool, int> bestRank;
+  std::tuple<bool, bool, int> bestRank;
   const auto groups = Groups(aRequest, false);
   for (const auto& it : groups) {
     const int copies = TotalCopies(it);
@@ -144,7 +156,7 @@
     }
     const auto& preferred = aRequest.mStep->mPreferredRack;
     const bool isRemote = !preferred.IsEmpty() && it.front().mWorker->mEntry.mRack != preferred;
-    const std::pair rank(isRemote, copies);
+    const std::tuple rank(isRemote, SoundCopies(it) < aRequest.mCount, copies);
     if (!best || rank < bestRank) {
       best = &it;
       bestRank = rank;
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -23,6 +23,8 @@
   std::map<WorkerId, int> mPresent;
   // The rack to which the choice is limited; empty for any rack.
   RackId mRack;
+  // Whether workers that recently failed a run must not be chosen.
+  bool mAvoidsSuspects = false;
 };
 
 // The runs to stop, and the workers that then have enough free resources, one per task.
@@ -86,6 +88,9 @@
     // The numbers of the worker's rack and service, in the order of their first worker.
     int mRack = 0;
     int mService = 0;
+    // See WorkerCondition.
+    bool mIsSuspect = false;
+    bool mIsDoubtful = false;
     // The number of tasks of the request that fit.
     int mCopies = 0;
   };
@@ -114,7 +119,8 @@
   // group. With aIsEmpty, treats all their resources as free.
   std::vector<Group> Groups(const PlacementRequest& aRequest, bool aIsEmpty) const;
   // Chooses workers from the group, one per task, for as many tasks as fit. Takes workers in the
-  // preferred rack first, then those with the least free resources.
+  // preferred rack first, then those that aren't doubtful, then those with the least free
+  // resources.
   static std::vector<WorkerId> Fill(Group aGroup, const PlacementRequest& aRequest);
   // aOptions must be sorted by ascending cost.
   CopyCost CostOfCopy(const Candidate& aCandidate, const std::vector<EvictionOption>& aOptions,
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -278,7 +278,7 @@
   aWorker.mLastProcessedEnd = 0;
   aWorker.mLastStoredEnd = 0;
   aWorker.mListsEnds = false;
-  aWorker.mConsecutiveFailures = 0;
+  aWorker.mCondition = WorkerCondition();
   aWorker.mHasAnswered = false;
 }
 
@@ -404,13 +404,11 @@
   }
   auto& worker = it->second;
   if (aEnd == RunEnd::Done) {
-    worker.mConsecutiveFailures = 0;
-  } else if (aEnd == RunEnd::Failed && worker.mLastFailedJob != aRun.mTask.mJob) {
-    worker.mLastFailedJob = aRun.mTask.mJob;
-    if (++worker.mConsecutiveFailures >= mSettings.mFailingThreshold) {
-      worker.mAvoidUntil = std::max(worker.mAvoidUntil, aNow.mSteady + mSettings.mFailingPause);
-      LogEvent("worker_avoided").With("worker", aWorker).With("reason", "failing_runs");
-    }
+    worker.mCondition.OnDone();
+  } else if (aEnd == RunEnd::Failed &&
+             worker.mCondition.OnFailed(aRun.mTask.mJob, aNow.mSteady, mSettings)) {
+    worker.mAvoidUntil = std::max(worker.mAvoidUntil, aNow.mSteady + mSettings.mFailingPause);
+    LogEvent("worker_avoided").With("worker", aWorker).With("reason", "failing_runs");
   }
 }
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -184,6 +185,10 @@
   void DropAllRuns(Worker& aWorker, const char* aReason, const CurrentTime& aNow);
   // Updates runs and tasks from the worker's report of runs in progress.
   void ReadRunning(Worker& aWorker, const LeaseReport& aReport, const CurrentTime& aNow);
+  // Returns how fast the run has progressed since the last call, relative to the other runs of its
+  // step; nullopt if that can't be told, or would tell nothing of the worker.
+  std::optional<double>
+  TakeSpeed(const Worker& aWorker, PlacedRun& aRun, int aPercent, WorkerClock aClock);
   // Removes runs that the worker doesn't report any more.
   void CheckMissing(Worker& aWorker, const LeaseReport& aReport, const CurrentTime& aNow);
   // Counts a report that lacks a run, and removes the run if too many did. A run that may start
@@ -281,6 +286,8 @@
   std::unordered_map<JobId, Job> mJobs;
   Fleet mFleet;
   std::map<StepKey, Reservation> mReservations;
+  // The speeds of the runs of each step of the jobs that aren't over.
+  std::map<StepKey, TypicalSpeed> mStepSpeeds;
   // When LogWaiting() last logged each step.
   std::map<StepKey, TimePoint> mWaitingLogged;
   // The result of EntitledJobs() for the current plan.
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -66,6 +66,10 @@
 Scheduler::PlaceAllDue(const CurrentTime& aNow, Orders& aOrders)
 {
   Placer placer(mFleet, aNow.mSteady);
+  std::erase_if(mStepSpeeds, [this](const auto& aIt) {
+    const auto* job = FindJob(std::get<0>(aIt.first));
+    return !job || job->IsOver();
+  });
   std::erase_if(mWaitingLogged, [&aNow](const auto& aIt) {
     return aNow.mSteady - aIt.second > 2 * kWaitingLogPeriod;
   });
@@ -349,6 +353,12 @@
   request.mService = aDue.mJob->Policy().mService;
   request.mStep = &spec;
   request.mCount = static_cast<int>(aDue.mTasks.size());
+  // One more failure ends the job, so its last attempt isn't made where runs have just failed.
+  const auto attempts = static_cast<std::size_t>(std::max(aDue.mJob->Policy().mMaxAttempts, 1));
+  request.mAvoidsSuspects =
+    std::any_of(step.mTasks.begin(), step.mTasks.end(), [attempts](const auto& aTask) {
+      return !aTask.mFailedRuns.empty() && aTask.mFailedRuns.size() + 1 >= attempts;
+    });
   for (const auto& task : step.mTasks) {
     const bool isPresent = task.mPhase == TaskPhase::Active || task.mPhase == TaskPhase::Stopping;
     if (isPresent && (spec.mMaxPerWorker > 0 || spec.mRackLocal)) {
@@ -370,6 +380,7 @@
     return;
   }
   auto request = RequestFor(aDue);
+  request.mAvoidsSuspects = request.mAvoidsSuspects && aPlacer.FitsOnIdleWorkers(request);
   // A step that wouldn't fit even on idle workers isn't failed but waits for other workers.
   const auto& spec = *request.mStep;
   if (spec.mGang || spec.mRackLocal) {
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -10,6 +10,8 @@
 
 // After this many reports in a row that lack it, a run counts as gone.
 constexpr int kMaxMissedReports = 3;
+// A run's speed is taken over at least this time, because progress is reported in whole percents.
+constexpr Duration kMinSpeedSample{ 300 };
 
 } // namespace
 
@@ -54,12 +56,18 @@
 void
 Scheduler::ReadRunning(Worker& aWorker, const LeaseReport& aReport, const CurrentTime& aNow)
 {
+  double speeds = 0;
+  int samples = 0;
   for (const auto& it : aReport.mRunning) {
     auto* placed = aWorker.Find(it.mRun);
     if (!placed) {
       AdoptRun(aWorker, it, aReport.mClock, aNow);
       continue;
     }
+    if (const auto speed = TakeSpeed(aWorker, *placed, it.mPercent, aReport.mClock)) {
+      speeds += *speed;
+      ++samples;
+    }
     placed->mMissedReports = 0;
     placed->mIsReported = true;
     placed->mLastConfirmedClock = std::max(placed->mLastConfirmedClock, aReport.mClock);
@@ -78,6 +86,39 @@
     }
     UpdateCheckpoint(*job, it.mRun.mTask, it.mCheckpoint);
   }
+  if (samples > 0 && aWorker.mCondition.OnSpeed(speeds / samples, aNow.mSteady, mSettings)) {
+    LogEvent("worker_slow").With("worker", aWorker.mEntry.mId).With("runs", samples);
+  }
+}
+
+std::optional<double>
+Scheduler::TakeSpeed(const Worker& aWorker, PlacedRun& aRun, int aPercent, WorkerClock aClock)
+{
+  const auto* job = FindJob(aRun.mRun.mTask.mJob);
+  const auto* task = job ? job->Find(aRun.mRun.mTask) : nullptr;
+  if (!task) {
+    return std::nullopt;
+  }
+  const auto& spec = job->Spec(aRun.mRun.mTask.mStep);
+  const bool isRemote = spec.mRackLocal || (!spec.mPreferredRack.IsEmpty() &&
+                                            spec.mPreferredRack != aWorker.mEntry.mRack);
+  // A member of a gang makes no progress before all of them are present.
+  const bool isWaiting = spec.mGang && aPercent == 0;
+  if (spec.mLongRunning || isRemote || isWaiting) {
+    return std::nullopt;
+  }
+  const auto elapsed = aClock.Value() - aRun.mPercentClock.Value();
+  if (aRun.mPercentClock != WorkerClock() && elapsed < kMinSpeedSample.count()) {
+    return std::nullopt;
+  }
+  const auto before = std::exchange(aRun.mPercentClock, aClock);
+  const auto percent = std::exchange(aRun.mPercent, aPercent);
+  if (before == WorkerClock()) {
+    return std::nullopt;
+  }
+  const double speed = static_cast<double>(aPercent - percent) / static_cast<double>(elapsed);
+  const auto& ref = aRun.mRun.mTask;
+  return mStepSpeeds[{ ref.mJob, ref.mOccurrence, ref.mStep }].Relate(speed);
 }
 
 void
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -31,8 +31,10 @@
   // The same after mFailingThreshold failed runs in a row.
   Duration mFailingPause{ 4000 };
   // The number of failed runs in a row, of several jobs, after which a worker counts as failing;
-  // see Worker::mConsecutiveFailures.
+  // see WorkerCondition.
   int mFailingThreshold = 2;
+  // Time for which a worker counts as doubtful after it failed a run, or after its runs were slow.
+  Duration mDoubtTime{ 5000 };
   // Minimum time until a draining worker leaves if it doesn't report its remaining time.
   Duration mMinDrainTime{ 2000 };
   // Once a gang has waited this long, the scheduler keeps resources free for it as they become
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -257,3 +257,111 @@
   }
   cr_assert_eq(started, 3);
 }
+
+namespace {
+
+// Renews all leases after each of aTimes steps of 500 ms, in which the runs on the slow workers
+// progress by 5 percent and the others by 20.
+void
+Progress(SchedulerFixture& aFixture, const std::set<WorkerId>& aSlow, int aTimes)
+{
+  constexpr Duration kStep{ 500 };
+  for (int i = 0; i < aTimes; ++i) {
+    for (auto& [id, worker] : aFixture.mWorkers) {
+      worker.mClock += kStep.count();
+      for (auto& run : worker.mRunning) {
+        run.mPercent += aSlow.contains(id) ? 5 : 20;
+      }
+    }
+    aFixture.AdvanceTime(kStep);
+  }
+}
+
+} // namespace
+
+// Answers the load of a burst of gangs while some workers run several times slower: a gang lasts as
+// long as its slowest member, so one slow worker among its five delays it as much as five.
+Test(Scheduler, prefers_workers_whose_runs_progress_as_fast_as_others)
+{
+  SchedulerFixture f;
+  f.AddWorkers(6);
+  const std::set<WorkerId> slow{ WorkerId("w0"), WorkerId("w1") };
+  auto batch = f.Step(6, 4);
+  batch.mMaxPerWorker = 1;
+  f.Submit(f.Job("batch", { batch }, 2));
+  cr_assert_eq(f.Plan().mStarts.size(), 6);
+  Progress(f, slow, 4);
+  f.Submit(f.Job("urgent", { f.Gang(4, 4) }, 0));
+  const auto starts = f.Plan().mStarts;
+  cr_assert_eq(starts.size(), 4);
+  for (const auto& it : starts) {
+    cr_assert_not(slow.contains(it.mWorker), "a slow worker was chosen");
+  }
+}
+
+// Guards against sound workers that are left idle for ever because they were slow once.
+Test(Scheduler, uses_a_worker_again_some_time_after_it_was_slow)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  f.Submit(f.Job("batch", { f.Step(4, 8) }, 2));
+  f.Plan();
+  Progress(f, { WorkerId("w0") }, 4);
+  const auto& condition = f.mScheduler->Workers().at(WorkerId("w0")).mCondition;
+  cr_assert(condition.IsSlow(f.mNow.mSteady));
+  f.mNow.mSteady += f.mSettings.mDoubtTime;
+  cr_assert_not(condition.IsSlow(f.mNow.mSteady));
+}
+
+// Guards against taking all workers for slow because a job's tasks last longer than estimated.
+Test(Scheduler, does_not_take_a_worker_for_slow_because_of_a_rough_estimate)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  auto step = f.Step(4, 8);
+  step.mEstimate = Duration(200);
+  f.Submit(f.Job("batch", { step }, 2));
+  f.Plan();
+  Progress(f, {}, 4);
+  for (const auto& [id, worker] : f.mScheduler->Workers()) {
+    cr_assert_not(worker.mCondition.IsSlow(f.mNow.mSteady));
+  }
+}
+
+// Answers the load of failing workers that still count as healthy: they end their runs early, so
+// they have room before others have, and a job's last attempt fails where its first one did.
+Test(Scheduler, makes_the_last_attempt_of_a_job_where_no_run_has_failed)
+{
+  SchedulerFixture f;
+  f.AddWorkers(3);
+  const WorkerId failing("w0");
+  f.Submit(f.Job("other", { f.Step(3, 6) }));
+  for (const auto& it : f.Plan().mStarts) {
+    if (it.mWorker == failing) {
+      f.EndRun(it.mRun, RunEnd::Failed);
+    }
+  }
+  f.RenewAllLeases();
+  f.mScheduler->CancelJob(JobId("other"), f.mNow);
+  f.Plan();
+  f.RenewAllLeases();
+  auto job = f.Job("j", { f.Step(1, 8) });
+  f.Submit(job);
+  const auto first = f.Plan().mStarts.at(0);
+  cr_assert_neq(first.mWorker, failing, "a sound worker is free");
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  // Only the failing worker has room.
+  const auto last = *std::find_if(f.mWorkers.begin(), f.mWorkers.end(), [&](const auto& aIt) {
+    return aIt.first != failing && aIt.first != first.mWorker;
+  });
+  auto block = f.Step(1, 8);
+  block.mPreferredRack = last.second.mEntry.mRack;
+  block.mRequiredLabel = last.second.mEntry.mRack.Value();
+  f.Submit(f.Job("a", { block }, 0));
+  const auto starts = f.Plan().mStarts;
+  for (const auto& it : starts) {
+    cr_assert(it.mRun.mTask.mJob != JobId("j") || it.mWorker == last.first,
+              "the last attempt was made on a failing worker");
+  }
+}
