--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -507,7 +507,7 @@
     .With("tasks", aRequest.mCount)
     .With("accelerators", aRequest.mStep->mDemand.mAccelerators)
     .With("cpu", aRequest.mStep->mDemand.mCpu)
-    .With("rack_local", aRequest.mStep->mRackLocal)
+    .With("one_rack", aRequest.mStep->mRackLocal)
     .With("label", aRequest.mStep->mRequiredLabel)
     .With("workers", room.mWorkers)
     .With("fitting", room.mFitting)
