--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -2,6 +2,7 @@
 
 #include "base/CallbackGuard.h"
 #include "base/EventLoop.h"
+#include "base/LogEvent.h"
 #include "base/WallClock.h"
 #include "control/ControlSettings.h"
 #include "control/WorkerCalls.h"
@@ -102,12 +103,16 @@
   }
 
 private:
+  // A worker counts as silent, for the log, after this many failed calls in a row.
+  static constexpr int kSilentFailures = 2;
+
   struct Renewal
   {
     bool mInFlight = false;
     // The last call failed. Until one succeeds, calls don't renew the lease, so that the lease of a
     // lost worker ends.
     bool mLastCallFailed = false;
+    int mFailures = 0;
     // The worker's clock in its last report, the incarnation that it belongs to, and the local time
     // when the report arrived.
     std::optional<scheduler::WorkerClock> mClock;
@@ -129,6 +134,7 @@
     auto& renewal = mRenewals[aWorker];
     renewal.mInFlight = false;
     renewal.mLastCallFailed = !isDone;
+    CountFailures(aWorker, renewal, aReply.mOutcome);
     mHooks.mOnUpdate();
     switch (aReply.mOutcome) {
       case scheduler::OrderOutcome::Done:
@@ -162,6 +168,24 @@
     }
   }
 
+  // Counts failed calls in a row, and logs when a worker falls silent and when it answers again.
+  static void
+  CountFailures(const WorkerId& aWorker, Renewal& aRenewal, scheduler::OrderOutcome aOutcome)
+  {
+    if (aOutcome != scheduler::OrderOutcome::Done) {
+      if (++aRenewal.mFailures == kSilentFailures) {
+        LogEvent("worker_silent", LogLevel::Warning)
+          .With("worker", aWorker)
+          .With("outcome", scheduler::OrderOutcomeName(aOutcome));
+      }
+      return;
+    }
+    if (aRenewal.mFailures >= kSilentFailures) {
+      LogEvent("worker_answers").With("worker", aWorker).With("failures", aRenewal.mFailures);
+    }
+    aRenewal.mFailures = 0;
+  }
+
   // Returns the worker's incarnation as far as the scheduler knows it.
   scheduler::WorkerIncarnation Incarnation(const WorkerId& aWorker) const
   {
