Let a test start work in an outage of the store's writes alone

What it guards against is a second run of what was started without stored progress, on a worker whose registration expires. That still happens if the store refuses writes and answers renewals, so the stand-in can do that (429, as when its limit of writes is used up).

--- a/src/standin/platform/MetadataService.cpp
+++ b/src/standin/platform/MetadataService.cpp
@@ -219,6 +219,10 @@
 void
 MetadataService::OnTransaction(const http::Request& aRequest, const http::Responder& aTo)
 {
+  if (mFaults.mRefusingWrites) {
+    aTo.Send({ 429, {}, "" });
+    return;
+  }
   MetadataTransaction transaction;
   try {
     transaction = ReadTransaction(Json::parse(aRequest.mBody));
--- a/src/standin/platform/MetadataService.h
+++ b/src/standin/platform/MetadataService.h
@@ -23,6 +23,9 @@
   // Answers calls at these addresses, by their numbers, with 503 and does nothing. Watches that
   // wait already go on.
   std::set<int> mRefusingAddresses;
+  // Answers transactions with 429 and does nothing; other calls are served, as when the limit of
+  // writes is used up.
+  bool mRefusingWrites = false;
   // This many transactions are carried out without an answer.
   int mLostAnswers = 0;
 };
--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -111,6 +111,7 @@
 {
   auto& faults = mStore.Faults();
   faults.mRefusing = JsonValue(aFaults, "refusing", faults.mRefusing);
+  faults.mRefusingWrites = JsonValue(aFaults, "refusing_writes", faults.mRefusingWrites);
   faults.mRefusingAddresses = JsonValue(aFaults, "refusing_addresses", faults.mRefusingAddresses);
   faults.mSilent = JsonValue(aFaults, "silent", faults.mSilent);
   faults.mLostAnswers = JsonValue(aFaults, "lost_answers", faults.mLostAnswers);
--- a/src/standin/platform/PlatformControl.h
+++ b/src/standin/platform/PlatformControl.h
@@ -17,7 +17,8 @@
 
 // A store and workers that register there, with an address for the operator and for faults:
 //   POST /configuration    writes the configuration
-//   POST /faults           sets some of {"refusing", "refusing_addresses": [number], "silent",
+//   POST /faults           sets some of {"refusing", "refusing_writes",
+//                          "refusing_addresses": [number], "silent",
 //                          "lost_answers", "lapse", "discard_history", "late_worker", "late_ms",
 //                          "silent_workers": [worker], "lost_starts", "late_starts",
 //                          "late_start_ms", "ignore_tokens"}; counts of starts hold for each worker
