--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -67,7 +67,8 @@
   {
     return IsLeader() && !mHasPaused && BootTime() - mCheckedAt < kLeadershipLease;
   }
-  // Whether the store has confirmed the leadership so recently that no other node can be elected.
+  // Whether the store has confirmed the leadership so recently that no other node can be elected
+  // before an order that is sent now arrives.
   bool IsConfirmed() const
   {
     return IsLeader() && !mHasPaused && BootTime() - mConfirmedAt < kLeadershipLease - kOrderTime;
