--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -238,7 +238,7 @@
   bool
   PlaceReserved(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow, Orders& aOrders);
   // Places a gang or a rack-local step.
-  void PlaceTogether(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
+  void PlaceTogether(const DueStep& aDue, PlacementRequest aRequest, Placer& aPlacer,
                      const CurrentTime& aNow, Orders& aOrders);
   // Starts all tasks of the step, or evicts runs for them. Returns false if neither is possible.
   bool PlaceWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -384,7 +384,7 @@
   // A step that wouldn't fit even on idle workers isn't failed but waits for other workers.
   const auto& spec = *request.mStep;
   if (spec.mGang || spec.mRackLocal) {
-    PlaceTogether(aDue, request, aPlacer, aNow, aOrders);
+    PlaceTogether(aDue, std::move(request), aPlacer, aNow, aOrders);
   } else {
     PlaceEach(aDue, request, aPlacer, aNow, aOrders);
   }
@@ -425,7 +425,7 @@
 }
 
 void
-Scheduler::PlaceTogether(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
+Scheduler::PlaceTogether(const DueStep& aDue, PlacementRequest aRequest, Placer& aPlacer,
                          const CurrentTime& aNow, Orders& aOrders)
 {
   auto spread = *aRequest.mStep;
