Confirm a listing from the attempt that succeeded

What callers could see: after an outage of the store during which a node listed the configuration (at its start, or after the history was dropped), the node took its view for as old as the first failed attempt, and refused keys for up to a second more. A failed listing is no longer begun anew, and the time of its first call was kept, also when the first page itself had failed. Change: PrefixReader tells when the first page was requested in the attempt that succeeded. Test: PrefixWatch/confirms_a_listing_from_the_attempt_that_succeeded failed before.

--- a/src/control/PrefixReader.h
+++ b/src/control/PrefixReader.h
@@ -52,6 +52,10 @@
   {
   }
 
+  // The BootTime() at which the first page was requested, in the attempt that succeeded. The pages
+  // contain every change that the store had acknowledged by then.
+  Duration StartedAt() const { return mStartedAt; }
+
   // Begins with the first page. Must not be called while pages are being read.
   void Start()
   {
@@ -62,6 +66,9 @@
 private:
   void ReadPage()
   {
+    if (mAfter.empty()) {
+      mStartedAt = BootTime();
+    }
     mStore.List(mPrefix, mAfter, mGuard.Wrap([this](std::error_code aError, kv::ItemPage aPage) {
       OnPage(aError, std::move(aPage));
     }));
@@ -104,6 +111,8 @@
   ReaderCallbacks mCallbacks;
   // The last key of the pages that have arrived; empty before the first one.
   std::string mAfter;
+  // See StartedAt().
+  Duration mStartedAt{ 0 };
   // Failed calls in a row, and the BootTime() of the first of them.
   int mFailures = 0;
   Duration mFailingSince{ 0 };
--- a/src/control/PrefixWatch.h
+++ b/src/control/PrefixWatch.h
@@ -63,7 +63,6 @@
   {
     mItems.clear();
     mAsOf = kv::Revision();
-    mCallSentAt = BootTime();
     mReader.Start();
   }
 
@@ -84,6 +83,7 @@
   {
     mCallbacks.mOnList(mItems);
     mItems.clear();
+    mCallSentAt = mReader.StartedAt();
     Confirm();
     WatchNext();
   }
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -91,6 +91,25 @@
   cr_assert_eq(f.mStore.mLists, 5);
 }
 
+// Guards against a node that takes its view for old, and refuses requests, although it has just
+// been listed: the first attempts failed in an outage of the store.
+Test(PrefixWatch, confirms_a_listing_from_the_attempt_that_succeeded)
+{
+  Fixture f;
+  f.mStore.mIsDown = true;
+  std::optional<Duration> confirmed;
+  WatchCallbacks callbacks;
+  callbacks.mOnList = [](const auto&) {};
+  callbacks.mOnEvent = [](const auto&) {};
+  callbacks.mOnConfirmed = [&](Duration aTime) { confirmed = confirmed.value_or(aTime); };
+  PrefixWatch watch(f.mLoop, f.mStore, "p/", std::move(callbacks));
+  f.RunUntil([&] { return f.mStore.mLists == 3; });
+  const auto end = BootTime();
+  f.mStore.mIsDown = false;
+  f.RunUntil([&] { return confirmed.has_value(); });
+  cr_assert_geq(confirmed->count(), end.count());
+}
+
 // Guards against missing changes when the store drops its history.
 Test(PrefixWatch, lists_again_when_the_history_is_gone)
 {
