Remove a function that nothing calls

WorkerCondition::OnColdStart was written for an entry of the registry that isn't read. Found by reading the whole change; the scheduler's unit tests pass, 67 of 67.

--- a/src/scheduler/WorkerCondition.cpp
+++ b/src/scheduler/WorkerCondition.cpp
@@ -55,10 +55,4 @@
   return IsSlow(aNow) && !wasSlow;
 }
 
-void
-WorkerCondition::OnColdStart(Duration aTime, TimePoint aNow)
-{
-  mSlowUntil = std::max(mSlowUntil, aNow + aTime);
-}
-
 } // namespace lovagerock::scheduler
--- a/src/scheduler/WorkerCondition.h
+++ b/src/scheduler/WorkerCondition.h
@@ -36,8 +36,6 @@
   // The worker's runs have progressed at this speed, relative to others of their steps. Returns
   // whether the worker has just become slow.
   bool OnSpeed(double aSpeed, TimePoint aNow, const SchedulerSettings& aSettings);
-  // The worker says that it is slow for this time.
-  void OnColdStart(Duration aTime, TimePoint aNow);
 
   // Whether a run failed here recently, and none has completed since.
   bool IsSuspect(TimePoint aNow) const { return aNow < mSuspectUntil; }
