Give each life of the stand-in's worker a later birth

Cause: the stand-in's worker took its birth from the wall clock in milliseconds. A worker that restarts within the millisecond in which it began had the same birth in both lives, so nobody could tell them apart. PlatformWorker/knows_nothing_of_the_life_before failed on that in a run of the whole check: 'report.at("born") > born' is false. Change: the run ledger, which sees all workers, gives out the births. Each is later than the birth of the worker's life before, also after the clock was set back. RunLedger/gives_each_life_of_a_worker_a_later_birth shows the rule without a clock (the function didn't exist before).

--- a/src/standin/platform/PlatformWorker.cpp
+++ b/src/standin/platform/PlatformWorker.cpp
@@ -43,7 +43,7 @@
   , mLedger(aLedger)
   , mLoop(aLoop)
   , mStarted(std::chrono::steady_clock::now())
-  , mBirthMs(WallClockMs())
+  , mBirthMs(aLedger.OnWorkerBorn(mId, WallClockMs()))
   , mDelayStart(std::move(aDelayStart))
   , mServer(aLoop)
 {
--- a/src/standin/platform/RunLedger.cpp
+++ b/src/standin/platform/RunLedger.cpp
@@ -15,6 +15,16 @@
 
 } // namespace
 
+std::int64_t
+RunLedger::OnWorkerBorn(const std::string& aWorker, std::int64_t aNowMs)
+{
+  const auto [it, isFirst] = mBirthMs.try_emplace(aWorker, aNowMs);
+  if (!isFirst) {
+    it->second = std::max(aNowMs, it->second + 1);
+  }
+  return it->second;
+}
+
 void
 RunLedger::OnStart(const std::string& aWorker, const std::string& aTask, int aRun)
 {
--- a/src/standin/platform/RunLedger.h
+++ b/src/standin/platform/RunLedger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -14,6 +15,9 @@
 class RunLedger
 {
 public:
+  // The birth that the life of a worker says it has, in milliseconds since 1970: the time that its
+  // clock shows, or one millisecond after the birth of its life before if that is later.
+  std::int64_t OnWorkerBorn(const std::string& aWorker, std::int64_t aNowMs);
   void OnStart(const std::string& aWorker, const std::string& aTask, int aRun);
   void OnEnd(const std::string& aWorker, const std::string& aTask, int aRun, bool aIsDone);
   // A scheduler has let the worker forget the end of the run.
@@ -51,6 +55,7 @@
   void AddStartAfterDone(const std::string& aTask, const std::string& aStart);
   void ForgetDoneRuns(const std::string& aWorker);
 
+  std::map<std::string, std::int64_t> mBirthMs;
   std::map<std::string, int> mStarts;
   std::map<std::string, Run> mRunning;
   std::vector<DoneRun> mUnacknowledged;
--- a/tests/standin/PlatformTests.cpp
+++ b/tests/standin/PlatformTests.cpp
@@ -27,6 +27,18 @@
   cr_assert_eq(ledger.Violations().size(), 1);
 }
 
+// Guards against two lives of a worker that nobody can tell apart, because the second begins within
+// the millisecond of the first or after the clock was set back.
+Test(RunLedger, gives_each_life_of_a_worker_a_later_birth)
+{
+  RunLedger ledger;
+  cr_assert_eq(ledger.OnWorkerBorn("w1", 1000), 1000);
+  cr_assert_eq(ledger.OnWorkerBorn("w1", 1000), 1001);
+  cr_assert_eq(ledger.OnWorkerBorn("w1", 400), 1002);
+  cr_assert_eq(ledger.OnWorkerBorn("w1", 3000), 3000);
+  cr_assert_eq(ledger.OnWorkerBorn("w2", 500), 500);
+}
+
 Test(RunLedger, finds_a_start_after_an_acknowledged_end)
 {
   RunLedger ledger;
