Expect a run on a leaving worker to end by its pace

Cause: EvacuateDrainingWorkers() compared the time until the worker leaves with the estimate of the job times the percent that are left. The percent stand still while reports are missing, and the estimate is rough. Change: RunProgress keeps a run's first and last report; the remaining time follows its pace, before that is known its estimate, and counts the time since the last report as worked. Result: Scheduler/lets_a_run_finish_on_a_draining_worker_whose_reports_are_missing and Scheduler/expects_a_run_to_end_by_its_pace_instead_of_its_estimate failed before.

--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduler/RunProgress.h"
 #include "scheduler/WorkerCondition.h"
 #include "scheduler/WorkerReport.h"
 
@@ -48,6 +49,7 @@
   bool mIsOrderOutdated = false;
   // The worker's clock when it confirmed the stop order.
   std::optional<WorkerClock> mStopConfirmedClock;
+  RunProgress mProgress;
   // The last progress from which the speed was taken, and the worker's clock then; 0 if none was.
   int mPercent = 0;
   WorkerClock mPercentClock;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -181,13 +181,13 @@
     const auto leavesAt = worker.mDrainingSince + remaining;
     for (auto& run : worker.mRuns) {
       const auto* job = FindJob(run.mRun.mTask.mJob);
-      const auto* task = job ? job->Find(run.mRun.mTask) : nullptr;
-      if (run.mPhase == RunPhase::Stopping || !task) {
+      const bool isOfOpenTask = job && job->Find(run.mRun.mTask);
+      if (run.mPhase == RunPhase::Stopping || !isOfOpenTask) {
         continue;
       }
-      const auto estimate = job->Spec(run.mRun.mTask.mStep).mEstimate;
-      const auto left = estimate * (100 - std::clamp(task->mPercent, 0, 100)) / 100;
-      if (job->Spec(run.mRun.mTask.mStep).mLongRunning || aNow.mSteady + left > leavesAt) {
+      const auto& spec = job->Spec(run.mRun.mTask.mStep);
+      const auto left = run.mProgress.Remaining(spec.mEstimate, run.mStarted, aNow.mSteady);
+      if (spec.mLongRunning || aNow.mSteady + left > leavesAt) {
         LogStop("run_evacuated", id, run, aNow, JobId());
         BeginStop(worker, run);
       }
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -68,6 +68,7 @@
       speeds += *speed;
       ++samples;
     }
+    placed->mProgress.OnReport(it.mPercent, aNow.mSteady);
     placed->mMissedReports = 0;
     placed->mIsReported = true;
     placed->mLastConfirmedClock = std::max(placed->mLastConfirmedClock, aReport.mClock);
@@ -170,6 +171,7 @@
   placed.mRun = aRun.mRun;
   placed.mPhase = RunPhase::Running;
   placed.mStarted = aNow.mSteady;
+  placed.mProgress.OnReport(aRun.mPercent, aNow.mSteady);
   placed.mLastConfirmedClock = aClock;
   placed.mIsReported = true;
   auto* job = FindMutable(aRun.mRun.mTask.mJob);
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -329,6 +329,73 @@
   cr_assert(f.Plan().mStops.empty());
 }
 
+namespace {
+
+// The only run of a job, on a worker that may leave.
+class DrainFixture : public SchedulerFixture
+{
+public:
+  explicit DrainFixture(Duration aEstimate)
+  {
+    AddWorkers(2);
+    auto step = Step(1, 8);
+    step.mEstimate = aEstimate;
+    Submit(Job("j", { step }));
+    mWorker = Plan().mStarts.at(0).mWorker;
+    RenewAllLeases();
+  }
+
+  FakeWorker& Worker() { return mWorkers.at(mWorker); }
+
+  // Lets the run advance at the same pace, up to the given percent.
+  void AdvanceRun(Duration aTime, int aPercent)
+  {
+    constexpr int kReports = 5;
+    for (int i = 0; i < kReports; ++i) {
+      Worker().mRunning.at(0).mPercent += aPercent / kReports;
+      AdvanceTime(aTime / kReports);
+    }
+  }
+
+  // The worker announces that it leaves after this time.
+  void Drain(Duration aRemaining)
+  {
+    Worker().mEntry.mDraining = true;
+    Worker().mEntry.mRemainingTime = aRemaining;
+    mScheduler->OnWorkerEntry(Worker().mEntry, mNow);
+  }
+
+private:
+  WorkerId mWorker;
+};
+
+} // namespace
+
+// Guards against losing nearly all work of a run that is about to end: without reports its progress
+// seems to stand still while the time until the worker leaves passes.
+Test(Scheduler, lets_a_run_finish_on_a_draining_worker_whose_reports_are_missing)
+{
+  DrainFixture f(Duration(10000));
+  f.AdvanceRun(Duration(5000), 50);
+  f.Drain(Duration(7000));
+  f.Worker().mIsReachable = false;
+  f.AdvanceTime(Duration(4000));
+  cr_assert(f.Plan().mStops.empty());
+}
+
+// Guards against trusting an estimate that the run has disproved, in both directions.
+Test(Scheduler, expects_a_run_to_end_by_its_pace_instead_of_its_estimate)
+{
+  DrainFixture faster(Duration(60000));
+  faster.AdvanceRun(Duration(5000), 50);
+  faster.Drain(Duration(7000));
+  cr_assert(faster.Plan().mStops.empty());
+  DrainFixture slower(Duration(2000));
+  slower.AdvanceRun(Duration(5000), 50);
+  slower.Drain(Duration(3000));
+  cr_assert_eq(slower.Plan().mStops.size(), 1);
+}
+
 Test(Scheduler, stops_the_runs_of_a_cancelled_job)
 {
   SchedulerFixture f;
