Finish a step that is mostly done before newer jobs

Cause: a job whose run was lost is late by that, and late jobs wait behind all that can still meet their objectives. Ruled out: keeping the end. The leader was killed 0.4 to 1.6 s after the run's stop, its answers were lost, and the worker left before or as the next leader was elected. Change: a late step of which half the tasks are done counts as one in time. Result: Scheduler/finishes_a_step_that_is_mostly_done_before_it_starts_newer_jobs failed before.

--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -27,7 +27,8 @@
 {
   // The job is within the number of accelerators that its account is guaranteed.
   Entitled = 0,
-  // The job is expected to end by its objective.
+  // The job is expected to end by its objective, or what is left of the step is little (see
+  // IsMostlyDone()).
   InTime = 1,
   // The job is expected to miss its objective.
   Late = 2,
@@ -35,6 +36,14 @@
   Worthless = 3,
 };
 
+// Whether at least half of the step's tasks are done. The few tasks that are left, most of them
+// because their runs were lost, hold back the results of all others.
+bool
+IsMostlyDone(const Step& aStep)
+{
+  return 2 * aStep.mDone >= static_cast<int>(aStep.mTasks.size());
+}
+
 } // namespace
 
 Orders
@@ -303,7 +312,8 @@
       if (step.IsDone() || !aJob.IsStepReady(occurrence, index)) {
         continue;
       }
-      DueStep due{ &aJob, number, index, {}, aIsEntitled, planClass, objective };
+      const int stepClass = planClass == Late && IsMostlyDone(step) ? InTime : planClass;
+      DueStep due{ &aJob, number, index, {}, aIsEntitled, stepClass, objective };
       for (std::size_t j = 0; j < step.mTasks.size(); ++j) {
         const auto& task = step.mTasks[j];
         if (task.mPhase == TaskPhase::Waiting) {
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -365,3 +365,43 @@
               "the last attempt was made on a failing worker");
   }
 }
+
+// Guards against a late job of which a single run was lost, and which waits for that one task
+// behind all newer work although the results of the other tasks are there.
+Test(Scheduler, finishes_a_step_that_is_mostly_done_before_it_starts_newer_jobs)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.Submit(f.Job("late", { f.Step(4, 1) }));
+  const auto runs = f.Plan().mStarts;
+  cr_assert_eq(runs.size(), 4);
+  f.AdvanceTime(Duration(6000));
+  for (int i = 0; i < 3; ++i) {
+    f.EndRun(runs[i].mRun, RunEnd::Done);
+  }
+  f.EndRun(runs[3].mRun, RunEnd::LeaseExpired);
+  f.RenewAllLeases();
+  f.Submit(f.Job("new", { f.Step(1, 8) }));
+  const auto starts = f.Plan().mStarts;
+  cr_assert_eq(starts.size(), 1);
+  cr_assert(starts[0].mRun.mTask.mJob == JobId("late"));
+}
+
+// Guards against late jobs that take the place of those that can still meet their objectives.
+Test(Scheduler, starts_jobs_that_can_meet_their_objectives_before_late_ones)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.Submit(f.Job("late", { f.Step(4, 1) }));
+  const auto runs = f.Plan().mStarts;
+  f.AdvanceTime(Duration(6000));
+  f.EndRun(runs[0].mRun, RunEnd::Done);
+  for (int i = 1; i < 4; ++i) {
+    f.EndRun(runs[i].mRun, RunEnd::LeaseExpired);
+  }
+  f.RenewAllLeases();
+  f.Submit(f.Job("new", { f.Step(1, 8) }));
+  const auto starts = f.Plan().mStarts;
+  cr_assert_eq(starts.size(), 1);
+  cr_assert(starts[0].mRun.mTask.mJob == JobId("new"));
+}
