Move guaranteed runs so that a guaranteed gang finds a rack

Only runs that are not guaranteed were stopped. Change: a guaranteed step that has to be placed together, has waited for mGatherAfter and never begun also stops guaranteed runs if these fit elsewhere, checked task by task, gangs as a whole. Steps that have begun move nothing, so two can't displace each other in turn. Evictions have a file of their own. Four tests; the two on moves failed before, the one on steps that have begun fails without that check.

--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -116,6 +116,22 @@
   int UnreportedRuns(const CurrentTime& aNow) const;
 
 private:
+  // The urgency of a job, by its account's guarantee and its expected end. DueSteps() places
+  // Entitled jobs first and Worthless ones last. Between these, the queue's priority comes before
+  // the class, and the objective decides last.
+  enum PlanClass : int
+  {
+    // The job is within the number of accelerators that its account is guaranteed.
+    Entitled = 0,
+    // The job is expected to end by its objective, or what is left of the step is little (see
+    // IsMostlyDone()).
+    InTime = 1,
+    // The job is expected to miss its objective.
+    Late = 2,
+    // The job is expected to end so late that it has no value, see kWorthlessFactor.
+    Worthless = 3,
+  };
+
   // The tasks of one step of one occurrence that are ready and wait for a worker.
   struct DueStep
   {
@@ -256,6 +272,11 @@
   // Returns false if the job may not evict others or no set of runs frees enough.
   bool EvictFor(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                 const CurrentTime& aNow);
+  // The same for a guaranteed step that has to be placed together, has waited for mGatherAfter and
+  // never begun: also moves guaranteed runs that fit on other workers. They may occupy a part of
+  // each rack, so that none holds the step although enough is free in all.
+  bool MoveGuaranteedFor(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+                         const CurrentTime& aNow);
   // Returns the accelerators that the runs of guaranteed jobs occupy.
   Accelerators GuaranteedInUse() const;
   // Logs that a guaranteed step still waits, and what room there is for it, once per
@@ -264,11 +285,27 @@
                   const CurrentTime& aNow);
   void StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, Placer& aPlacer,
                   const CurrentTime& aNow, Orders& aOrders);
-  // Returns the cost of evicting a run for a step: the lost work, weighted by its resources.
-  // Returns nullopt if the run must not be evicted for this step.
-  std::optional<double>
-  CostOfStopping(const PlacedRun& aRun, const DueStep& aFor, const std::set<JobId>& aEntitled,
-                 const CurrentTime& aNow) const;
+  // Whether the run may be evicted for a step: its job is less urgent, or above its account's
+  // guarantee.
+  bool MayEvict(const PlacedRun& aRun, const DueStep& aFor) const;
+  // Whether the run may be stopped for a guaranteed step if its task fits elsewhere.
+  bool MayMove(const PlacedRun& aRun, const DueStep& aFor) const;
+  // Returns the cost of stopping a run: the lost work, weighted by its resources.
+  double CostOfStopping(const PlacedRun& aRun, const CurrentTime& aNow) const;
+  // Chooses the runs to stop so that the tasks of the request fit, with aMayMove also those that
+  // may only be moved.
+  std::optional<EvictionPlan>
+  PlanEvictions(const DueStep& aDue, const PlacementRequest& aRequest, const Placer& aPlacer,
+                bool aMayMove, const CurrentTime& aNow) const;
+  // Whether all runs of the plan that may only be moved fit on other workers.
+  bool
+  FitElsewhere(const EvictionPlan& aPlan, const DueStep& aDue, const PlacementRequest& aRequest,
+               const Placer& aPlacer, const CurrentTime& aNow);
+  // Returns the tasks that the plan moves, by step: of a gang all of them.
+  std::vector<DueStep> MovedSteps(const EvictionPlan& aPlan, const DueStep& aDue);
+  // Stops the runs of the plan and reserves its workers for the step.
+  void Evict(const EvictionPlan& aPlan, const DueStep& aDue, const PlacementRequest& aRequest,
+             Placer& aPlacer, const CurrentTime& aNow);
   // Returns the running time that is lost if the run is stopped now.
   static Duration LostTime(const PlacedRun& aRun, const CurrentTime& aNow);
   // Logs that the run is stopped although its task has to go on, and what that costs.
--- /dev/null
+++ b/src/scheduler/SchedulerEvictions.cpp
@@ -0,0 +1,205 @@
+#include "base/LogEvent.h"
+#include "scheduler/Scheduler.h"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+#include <utility>
+
+namespace lovagerock::scheduler {
+
+namespace {
+
+// One accelerator counts as this many cores when the cost of evictions is compared.
+constexpr double kCoresPerAccelerator = 8;
+// A run that saves checkpoints loses at most the work of this time when it is stopped.
+constexpr Duration kMaxCheckpointInterval{ 500 };
+
+} // namespace
+
+bool
+Scheduler::MayEvict(const PlacedRun& aRun, const DueStep& aFor) const
+{
+  const auto* victim = FindJob(aRun.mRun.mTask.mJob);
+  if (!victim || victim == aFor.mJob) {
+    return false;
+  }
+  const int priority = victim->Policy().mPriority;
+  const int ownPriority = aFor.mJob->Policy().mPriority;
+  const bool isAboveGuarantee = priority == 0 && ownPriority == 0 && aFor.mIsEntitled &&
+                                !mEntitled.contains(victim->Accepted().mId);
+  return priority > ownPriority || isAboveGuarantee;
+}
+
+bool
+Scheduler::MayMove(const PlacedRun& aRun, const DueStep& aFor) const
+{
+  const auto* victim = FindJob(aRun.mRun.mTask.mJob);
+  if (!victim || victim == aFor.mJob || !mEntitled.contains(victim->Accepted().mId)) {
+    return false;
+  }
+  return !victim->Spec(aRun.mRun.mTask.mStep).mLongRunning;
+}
+
+double
+Scheduler::CostOfStopping(const PlacedRun& aRun, const CurrentTime& aNow) const
+{
+  const auto& spec = FindJob(aRun.mRun.mTask.mJob)->Spec(aRun.mRun.mTask.mStep);
+  const auto lost = LostTime(aRun, aNow);
+  const double cores =
+    static_cast<double>(spec.mDemand.mCpu.Value()) / 1000 +
+    kCoresPerAccelerator * static_cast<double>(spec.mDemand.mAccelerators.Value());
+  const double members = spec.mGang ? spec.mCount : 1;
+  return cores * members * (static_cast<double>(lost.count()) + 100);
+}
+
+Duration
+Scheduler::LostTime(const PlacedRun& aRun, const CurrentTime& aNow)
+{
+  const auto elapsed = std::chrono::duration_cast<Duration>(aNow.mSteady - aRun.mStarted);
+  return aRun.mCheckpointing ? std::min(elapsed, kMaxCheckpointInterval) : elapsed;
+}
+
+void
+Scheduler::LogStop(const char* aEvent, const WorkerId& aWorker, const PlacedRun& aRun,
+                   const CurrentTime& aNow, const JobId& aFor)
+{
+  LogEvent(aEvent)
+    .With("job", aRun.mRun.mTask.mJob)
+    .With("step", aRun.mRun.mTask.mStep)
+    .With("task", aRun.mRun.mTask.mIndex)
+    .With("run", aRun.mRun.mRun)
+    .With("worker", aWorker)
+    .With("for_job", aFor)
+    .With("lost_ms", LostTime(aRun, aNow))
+    .With("accelerators", aRun.mDemand.mAccelerators)
+    .With("millicores", aRun.mDemand.mCpu);
+}
+
+std::optional<EvictionPlan>
+Scheduler::PlanEvictions(const DueStep& aDue, const PlacementRequest& aRequest,
+                         const Placer& aPlacer, bool aMayMove, const CurrentTime& aNow) const
+{
+  return aPlacer.Evict(aRequest, [&](const PlacedRun& aRun) {
+    const bool mayStop = MayEvict(aRun, aDue) || (aMayMove && MayMove(aRun, aDue));
+    return mayStop ? std::optional(CostOfStopping(aRun, aNow)) : std::nullopt;
+  });
+}
+
+bool
+Scheduler::EvictFor(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+                    const CurrentTime& aNow)
+{
+  if (aDue.mJob->Policy().mPriority != 0 || aDue.mClass == Worthless) {
+    return false;
+  }
+  const auto plan = PlanEvictions(aDue, aRequest, aPlacer, false, aNow);
+  if (!plan) {
+    return false;
+  }
+  Evict(*plan, aDue, aRequest, aPlacer, aNow);
+  return true;
+}
+
+bool
+Scheduler::MoveGuaranteedFor(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+                             const CurrentTime& aNow)
+{
+  const auto& tasks = aDue.mJob->OpenOccurrences().at(aDue.mOccurrence).mSteps[aDue.mStep].mTasks;
+  // Two steps that have begun could move each other again and again.
+  const bool hasBegun =
+    std::any_of(tasks.begin(), tasks.end(), [](const auto& aTask) { return aTask.mRun > 0; });
+  if (!aDue.mIsEntitled || hasBegun || WaitingTime(aDue, aNow) < mSettings.mGatherAfter) {
+    return false;
+  }
+  const auto plan = PlanEvictions(aDue, aRequest, aPlacer, true, aNow);
+  if (!plan || !FitElsewhere(*plan, aDue, aRequest, aPlacer, aNow)) {
+    return false;
+  }
+  Evict(*plan, aDue, aRequest, aPlacer, aNow);
+  return true;
+}
+
+bool
+Scheduler::FitElsewhere(const EvictionPlan& aPlan, const DueStep& aDue,
+                        const PlacementRequest& aRequest, const Placer& aPlacer,
+                        const CurrentTime& aNow)
+{
+  auto placer = aPlacer;
+  for (const auto& worker : aPlan.mWorkers) {
+    placer.Reserve(worker, aRequest.mStep->mDemand);
+  }
+  for (const auto& step : MovedSteps(aPlan, aDue)) {
+    auto request = RequestFor(step);
+    request.mExcludedWorkers.insert(request.mExcludedWorkers.end(), aPlan.mWorkers.begin(),
+                                    aPlan.mWorkers.end());
+    const auto& tasks = step.mJob->OpenOccurrences().at(step.mOccurrence).mSteps[step.mStep].mTasks;
+    for (const int index : step.mTasks) {
+      placer.Release(tasks[index].mWorker, request.mStep->mDemand);
+    }
+    auto workers = placer.Place(request);
+    if (!workers) {
+      const auto evictions = PlanEvictions(step, request, placer, false, aNow);
+      workers = evictions ? std::optional(evictions->mWorkers) : std::nullopt;
+    }
+    if (!workers) {
+      return false;
+    }
+    for (const auto& worker : *workers) {
+      placer.Reserve(worker, request.mStep->mDemand);
+    }
+  }
+  return true;
+}
+
+std::vector<Scheduler::DueStep>
+Scheduler::MovedSteps(const EvictionPlan& aPlan, const DueStep& aDue)
+{
+  std::map<StepKey, DueStep> steps;
+  for (const auto& [worker, run] : aPlan.mVictims) {
+    const auto* placed = mFleet.at(worker).Find(run);
+    if (!placed || !MayMove(*placed, aDue)) {
+      continue;
+    }
+    const auto& task = run.mTask;
+    auto* job = FindMutable(task.mJob);
+    const StepKey key{ task.mJob, task.mOccurrence, task.mStep };
+    auto& step = steps[key];
+    step = { job,  task.mOccurrence, task.mStep,      std::move(step.mTasks),
+             true, Entitled,         job->Objective() };
+    if (!job->Spec(task.mStep).mGang) {
+      step.mTasks.push_back(task.mIndex);
+    } else if (step.mTasks.empty()) {
+      step.mTasks.resize(static_cast<std::size_t>(job->Spec(task.mStep).mCount));
+      std::iota(step.mTasks.begin(), step.mTasks.end(), 0);
+    }
+  }
+  std::vector<DueStep> moved;
+  for (auto& [key, step] : steps) {
+    moved.push_back(std::move(step));
+  }
+  return moved;
+}
+
+void
+Scheduler::Evict(const EvictionPlan& aPlan, const DueStep& aDue, const PlacementRequest& aRequest,
+                 Placer& aPlacer, const CurrentTime& aNow)
+{
+  for (const auto& [worker, run] : aPlan.mVictims) {
+    if (const auto* placed = mFleet.at(worker).Find(run)) {
+      const char* event = MayEvict(*placed, aDue) ? "run_evicted" : "run_moved";
+      LogStop(event, worker, *placed, aNow, aDue.mJob->Accepted().mId);
+    }
+    StopRun(worker, run);
+    ++mCounts.mEvictions;
+  }
+  for (const auto& worker : aPlan.mWorkers) {
+    aPlacer.Reserve(worker, aRequest.mStep->mDemand);
+  }
+  const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
+  const bool isSpread = aDue.mJob->Spec(aDue.mStep).mRackLocal && !aRequest.mStep->mRackLocal;
+  mReservations[key] = { aPlan.mWorkers, aRequest.mStep->mDemand, isSpread,
+                         aNow.mSteady + mSettings.mReservationDuration };
+}
+
+} // namespace lovagerock::scheduler
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -12,30 +12,9 @@
 // A job is worthless if it is expected to take longer than this many times the time from its
 // acceptance to its objective.
 constexpr int kWorthlessFactor = 3;
-// One accelerator counts as this many cores when the cost of evictions is compared.
-constexpr double kCoresPerAccelerator = 8;
-// A run that saves checkpoints loses at most the work of this time when it is stopped.
-constexpr Duration kMaxCheckpointInterval{ 500 };
-
 // A guaranteed step that waits is logged at most once in this time.
 constexpr Duration kWaitingLogPeriod{ 1000 };
 
-// The urgency of a job, by its account's guarantee and its expected end. DueSteps() places Entitled
-// jobs first and Worthless ones last. Between these, the queue's priority comes before the class,
-// and the objective decides last.
-enum PlanClass : int
-{
-  // The job is within the number of accelerators that its account is guaranteed.
-  Entitled = 0,
-  // The job is expected to end by its objective, or what is left of the step is little (see
-  // IsMostlyDone()).
-  InTime = 1,
-  // The job is expected to miss its objective.
-  Late = 2,
-  // The job is expected to end so late that it has no value, see kWorthlessFactor.
-  Worthless = 3,
-};
-
 // Whether at least half of the step's tasks are done. The few tasks that are left, most of them
 // because their runs were lost, hold back the results of all others.
 bool
@@ -369,8 +348,12 @@
     std::any_of(step.mTasks.begin(), step.mTasks.end(), [attempts](const auto& aTask) {
       return !aTask.mFailedRuns.empty() && aTask.mFailedRuns.size() + 1 >= attempts;
     });
-  for (const auto& task : step.mTasks) {
-    const bool isPresent = task.mPhase == TaskPhase::Active || task.mPhase == TaskPhase::Stopping;
+  for (std::size_t i = 0; i < step.mTasks.size(); ++i) {
+    const auto& task = step.mTasks[i];
+    const bool isRequested =
+      std::find(aDue.mTasks.begin(), aDue.mTasks.end(), static_cast<int>(i)) != aDue.mTasks.end();
+    const bool isPresent =
+      !isRequested && (task.mPhase == TaskPhase::Active || task.mPhase == TaskPhase::Stopping);
     if (isPresent && (spec.mMaxPerWorker > 0 || spec.mRackLocal)) {
       ++request.mPresent[task.mWorker];
       if (const auto it = mFleet.find(task.mWorker); spec.mRackLocal && it != mFleet.end()) {
@@ -446,7 +429,8 @@
       !aPlacer.FitsOnIdleWorkers(aRequest)) {
     aRequest.mStep = &spread;
   }
-  if (PlaceWhole(aDue, aRequest, aPlacer, aNow, aOrders)) {
+  if (PlaceWhole(aDue, aRequest, aPlacer, aNow, aOrders) ||
+      MoveGuaranteedFor(aDue, aRequest, aPlacer, aNow)) {
     return;
   }
   LogWaiting(aDue, aRequest, aPlacer, aNow);
@@ -540,53 +524,6 @@
   return sum;
 }
 
-std::optional<double>
-Scheduler::CostOfStopping(const PlacedRun& aRun, const DueStep& aFor,
-                          const std::set<JobId>& aEntitled, const CurrentTime& aNow) const
-{
-  const auto* victim = FindJob(aRun.mRun.mTask.mJob);
-  if (!victim || victim == aFor.mJob) {
-    return std::nullopt;
-  }
-  const int priority = victim->Policy().mPriority;
-  const int ownPriority = aFor.mJob->Policy().mPriority;
-  const bool isAboveGuarantee = priority == 0 && ownPriority == 0 && aFor.mIsEntitled &&
-                                !aEntitled.contains(victim->Accepted().mId);
-  if (priority <= ownPriority && !isAboveGuarantee) {
-    return std::nullopt;
-  }
-  const auto& spec = victim->Spec(aRun.mRun.mTask.mStep);
-  const auto lost = LostTime(aRun, aNow);
-  const double cores =
-    static_cast<double>(spec.mDemand.mCpu.Value()) / 1000 +
-    kCoresPerAccelerator * static_cast<double>(spec.mDemand.mAccelerators.Value());
-  const double members = spec.mGang ? spec.mCount : 1;
-  return cores * members * (static_cast<double>(lost.count()) + 100);
-}
-
-Duration
-Scheduler::LostTime(const PlacedRun& aRun, const CurrentTime& aNow)
-{
-  const auto elapsed = std::chrono::duration_cast<Duration>(aNow.mSteady - aRun.mStarted);
-  return aRun.mCheckpointing ? std::min(elapsed, kMaxCheckpointInterval) : elapsed;
-}
-
-void
-Scheduler::LogStop(const char* aEvent, const WorkerId& aWorker, const PlacedRun& aRun,
-                   const CurrentTime& aNow, const JobId& aFor)
-{
-  LogEvent(aEvent)
-    .With("job", aRun.mRun.mTask.mJob)
-    .With("step", aRun.mRun.mTask.mStep)
-    .With("task", aRun.mRun.mTask.mIndex)
-    .With("run", aRun.mRun.mRun)
-    .With("worker", aWorker)
-    .With("for_job", aFor)
-    .With("lost_ms", LostTime(aRun, aNow))
-    .With("accelerators", aRun.mDemand.mAccelerators)
-    .With("millicores", aRun.mDemand.mCpu);
-}
-
 void
 Scheduler::GatherCapacity(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                           const CurrentTime& aNow)
@@ -598,35 +535,6 @@
   }
 }
 
-bool
-Scheduler::EvictFor(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
-                    const CurrentTime& aNow)
-{
-  if (aDue.mJob->Policy().mPriority != 0 || aDue.mClass == Worthless) {
-    return false;
-  }
-  const auto plan = aPlacer.Evict(
-    aRequest, [&](const PlacedRun& aRun) { return CostOfStopping(aRun, aDue, mEntitled, aNow); });
-  if (!plan) {
-    return false;
-  }
-  for (const auto& [worker, run] : plan->mVictims) {
-    if (const auto* placed = mFleet.at(worker).Find(run)) {
-      LogStop("run_evicted", worker, *placed, aNow, aDue.mJob->Accepted().mId);
-    }
-    StopRun(worker, run);
-    ++mCounts.mEvictions;
-  }
-  for (const auto& worker : plan->mWorkers) {
-    aPlacer.Reserve(worker, aRequest.mStep->mDemand);
-  }
-  const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
-  const bool isSpread = aDue.mJob->Spec(aDue.mStep).mRackLocal && !aRequest.mStep->mRackLocal;
-  mReservations[key] = { plan->mWorkers, aRequest.mStep->mDemand, isSpread,
-                         aNow.mSteady + mSettings.mReservationDuration };
-  return true;
-}
-
 void
 Scheduler::StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, Placer& aPlacer,
                       const CurrentTime& aNow, Orders& aOrders)
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -405,3 +405,111 @@
   cr_assert_eq(starts.size(), 1);
   cr_assert(starts[0].mRun.mTask.mJob == JobId("new"));
 }
+
+namespace {
+
+// Guaranteed jobs on two racks of two workers with 8 accelerators each.
+class TwoRacksFixture : public SchedulerFixture
+{
+public:
+  TwoRacksFixture()
+  {
+    AddWorkers(4);
+    mScheduler->SetGuarantees({ { AccountId("account"), Accelerators(32) } });
+  }
+
+  // Starts a guaranteed task in the rack.
+  void Occupy(const std::string& aJob, int aAccelerators, const RackId& aRack)
+  {
+    auto step = Step(1, aAccelerators);
+    step.mPreferredRack = aRack;
+    Submit(Job(aJob, { step }, 0));
+    cr_assert_eq(Plan().mStarts.size(), 1);
+    RenewAllLeases();
+  }
+
+  void SubmitGang()
+  {
+    auto gang = Gang(2, 8);
+    gang.mRackLocal = true;
+    Submit(Job("gang", { gang }, 0));
+  }
+};
+
+} // namespace
+
+// Guards against a guaranteed gang that waits although enough accelerators are free, because
+// guaranteed runs of other jobs occupy a part of each rack.
+Test(Scheduler, moves_a_guaranteed_run_so_that_a_guaranteed_gang_finds_a_rack)
+{
+  TwoRacksFixture f;
+  f.Occupy("a", 4, RackId("r0"));
+  f.Occupy("b", 4, RackId("r1"));
+  f.SubmitGang();
+  cr_assert(f.Plan().mStops.empty(), "a run may end soon");
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  cr_assert_eq(f.Plan().mStops.size(), 1);
+  f.RenewAllLeases();
+  f.Plan();
+  cr_assert(f.State("gang") == JobState::InProgress);
+  cr_assert_eq(f.Running().size(), 4, "the moved run wasn't started again");
+}
+
+// Guards against taking the room of a guaranteed job for that of another one.
+Test(Scheduler, moves_no_guaranteed_run_that_fits_nowhere_else)
+{
+  TwoRacksFixture f;
+  f.Occupy("a", 4, RackId("r0"));
+  f.Occupy("b", 8, RackId("r1"));
+  f.Occupy("c", 8, RackId("r1"));
+  f.SubmitGang();
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  cr_assert(f.Plan().mStops.empty());
+}
+
+// The same with a gang that occupies a part of the only rack that is large enough.
+Test(Scheduler, moves_a_whole_guaranteed_gang_so_that_another_finds_a_rack)
+{
+  TwoRacksFixture f;
+  f.AddWorkers(1);
+  auto& single = f.mWorkers.at(WorkerId("w4")).mEntry;
+  cr_assert_eq(single.mRack, RackId("r2"));
+  f.Submit(f.Job("pair", { f.Gang(2, 4) }, 0));
+  f.Plan();
+  f.RenewAllLeases();
+  auto fixed = f.Step(1, 4);
+  fixed.mPreferredRack = RackId("r1");
+  fixed.mLongRunning = true;
+  f.Submit(f.Job("fixed", { fixed }, 0));
+  f.Plan();
+  f.RenewAllLeases();
+  f.SubmitGang();
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  cr_assert_eq(f.Plan().mStops.size(), 2);
+  f.RenewAllLeases();
+  f.Plan();
+  cr_assert(f.State("gang") == JobState::InProgress);
+  cr_assert_eq(f.Running().size(), 5, "the moved gang wasn't started again");
+}
+
+// Guards against two guaranteed steps that move each other again and again.
+Test(Scheduler, moves_no_guaranteed_run_for_a_step_that_has_begun)
+{
+  TwoRacksFixture f;
+  f.Occupy("a", 4, RackId("r0"));
+  f.SubmitGang();
+  const auto gang = f.Plan().mStarts;
+  cr_assert_eq(gang.size(), 2);
+  f.RenewAllLeases();
+  f.Occupy("b", 8, RackId("r0"));
+  f.EndRun(gang[0].mRun, RunEnd::LeaseExpired);
+  f.RenewAllLeases();
+  f.Occupy("c", 4, f.mWorkers.at(gang[0].mWorker).mEntry.mRack);
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  f.Plan();
+  const auto isRunning = [&f](const std::string& aJob) {
+    return f.State(aJob) == JobState::InProgress;
+  };
+  cr_assert(isRunning("a") && isRunning("b") && isRunning("c"));
+  cr_assert_eq(f.mScheduler->Counts().mEvictions, 0);
+}
