Try a worker that failed a run with one run at a time

Cause: workers that fail runs although they count as healthy end them within 40 ms, so in a burst they are the ones with room. Change: while a worker is suspect (a run failed there within mDoubtTime and none has completed since) it gets one run at a time. What is needed to judge whether a step fits at all doesn't change. Two tests, which failed before.

--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -17,6 +17,16 @@
                          [](int aSum, const auto& aIt) { return aSum + aIt.mCopies; });
 }
 
+// Returns how many runs may be added on a worker on trial: a single one until it has ended.
+int
+TrialRuns(const Worker& aWorker)
+{
+  const auto since = aWorker.mCondition.LastFailure();
+  const bool hasRun = std::any_of(aWorker.mRuns.begin(), aWorker.mRuns.end(),
+                                  [since](const auto& aRun) { return aRun.mStarted >= since; });
+  return hasRun ? 0 : 1;
+}
+
 // Returns the tasks that fit on workers that aren't doubtful.
 int
 SoundCopies(const auto& aGroup)
@@ -46,7 +56,8 @@
       mPositions[worker->mEntry.mId] = mCandidates.size();
       mCandidates.push_back({ worker, worker->Free(), rack, service.first->second,
                               worker->mCondition.IsSuspect(aNow),
-                              worker->mCondition.IsDoubtful(aNow), 0 });
+                              worker->mCondition.IsDoubtful(aNow),
+                              worker->mCondition.IsSuspect(aNow), TrialRuns(*worker), 0 });
     }
     ++rack;
   }
@@ -57,6 +68,7 @@
 {
   if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
     mCandidates[it->second].mFree -= aDemand;
+    --mCandidates[it->second].mTrialRuns;
   }
 }
 
@@ -65,6 +77,7 @@
 {
   if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
     mCandidates[it->second].mFree += aDemand;
+    ++mCandidates[it->second].mTrialRuns;
   }
 }
 
@@ -76,14 +89,17 @@
 }
 
 int
-Placer::MaxCopies(const Worker& aWorker, const PlacementRequest& aRequest) const
+Placer::MaxCopies(const Candidate& aCandidate, const PlacementRequest& aRequest)
 {
+  const auto& worker = *aCandidate.mWorker;
+  const int limit =
+    aCandidate.mIsOnTrial ? std::clamp(aCandidate.mTrialRuns, 0, aRequest.mCount) : aRequest.mCount;
   if (aRequest.mStep->mMaxPerWorker <= 0) {
-    return aRequest.mCount;
+    return limit;
   }
-  const auto it = aRequest.mPresent.find(aWorker.mEntry.mId);
+  const auto it = aRequest.mPresent.find(worker.mEntry.mId);
   const int present = it == aRequest.mPresent.end() ? 0 : it->second;
-  return std::clamp(aRequest.mStep->mMaxPerWorker - present, 0, aRequest.mCount);
+  return std::clamp(aRequest.mStep->mMaxPerWorker - present, 0, limit);
 }
 
 bool
@@ -113,9 +129,10 @@
     auto candidate = it;
     if (aIsEmpty) {
       candidate.mFree = it.mWorker->mEntry.mCapacity;
+      candidate.mIsOnTrial = false;
     }
     candidate.mCopies =
-      aRequest.mStep->mDemand.CopiesIn(candidate.mFree, MaxCopies(*it.mWorker, aRequest));
+      aRequest.mStep->mDemand.CopiesIn(candidate.mFree, MaxCopies(candidate, aRequest));
     if (groups.empty() || (isByRack && groups.back().back().mRack != it.mRack)) {
       groups.emplace_back();
     }
@@ -196,7 +213,7 @@
         break;
       }
       const auto& capacity = it.mWorker->mEntry.mCapacity;
-      copies += aRequest.mStep->mDemand.CopiesIn(capacity, MaxCopies(*it.mWorker, aRequest));
+      copies += aRequest.mStep->mDemand.CopiesIn(capacity, MaxCopies(it, aRequest));
       free += it.mFree.mAccelerators;
       workers.push_back(it.mWorker->mEntry.mId);
     }
@@ -241,7 +258,7 @@
                    const PlacementRequest& aRequest) const
 {
   const auto& demand = aRequest.mStep->mDemand;
-  const int limit = MaxCopies(*aCandidate.mWorker, aRequest);
+  const int limit = MaxCopies(aCandidate, aRequest);
   CopyCost cost;
   auto free = aCandidate.mFree;
   for (const auto& it : aOptions) {
@@ -289,7 +306,7 @@
     std::sort(options[i].begin(), options[i].end(),
               [](const auto& aLeft, const auto& aRight) { return aLeft.mCost < aRight.mCost; });
     group[i].mCopies =
-      aRequest.mStep->mDemand.CopiesIn(group[i].mFree, MaxCopies(*group[i].mWorker, aRequest));
+      aRequest.mStep->mDemand.CopiesIn(group[i].mFree, MaxCopies(group[i], aRequest));
   }
   std::vector<CopyCost> costs;
   for (std::size_t i = 0; i < group.size(); ++i) {
@@ -317,7 +334,7 @@
                     [&victim](const auto& aOption) { return aOption.mRun == victim.mRun; });
     }
     const int now =
-      aRequest.mStep->mDemand.CopiesIn(candidate.mFree, MaxCopies(*candidate.mWorker, aRequest));
+      aRequest.mStep->mDemand.CopiesIn(candidate.mFree, MaxCopies(candidate, aRequest));
     copies += now - candidate.mCopies;
     candidate.mCopies = now;
     costs[i] = CostOfCopy(candidate, options[i], aRequest);
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -91,6 +91,10 @@
     // See WorkerCondition.
     bool mIsSuspect = false;
     bool mIsDoubtful = false;
+    // Whether the worker gets one run at a time, because it recently failed one, and how many more
+    // it may get now.
+    bool mIsOnTrial = false;
+    int mTrialRuns = 0;
     // The number of tasks of the request that fit.
     int mCopies = 0;
   };
@@ -112,7 +116,7 @@
   // Returns the service's number in mServices; -1 if no candidate belongs to it.
   int ServiceNumber(const ServiceId& aService) const;
   // Returns how many tasks of the request the worker may take, regardless of its resources.
-  int MaxCopies(const Worker& aWorker, const PlacementRequest& aRequest) const;
+  static int MaxCopies(const Candidate& aCandidate, const PlacementRequest& aRequest);
   bool
   IsEligible(const Candidate& aCandidate, int aService, const PlacementRequest& aRequest) const;
   // Returns the eligible workers: one group per rack if the step is rack-local, else a single
--- a/src/scheduler/WorkerCondition.cpp
+++ b/src/scheduler/WorkerCondition.cpp
@@ -38,6 +38,7 @@
 bool
 WorkerCondition::OnFailed(const JobId& aJob, TimePoint aNow, const SchedulerSettings& aSettings)
 {
+  mLastFailure = aNow;
   mSuspectUntil = aNow + aSettings.mDoubtTime;
   if (mLastFailedJob == aJob) {
     return false;
--- a/src/scheduler/WorkerCondition.h
+++ b/src/scheduler/WorkerCondition.h
@@ -39,6 +39,8 @@
 
   // Whether a run failed here recently, and none has completed since.
   bool IsSuspect(TimePoint aNow) const { return aNow < mSuspectUntil; }
+  // When a run last failed here.
+  TimePoint LastFailure() const { return mLastFailure; }
   // Whether the worker's runs have recently been much slower than others.
   bool IsSlow(TimePoint aNow) const { return aNow < mSlowUntil; }
   // Whether other workers are to be preferred.
@@ -48,6 +50,7 @@
   int mConsecutiveFailures = 0;
   // The job of the last failed run.
   JobId mLastFailedJob;
+  TimePoint mLastFailure;
   TimePoint mSuspectUntil;
   // Moving average of the relative speed.
   double mSpeed = 1;
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -513,3 +513,40 @@
   cr_assert(isRunning("a") && isRunning("b") && isRunning("c"));
   cr_assert_eq(f.mScheduler->Counts().mEvictions, 0);
 }
+
+// Answers the load of failing workers in a burst of work: since they end their runs at once, they
+// are the only ones with room, and each job that comes there loses an attempt for all its tasks.
+Test(Scheduler, tries_a_worker_that_failed_a_run_with_one_run_at_a_time)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.Submit(f.Job("first", { f.Step(1, 1) }));
+  f.EndRun(f.Plan().mStarts.at(0).mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  f.mScheduler->CancelJob(JobId("first"), f.mNow);
+  f.Submit(f.Job("second", { f.Step(4, 1) }));
+  f.Submit(f.Job("third", { f.Step(4, 1) }));
+  const auto trial = f.Plan().mStarts;
+  cr_assert_eq(trial.size(), 1);
+  f.RenewAllLeases();
+  cr_assert(f.Plan().mStarts.empty(), "a second run was started before the first one ended");
+  f.EndRun(trial[0].mRun, RunEnd::Done);
+  f.RenewAllLeases();
+  cr_assert_eq(f.Plan().mStarts.size(), 7);
+}
+
+// Guards against a worker that is left with a single run for ever, since none of its runs has
+// ended.
+Test(Scheduler, ends_the_trial_of_a_worker_after_some_time)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.Submit(f.Job("first", { f.Step(1, 1) }));
+  f.EndRun(f.Plan().mStarts.at(0).mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  f.mScheduler->CancelJob(JobId("first"), f.mNow);
+  f.Submit(f.Job("second", { f.Step(4, 1) }));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+  f.AdvanceTime(f.mSettings.mDoubtTime);
+  cr_assert_eq(f.Plan().mStarts.size(), 3);
+}
