--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -301,6 +301,11 @@
   bool
   FitElsewhere(const EvictionPlan& aPlan, const DueStep& aDue, const PlacementRequest& aRequest,
                const Placer& aPlacer, const CurrentTime& aNow);
+  // Returns workers for the tasks that are to be moved, none of them excluded; nullopt if there is
+  // no room. The placer then treats their present resources as free.
+  std::optional<std::vector<WorkerId>>
+  PlaceElsewhere(const DueStep& aMoved, const std::vector<WorkerId>& aExcluded, Placer& aPlacer,
+                 const CurrentTime& aNow) const;
   // Returns the tasks that the plan moves, by step: of a gang all of them.
   std::vector<DueStep> MovedSteps(const EvictionPlan& aPlan, const DueStep& aDue);
   // Stops the runs of the plan and reserves its workers for the step.
--- a/src/scheduler/SchedulerEvictions.cpp
+++ b/src/scheduler/SchedulerEvictions.cpp
@@ -35,7 +35,8 @@
 Scheduler::MayMove(const PlacedRun& aRun, const DueStep& aFor) const
 {
   const auto* victim = FindJob(aRun.mRun.mTask.mJob);
-  if (!victim || victim == aFor.mJob || !mEntitled.contains(victim->Accepted().mId)) {
+  if (!victim || victim == aFor.mJob || !mEntitled.contains(victim->Accepted().mId) ||
+      !victim->Find(aRun.mRun.mTask)) {
     return false;
   }
   return !victim->Spec(aRun.mRun.mTask.mStep).mLongRunning;
@@ -130,28 +131,36 @@
     placer.Reserve(worker, aRequest.mStep->mDemand);
   }
   for (const auto& step : MovedSteps(aPlan, aDue)) {
-    auto request = RequestFor(step);
-    request.mExcludedWorkers.insert(request.mExcludedWorkers.end(), aPlan.mWorkers.begin(),
-                                    aPlan.mWorkers.end());
-    const auto& tasks = step.mJob->OpenOccurrences().at(step.mOccurrence).mSteps[step.mStep].mTasks;
-    for (const int index : step.mTasks) {
-      placer.Release(tasks[index].mWorker, request.mStep->mDemand);
-    }
-    auto workers = placer.Place(request);
-    if (!workers) {
-      const auto evictions = PlanEvictions(step, request, placer, false, aNow);
-      workers = evictions ? std::optional(evictions->mWorkers) : std::nullopt;
-    }
+    const auto workers = PlaceElsewhere(step, aPlan.mWorkers, placer, aNow);
     if (!workers) {
       return false;
     }
     for (const auto& worker : *workers) {
-      placer.Reserve(worker, request.mStep->mDemand);
+      placer.Reserve(worker, step.mJob->Spec(step.mStep).mDemand);
     }
   }
   return true;
 }
 
+std::optional<std::vector<WorkerId>>
+Scheduler::PlaceElsewhere(const DueStep& aMoved, const std::vector<WorkerId>& aExcluded,
+                          Placer& aPlacer, const CurrentTime& aNow) const
+{
+  auto request = RequestFor(aMoved);
+  request.mExcludedWorkers.insert(request.mExcludedWorkers.end(), aExcluded.begin(),
+                                  aExcluded.end());
+  const auto& occurrence = aMoved.mJob->OpenOccurrences().at(aMoved.mOccurrence);
+  for (const int index : aMoved.mTasks) {
+    const auto& task = occurrence.mSteps[aMoved.mStep].mTasks[index];
+    aPlacer.Release(task.mWorker, request.mStep->mDemand);
+  }
+  if (auto workers = aPlacer.Place(request)) {
+    return workers;
+  }
+  const auto plan = PlanEvictions(aMoved, request, aPlacer, false, aNow);
+  return plan ? std::optional(plan->mWorkers) : std::nullopt;
+}
+
 std::vector<Scheduler::DueStep>
 Scheduler::MovedSteps(const EvictionPlan& aPlan, const DueStep& aDue)
 {
@@ -164,9 +173,8 @@
     const auto& task = run.mTask;
     auto* job = FindMutable(task.mJob);
     const StepKey key{ task.mJob, task.mOccurrence, task.mStep };
-    auto& step = steps[key];
-    step = { job,  task.mOccurrence, task.mStep,      std::move(step.mTasks),
-             true, Entitled,         job->Objective() };
+    const DueStep none{ job, task.mOccurrence, task.mStep, {}, true, Entitled, job->Objective() };
+    auto& step = steps.try_emplace(key, none).first->second;
     if (!job->Spec(task.mStep).mGang) {
       step.mTasks.push_back(task.mIndex);
     } else if (step.mTasks.empty()) {
@@ -175,6 +183,7 @@
     }
   }
   std::vector<DueStep> moved;
+  moved.reserve(steps.size());
   for (auto& [key, step] : steps) {
     moved.push_back(std::move(step));
   }
