Let failing jobs delay no guaranteed work of other accounts

What callers would see: a guaranteed job that waits for up to 5 s although its account's accelerators are free, because jobs of another account have failed on the workers. A job that fails wherever it runs puts all workers on trial, whose accelerators are then left to one run each, also for guaranteed steps. Evidence: found by reading the change; Scheduler/delays_no_guaranteed_work_because_of_runs_that_failed failed before (no task of the guaranteed gang was started). Change: guaranteed steps take what fits on such workers; they still choose them last. This works because the limit only protects attempts, and a guarantee comes before that.

--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -92,8 +92,9 @@
 Placer::MaxCopies(const Candidate& aCandidate, const PlacementRequest& aRequest)
 {
   const auto& worker = *aCandidate.mWorker;
+  const bool isLimited = aCandidate.mIsOnTrial && !aRequest.mIsGuaranteed;
   const int limit =
-    aCandidate.mIsOnTrial ? std::clamp(aCandidate.mTrialRuns, 0, aRequest.mCount) : aRequest.mCount;
+    isLimited ? std::clamp(aCandidate.mTrialRuns, 0, aRequest.mCount) : aRequest.mCount;
   if (aRequest.mStep->mMaxPerWorker <= 0) {
     return limit;
   }
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -25,6 +25,9 @@
   RackId mRack;
   // Whether workers that recently failed a run must not be chosen.
   bool mAvoidsSuspects = false;
+  // Whether the step is guaranteed. Then workers on trial may take more than one of its tasks, so
+  // that failing jobs of other accounts can't delay it.
+  bool mIsGuaranteed = false;
 };
 
 // The runs to stop, and the workers that then have enough free resources, one per task.
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -342,6 +342,7 @@
   request.mService = aDue.mJob->Policy().mService;
   request.mStep = &spec;
   request.mCount = static_cast<int>(aDue.mTasks.size());
+  request.mIsGuaranteed = aDue.mIsEntitled;
   // One more failure ends the job, so its last attempt isn't made where runs have just failed.
   const auto attempts = static_cast<std::size_t>(std::max(aDue.mJob->Policy().mMaxAttempts, 1));
   request.mAvoidsSuspects =
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -550,3 +550,22 @@
   f.AdvanceTime(f.mSettings.mDoubtTime);
   cr_assert_eq(f.Plan().mStarts.size(), 3);
 }
+
+// Guards against a client account whose failing jobs put all workers on trial, and so delay work
+// that is guaranteed to another account.
+Test(Scheduler, delays_no_guaranteed_work_because_of_runs_that_failed)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.mScheduler->SetGuarantees({ { AccountId("account"), Accelerators(16) } });
+  auto failing = f.Job("failing", { f.Step(2, 8) });
+  failing.mAccount = AccountId("other");
+  f.Submit(failing);
+  for (const auto& it : f.Plan().mStarts) {
+    f.EndRun(it.mRun, RunEnd::Failed);
+  }
+  f.RenewAllLeases();
+  f.mScheduler->CancelJob(JobId("failing"), f.mNow);
+  f.Submit(f.Job("guaranteed", { f.Gang(16, 1) }, 0));
+  cr_assert_eq(f.Plan().mStarts.size(), 16);
+}
