Name the least cost of a stop, and explain the plan classes where they stand

Cause: reading the change as a newcomer. CostOfStopping() added a bare 100, and the comments of PlanClass, now in the header, pointed at names that only SchedulerPlan.cpp has. No decision changes. Result: the 82 tests of the scheduler pass.

--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -123,12 +123,13 @@
   {
     // The job is within the number of accelerators that its account is guaranteed.
     Entitled = 0,
-    // The job is expected to end by its objective, or what is left of the step is little (see
-    // IsMostlyDone()).
+    // The job is expected to end by its objective, or it is Late but at least half of the step's
+    // tasks are done.
     InTime = 1,
     // The job is expected to miss its objective.
     Late = 2,
-    // The job is expected to end so late that it has no value, see kWorthlessFactor.
+    // The job is expected to take so much longer than its objective allows that its result has no
+    // value.
     Worthless = 3,
   };
 
--- a/src/scheduler/SchedulerEvictions.cpp
+++ b/src/scheduler/SchedulerEvictions.cpp
@@ -12,6 +12,9 @@
 
 // One accelerator counts as this many cores when the cost of evictions is compared.
 constexpr double kCoresPerAccelerator = 8;
+// A stop costs at least the work of this time, so that many runs that have just begun aren't
+// stopped in place of one.
+constexpr Duration kMinLostTime{ 100 };
 // A run that saves checkpoints loses at most the work of this time when it is stopped.
 constexpr Duration kMaxCheckpointInterval{ 500 };
 
@@ -46,12 +49,12 @@
 Scheduler::CostOfStopping(const PlacedRun& aRun, const CurrentTime& aNow) const
 {
   const auto& spec = FindJob(aRun.mRun.mTask.mJob)->Spec(aRun.mRun.mTask.mStep);
-  const auto lost = LostTime(aRun, aNow);
+  const auto lost = LostTime(aRun, aNow) + kMinLostTime;
   const double cores =
     static_cast<double>(spec.mDemand.mCpu.Value()) / 1000 +
     kCoresPerAccelerator * static_cast<double>(spec.mDemand.mAccelerators.Value());
   const double members = spec.mGang ? spec.mCount : 1;
-  return cores * members * (static_cast<double>(lost.count()) + 100);
+  return cores * members * static_cast<double>(lost.count());
 }
 
 Duration
