Hand over how long leases of earlier leaders may last

Callers would see a task run twice.

Cause: a leader that takes over assumes that a predecessor which is closed off from the store renews the leases of workers that it still reaches for up to 7 s. It settles without the workers that only stored progress names, and these tasks wait. The next leader, after a complete hand-over, assumed that no leader but the former one had renewed anything, so it waited one lease (6.1 s) from its own takeover. Leases that the first of three leaders renewed may end up to 7 s later.

Evidence: Takeover/waits_for_leases_that_a_leader_before_the_former_one_may_renew fails if the bound that is handed over is left out, and passes with it (test_scheduler 85 of 85, test_control 34 of 34).

Change: the hand-over tells how long leases of earlier leaders may last, and the successor waits at least that long. A hand-over without the field, from an earlier version, counts as the longest wait.

--- a/src/control/HandOver.cpp
+++ b/src/control/HandOver.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Json.h"
 #include "base/LogEvent.h"
+#include "scheduler/Limits.h"
 
 namespace lovagerock::control {
 
@@ -14,6 +15,7 @@
   }
   return { { "token", aHandOver.mToken.Value() },
            { "complete", aHandOver.mIsComplete },
+           { "earlierLeases", aHandOver.mEarlierLeases.count() },
            { "progress", std::move(progress) } };
 }
 
@@ -24,6 +26,11 @@
   try {
     handOver.mToken = FencingToken(JsonAt<std::int64_t>(aJson, "token"));
     handOver.mIsComplete = aJson.at("complete").get<bool>();
+    // Earlier versions don't write it.
+    handOver.mEarlierLeases = aJson.contains("earlierLeases")
+                                ? Duration(JsonInRange(aJson.at("earlierLeases"), std::int64_t{ 0 },
+                                                       scheduler::kMaxDuration.count()))
+                                : scheduler::kMaxDuration;
     for (const auto& it : aJson.at("progress")) {
       handOver.mProgress.push_back(
         { JobId(it.at(0).get<std::string>()), it.at(1).get<std::string>() });
--- a/src/control/HandOver.h
+++ b/src/control/HandOver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Units.h"
 #include "control/Election.h"
 #include "scheduler/Orders.h"
 
@@ -15,6 +16,9 @@
   FencingToken mToken;
   // Whether the stored progress and mProgress together name all runs that may be active.
   bool mIsComplete = false;
+  // How long leases may last that leaders before that one have renewed; see
+  // scheduler::Scheduler::EarlierLeases().
+  Duration mEarlierLeases{ 0 };
   std::vector<scheduler::ProgressWrite> mProgress;
 };
 
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -80,9 +80,11 @@
   {
     if (!IsLoaded()) {
       // What the former leader handed over isn't applied yet.
-      return { mToken, false, mHandOver ? mHandOver->mProgress : HandOver().mProgress };
+      return { mToken, false, mScheduler.EarlierLeases(Now()),
+               mHandOver ? mHandOver->mProgress : HandOver().mProgress };
     }
-    return { mToken, mScheduler.IsTakeoverSettled(), mScheduler.UnstoredProgress() };
+    return { mToken, mScheduler.IsTakeoverSettled(), mScheduler.EarlierLeases(Now()),
+             mScheduler.UnstoredProgress() };
   }
 
   // Applies a changed configuration.
@@ -189,6 +191,7 @@
       LogEvent("progress_handed_over")
         .With("from_token", mHandOver->mToken)
         .With("complete", mHandOver->mIsComplete)
+        .With("earlier_leases_ms", mHandOver->mEarlierLeases)
         .With("jobs", mHandedOverJobs.size());
     }
     WatchRequests();
@@ -236,8 +239,8 @@
       mScheduler.MarkUnstored(it);
     }
     if (!IsLoaded()) {
-      if (mHandOver->mIsComplete) {
-        mScheduler.OnHandedOver(Now());
+      if (mHandOver->mToken.Value() != 0) {
+        mScheduler.OnHandedOver(mHandOver->mEarlierLeases, mHandOver->mIsComplete, Now());
       }
       LogEvent("jobs_loaded")
         .With("jobs", mScheduler.JobCount())
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -105,12 +105,17 @@
 
   const Fleet& Workers() const { return mFleet; }
   const SchedulerCounts& Counts() const { return mCounts; }
-  // The former scheduler has ended, and the loaded progress names all runs that it may have
-  // started. From then on only the tasks with such a run wait for its worker, or for the end of its
-  // lease.
-  void OnHandedOver(const CurrentTime& aNow);
+  // The former scheduler has ended and told how long leases may last that schedulers before it have
+  // renewed, see EarlierLeases(). With aNamesAllRuns, the loaded progress names all runs that may
+  // be in progress; from then on only the tasks with such a run wait for its worker, or for the end
+  // of its lease.
+  void OnHandedOver(Duration aEarlierLeases, bool aNamesAllRuns, const CurrentTime& aNow);
   // Whether tasks of inherited jobs may be started.
   bool IsTakeoverSettled() const { return mIsTakeoverSettled; }
+  // Returns how long leases may last that earlier schedulers have renewed, or may still renew; 0
+  // once all workers that may have inherited runs have answered. The next scheduler needs to know
+  // it: an earlier one may still reach a worker that hasn't answered this one.
+  Duration EarlierLeases(const CurrentTime& aNow) const;
   // Returns the number of runs that loaded progress names and that may be in progress on workers
   // which haven't answered yet.
   int UnreportedRuns(const CurrentTime& aNow) const;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -111,13 +111,29 @@
 }
 
 void
-Scheduler::OnHandedOver(const CurrentTime& aNow)
+Scheduler::OnHandedOver(Duration aEarlierLeases, bool aNamesAllRuns, const CurrentTime& aNow)
 {
-  mInheritedUntil = std::min(mInheritedUntil, aNow.mSteady + MaxLeaseDuration());
+  const auto lastLease = std::max(MaxLeaseDuration(), aEarlierLeases);
+  mInheritedUntil = std::min(mInheritedUntil, aNow.mSteady + lastLease);
   for (auto& [id, worker] : mFleet) {
     worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, InheritedLeaseExpiry(worker));
   }
-  SettleTakeover();
+  if (aNamesAllRuns) {
+    SettleTakeover();
+  }
+}
+
+Duration
+Scheduler::EarlierLeases(const CurrentTime& aNow) const
+{
+  const bool isAnyUnanswered =
+    !mAwaitedWorkers.empty() || std::any_of(mFleet.begin(), mFleet.end(), [&aNow](const auto& aIt) {
+      return !aIt.second.mHasAnswered && aIt.second.mLeaseExpiry >= aNow.mSteady;
+    });
+  if (mIsTakeoverSettled && !isAnyUnanswered) {
+    return Duration(0);
+  }
+  return std::max(std::chrono::ceil<Duration>(mInheritedUntil - aNow.mSteady), Duration(0));
 }
 
 void
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -1,4 +1,5 @@
 #include "LeaderFixture.h"
+#include "scheduler/Limits.h"
 
 #include <thread>
 
@@ -149,7 +150,7 @@
 Test(Leader, applies_unstored_progress_of_the_former_leader)
 {
   LeaderFixture f;
-  f.mHandOver = { FencingToken(5), true, { { JobId("j"), kDone } } };
+  f.mHandOver = { FencingToken(5), true, Duration(0), { { JobId("j"), kDone } } };
   f.Submit("j");
   f.RunUntil([&] {
     const auto state = f.mLeader ? f.mLeader->State(JobId("j")) : std::nullopt;
@@ -189,7 +190,7 @@
 {
   LeaderFixture f;
   f.mStore.mHeldPrefix = kRequestPrefix;
-  f.mHandOver = { FencingToken(5), true, { { JobId("j"), kDone } } };
+  f.mHandOver = { FencingToken(5), true, Duration(0), { { JobId("j"), kDone } } };
   f.RunUntil([&] { return f.mLeader && f.mStore.mLists >= 3; });
   const auto state = f.mLeader->UnstoredState();
   cr_assert_not(f.mLeader->IsLoaded());
@@ -225,11 +226,22 @@
   f.mCalls.mRunning.begin()->second.clear();
   f.mCalls.mFinished = { { 1, { { JobId("j"), 0, 0, 0 }, 1 }, scheduler::RunEnd::Done, "" } };
   f.RunUntil([&] { return !f.mLeader->UnstoredState().mProgress.empty(); });
-  const auto read = ReadHandOver(WriteHandOver(f.mLeader->UnstoredState()));
+  auto handOver = f.mLeader->UnstoredState();
+  handOver.mEarlierLeases = Duration(70);
+  const auto read = ReadHandOver(WriteHandOver(handOver));
+  cr_assert_eq(read.mEarlierLeases, Duration(70));
   cr_assert_eq(read.mProgress.size(), 1);
   cr_assert_eq(scheduler::ReadState(read.mProgress[0].mText), scheduler::JobState::Completed);
 }
 
+// Guards against a bound on earlier leases that a former leader of an earlier version doesn't tell.
+Test(HandOver, takes_a_missing_bound_on_earlier_leases_for_the_longest)
+{
+  auto json = WriteHandOver({ FencingToken(5), true, Duration(70), {} });
+  json.erase("earlierLeases");
+  cr_assert_eq(ReadHandOver(json).mEarlierLeases, scheduler::kMaxDuration);
+}
+
 // Guards against a leader that keeps a leadership which it can't carry out: the store confirms its
 // lease but answers none of its listings, so every node refuses requests.
 Test(Leader, lets_another_node_lead_if_its_takeover_fails)
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -290,7 +290,7 @@
   // task.
   for (int i = 0; i < 2; ++i) {
     f.TakeOver(progress);
-    f.mScheduler->OnHandedOver(f.mNow);
+    f.mScheduler->OnHandedOver(Duration(0), true, f.mNow);
     f.RenewAllLeases();
     cr_assert(f.Plan().mStarts.empty(), "the run on the silent worker was started a second time");
     progress = f.StoreProgress();
@@ -374,7 +374,7 @@
   const auto progress = f.StoreProgress();
   f.mWorkers.erase(first.mWorker);
   f.TakeOver(progress);
-  f.mScheduler->OnHandedOver(f.mNow);
+  f.mScheduler->OnHandedOver(Duration(0), true, f.mNow);
   f.RenewAllLeases();
   const auto starts = f.Plan().mStarts;
   cr_assert_eq(starts.size(), 1);
@@ -385,6 +385,62 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a second run of a task on a worker that only a leader before the former one still
+// reaches. That leader is cut off from the store and may renew the worker's lease for some time;
+// the former leader settled its takeover without the worker, because it had left the registry.
+Test(Takeover, waits_for_leases_that_a_leader_before_the_former_one_may_renew)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.mScheduler->OnWorkerUnregistered(first.mWorker);
+  const auto progress = f.StoreProgress();
+  f.mWorkers.erase(first.mWorker);
+  f.TakeOver(progress);
+  f.RenewAllLeases();
+  cr_assert(f.Plan().mStarts.empty());
+  cr_assert(f.mScheduler->IsTakeoverSettled());
+  const auto earlierLeases = f.mScheduler->EarlierLeases(f.mNow);
+  f.TakeOver(progress);
+  f.mScheduler->OnHandedOver(earlierLeases, true, f.mNow);
+  f.AdvanceTime(f.mSettings.mStoreOutageTolerance + f.mSettings.mLeaseDuration);
+  cr_assert(f.Plan().mStarts.empty(), "the run was started a second time");
+  f.AdvanceTime(Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
+// Guards against a takeover that waits anew for all leases of earlier leaders, although the former
+// leader knows when they end.
+Test(Takeover, waits_no_longer_than_the_former_leader_would_have_waited)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  // No progress was stored, so the former leader waits for all recorded workers.
+  f.mWorkers.at(first.mWorker).mIsReachable = false;
+  f.TakeOver({});
+  f.AdvanceTime(f.mSettings.mStoreOutageTolerance);
+  cr_assert_not(f.mScheduler->IsTakeoverSettled());
+  const auto earlierLeases = f.mScheduler->EarlierLeases(f.mNow);
+  f.TakeOver({});
+  f.mScheduler->OnHandedOver(earlierLeases, false, f.mNow);
+  f.AdvanceTime(f.mSettings.mLeaseDuration);
+  cr_assert(f.Plan().mStarts.empty(), "the lease may not have expired");
+  f.AdvanceTime(Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
+// Guards against a former leader that counts as having no inherited leases before it has read the
+// records of its predecessors.
+Test(Takeover, hands_over_the_longest_wait_before_the_records_are_read)
+{
+  SchedulerFixture f;
+  const auto wait = f.mSettings.mStoreOutageTolerance + f.mSettings.mLeaseDuration;
+  cr_assert_geq(f.mScheduler->EarlierLeases(f.mNow), wait);
+}
+
 // Guards against a second run of a task whose end a worker lists only after earlier ends, because
 // it lists long ones in parts: the first part contains neither the run nor its end.
 Test(Takeover, waits_for_the_ends_that_a_worker_has_not_listed_yet)
