Let workers of the platform stand-in stay at work without a registration

A test could take away all registrations at once, together with all leases of the store, or let a worker leave for good. So no test could show a worker that runs its tasks, is reached by the leader that knows its address, and is missing in the registry, as when only the worker's own way to the store is cut.

Change: the fault "unregistered_workers" lists workers whose entries have expired; they come back once the list is without them. Drains and restarts of such a worker write no entry.

--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -3,7 +3,7 @@
 #include "base/LogEvent.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace lovagerock::standin {
 
@@ -101,7 +101,8 @@
 void
 PlatformControl::Register(const std::string& aId)
 {
-  if (const auto& worker = mPlaces.at(aId).mWorker) {
+  const auto& worker = mPlaces.at(aId).mWorker;
+  if (worker && !mUnregistered.contains(aId)) {
     mStore.Put(kWorkerPrefix + aId, worker->Entry());
   }
 }
@@ -129,6 +130,22 @@
     mStore.DiscardHistory();
   }
   SetWorkerFaults(aFaults);
+  SetUnregistered(JsonValue(aFaults, "unregistered_workers", mUnregistered));
+}
+
+void
+PlatformControl::SetUnregistered(std::set<std::string> aWorkers)
+{
+  const auto before = std::exchange(mUnregistered, std::move(aWorkers));
+  for (const auto& [id, place] : mPlaces) {
+    const bool wasUnregistered = before.contains(id);
+    const bool isUnregistered = mUnregistered.contains(id);
+    if (isUnregistered && !wasUnregistered) {
+      mStore.Remove(kWorkerPrefix + id);
+    } else if (wasUnregistered && !isUnregistered) {
+      Register(id);
+    }
+  }
 }
 
 void
--- a/src/standin/platform/PlatformControl.h
+++ b/src/standin/platform/PlatformControl.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -20,8 +21,9 @@
 //   POST /faults           sets some of {"refusing", "refusing_writes",
 //                          "refusing_addresses": [number], "silent",
 //                          "lost_answers", "lapse", "discard_history", "late_worker", "late_ms",
-//                          "silent_workers": [worker], "lost_starts", "late_starts",
-//                          "late_start_ms", "ignore_tokens"}; counts of starts hold for each worker
+//                          "silent_workers": [worker], "unregistered_workers": [worker],
+//                          "lost_starts", "late_starts", "late_start_ms", "ignore_tokens"}; counts
+//                          of starts hold for each worker
 //   POST /drain            {"worker", "remaining_ms"}: drains, and leaves for good after that time
 //   POST /restart          {"worker"}: crashes and starts again at once under the same id
 //   POST /completion-shown {"job"}: a caller was told that the job is completed
@@ -55,12 +57,14 @@
   std::unique_ptr<PlatformWorker> NewWorker(const std::string& aId);
   void OnFaults(const Json& aFaults);
   void SetWorkerFaults(const Json& aFaults);
+  void SetUnregistered(std::set<std::string> aWorkers);
   void OnDrain(const Json& aBody);
   void OnRestart(const Json& aBody);
   void OnCompletionShown(const Json& aBody);
   void DelayStart(const std::string& aId, const Json& aBody);
   // Registers all workers, the late one after its time.
   void RegisterAll();
+  // Writes the worker's entry, unless it has left or can't register.
   void Register(const std::string& aId);
   void Leave(const std::string& aId);
   Json Ledger() const;
@@ -70,6 +74,8 @@
   MetadataService mStore;
   std::map<std::string, Place> mPlaces;
   http::HttpServer mServer;
+  // Workers that can't register, although they work on. Their entries have expired.
+  std::set<std::string> mUnregistered;
   std::string mLateWorker;
   Duration mLateBy{ 0 };
   Duration mLateStartBy{ 0 };
