Test a worker that only the first of three leaders reaches

Guards the bound on earlier leases that leaders hand over: without it a task was run twice, on a worker whose lease a closed-off leader had renewed and on another one.

The test: the worker's registration expires, so that the second leader knows it only from stored progress; the store is closed to the first leader, which goes on to renew the lease; the second leader is started after the leadership has expired, so it asks nobody for a hand-over, and is stopped in favour of the third one. The other worker is back once the first leader has given up, because it would refuse that leader's token before. All waits are for conditions. A slow machine can hide the fault from the test, but not make it fail.

--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -233,6 +233,24 @@
   return leader;
 }
 
+void
+EdgeSystem::AwaitNoLeader()
+{
+  AwaitTrue(
+    "the leadership to end",
+    [this] { return mCaller.Get(mStore, "/lovagerock/kv-key?key=leader%2Fnode").Is(404); },
+    std::chrono::milliseconds(10));
+}
+
+void
+EdgeSystem::AwaitNoRecordedWorker()
+{
+  AwaitTrue("no worker to be recorded", [this] {
+    const auto result = mCaller.Get(mStore, "/lovagerock/kv-range?prefix=progress%2Frack%2F");
+    return result.Is(200) && JsonValue(result.Body(), "items", Json::array()).empty();
+  });
+}
+
 void
 EdgeSystem::Command(const std::string& aPath, const Json& aBody)
 {
--- a/tests/integration/EdgeSystem.h
+++ b/tests/integration/EdgeSystem.h
@@ -41,6 +41,8 @@
   int Leader();
   // Waits for a leader that is none of the nodes.
   int AwaitLeaderExcept(const std::vector<int>& aNodes);
+  // Waits until no node holds the leadership.
+  void AwaitNoLeader();
   void Kill(int aNode);
   // Asks the node to shut down; doesn't wait for its end.
   void Stop(int aNode);
@@ -52,9 +54,11 @@
   void SetFaults(const Json& aFaults);
   // Closes the store to the nodes, and opens it to all others.
   void CloseStoreTo(const std::vector<int>& aNodes);
+  // Waits until the store's record names no worker on which work may be started.
+  void AwaitNoRecordedWorker();
   // Makes the worker drain and leave for good after the time.
   void Drain(const std::string& aWorker, std::chrono::milliseconds aRemaining);
-  // Makes the worker crash and start again at once under the same id.
+  // Makes the worker crash, unless it has left, and start again at once under the same id.
   void Restart(const std::string& aWorker);
   // What has run, see PlatformControl.
   Json Ledger();
--- a/tests/integration/EdgeTests.cpp
+++ b/tests/integration/EdgeTests.cpp
@@ -292,3 +292,44 @@
     aSystem.RequireNothingRanTwice();
   });
 }
+
+// Guards against a second run of a task on a worker that only the first of three leaders reaches.
+// That leader is closed off from the store and goes on to renew the worker's lease. The second one
+// knows the worker only from stored progress, because it has left the registry, and hands over
+// to the third one in full.
+Test(EdgeNodes, repeat_nothing_on_a_worker_that_only_an_earlier_leader_reaches)
+{
+  const auto task = std::string(kJob) + ".0.0.0";
+  RunWithEdges(3, 2, [&task](EdgeSystem& aSystem) {
+    const int first = aSystem.AwaitLeaderExcept({});
+    const int second = (first + 1) % 3;
+    const int third = (first + 2) % 3;
+    // The other nodes start later, so that none of them asks the first leader for a hand-over.
+    aSystem.Kill(second);
+    aSystem.Kill(third);
+    Require(aSystem.Submit(first, kJob, Json::array({ Tasks(1, 1) }), 120000ms).Is(200),
+            "not accepted");
+    AwaitTrue("the task to run", [&] { return IsRunning(aSystem, task); });
+    const auto worker = aSystem.Ledger().at("running").at(task).get<std::string>();
+    const std::string otherWorker = worker == "worker-0" ? "worker-1" : "worker-0";
+    aSystem.SetFaults({ { "unregistered_workers", { worker } } });
+    aSystem.Drain(otherWorker, 0ms);
+    aSystem.AwaitNoRecordedWorker();
+
+    aSystem.CloseStoreTo({ first });
+    aSystem.AwaitNoLeader();
+    aSystem.Start(second);
+    aSystem.AwaitLeaderExcept({ first });
+    aSystem.Start(third);
+    aSystem.AwaitReady(third);
+    aSystem.AwaitState(second, kJob, "in_progress");
+    aSystem.Stop(second);
+    aSystem.AwaitLeaderExcept({ first, second });
+    // A worker that refused the first leader's token would end its leadership early.
+    AwaitTrue("the first leader to give up", [&] { return aSystem.State(first, kJob).empty(); });
+    aSystem.Restart(otherWorker);
+    AwaitTrue("the task to be started again",
+              [&] { return aSystem.Ledger().at("starts").at(task) == 2; });
+    aSystem.RequireNothingRanTwice();
+  });
+}
