Keep a run whose number an earlier scheduler used elsewhere

A task could get a second run after a takeover although the first was in progress. A leader that starts a run and ends before its progress is stored leaves a run number that the next leader doesn't know and uses again on another worker, once the lease of the first worker has expired. When that worker is back, it reports the end of its run, and ApplyEnd() took the number for that of the current run: the highest ended number rose to the current one. A third leader then loads a current run that counts as ended, doesn't adopt it from its worker's report, and starts another one while it is in progress. The same happened if the third leader read the two reports in that order. An end with a higher number than the current run's made the current run unwanted; it was stopped, and its task waited forever.

An end that another worker reports now leaves the numbers of a task with a current run as they are, unless its number is lower or the current run is only named by stored progress and the number is higher. Failures still count. The next run gets a number above those of all failed runs, since failures are told apart by their number. The current run therefore always has a number above the highest ended one, which is what adopting it requires.

A failed run whose number equals that of a run that fails later on another worker still counts once for both.

--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -13,6 +13,19 @@
 // The maximum number of workers that a task is kept off because its runs failed there.
 constexpr std::size_t kMaxExcludedWorkers = 6;
 
+// Whether the end of a run on another worker than the task's current one leaves the numbers of the
+// task as they are. An earlier scheduler may have used the current run's number, or higher ones,
+// without storing it.
+bool
+KeepsNumbers(const Task& aTask, int aEndedRun)
+{
+  if (aEndedRun == aTask.mRun) {
+    return aTask.mPhase != TaskPhase::Waiting;
+  }
+  const bool isKnown = aTask.mPhase == TaskPhase::Active || aTask.mPhase == TaskPhase::Stopping;
+  return isKnown && aEndedRun > aTask.mRun;
+}
+
 } // namespace
 
 Scheduler::Scheduler(const SchedulerSettings& aSettings, TimePoint aTakeover)
@@ -343,8 +356,10 @@
     return;
   }
   MarkDirty(aRun.mTask.mJob);
-  task->mRun = std::max(task->mRun, aRun.mRun);
-  task->mEndedRun = std::max(task->mEndedRun, aRun.mRun);
+  if (isCurrent || !KeepsNumbers(*task, aRun.mRun)) {
+    task->mRun = std::max(task->mRun, aRun.mRun);
+    task->mEndedRun = std::max(task->mEndedRun, aRun.mRun);
+  }
   UpdateCheckpoint(*job, aRun.mTask, aCheckpoint);
   if (isCurrent) {
     task->mPhase = TaskPhase::Waiting;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -23,6 +23,18 @@
   return 2 * aStep.mDone >= static_cast<int>(aStep.mTasks.size());
 }
 
+// Returns the highest number that a run of the task is known to have had. A failed run of an
+// earlier scheduler may have a higher one than the current run, and numbers tell failed runs apart.
+int
+HighestRun(const Task& aTask)
+{
+  int highest = aTask.mRun;
+  for (const int it : aTask.mFailedRuns) {
+    highest = std::max(highest, it);
+  }
+  return highest;
+}
+
 } // namespace
 
 Orders
@@ -561,12 +573,12 @@
   auto& step = aDue.mJob->FindOrCreateOccurrence(aDue.mOccurrence).mSteps[aDue.mStep];
   int gangRun = 0;
   for (const auto& it : step.mTasks) {
-    gangRun = std::max(gangRun, it.mRun);
+    gangRun = std::max(gangRun, HighestRun(it));
   }
   int highestRun = 0;
   for (std::size_t i = 0; i < aWorkers.size(); ++i) {
     auto& task = step.mTasks[aDue.mTasks[i]];
-    task.mRun = (spec.mGang ? gangRun : task.mRun) + 1;
+    task.mRun = (spec.mGang ? gangRun : HighestRun(task)) + 1;
     highestRun = std::max(highestRun, task.mRun);
     task.mPhase = TaskPhase::Active;
     task.mWorker = aWorkers[i];
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -525,6 +525,77 @@
   cr_assert(f.mScheduler->Workers().at(WorkerId("w0")).mHasRestarted);
 }
 
+// Guards against a second run of a task after a takeover: a scheduler that didn't know of a run
+// gave its number to a run on another worker. The first run's lease expired, and the worker
+// reported its end while the other run was in progress.
+Test(Takeover, keeps_a_run_whose_number_an_earlier_scheduler_used_on_another_worker)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  auto& worker = f.mWorkers.at(first.mWorker);
+  worker.mIsReachable = false;
+  // The start isn't in the stored progress.
+  f.TakeOver({});
+  f.AdvanceTime(f.mSettings.mStoreOutageTolerance + f.mSettings.mLeaseDuration + Duration(500));
+  const auto second = f.Plan().mStarts.at(0);
+  cr_assert_eq(second.mRun, first.mRun);
+  cr_assert_neq(second.mWorker, first.mWorker);
+  f.RenewAllLeases();
+  worker.mRunning.clear();
+  worker.mFinished = { { ++worker.mNumber, first.mRun, RunEnd::LeaseExpired, "" } };
+  worker.mIsReachable = true;
+  f.RenewAllLeases();
+  f.Plan();
+  f.TakeOver(f.StoreProgress());
+  f.RenewAllLeases();
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty(), "another run was started");
+  cr_assert(orders.mStops.empty(), "the run was stopped");
+}
+
+// Guards against the same if the worker of the first run reports its end to the new scheduler,
+// before the worker of the other run has answered.
+Test(Takeover, takes_an_end_for_that_of_the_recorded_run_only_from_its_worker)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto start = f.Plan().mStarts.at(0);
+  f.RenewAllLeases();
+  const auto progress = f.StoreProgress();
+  auto& other = f.mWorkers.at(WorkerId(start.mWorker == WorkerId("w0") ? "w1" : "w0"));
+  other.mFinished = { { ++other.mNumber, start.mRun, RunEnd::LeaseExpired, "" } };
+  f.TakeOver(progress);
+  f.RenewLease(other.mEntry.mId);
+  f.RenewAllLeases();
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty(), "another run was started");
+  cr_assert(orders.mStops.empty(), "the run was stopped");
+}
+
+// Guards against a task that waits forever because an earlier scheduler's run of it, with a higher
+// number, ended on another worker while the current run was in progress.
+Test(Takeover, keeps_a_run_with_a_lower_number_than_an_ended_one_on_another_worker)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto start = f.Plan().mStarts.at(0);
+  f.RenewAllLeases();
+  auto& other = f.mWorkers.at(WorkerId(start.mWorker == WorkerId("w0") ? "w1" : "w0"));
+  other.mFinished = { { ++other.mNumber, { start.mRun.mTask, 2 }, RunEnd::Failed, "" } };
+  f.RenewAllLeases();
+  cr_assert(f.Plan().mStops.empty(), "the run was stopped");
+  f.EndRun(start.mRun, RunEnd::Stopped);
+  f.RenewAllLeases();
+  const auto next = f.Plan().mStarts;
+  cr_assert_eq(next.size(), 1);
+  // The number of a failed run isn't used again, since another failure with it wouldn't count.
+  cr_assert_eq(next[0].mRun.mRun, 3);
+}
+
 Test(RackRecord, reads_the_rows_of_earlier_versions)
 {
   const auto workers = ReadRackRecord(R"([["a","10.0.0.1:1"],["b","10.0.0.2:1",7,true]])");
