Take no older registry entry for a restart of a worker

A task could get a second run because a registry entry that was older than the worker's reports was taken for a restart of the worker. An incarnation is made from the worker's wall clock, which may be set back, so that the present one may have a lower number than an ended one. OnWorkerEntry() took an entry with a higher number for a restart whenever it was new to this scheduler: also the first entry that a new leader reads after the worker has answered it, and the entry of an incarnation that has ended meanwhile, if the registry is read late. The runs that the worker had reported were dropped as ended, and their tasks started again, while they were in progress.

Once a worker has answered, an entry now counts as a restart only if the registry named the present incarnation before. Entries arrive in the order in which they were written, so only then is the new one known to be later. A restart that isn't told apart this way is told by the worker's next report, and until then its runs count as in progress, up to the end of the lease.

--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -194,9 +194,11 @@
   }
   const auto birth = worker.mEntry.mIncarnation;
   // An entry may be older than the worker's reports, so an incarnation counts as a later one only
-  // when it appears in the registry.
+  // when it appears in the registry, and, once the worker has answered, only if the registry named
+  // the present one before.
   const bool isNewInRegistry = aEntry.mIncarnation != worker.mRegisteredIncarnation;
-  const bool isLater = isNewInRegistry && aEntry.mIncarnation > birth;
+  const bool mayBeOlder = worker.mHasAnswered && worker.mRegisteredIncarnation != birth;
+  const bool isLater = isNewInRegistry && !mayBeOlder && aEntry.mIncarnation > birth;
   if (!isNew && isLater && birth.Value() != 0) {
     OnWorkerRestarted(worker, aNow);
   }
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -297,6 +297,30 @@
   cr_assert(orders.mStops.empty(), "the run was stopped");
 }
 
+// Guards against the same if the worker has restarted twice before the registry's entries arrive:
+// the first of them names an incarnation that has ended.
+Test(Scheduler, keeps_the_runs_of_an_incarnation_that_the_registry_does_not_name_yet)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  const WorkerId id("w0");
+  auto& worker = f.mWorkers.at(id);
+  f.RestartWorker(id);
+  const auto ended = worker.mEntry;
+  f.RestartWorker(id);
+  worker.mEntry.mIncarnation = WorkerIncarnation(150);
+  f.RenewLease(id);
+  f.StoreProgress();
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+  f.RenewLease(id);
+  f.mScheduler->OnWorkerEntry(ended, f.mNow);
+  f.RenewLease(id);
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty(), "another run was started");
+  cr_assert(orders.mStops.empty(), "the run was stopped");
+}
+
 Test(Scheduler, starts_nothing_on_a_draining_worker_and_moves_runs_that_would_not_finish)
 {
   SchedulerFixture f;
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -596,6 +596,34 @@
   cr_assert_eq(next[0].mRun.mRun, 3);
 }
 
+// Guards against runs that are given up because the first registry entry that a scheduler reads is
+// older than the worker's report: a worker whose wall clock was set back before it restarted has an
+// earlier incarnation with a higher number.
+Test(Takeover, keeps_the_runs_of_a_worker_whose_registry_entry_is_older_than_its_report)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  const WorkerId id("w0");
+  auto& worker = f.mWorkers.at(id);
+  const auto outdated = worker.mEntry;
+  worker.mEntry.mIncarnation = WorkerIncarnation(50);
+  worker.mClock = 1;
+  f.RenewLease(id);
+  f.StoreProgress();
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+  const auto progress = f.StoreProgress();
+  f.Restart();
+  f.mScheduler->AddRecordedWorkers(worker.mEntry.mRack, f.mRacks.at(worker.mEntry.mRack));
+  cr_assert(f.mScheduler->AddJob(f.mJobs.at(0), progress.at(JobId("j")), true, f.mNow));
+  f.RenewLease(id);
+  f.mScheduler->OnWorkerEntry(outdated, f.mNow);
+  f.RenewLease(id);
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty(), "another run was started");
+  cr_assert(orders.mStops.empty(), "the run was stopped");
+}
+
 Test(RackRecord, reads_the_rows_of_earlier_versions)
 {
   const auto workers = ReadRackRecord(R"([["a","10.0.0.1:1"],["b","10.0.0.2:1",7,true]])");
