Stop inherited runs on a restarted worker before starting others

After a takeover, a task could get a second run when the worker of its run restarted. The former leader may have sent the start order again after one without an answer, and that order may be carried out late. How many orders had no answer is neither stored nor handed over, so the new leader took an adopted run for one that can't begin again, dropped it with the restart and started the task elsewhere. The new incarnation knows no fencing token until the leader has reached it, and starts the run on the late order. Even if its first report listed the run, the task was started at once.

Adopted runs are now marked as inherited. After a restart they are treated like runs with a start order without an answer: they are stopped, and their tasks wait until the new incarnation has confirmed the stop, or until its lease has ended. By then it has seen the leader's token and refuses the former leader's orders. The price is one more call before such tasks start again.

--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -34,6 +34,9 @@
   WorkerClock mLastConfirmedClock;
   // Whether a report of the worker's known incarnation has listed the run.
   bool mIsReported = false;
+  // Whether an earlier scheduler started the run. It may have sent further start orders for it that
+  // had no answer.
+  bool mIsInherited = false;
   // The number of later reports in a row that lacked the run.
   int mMissedReports = 0;
   // When the last order for the run was issued; unset if none was, or if a stop has to be sent at
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -259,10 +259,11 @@
 Scheduler::OnWorkerRestarted(Worker& aWorker, const CurrentTime& aNow)
 {
   // A run that the earlier incarnation hasn't reported may be one of the new incarnation, even if
-  // its start was confirmed.
+  // its start was confirmed. So may an inherited one: until the new incarnation has answered, it
+  // refuses no orders of earlier schedulers.
   std::vector<PlacedRun> mayStart;
   for (const auto& it : aWorker.mRuns) {
-    if (!it.mIsReported || it.mUnansweredStarts > 0) {
+    if (!it.mIsReported || it.mUnansweredStarts > 0 || it.mIsInherited) {
       mayStart.push_back(it);
     }
   }
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -174,6 +174,7 @@
   placed.mProgress.OnReport(aRun.mPercent, aNow.mSteady);
   placed.mLastConfirmedClock = aClock;
   placed.mIsReported = true;
+  placed.mIsInherited = true;
   auto* job = FindMutable(aRun.mRun.mTask.mJob);
   auto* task = job ? job->FindOrOpen(aRun.mRun.mTask) : nullptr;
   if (job && aRun.mRun.mTask.mStep >= 0 &&
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -596,6 +596,31 @@
   cr_assert_eq(next[0].mRun.mRun, 3);
 }
 
+// Guards against a second run of a task that a restarted worker begins late: the former scheduler
+// may have sent the start of an inherited run twice, and the new incarnation knows no fencing token
+// by which it would refuse the second order.
+Test(Takeover, stops_an_inherited_run_on_a_restarted_worker_before_it_starts_another_run)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.TakeOver(f.StoreProgress());
+  f.RenewAllLeases();
+  cr_assert(f.Plan().mStarts.empty());
+  f.RestartWorker(first.mWorker);
+  f.mScheduler->OnWorkerEntry(f.mWorkers.at(first.mWorker).mEntry, f.mNow);
+  cr_assert(f.Plan().mStarts.empty(), "another run was started before the worker answered");
+  f.mWorkers.at(first.mWorker).mRunning.push_back({ first.mRun, "", 0 });
+  f.RenewAllLeases();
+  const auto orders = f.Plan();
+  cr_assert(orders.mStarts.empty(), "another run was started before the first was stopped");
+  cr_assert_eq(orders.mStops.size(), 1);
+  cr_assert_eq(orders.mStops[0].mRun, first.mRun);
+  f.RenewAllLeases();
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against runs that are given up because the first registry entry that a scheduler reads is
 // older than the worker's report: a worker whose wall clock was set back before it restarted has an
 // earlier incarnation with a higher number.
