Expect the longest lease after each call to a restarted worker

A task could get a second run because the lease of a worker that had restarted lasted longer than expected. An order that was meant for an earlier incarnation carries a deadline of its clock, which is ahead, and makes the lease last as long as workers grant at most (10 s instead of 6 s). The scheduler expected this only for 10.2 s after it had learned of the restart. Each renewal after that was expected to bring a lease of 6.1 s, although such an order may be carried out late, between two renewals: if the worker then fell silent, what ran there was started elsewhere up to 4 s before its lease ended.

OnLeaseSent() now uses the bound of the worker, as the other places do, so a late order that was carried out before the last call is covered whenever it came. An order that is carried out only after the last call isn't, since the protocol sets no limit on how late an order may be. The price: what runs on a worker that has restarted and falls silent again waits up to 4 s longer.

--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -231,7 +231,8 @@
 {
   const auto it = mFleet.find(aWorker);
   if (it != mFleet.end()) {
-    it->second.mLeaseExpiry = std::max(it->second.mLeaseExpiry, aNow.mSteady + MaxLeaseDuration());
+    auto& worker = it->second;
+    worker.mLeaseExpiry = std::max(worker.mLeaseExpiry, aNow.mSteady + MaxLeaseDuration(worker));
   }
 }
 
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -273,6 +273,32 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against the same if the restarted worker has answered since: a late order of the earlier
+// incarnation's clock may have been carried out at any time before the worker fell silent.
+Test(Scheduler, expects_the_longest_lease_after_each_renewal_of_a_worker_that_has_restarted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  const WorkerId restarted("w0");
+  f.mWorkers.at(WorkerId("w1")).mEntry.mDraining = true;
+  f.mScheduler->OnWorkerEntry(f.mWorkers.at(WorkerId("w1")).mEntry, f.mNow);
+  f.RestartWorker(restarted);
+  f.RenewLease(restarted);
+  f.StoreProgress();
+  f.AdvanceTime(f.mSettings.mLeaseDuration);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  cr_assert_eq(f.Plan().mStarts.at(0).mWorker, restarted);
+  f.RenewLease(restarted);
+  f.mWorkers.at(restarted).mIsReachable = false;
+  f.mWorkers.at(WorkerId("w1")).mEntry.mDraining = false;
+  f.mScheduler->OnWorkerEntry(f.mWorkers.at(WorkerId("w1")).mEntry, f.mNow);
+  f.StoreProgress();
+  f.AdvanceTime(f.mSettings.mLongestLease);
+  cr_assert(f.Plan().mStarts.empty(), "the lease may not have expired");
+  f.AdvanceTime(Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against a second run of a task on a worker whose wall clock was set back before it
 // restarted: its registry entry still names the earlier incarnation, whose number is higher.
 Test(Scheduler, keeps_the_runs_of_an_incarnation_that_is_lower_than_the_registered_one)
