Give no number of pending jobs from an outdated view

Callers that asked a sound node for a queue's pending jobs got 0 while four jobs had waited for over five seconds. The leader counts the jobs that its watch of the requests has reported, however old that view is: on a machine slowed tenfold the watch fell 8 to 9 s behind, while the leadership stayed confirmed or was renewed late.

The leader now notes up to when its watch of the requests is confirmed, and gives no count once that is more than 2.8 s ago: twice the wait of a watch call, which a quiet store makes normal, and 0.8 s for late answers. The caller then gets 503 with Retry-After and no wrong number. The same bound covers a leader whose watch the store refuses, one that lists again after the history is gone, and one that was superseded without noticing. In an outage of the whole store the count is refused too after 2.8 s, because the leader can't tell that outage from its own.

--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -51,9 +51,11 @@
     } -> std::convertible_to<std::string>;
 };
 
-// Receive the leader's reply; nullopt if the leader couldn't be reached. The inner optional is
+// Receives the leader's reply; nullopt if the leader couldn't be reached. The inner optional is
 // empty if the leader doesn't know the job.
 using StateCallback = std::function<void(std::optional<std::optional<JobStatus>>)>;
+// Receives the leader's count; nullopt if the leader couldn't be reached, or if its view of the
+// jobs is outdated.
 using PendingCountCallback = std::function<void(std::optional<int>)>;
 
 // The functions that CallerApi needs from its node.
@@ -356,7 +358,7 @@
       if (aCount) {
         aResponder.Send(http::JsonResponse(200, Codec::WritePendingCount(*aCount)));
       } else {
-        Refuse(aResponder, "no_leader", aQueue);
+        Refuse(aResponder, "no_current_count", aQueue);
       }
     });
   }
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -271,12 +271,13 @@
       aReply(WriteHandOver(ProvideHandOver(token)));
     });
     mPeers.Handle("pending_jobs", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
-      if (!IsLoadedLeader()) {
+      const auto queue = JsonValue(aBody, "queue", std::string());
+      const auto count = IsLoadedLeader() ? mLeader->PendingJobs(queue) : std::nullopt;
+      if (!count) {
         aReply({ { "leader", false } });
         return;
       }
-      const auto queue = JsonValue(aBody, "queue", std::string());
-      aReply({ { "leader", true }, { "count", mLeader->PendingJobs(queue) } });
+      aReply({ { "leader", true }, { "count", *count } });
     });
   }
 
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/BootClock.h"
 #include "base/CallbackGuard.h"
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
@@ -11,6 +12,7 @@
 #include "control/PrefixReader.h"
 #include "control/PrefixWatch.h"
 #include "control/ProgressWriter.h"
+#include "control/StoreFreshness.h"
 #include "control/WorkerCalls.h"
 #include "control/WorkerLeases.h"
 #include "scheduler/JobRecord.h"
@@ -119,7 +121,17 @@
     return known;
   }
 
-  int PendingJobs(const std::string& aQueue) const { return mScheduler.PendingJobs(aQueue); }
+  // Returns the number of the queue's jobs of which no task has started; nullopt while this leader
+  // may lack jobs that were accepted a while ago.
+  std::optional<int> PendingJobs(const std::string& aQueue) const
+  {
+    const auto age = mRequestsFreshness.Age(BootTime());
+    if (age > kMaxPendingCountAge) {
+      LogEvent("requests_outdated", LogLevel::Warning).With("queue", aQueue).With("age_ms", age);
+      return std::nullopt;
+    }
+    return mScheduler.PendingJobs(aQueue);
+  }
 
 private:
   static scheduler::CurrentTime Now()
@@ -217,6 +229,9 @@
         SchedulePlan();
       }
     };
+    callbacks.mOnConfirmed = [this](Duration aConfirmed) {
+      mRequestsFreshness.OnAnswer(aConfirmed, BootTime());
+    };
     callbacks.mOnListOutage = [this] { OnListOutage(); };
     mRequests.emplace(mLoop, mStore, std::string(kRequestPrefix), std::move(callbacks));
   }
@@ -524,6 +539,8 @@
   kv::Revision mBatchRevision;
   std::optional<ProgressWriter<Store>> mWriter;
   std::optional<PrefixWatch<Store>> mRequests;
+  // How recent this leader's view of the accepted and cancelled jobs is.
+  StoreFreshness mRequestsFreshness;
   std::optional<PrefixWatch<Store>> mWorkers;
   WorkerLeases<Calls> mLeases;
   std::vector<WorkerId> mUnlisted;
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -69,7 +69,7 @@
              kv::EventsCallback aCallback)
   {
     ++mWatchCalls;
-    if (mIsDown) {
+    if (mIsDown || aPrefix == mFailingWatchPrefix) {
       Answer([aCallback] { aCallback(kv::KvError::Unavailable, {}); });
       return;
     }
@@ -203,6 +203,8 @@
   std::string mHeldPrefix;
   // Lists of this prefix fail; empty for none.
   std::string mFailingPrefix;
+  // New watch calls of this prefix fail; empty for none.
+  std::string mFailingWatchPrefix;
   // The number of upcoming lists that fail, of those that don't begin at the first key.
   int mPagesToFail = 0;
   // Renewals of leases get no answer.
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -269,3 +269,45 @@
   f.RunUntil([&] { return std::chrono::steady_clock::now() > later; });
   cr_assert_eq(f.mLost, 0);
 }
+
+// Guards against counting too few pending jobs: a leader on a slow machine learns of accepted jobs
+// seconds late, while the nodes that ask it for the count are sound.
+Test(Leader, counts_no_pending_jobs_while_its_view_of_them_is_outdated)
+{
+  LeaderFixture f;
+  // Without a worker, submitted jobs stay pending.
+  f.mStore.Remove("workers/w");
+  f.Submit("known");
+  f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
+  cr_assert_eq(f.mLeader->PendingJobs("queue").value(), 1);
+  f.mStore.mFailingWatchPrefix = kRequestPrefix;
+  // Ends the open watch call, so that the leader calls again.
+  f.Submit("last");
+  f.RunUntil([&] { return f.mLeader->PendingJobs("queue") == 2; });
+  for (const auto* id : { "unknown-1", "unknown-2", "unknown-3" }) {
+    f.Submit(id);
+  }
+  const auto outdated = std::chrono::steady_clock::now() + kMaxPendingCountAge;
+  f.RunUntil([&] { return std::chrono::steady_clock::now() > outdated; });
+  cr_assert_not(f.mLeader->PendingJobs("queue").has_value());
+  f.mStore.mFailingWatchPrefix.clear();
+  f.RunUntil([&] { return f.mLeader->PendingJobs("queue") == 5; });
+}
+
+// Guards against refusing the count while nothing changes: watch calls without events confirm the
+// view only up to the time at which they were sent.
+Test(Leader, counts_pending_jobs_between_watch_answers_without_events)
+{
+  LeaderFixture f;
+  f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
+  // A pause of this process makes the view older than the watch does.
+  constexpr Duration kPause{ 200 };
+  auto lastCheck = std::chrono::steady_clock::now();
+  const auto end = lastCheck + 3 * kWatchWait;
+  f.RunUntil([&] {
+    const auto now = std::chrono::steady_clock::now();
+    const bool hasPaused = now - std::exchange(lastCheck, now) > kPause;
+    cr_assert(hasPaused || f.mLeader->PendingJobs("queue") == 0);
+    return now > end;
+  });
+}
