Let a request go on that arrived after its probe

Callers of non-idempotent requests were answered 503 "the worker cancelled the request while it was running", though worker and network were sound. It was seen once, in SilentPeers/ run_no_keyed_request_twice_and_lose_no_answer beside load; the sequence below is read from the code, and no other one in the router, the planner or the worker gives that answer 13 s into a request with a deadline of 30 s.

A node probes an attempt on a new connection when its own has delivered nothing for 2 s. If node or worker is held up that long before the request is read, the probe overtakes it and is answered "unknown". The node then sends DELETE to set a tombstone; if the request is read between the two, that call cancels it in the middle of its run. The second call is now DELETE with ?phase=unknown, which the worker carries out only if it doesn't know the request. Check and tombstone are one step there, so the request is either refused as not run or goes on. The node then waits as for any running request, an idempotent one included, which used to be cancelled and sent again. A worker that ignores the parameter cancels as before.

Attempt/lets_a_request_go_on_that_arrived_after_its_probe failed before ("the request was cancelled"). After the change all 53 tests of test_routing pass, and RequestTable/ refuses_only_an_unknown_id_without_cancelling_a_known_one with the other 4 request table tests. The integration tests were not run.

--- a/src/routing/RequestTask.h
+++ b/src/routing/RequestTask.h
@@ -86,8 +86,8 @@
   bool mSeenByWorker = false;
   // Whether the worker no longer had the response when it was fetched.
   bool mResponseLost = false;
-  // Whether the attempt was already running at the worker when its tombstone was set. A tombstone
-  // makes the worker cancel the attempt, or refuse it if it arrives later.
+  // Whether the attempt was already running at the worker when its tombstone was to be set. A
+  // tombstone makes the worker refuse the attempt if it arrives later.
   bool mTombstoneAfterStart = false;
   bool mProbeOpen = false;
   // Consecutive probes that reported the attempt as done while its response was still streaming.
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -36,6 +36,7 @@
 {
   aApi.FindRequest(aWorker, aRequest, workers::PhaseCallback());
   aApi.DropRequest(aWorker, aRequest, workers::PhaseCallback());
+  aApi.RefuseUnknownRequest(aWorker, aRequest, workers::PhaseCallback());
   aApi.Poll(aWorker, std::uint64_t(), Duration(), workers::PollCallback());
 };
 
@@ -163,7 +164,7 @@
   void Probe(RequestTask& aTask);
   void OnProbe(RequestTask& aTask, std::error_code aError, workers::RequestPhase aPhase);
   void OnRequestUnknown(RequestTask& aTask);
-  void OnDropResult(RequestTask& aTask, std::error_code aError, workers::RequestPhase aPhase);
+  void OnTombstoneResult(RequestTask& aTask, std::error_code aError, workers::RequestPhase aPhase);
   void CheckIncarnation(RequestTask& aTask);
   void OnProbeFailed(RequestTask& aTask);
   void FetchResponse(RequestTask& aTask);
--- a/src/routing/RouterAttempts.h
+++ b/src/routing/RouterAttempts.h
@@ -263,18 +263,19 @@
                     aTask.mTombstoneAfterStart ? Ran::Partly : Ran::Unknown, false, Duration(0) });
   } else {
     aTask.mProbeOpen = true;
-    mWorkers.DropRequest(aTask.mReplica->mHost->mAddress, aTask.AttemptId(),
-                         ForCall(aTask, [this](RequestTask& aCurrent, std::error_code aError,
-                                               workers::RequestPhase aPhase) {
-                           OnDropResult(aCurrent, aError, aPhase);
-                         }));
+    mWorkers.RefuseUnknownRequest(
+      aTask.mReplica->mHost->mAddress, aTask.AttemptId(),
+      ForCall(aTask,
+              [this](RequestTask& aCurrent, std::error_code aError, workers::RequestPhase aPhase) {
+                OnTombstoneResult(aCurrent, aError, aPhase);
+              }));
   }
 }
 
 template<kv::KeyValueStore S, peer::PeerTransport T, RequestWorkers W>
 void
-Router<S, T, W>::OnDropResult(RequestTask& aTask, std::error_code aError,
-                              workers::RequestPhase aPhase)
+Router<S, T, W>::OnTombstoneResult(RequestTask& aTask, std::error_code aError,
+                                   workers::RequestPhase aPhase)
 {
   aTask.mProbeOpen = false;
   if (aError) {
@@ -288,13 +289,10 @@
   } else if (aPhase == workers::RequestPhase::Unknown) {
     CheckIncarnation(aTask);
   } else {
-    // The request arrived at the worker between the probe and the tombstone. The tombstone
-    // cancelled it if it was still running.
+    // The request arrived at the worker between the probe and the tombstone, so it goes on. If its
+    // connection delivers nothing, the next probe finds out its phase.
     aTask.mSeenByWorker = true;
     aTask.mTombstoneAfterStart = aPhase == workers::RequestPhase::Running;
-    if (aTask.mRequest.mIdempotent) {
-      Retry(aTask, "cancelled", false);
-    }
   }
 }
 
--- a/src/standin/worker/RequestTable.cpp
+++ b/src/standin/worker/RequestTable.cpp
@@ -158,12 +158,21 @@
 }
 
 RequestPhase
-RequestTable::Drop(const RequestId& aId, TimePoint aNow)
+RequestTable::RefuseUnknown(const RequestId& aId, TimePoint aNow)
 {
   Advance(aNow);
   const auto phase = Find(aId);
   if (phase == RequestPhase::Unknown) {
     AddTombstone(aId, false, aNow);
+  }
+  return phase;
+}
+
+RequestPhase
+RequestTable::Drop(const RequestId& aId, TimePoint aNow)
+{
+  const auto phase = RefuseUnknown(aId, aNow);
+  if (phase == RequestPhase::Unknown) {
     return phase;
   }
   if (const auto it = mEntries.find(aId); phase == RequestPhase::Running) {
--- a/src/standin/worker/RequestTable.h
+++ b/src/standin/worker/RequestTable.h
@@ -73,6 +73,8 @@
   // Cancels a request, forgets its answer, or refuses the id if it arrives later. Gives the phase
   // before.
   workers::RequestPhase Drop(const RequestId& aId, TimePoint aNow);
+  // Refuses the id if it arrives later; changes nothing if it has arrived. Gives the phase before.
+  workers::RequestPhase RefuseUnknown(const RequestId& aId, TimePoint aNow);
   // Cancels all running requests under a lease.
   void CancelLease(const LeaseId& aLease, TimePoint aNow);
 
--- a/src/standin/worker/WorkerServer.cpp
+++ b/src/standin/worker/WorkerServer.cpp
@@ -227,7 +227,10 @@
                                            : detail::ErrorResponse(404, "not_found"));
         });
   Route(Method::Delete, "/v1/requests/{id}", [this](const auto& aRequest, const auto& aResponder) {
-    const auto phase = mRequests.Drop(RequestId(aRequest.PathParameter("id")), detail::Now());
+    const RequestId id(aRequest.PathParameter("id"));
+    const auto phase = aRequest.QueryParameter("phase") == "unknown"
+                         ? mRequests.RefuseUnknown(id, detail::Now())
+                         : mRequests.Drop(id, detail::Now());
     mReplies.Send(aResponder, detail::PhaseResponse(phase));
   });
 }
--- a/src/workers/HttpWorkerApi.cpp
+++ b/src/workers/HttpWorkerApi.cpp
@@ -276,10 +276,9 @@
 
 void
 HttpWorkerApi::SendPhaseRequest(http::Method aMethod, const SocketAddress& aWorker,
-                                const RequestId& aRequest, PhaseCallback aCallback)
+                                const std::string& aTarget, PhaseCallback aCallback)
 {
-  auto request =
-    detail::MakeRequest(aWorker, aMethod, detail::RequestTarget(aRequest), kCommandTimeout);
+  auto request = detail::MakeRequest(aWorker, aMethod, aTarget, kCommandTimeout);
   request.mNewConnection = true;
   Call(request,
        [callback = std::move(aCallback)](std::error_code aError, const http::Response& aResponse) {
@@ -295,7 +294,8 @@
 HttpWorkerApi::FindRequest(const SocketAddress& aWorker, const RequestId& aRequest,
                            PhaseCallback aCallback)
 {
-  SendPhaseRequest(http::Method::Get, aWorker, aRequest, std::move(aCallback));
+  SendPhaseRequest(http::Method::Get, aWorker, detail::RequestTarget(aRequest),
+                   std::move(aCallback));
 }
 
 void
@@ -315,7 +315,16 @@
 HttpWorkerApi::DropRequest(const SocketAddress& aWorker, const RequestId& aRequest,
                            PhaseCallback aCallback)
 {
-  SendPhaseRequest(http::Method::Delete, aWorker, aRequest, std::move(aCallback));
+  SendPhaseRequest(http::Method::Delete, aWorker, detail::RequestTarget(aRequest),
+                   std::move(aCallback));
+}
+
+void
+HttpWorkerApi::RefuseUnknownRequest(const SocketAddress& aWorker, const RequestId& aRequest,
+                                    PhaseCallback aCallback)
+{
+  SendPhaseRequest(http::Method::Delete, aWorker,
+                   detail::RequestTarget(aRequest) + "?phase=unknown", std::move(aCallback));
 }
 
 } // namespace lovagerock::workers
--- a/src/workers/HttpWorkerApi.h
+++ b/src/workers/HttpWorkerApi.h
@@ -45,6 +45,8 @@
                           AnswerCallback aCallback);
   void
   DropRequest(const SocketAddress& aWorker, const RequestId& aRequest, PhaseCallback aCallback);
+  void RefuseUnknownRequest(const SocketAddress& aWorker, const RequestId& aRequest,
+                            PhaseCallback aCallback);
 
 private:
   using ResponseCallback = std::function<void(std::error_code, const http::Response&)>;
@@ -54,7 +56,7 @@
   void SendCommand(const SocketAddress& aWorker, const LeaseId& aLease, const char* aCommand,
                    const Json& aBody, DoneCallback aCallback);
   void SendPhaseRequest(http::Method aMethod, const SocketAddress& aWorker,
-                        const RequestId& aRequest, PhaseCallback aCallback);
+                        const std::string& aTarget, PhaseCallback aCallback);
 
   http::HttpClient* mClient;
 };
--- a/src/workers/WorkerApi.h
+++ b/src/workers/WorkerApi.h
@@ -68,6 +68,9 @@
   // Cancels a request, or makes the worker refuse it if it arrives later. Returns the phase before
   // the cancellation.
   aApi.DropRequest(aWorker, aRequestId, PhaseCallback());
+  // Makes the worker refuse a request if it arrives later. Changes nothing if the worker knows the
+  // request already. Returns the phase before.
+  aApi.RefuseUnknownRequest(aWorker, aRequestId, PhaseCallback());
 };
 
 } // namespace lovagerock::workers
--- a/tests/routing/AttemptTests.cpp
+++ b/tests/routing/AttemptTests.cpp
@@ -224,6 +224,29 @@
   cr_assert_eq(f.Call(kNonIdempotent).Ran(), std::string("partly"));
 }
 
+// Guards against cancelling a request because its probe overtook it: on a busy machine the request
+// arrives after the probe was answered, and is running when its tombstone is to be set.
+Test(Attempt, lets_a_request_go_on_that_arrived_after_its_probe)
+{
+  for (const auto* idempotent : { "false", "true" }) {
+    Fixture f;
+    f.Worker().HoldRequests();
+    f.Worker().mOnProbe = [&f] {
+      const bool isFirst = !f.Worker().mPhase;
+      f.Worker().mPhase = isFirst ? workers::RequestPhase::Unknown : workers::RequestPhase::Running;
+    };
+    const auto outcome = f.Start({ { "Idempotent", idempotent } });
+    const auto later = f.mLoop.After(Duration(300), [&f] {
+      for (const auto& it : f.Worker().mHeldResponders) {
+        it.Send({ 200, {}, "done" });
+      }
+    });
+    cr_assert_eq(f.Finish(outcome).mResponse.mBody, std::string("done"));
+    cr_assert(f.Worker().mDropped.empty(), "the request was cancelled");
+    cr_assert_eq(f.Worker().mRequests.size(), 1);
+  }
+}
+
 Test(Attempt, retries_on_another_worker_when_a_worker_does_not_respond)
 {
   Fixture f(2);
--- a/tests/routing/RoutingFixture.h
+++ b/tests/routing/RoutingFixture.h
@@ -142,6 +142,16 @@
     const auto phase = worker.mDropPhase.value_or(worker.ActualPhase(aId));
     mLoop.Post([=, ec = Error(worker)] { aCallback(ec, phase); });
   }
+  void RefuseUnknownRequest(const SocketAddress& aWorker, const RequestId& aId,
+                            workers::PhaseCallback aCallback)
+  {
+    auto& worker = At(aWorker);
+    const auto phase = worker.mDropPhase.value_or(worker.ActualPhase(aId));
+    if (phase == workers::RequestPhase::Unknown) {
+      worker.mDropped.push_back(aId.Value());
+    }
+    mLoop.Post([=, ec = Error(worker)] { aCallback(ec, phase); });
+  }
   void Poll(const SocketAddress& aWorker, std::uint64_t, Duration, workers::PollCallback aCallback)
   {
     const auto& worker = At(aWorker);
--- a/tests/standin/RequestTableTests.cpp
+++ b/tests/standin/RequestTableTests.cpp
@@ -66,6 +66,22 @@
   cr_assert_eq(f.mReplies.at(0).mNotRun, std::optional(true));
 }
 
+// Guards against cancelling a request that arrived just before its tombstone.
+Test(RequestTable, refuses_only_an_unknown_id_without_cancelling_a_known_one)
+{
+  Fixture f;
+  cr_assert_eq(f.mTable.RefuseUnknown(RequestId("a"), f.mNow), RequestPhase::Unknown);
+  f.Begin("a");
+  cr_assert_eq(f.mReplies.at(0).mNotRun, std::optional(true));
+  f.Begin("b");
+  cr_assert_eq(f.mTable.RefuseUnknown(RequestId("b"), f.mNow), RequestPhase::Running);
+  f.Pass(Duration(100));
+  cr_assert_eq(f.mTable.RefuseUnknown(RequestId("b"), f.mNow), RequestPhase::Done);
+  cr_assert_eq(f.mReplies.at(1).mBody, std::string("x"));
+  cr_assert_eq(f.mTable.Answer(RequestId("b"))->mBody, std::string("x"));
+  cr_assert_eq(f.mStarts, 1);
+}
+
 // Guards against calling a request not run that ran and was cancelled or forgotten.
 Test(RequestTable, never_calls_a_request_that_ran_not_run)
 {
