--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -123,14 +123,16 @@
 
   // Returns the number of the queue's jobs of which no task has started; nullopt while this leader
   // may lack jobs that were accepted a while ago.
-  std::optional<int> PendingJobs(const std::string& aQueue) const
+  std::optional<int> PendingJobs(const std::string& aQueue)
   {
     const auto age = mRequestsFreshness.Age(BootTime());
-    if (age > kMaxPendingCountAge) {
-      LogEvent("requests_outdated", LogLevel::Warning).With("queue", aQueue).With("age_ms", age);
-      return std::nullopt;
+    if (age <= kMaxPendingCountAge) {
+      return mScheduler.PendingJobs(aQueue);
+    }
+    if (!std::exchange(mIsOutdatedLogged, true)) {
+      LogEvent("requests_outdated", LogLevel::Warning).With("age_ms", age);
     }
-    return mScheduler.PendingJobs(aQueue);
+    return std::nullopt;
   }
 
 private:
@@ -231,6 +233,7 @@
     };
     callbacks.mOnConfirmed = [this](Duration aConfirmed) {
       mRequestsFreshness.OnAnswer(aConfirmed, BootTime());
+      mIsOutdatedLogged = false;
     };
     callbacks.mOnListOutage = [this] { OnListOutage(); };
     mRequests.emplace(mLoop, mStore, std::string(kRequestPrefix), std::move(callbacks));
@@ -541,6 +544,8 @@
   std::optional<PrefixWatch<Store>> mRequests;
   // How recent this leader's view of the accepted and cancelled jobs is.
   StoreFreshness mRequestsFreshness;
+  // Whether a refused count was logged since that view was last confirmed.
+  bool mIsOutdatedLogged = false;
   std::optional<PrefixWatch<Store>> mWorkers;
   WorkerLeases<Calls> mLeases;
   std::vector<WorkerId> mUnlisted;
