Log how many workers are registered where guaranteed work waits

Cause of the doubt: workers=0 has several causes, which the line didn't tell apart: no worker is left, or none has answered, is recorded or may be chosen now. The first is a lack of room, the others may be a fault of the scheduler. Evidence: Placer/counts_registered_workers_that_may_not_be_chosen failed while the count was left out (0 in place of 3). Change: RoomReport::mRegistered counts the workers of the service that are registered and not draining, and the line writes it as registered. This works because the registry is read apart from the answers of the workers. No decision changes.

--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -42,6 +42,9 @@
 {
   std::map<RackId, std::vector<const Worker*>> racks;
   for (const auto& [id, worker] : aFleet) {
+    if (worker.AcceptsWork()) {
+      ++mRegistered[worker.mEntry.mService];
+    }
     const bool isUsable = worker.mHasAnswered && worker.AcceptsWork() && worker.mRecorded &&
                           worker.mAvoidUntil <= aNow && worker.mLeaseExpiry > aNow;
     if (isUsable) {
@@ -241,6 +244,9 @@
 Placer::Room(const PlacementRequest& aRequest) const
 {
   RoomReport report;
+  if (const auto it = mRegistered.find(aRequest.mService); it != mRegistered.end()) {
+    report.mRegistered = it->second;
+  }
   for (const auto& group : Groups(aRequest, false)) {
     report.mWorkers += static_cast<int>(group.size());
     report.mFitting = std::max(report.mFitting, TotalCopies(group));
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -40,6 +40,9 @@
 // How much room there is for a request, for the log.
 struct RoomReport
 {
+  // The workers of the service that are registered and not draining. Some of them may not be
+  // chosen, because they haven't answered, are avoided or lack the required label.
+  int mRegistered = 0;
   // The workers that may be chosen.
   int mWorkers = 0;
   // The tasks that fit now, and those that would fit if the workers were idle; for a rack-local
@@ -142,6 +145,8 @@
   std::unordered_map<WorkerId, std::size_t> mPositions;
   // The number of each service, see Candidate::mService.
   std::map<ServiceId, int> mServices;
+  // See RoomReport::mRegistered.
+  std::map<ServiceId, int> mRegistered;
 };
 
 } // namespace lovagerock::scheduler
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -532,6 +532,7 @@
     .With("cpu", aRequest.mStep->mDemand.mCpu)
     .With("one_rack", aRequest.mStep->mRackLocal)
     .With("label", aRequest.mStep->mRequiredLabel)
+    .With("registered", room.mRegistered)
     .With("workers", room.mWorkers)
     .With("fitting", room.mFitting)
     .With("fitting_idle", room.mFittingIdle)
--- /dev/null
+++ b/tests/scheduler/PlacerTests.cpp
@@ -0,0 +1,67 @@
+#include "scheduler/Placer.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace lovagerock;
+using namespace lovagerock::scheduler;
+
+namespace {
+
+const TimePoint kNow(Duration(10000));
+
+// A worker with 8 accelerators on which tasks may be started.
+Worker
+UsableWorker(const std::string& aId)
+{
+  Worker worker;
+  worker.mEntry.mId = WorkerId(aId);
+  worker.mEntry.mService = ServiceId("service");
+  worker.mEntry.mRack = RackId("r0");
+  worker.mEntry.mCapacity = { MilliCores(64000), MemoryMiB(131072), Accelerators(8) };
+  worker.mRecorded = true;
+  worker.mHasAnswered = true;
+  worker.mLeaseExpiry = kNow + Duration(1000);
+  return worker;
+}
+
+RoomReport
+RoomForOneTask(const Fleet& aFleet)
+{
+  StepSpec step;
+  step.mCount = 1;
+  step.mDemand = { MilliCores(1000), MemoryMiB(1000), Accelerators(8) };
+  PlacementRequest request;
+  request.mService = ServiceId("service");
+  request.mStep = &step;
+  return Placer(aFleet, kNow).Room(request);
+}
+
+} // namespace
+
+// Guards against a log line that can't tell work that waits because no worker is left from work
+// that waits because the workers don't answer or are avoided.
+Test(Placer, counts_registered_workers_that_may_not_be_chosen)
+{
+  Fleet fleet;
+  for (const auto* id : { "usable", "silent", "avoided", "draining", "left", "other" }) {
+    fleet[WorkerId(id)] = UsableWorker(id);
+  }
+  fleet[WorkerId("silent")].mHasAnswered = false;
+  fleet[WorkerId("avoided")].mAvoidUntil = kNow + Duration(1);
+  fleet[WorkerId("draining")].mEntry.mDraining = true;
+  fleet[WorkerId("left")].mRegistered = false;
+  fleet[WorkerId("other")].mEntry.mService = ServiceId("other");
+  const auto room = RoomForOneTask(fleet);
+  cr_assert_eq(room.mRegistered, 3);
+  cr_assert_eq(room.mWorkers, 1);
+}
+
+Test(Placer, counts_no_registered_workers_when_all_have_left)
+{
+  Fleet fleet;
+  fleet[WorkerId("left")] = UsableWorker("left");
+  fleet[WorkerId("left")].mRegistered = false;
+  cr_assert_eq(RoomForOneTask(fleet).mRegistered, 0);
+}
