Test that guaranteed work starts when all workers are replaced at once

What callers would see otherwise: guaranteed jobs that wait on although workers are there again, after all had left at once. Evidence: the test passes on the code as it was, so it mends nothing. Change: a test only, no source.

--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -569,3 +569,18 @@
   f.Submit(f.Job("guaranteed", { f.Gang(16, 1) }, 0));
   cr_assert_eq(f.Plan().mStarts.size(), 16);
 }
+
+// Guards against guaranteed work that stays behind when all workers are replaced at once.
+Test(Scheduler, starts_guaranteed_work_when_workers_register_after_all_have_left)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.mScheduler->SetGuarantees({ { AccountId("account"), Accelerators(16) } });
+  for (const auto* it : { "w0", "w1" }) {
+    f.mScheduler->OnWorkerUnregistered(WorkerId(it));
+  }
+  f.Submit(f.Job("guaranteed", { f.Gang(2, 8) }, 0));
+  cr_assert(f.Plan().mStarts.empty());
+  f.AddWorkers(2);
+  cr_assert_eq(f.Plan().mStarts.size(), 2);
+}
