Take a report with a row that can't be read for a partial one

Callers would see a task run twice.

Cause: rows of a worker's report that can't be read are left out, so that the other runs stay known. A run in progress whose row was left out looked like one that the worker doesn't have, and after three such reports it was given up and started elsewhere while it was in progress.

Change: such a report is partial, like one with a long list of ends: it ends no run and doesn't count as the worker's answer. A worker whose report was partial is asked again after a pause, because it would reply with the same one at once.

Open: the row of an end that can't be read is forgotten by the worker once a later end is stored.

--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -161,7 +161,8 @@
         // between may refuse it.
         break;
     }
-    if (isDone && !HasUnstoredEnds(aWorker)) {
+    // A worker whose report was partial would reply with the same one at once.
+    if (isDone && !HasUnstoredEnds(aWorker) && !aReply.mReport.mIsPartial) {
       Renew(aWorker);
     } else {
       renewal.mRetryTimer = mLoop.After(kRenewalRetryDelay, [this, aWorker] { Renew(aWorker); });
--- a/src/scheduler/WorkerReport.h
+++ b/src/scheduler/WorkerReport.h
@@ -74,8 +74,9 @@
   WorkerIncarnation mIncarnation;
   std::vector<RunningRun> mRunning;
   std::vector<FinishedRun> mFinished;
-  // Whether the worker may have more ended runs than mFinished lists. A run that such a report
-  // lacks may be one of those.
+  // Whether the worker may have more runs, in progress or ended, than are listed: it lists long
+  // ends in parts, and rows that can't be read are left out. A run that such a report lacks may be
+  // one of those.
   bool mIsPartial = false;
 };
 
--- a/tests/platform/ReplyTests.cpp
+++ b/tests/platform/ReplyTests.cpp
@@ -113,7 +113,7 @@
 }
 
 // Guards against losing a worker's whole report, and with it the worker's lease and runs, because
-// one row can't be read.
+// one row can't be read; and against taking the run of that row for ended, and starting it again.
 Test(WorkerClient, reads_the_rows_beside_an_odd_one)
 {
   for (const auto* const odd :
@@ -127,6 +127,7 @@
     cr_assert(reply.mOutcome == scheduler::OrderOutcome::Done, "%s", odd);
     cr_assert_eq(reply.mReport.mRunning.size(), 2, "%s", odd);
     cr_assert_eq(reply.mReport.mRunning[1].mRun.mRun, 2);
+    cr_assert(reply.mReport.mIsPartial, "%s", odd);
   }
   for (const auto* const odd :
        { "7", "[]", "[\"x\",\"j.0.0.9\",1,\"done\",\"\"]", "[0,\"j.0.0.9\",1,\"done\",\"\"]",
@@ -139,6 +140,7 @@
     cr_assert(reply.mOutcome == scheduler::OrderOutcome::Done, "%s", odd);
     cr_assert_eq(reply.mReport.mFinished.size(), 2, "%s", odd);
     cr_assert_eq(reply.mReport.mFinished[1].mNumber, 3);
+    cr_assert(reply.mReport.mIsPartial, "%s", odd);
   }
 }
 
