Log the end of the wait for runs that nobody reports

The logs couldn't tell whether its task waited for room or for a run that stored progress names on a worker which hasn't answered. The scheduler now logs unreported_runs_ended with the job, the number of runs and the last worker when such a wait ends.

--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -169,6 +169,8 @@
 Scheduler::ResolveUnreportedRuns(Job& aJob, const CurrentTime& aNow)
 {
   bool isResolved = true;
+  int ended = 0;
+  WorkerId lastWorker;
   for (auto& [number, occurrence] : aJob.OpenOccurrences()) {
     for (auto& step : occurrence.mSteps) {
       for (auto& task : step.mTasks) {
@@ -176,12 +178,20 @@
           isResolved = false;
         } else if (task.mPhase == TaskPhase::Unreported) {
           task.mPhase = TaskPhase::Waiting;
-          task.mWorker = WorkerId();
+          lastWorker = std::exchange(task.mWorker, WorkerId());
+          ++ended;
           MarkDirty(aJob.Accepted().mId);
         }
       }
     }
   }
+  if (ended > 0) {
+    LogEvent("unreported_runs_ended")
+      .With("job", aJob.Accepted().mId)
+      .With("runs", ended)
+      .With("worker", lastWorker)
+      .With("unresolved", !isResolved);
+  }
   return isResolved;
 }
 
