Ask former leaders whether they have ended

The task that it waited for had run on a worker that left around a change of leadership, and only that worker and a leader that was cut off or killed knew of its end.

Cause: a leader that gets no hand-over waits 13.1 s from its own election for a worker that is gone, because a former leader may renew leases for 7 s more. It asked only the last one, once, for 100 ms; a process that was restarted replied as if it had not been asked, and each further change of leadership began the 13.1 s anew.

Change: each node keeps the leaderships that it has seen (LeaderHistory). While inherited work waits, the leader asks all former leaders that may still act, every 500 ms, and bounds their leases by the replies (EarlierLeases). A node that doesn't hold the leadership in question, and has no claim without an outcome, now replies that it has ended there. The bound is also passed on before the jobs are loaded.

Why it works: a node runs one process, so a process that doesn't hold the leadership proves that it has ended, and leases carry absolute deadlines, so orders that are carried out late don't extend them. Leaders that don't reply, and leaderships that this node hasn't seen, count as before.

Two tests of the election asked for the former leader only; they now look at the whole history, and still require that nobody is asked in place of a leader that this node hasn't seen.

--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -75,6 +75,8 @@
 // Timeout of a new leader's hand-over request to the former leader. All work waits for the reply,
 // and a former leader that is alive replies within a few milliseconds.
 inline constexpr Duration kHandOverTimeout{ 100 };
+// Period at which a leader asks the former ones that may still act whether they have ended.
+inline constexpr Duration kFormerLeadersPeriod{ 500 };
 // Timeout of a node's query to the leader for a job's state or a queue's pending jobs.
 inline constexpr Duration kLeaderCallTimeout{ 400 };
 // Upper limit of the time for which a caller's write is retried to find out its outcome; after that
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -190,35 +190,47 @@
     if (mDeployment && !mLeader) {
       mLeader = std::make_unique<LeaderType>(
         mLoop, mStore, mCalls, *mElection, mSettings, *mDeployment,
-        [this](const HandOverCallback& aCallback) { RequestHandOver(aCallback); });
+        [this](const FormerLeader& aFormer, Duration aTimeout, const HandOverCallback& aCallback) {
+          RequestHandOver(aFormer, aTimeout, aCallback);
+        });
     }
   }
 
-  void RequestHandOver(const HandOverCallback& aCallback)
+  void
+  RequestHandOver(const FormerLeader& aFormer, Duration aTimeout, const HandOverCallback& aCallback)
   {
-    const auto former = mElection->Former();
-    if (!former || !former->mAddress) {
-      const bool isOwn = former && mLastHandOver && mLastHandOver->mToken == former->mToken;
-      aCallback(isOwn ? *mLastHandOver : HandOver());
+    if (aFormer.mNode == mSettings.mNode) {
+      aCallback(ProvideHandOver(aFormer.mToken, aFormer.mNode));
       return;
     }
-    mPeers.Call(*former->mAddress, "hand_over", { { "token", former->mToken.Value() } },
-                kHandOverTimeout, [aCallback](std::error_code aError, const Json& aReply) {
-                  if (aError) {
-                    LogEvent("former_leader_silent").With("reason", aError.message());
-                  }
-                  aCallback(aError ? HandOver() : ReadHandOver(aReply));
-                });
+    if (!aFormer.mAddress) {
+      aCallback(HandOver());
+      return;
+    }
+    mPeers.Call(
+      *aFormer.mAddress, "hand_over",
+      { { "token", aFormer.mToken.Value() }, { "node", aFormer.mNode.Value() } }, aTimeout,
+      [aCallback, token = aFormer.mToken](std::error_code aError, const Json& aReply) {
+        if (aError) {
+          LogEvent("former_leader_silent").With("token", token).With("reason", aError.message());
+        }
+        aCallback(aError ? HandOver() : ReadHandOver(aReply));
+      });
   }
 
-  // Returns the state that the leadership with the token may not have stored, for its successor;
-  // empty if that wasn't this node's last leadership. Resigns first if this node still holds it.
-  HandOver ProvideHandOver(FencingToken aToken)
+  // Returns the state that the leadership with the token may not have stored, for its successor.
+  // Resigns first if this node still holds it.
+  HandOver ProvideHandOver(FencingToken aToken, const NodeId& aNode)
   {
     if (mElection && mElection->Token() == aToken) {
       mElection->Resign("successor");
     }
-    return mLastHandOver && mLastHandOver->mToken == aToken ? *mLastHandOver : HandOver();
+    if (mLastHandOver && mLastHandOver->mToken == aToken) {
+      return *mLastHandOver;
+    }
+    // A claim without an outcome yet may be the one that began that leadership.
+    const bool isEnded = aNode == mSettings.mNode && !(mElection && mElection->IsClaiming());
+    return isEnded ? UnknownHandOver(aToken) : HandOver();
   }
 
   void OnLost()
@@ -268,7 +280,8 @@
     });
     mPeers.Handle("hand_over", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
       const FencingToken token(JsonValue(aBody, "token", std::int64_t{ 0 }));
-      aReply(WriteHandOver(ProvideHandOver(token)));
+      const NodeId node(JsonValue(aBody, "node", std::string()));
+      aReply(WriteHandOver(ProvideHandOver(token, node)));
     });
     mPeers.Handle("pending_jobs", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
       const auto queue = JsonValue(aBody, "queue", std::string());
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -5,9 +5,11 @@
 #include "base/Json.h"
 #include "base/Random.h"
 #include "control/Keys.h"
+#include "control/LeaderHistory.h"
 #include "control/PrefixWatch.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -15,18 +17,6 @@
 
 namespace lovagerock::control {
 
-// Identifies a leadership. Orders to workers carry it; a worker refuses orders with a lower token
-// than the highest it has seen.
-using FencingToken = StrongCount<struct FencingTokenTag>;
-
-// The last leadership that ended before this node was elected.
-struct FormerLeader
-{
-  FencingToken mToken;
-  // Unset if this node was that leader.
-  std::optional<SocketAddress> mAddress;
-};
-
 // Notifications to the owner of an election.
 struct ElectionCallbacks
 {
@@ -81,13 +71,11 @@
   }
   // The peer address of the current leader; unset if there is none or it is this node.
   const std::optional<SocketAddress>& LeaderAddress() const { return mAddress; }
-  // Returns the last leadership before this node's; nullopt if there was none or this node didn't
-  // see its end.
-  std::optional<FormerLeader> Former() const
-  {
-    const bool isLast = mFormer && mFormer->mToken.Value() == mPreviousClaim.Value();
-    return isLast ? mFormer : std::nullopt;
-  }
+  // Returns the leaderships before this node's that it has seen, oldest first. No other one began
+  // after the first of them.
+  std::vector<FormerLeader> FormerLeaders() const { return mHistory.Before(Token()); }
+  // Whether this node has claimed the leadership and doesn't know the outcome yet.
+  bool IsClaiming() const { return mIsClaiming; }
   // Gives up the leadership and ends its lease, so that another node can take over at once.
   void Resign(const char* aReason)
   {
@@ -118,6 +106,7 @@
   {
     if (const auto last = aItems.find(std::string(kLastLeaderKey)); last != aItems.end()) {
       mLastClaim = std::max(mLastClaim, last->second.mRevision);
+      mHistory.OnListed(FencingToken(mLastClaim.Value()), BootTime());
     }
     const auto it = aItems.find(std::string(kLeaderKey));
     if (it == aItems.end()) {
@@ -131,6 +120,7 @@
   {
     if (aEvent.mKey == kLastLeaderKey) {
       mLastClaim = std::max(mLastClaim, aEvent.mRevision);
+      mHistory.OnClaim(FencingToken(aEvent.mRevision.Value()), BootTime());
     }
     if (aEvent.mKey != kLeaderKey) {
       return;
@@ -148,22 +138,24 @@
     mIsVacant = false;
     mAddress.reset();
     const auto json = ParseJson(aValue);
-    const auto node = json ? JsonValue(*json, "node", std::string()) : std::string();
+    const NodeId node(json ? JsonValue(*json, "node", std::string()) : std::string());
+    const auto address = json ? SocketAddress::Parse(JsonValue(*json, "address", std::string()))
+                              : std::optional<SocketAddress>();
+    mHistory.OnClaim(FencingToken(aRevision.Value()), BootTime());
+    const FencingToken previous(json ? JsonValue(*json, "previous", std::int64_t{ 0 }) : 0);
+    mHistory.OnLeader(FencingToken(aRevision.Value()), node, address, previous);
     const bool isOwn = mToken && aRevision.Value() == mToken->Value();
     if (mToken && aRevision.Value() > mToken->Value()) {
       EndLeadership("another_leader");
     }
-    if (json && !isOwn) {
-      mAddress = SocketAddress::Parse(JsonValue(*json, "address", std::string()));
+    if (!isOwn) {
+      mAddress = address;
     }
     LogEvent("leader_changed").With("node", node).With("token", aRevision);
   }
 
   void OnLeaderAbsent()
   {
-    if (!mIsVacant && mLeaderRevision.Value() != 0) {
-      mFormer = FormerLeader{ FencingToken(mLeaderRevision.Value()), mAddress };
-    }
     mIsVacant = true;
     mAddress.reset();
     if (mToken) {
@@ -216,7 +208,8 @@
     writes.mWrites.push_back({ std::string(kLastLeaderKey), mSettings.mNode.Value(), {} });
     writes.mWrites.push_back({ std::string(kLeaderKey),
                                DumpJson({ { "node", mSettings.mNode.Value() },
-                                          { "address", mSettings.mPeers.ToString() } }),
+                                          { "address", mSettings.mPeers.ToString() },
+                                          { "previous", mLastClaim.Value() } }),
                                mLease });
     mStore.Write(writes,
                  mGuard.Wrap([this](std::error_code aError, const kv::WriteOutcome& aOutcome) {
@@ -235,7 +228,8 @@
       OnClaimRefused(aOutcome.mPresent);
       return;
     }
-    mPreviousClaim = std::exchange(mLastClaim, aOutcome.mRevision);
+    mLastClaim = aOutcome.mRevision;
+    mHistory.OnClaim(FencingToken(mLastClaim.Value()), BootTime());
     mToken = FencingToken(aOutcome.mRevision.Value());
     mLeaderRevision = aOutcome.mRevision;
     mIsVacant = false;
@@ -255,6 +249,7 @@
       isHeld = isHeld || it.mKey == kLeaderKey;
       if (it.mKey == kLastLeaderKey) {
         mLastClaim = std::max(mLastClaim, it.mRevision);
+        mHistory.OnListed(FencingToken(mLastClaim.Value()), BootTime());
       }
     }
     if (!isHeld) {
@@ -314,10 +309,9 @@
   // The last seen revision of the leader key.
   kv::Revision mLeaderRevision;
   std::optional<SocketAddress> mAddress;
-  std::optional<FormerLeader> mFormer;
-  // The revisions of the latest claim that this node knows of, and of the one before its own.
+  // The revision of the latest claim that this node knows of.
   kv::Revision mLastClaim;
-  kv::Revision mPreviousClaim;
+  LeaderHistory mHistory;
   bool mIsVacant = false;
   bool mIsClaiming = false;
   bool mIsWithdrawn = false;
--- a/src/control/HandOver.cpp
+++ b/src/control/HandOver.cpp
@@ -6,6 +6,12 @@
 
 namespace lovagerock::control {
 
+HandOver
+UnknownHandOver(FencingToken aToken)
+{
+  return { aToken, false, scheduler::kMaxDuration, {} };
+}
+
 Json
 WriteHandOver(const HandOver& aHandOver)
 {
--- a/src/control/HandOver.h
+++ b/src/control/HandOver.h
@@ -12,7 +12,7 @@
 // The state that a leader may not have stored when its leadership ended.
 struct HandOver
 {
-  // The token of that leadership; 0 if there is no hand-over.
+  // The token of that leadership, which has ended; 0 if nothing is known of it.
   FencingToken mToken;
   // Whether the stored progress and mProgress together name all runs that may be active.
   bool mIsComplete = false;
@@ -23,9 +23,15 @@
 };
 
 using HandOverCallback = std::function<void(HandOver)>;
-// Requests the former leader's hand-over; calls back with an empty one if there is none or the
-// former leader doesn't reply in time.
-using HandOverSource = std::function<void(HandOverCallback)>;
+// Requests a former leader's hand-over; calls back with an empty one if it isn't known how to reach
+// that leader, or if it doesn't reply within the timeout.
+using HandOverSource =
+  std::function<void(const FormerLeader&, Duration aTimeout, HandOverCallback)>;
+
+// Returns the hand-over of a node that knows nothing of the leadership but that it has ended there,
+// for instance because the leader's process was restarted.
+HandOver
+UnknownHandOver(FencingToken aToken);
 
 // Encodes the hand-over for the peer protocol.
 Json
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -69,11 +69,14 @@
     , mSettings(aSettings)
     , mToken(aElection.Token())
     , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
+    , mHandOverSource(aHandOverSource)
+    , mEarlierLeases(aElection.FormerLeaders(), BootTime(),
+                     aSettings.mScheduler.mStoreOutageTolerance, mScheduler.MaxLeaseDuration())
     , mRecords(aLoop, aStore, std::string(kRecordPrefix), MakeRecordCallbacks())
     , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
   {
     OnDeployment(aDeployment);
-    aHandOverSource(mGuard.Wrap([this](HandOver aHandOver) { OnHandOver(std::move(aHandOver)); }));
+    RequestHandOver();
     mRecords.Start();
   }
 
@@ -150,12 +153,53 @@
     return hooks;
   }
 
+  void RequestHandOver()
+  {
+    const auto former = mElection.FormerLeaders();
+    if (former.empty()) {
+      OnHandOver(HandOver());
+      return;
+    }
+    mHandOverSource(former.back(), kHandOverTimeout,
+                    mGuard.Wrap([this](HandOver aHandOver) { OnHandOver(std::move(aHandOver)); }));
+  }
+
   void OnHandOver(HandOver aHandOver)
   {
     mHandOver = std::move(aHandOver);
+    OnFormerLeaderReply(*mHandOver);
     LoadJobs();
   }
 
+  // Asks the former leaders that may still act whether they have ended, as long as work waits for
+  // leases that they may renew. What they haven't stored comes too late.
+  void AskFormerLeaders()
+  {
+    if (mScheduler.EarlierLeases(Now()) == Duration(0)) {
+      mFormerLeadersTimer.Cancel();
+      return;
+    }
+    for (const auto& it : mEarlierLeases.Active(BootTime())) {
+      mHandOverSource(it, kLeaderCallTimeout, mGuard.Wrap([this](const HandOver& aHandOver) {
+        OnFormerLeaderReply(aHandOver);
+        SchedulePlan();
+      }));
+    }
+  }
+
+  void OnFormerLeaderReply(const HandOver& aReply)
+  {
+    if (aReply.mToken.Value() == 0) {
+      return;
+    }
+    mEarlierLeases.OnEnded(aReply.mToken, aReply.mEarlierLeases, BootTime());
+    const auto remaining = mEarlierLeases.Remaining(BootTime());
+    LogEvent("former_leader_ended")
+      .With("token", aReply.mToken)
+      .With("earlier_leases_ms", remaining);
+    mScheduler.OnHandedOver(remaining, false, Now());
+  }
+
   ReaderCallbacks MakeRecordCallbacks()
   {
     ReaderCallbacks callbacks;
@@ -205,7 +249,6 @@
       LogEvent("progress_handed_over")
         .With("from_token", mHandOver->mToken)
         .With("complete", mHandOver->mIsComplete)
-        .With("earlier_leases_ms", mHandOver->mEarlierLeases)
         .With("jobs", mHandedOverJobs.size());
     }
     WatchRequests();
@@ -257,8 +300,8 @@
       mScheduler.MarkUnstored(it);
     }
     if (!IsLoaded()) {
-      if (mHandOver->mToken.Value() != 0) {
-        mScheduler.OnHandedOver(mHandOver->mEarlierLeases, mHandOver->mIsComplete, Now());
+      if (mHandOver->mIsComplete) {
+        mScheduler.OnHandedOver(mEarlierLeases.Remaining(BootTime()), true, Now());
       }
       LogEvent("jobs_loaded")
         .With("jobs", mScheduler.JobCount())
@@ -268,6 +311,7 @@
       WatchWorkers();
       mPeriodicPlanTimer = mLoop.Every(kPlanPeriod, [this] { SchedulePlan(); });
       mExpiryTimer = mLoop.Every(kExpiryPeriod, [this] { mDeleteExpired = true; });
+      mFormerLeadersTimer = mLoop.Every(kFormerLeadersPeriod, [this] { AskFormerLeaders(); });
     }
     SchedulePlan();
   }
@@ -531,6 +575,8 @@
   const ControlSettings& mSettings;
   FencingToken mToken;
   scheduler::Scheduler mScheduler;
+  HandOverSource mHandOverSource;
+  EarlierLeases mEarlierLeases;
   // Reads the records of former leaders: progress, racks and the batch key.
   PrefixReader<Store> mRecords;
   std::map<JobId, std::string> mProgress;
@@ -555,6 +601,7 @@
   Timer mPeriodicPlanTimer;
   Timer mStoreTimer;
   Timer mExpiryTimer;
+  Timer mFormerLeadersTimer;
   CallbackGuard mGuard;
 };
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -110,6 +110,8 @@
   // be in progress; from then on only the tasks with such a run wait for its worker, or for the end
   // of its lease.
   void OnHandedOver(Duration aEarlierLeases, bool aNamesAllRuns, const CurrentTime& aNow);
+  // The longest that a lease may last after a renewal, on this process's clock.
+  Duration MaxLeaseDuration() const { return WithClockDrift(mSettings.mLeaseDuration); }
   // Whether tasks of inherited jobs may be started.
   bool IsTakeoverSettled() const { return mIsTakeoverSettled; }
   // Returns how long leases may last that earlier schedulers have renewed, or may still renew; 0
@@ -185,9 +187,7 @@
   void UpdateCheckpoint(Job& aJob, const TaskRef& aTask, const std::string& aCheckpoint);
   // Returns the longest time on this process's clock in which a worker's clock advances by aTime.
   Duration WithClockDrift(Duration aTime) const;
-  // The longest that a lease may last after a renewal, on this process's clock.
-  Duration MaxLeaseDuration() const { return WithClockDrift(mSettings.mLeaseDuration); }
-  // The same for any order to the worker; see Worker::mHasRestarted.
+  // MaxLeaseDuration() for any order to the worker; see Worker::mHasRestarted.
   Duration MaxLeaseDuration(const Worker& aWorker) const
   {
     return aWorker.mHasRestarted ? WithClockDrift(mSettings.mLongestLease) : MaxLeaseDuration();
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -103,10 +103,14 @@
     mSettings.mPeers = SocketAddress("127.0.0.1", 7000);
     mDeployment.mQueues.push_back({ "queue", "host", "/q/", true, mPolicy });
     mStore.Put("workers/w", "r");
+    // The claim of a former leader, whose hand-over is requested.
+    mStore.Put(std::string(kLastLeaderKey), "former");
     ElectionCallbacks callbacks;
     callbacks.mOnElected = [this](FencingToken) {
       mLeader.emplace(mLoop, mStore, mCalls, *mElection, mSettings, mDeployment,
-                      [this](const HandOverCallback& aCallback) { aCallback(mHandOver); });
+                      [this](const FormerLeader&, Duration, const HandOverCallback& aCallback) {
+                        aCallback(mHandOver);
+                      });
     };
     callbacks.mOnLost = [this](const char*) { ++mLost; };
     mElection.emplace(mLoop, mStore, mRandom, mSettings, std::move(callbacks));
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -242,6 +242,57 @@
   cr_assert_eq(ReadHandOver(json).mEarlierLeases, scheduler::kMaxDuration);
 }
 
+namespace {
+
+// The progress of a job whose task was started on a worker that has left.
+constexpr const char* kOnGoneWorker =
+  R"({"state":"in_progress","next":1,"done":0,"open":[{"number":0,"steps":[[)"
+  R"([1,0,[],"gone",""]]]}]})";
+
+} // namespace
+
+// Guards against a task that waits for the longest lease of an earlier leader although the former
+// one is known to have ended: it didn't reply when it was asked first, and replies later.
+Test(Leader, starts_the_task_of_a_gone_worker_one_lease_after_the_former_leader_has_ended)
+{
+  LeaderFixture f;
+  // Lets the other node be elected first.
+  f.mSettings.mCores = 0.01;
+  f.mSettings.mScheduler.mLeaseDuration = Duration(300);
+  // Longer than RunUntil() waits.
+  f.mSettings.mScheduler.mStoreOutageTolerance = Duration(600000);
+  Random random{ 3 };
+  ControlSettings settings = f.mSettings;
+  settings.mNode = NodeId("former");
+  settings.mCores = 1;
+  ElectionCallbacks callbacks;
+  FencingToken token;
+  callbacks.mOnElected = [&token](FencingToken aToken) { token = aToken; };
+  callbacks.mOnLost = [](const char*) {};
+  Election<FakeStore> former(f.mLoop, f.mStore, random, settings, std::move(callbacks));
+  f.RunUntil([&] { return f.mElection->LeaderAddress().has_value(); });
+  cr_assert(former.IsLeader());
+  f.Submit("j");
+  f.mStore.Put("progress/job/j", kOnGoneWorker);
+  former.Withdraw();
+  f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
+  // The former leader knows of no leases that leaders before it may have renewed.
+  f.mHandOver = { token, false, Duration(0), {} };
+  const auto handedOver = std::chrono::steady_clock::now();
+  f.RunUntil([&] { return !f.mCalls.mStarts.empty(); });
+  cr_assert_gt(std::chrono::steady_clock::now() - handedOver,
+               f.mSettings.mScheduler.mLeaseDuration);
+}
+
+// Guards against taking a node that knows nothing of a leadership for one that knows all its runs.
+Test(HandOver, names_no_runs_and_no_leases_of_an_unknown_leadership)
+{
+  const auto read = ReadHandOver(WriteHandOver(UnknownHandOver(FencingToken(5))));
+  cr_assert_eq(read.mToken, FencingToken(5));
+  cr_assert_not(read.mIsComplete);
+  cr_assert_eq(read.mEarlierLeases, scheduler::kMaxDuration);
+}
+
 // Guards against a leader that keeps a leadership which it can't carry out: the store confirms its
 // lease but answers none of its listings, so every node refuses requests.
 Test(Leader, lets_another_node_lead_if_its_takeover_fails)
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -303,15 +303,16 @@
   Fixture f;
   Candidate a(f, "a");
   f.RunUntil([&] { return a.mElection->IsLeader(); });
-  cr_assert_not(a.mElection->Former().has_value());
+  cr_assert(a.mElection->FormerLeaders().empty());
   Candidate b(f, "b");
   f.RunUntil([&] { return b.mElection->LeaderAddress().has_value(); });
   a.mElection->Withdraw();
   f.RunUntil([&] { return b.mElection->IsLeader(); });
-  const auto former = b.mElection->Former();
-  cr_assert(former.has_value());
-  cr_assert_eq(former->mToken, a.mTokens.at(0));
-  cr_assert(former->mAddress.has_value());
+  const auto former = b.mElection->FormerLeaders();
+  cr_assert_eq(former.size(), 1);
+  cr_assert_eq(former[0].mToken, a.mTokens.at(0));
+  cr_assert_eq(former[0].mNode, NodeId("a"));
+  cr_assert(former[0].mAddress.has_value());
 }
 
 // Simulates a leadership whose leader key this node didn't see. Guards against claims that are
@@ -326,5 +327,8 @@
   f.mStore.PutWithoutNotification(std::string(kLastLeaderKey), "c");
   a.mElection->Withdraw();
   f.RunUntil([&] { return b.mElection->IsLeader(); });
-  cr_assert_not(b.mElection->Former().has_value());
+  const auto former = b.mElection->FormerLeaders();
+  cr_assert_eq(former.size(), 1);
+  cr_assert_gt(former[0].mToken, a.mTokens.at(0));
+  cr_assert_not(former[0].mAddress.has_value());
 }
