Pass on an outdated count of pending jobs in an outage of the store

The leader can't tell an outage of the store from its own, but the asking node has its own way to the store. The leader now sends its count and whether it is current, and a node that reaches the store refuses one that isn't, since jobs may have been accepted meanwhile; a node that doesn't reach it either passes the count on. The leader's own callers get current counts only, because a slow leader may take the store for unreachable. A reply without the new field, from a leader of an earlier version, counts as current.

--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -54,8 +54,8 @@
 // Receives the leader's reply; nullopt if the leader couldn't be reached. The inner optional is
 // empty if the leader doesn't know the job.
 using StateCallback = std::function<void(std::optional<std::optional<JobStatus>>)>;
-// Receives the leader's count; nullopt if the leader couldn't be reached, or if its view of the
-// jobs is outdated.
+// Receives the leader's count; nullopt if the leader couldn't be reached, or if its count is
+// outdated.
 using PendingCountCallback = std::function<void(std::optional<int>)>;
 
 // The functions that CallerApi needs from its node.
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -41,8 +41,9 @@
 inline constexpr Duration kClaimJitter{ 20 };
 // A watch call without events returns after this time, which bounds the age of a node's view.
 inline constexpr Duration kWatchWait{ 1000 };
-// A leader counts a queue's pending jobs only while its view of the accepted jobs is at most this
-// old. While nothing changes, the view is confirmed once in kWatchWait, as it was kWatchWait ago.
+// A leader's count of a queue's pending jobs is current while its view of the accepted jobs is at
+// most this old. While nothing changes, the view is confirmed once in kWatchWait, as it was
+// kWatchWait ago.
 inline constexpr Duration kMaxPendingCountAge = 2 * kWatchWait + Duration(800);
 // Pause between watch calls for worker entries, which change constantly; batches their changes.
 inline constexpr Duration kWorkerWatchPause{ 200 };
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -284,13 +284,12 @@
       aReply(WriteHandOver(ProvideHandOver(token, node)));
     });
     mPeers.Handle("pending_jobs", [this](const Json& aBody, const peer::ReplyFunction& aReply) {
-      const auto queue = JsonValue(aBody, "queue", std::string());
-      const auto count = IsLoadedLeader() ? mLeader->PendingJobs(queue) : std::nullopt;
-      if (!count) {
+      if (!IsLoadedLeader()) {
         aReply({ { "leader", false } });
         return;
       }
-      aReply({ { "leader", true }, { "count", *count } });
+      const auto count = mLeader->PendingJobs(JsonValue(aBody, "queue", std::string()));
+      aReply({ { "leader", true }, { "count", count.mJobs }, { "current", count.mIsCurrent } });
     });
   }
 
@@ -328,7 +327,9 @@
   void QueryPendingCount(const std::string& aQueue, PendingCountCallback aCallback)
   {
     if (IsLoadedLeader()) {
-      aCallback(mLeader->PendingJobs(aQueue));
+      const auto count = mLeader->PendingJobs(aQueue);
+      // A slow leader may take the store for unreachable, so only a current count is sent.
+      aCallback(count.mIsCurrent ? std::optional(count.mJobs) : std::nullopt);
       return;
     }
     const auto& leader = mElection ? mElection->LeaderAddress() : mNoAddress;
@@ -336,11 +337,22 @@
       aCallback(std::nullopt);
       return;
     }
-    mPeers.Call(*leader, "pending_jobs", { { "queue", aQueue } }, kLeaderCallTimeout,
-                [callback = std::move(aCallback)](std::error_code aError, const Json& aReply) {
-                  const bool isKnown = !aError && JsonValue(aReply, "leader", false);
-                  callback(isKnown ? std::optional(JsonValue(aReply, "count", 0)) : std::nullopt);
-                });
+    mPeers.Call(
+      *leader, "pending_jobs", { { "queue", aQueue } }, kLeaderCallTimeout,
+      [this, callback = std::move(aCallback)](std::error_code aError, const Json& aReply) {
+        callback(ReadPendingCountReply(aError, aReply));
+      });
+  }
+
+  std::optional<int> ReadPendingCountReply(std::error_code aError, const Json& aReply) const
+  {
+    if (aError || !JsonValue(aReply, "leader", false)) {
+      return std::nullopt;
+    }
+    // Leaders of earlier versions don't say whether their count is current.
+    const PendingCount count{ JsonValue(aReply, "count", 0), JsonValue(aReply, "current", true) };
+    const bool isUsable = count.IsUsable(mStoreFreshness.IsReachable(BootTime()));
+    return isUsable ? std::optional(count.mJobs) : std::nullopt;
   }
 
   using LeaderType = Leader<Store, Calls, typename P::Registry>;
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -52,6 +52,18 @@
   AccountId mAccount;
 };
 
+// The number of pending jobs of a queue as the leader knows it.
+struct PendingCount
+{
+  int mJobs = 0;
+  // Whether the leader's view is so recent that it lacks no job that was accepted a while ago.
+  bool mIsCurrent = false;
+
+  // Whether a node may pass the count on. Only while a node reaches the store, jobs may have been
+  // accepted that an outdated count lacks: in an outage of the store none are.
+  bool IsUsable(bool aIsStoreReachable) const { return mIsCurrent || !aIsStoreReachable; }
+};
+
 // Runs the scheduler while this node is the leader: loads the jobs, watches requests and worker
 // entries, renews the workers' leases, sends orders to workers and stores progress. Exists for one
 // leadership.
@@ -124,18 +136,15 @@
     return known;
   }
 
-  // Returns the number of the queue's jobs of which no task has started; nullopt while this leader
-  // may lack jobs that were accepted a while ago.
-  std::optional<int> PendingJobs(const std::string& aQueue)
+  // Returns the number of the queue's known jobs of which no task has started.
+  PendingCount PendingJobs(const std::string& aQueue)
   {
     const auto age = mRequestsFreshness.Age(BootTime());
-    if (age <= kMaxPendingCountAge) {
-      return mScheduler.PendingJobs(aQueue);
-    }
-    if (!std::exchange(mIsOutdatedLogged, true)) {
+    const bool isCurrent = age <= kMaxPendingCountAge;
+    if (!isCurrent && !std::exchange(mIsOutdatedLogged, true)) {
       LogEvent("requests_outdated", LogLevel::Warning).With("age_ms", age);
     }
-    return std::nullopt;
+    return { mScheduler.PendingJobs(aQueue), isCurrent };
   }
 
 private:
@@ -590,7 +599,7 @@
   std::optional<PrefixWatch<Store>> mRequests;
   // How recent this leader's view of the accepted and cancelled jobs is.
   StoreFreshness mRequestsFreshness;
-  // Whether a refused count was logged since that view was last confirmed.
+  // Whether it was logged that the view is outdated, since it was last confirmed.
   bool mIsOutdatedLogged = false;
   std::optional<PrefixWatch<Store>> mWorkers;
   WorkerLeases<Calls> mLeases;
