Let the lease of a worker end whose reports can't be read

Callers would see inherited work wait for ever after a takeover.

Cause: such a worker never counts as having answered, but each of its replies was followed by a renewal, so its lease never ended either, and a takeover waits for one of the two. Change: like after a failed call, calls don't renew the lease until a report can be read in full.

--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -109,8 +109,8 @@
   struct Renewal
   {
     bool mInFlight = false;
-    // The last call failed. Until one succeeds, calls don't renew the lease, so that the lease of a
-    // lost worker ends.
+    // The last call failed, or its report can't be read in part. Until one succeeds, calls don't
+    // renew the lease, so that the lease of a lost worker ends.
     bool mLastCallFailed = false;
     int mFailures = 0;
     // The worker's clock in its last report, the incarnation that it belongs to, and the local time
@@ -133,7 +133,7 @@
     const bool isDone = aReply.mOutcome == scheduler::OrderOutcome::Done;
     auto& renewal = mRenewals[aWorker];
     renewal.mInFlight = false;
-    renewal.mLastCallFailed = !isDone;
+    renewal.mLastCallFailed = !isDone || aReply.mReport.mHasUnreadableRows;
     CountFailures(aWorker, renewal, aReply.mOutcome);
     mHooks.mOnUpdate();
     switch (aReply.mOutcome) {
--- a/src/scheduler/WorkerReport.h
+++ b/src/scheduler/WorkerReport.h
@@ -78,6 +78,8 @@
   // ends in parts, and rows that can't be read are left out. A run that such a report lacks may be
   // one of those.
   bool mIsPartial = false;
+  // Whether rows were left out because they can't be read. The report is partial then.
+  bool mHasUnreadableRows = false;
 };
 
 // The outcome of an order to a worker.
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -49,6 +49,8 @@
       reply.mReport.mClock = scheduler::WorkerClock(++mClock);
       reply.mReport.mRunning = mRunning[aTarget.mWorker];
       reply.mReport.mFinished = mFinished;
+      reply.mReport.mHasUnreadableRows = mHasUnreadableRows;
+      reply.mReport.mIsPartial = mHasUnreadableRows;
       aCallback(reply);
     }));
   }
@@ -63,6 +65,8 @@
   std::map<WorkerId, std::vector<scheduler::RunningRun>> mRunning;
   // The ended runs that every worker reports.
   std::vector<scheduler::FinishedRun> mFinished;
+  // Whether the reports have rows that can't be read.
+  bool mHasUnreadableRows = false;
 
 private:
   template<typename Task>
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -34,6 +34,20 @@
   f.RunUntil([&] { return f.mCalls.mRenewalCalls.back().mLeaseDeadline.has_value(); });
 }
 
+// Guards against work that waits for ever for a worker whose reports can't be read in part: they
+// count as no answer, so its lease has to end.
+Test(Leader, does_not_renew_the_lease_of_a_worker_whose_reports_can_not_be_read)
+{
+  LeaderFixture f;
+  f.RunUntil([&] { return f.mCalls.mRenewalCalls.size() > 2; });
+  f.mCalls.mHasUnreadableRows = true;
+  const auto unreadable = f.mCalls.mRenewalCalls.size() + 1;
+  f.RunUntil([&] { return f.mCalls.mRenewalCalls.size() > unreadable + 2; });
+  for (auto i = unreadable; i < f.mCalls.mRenewalCalls.size(); ++i) {
+    cr_assert_not(f.mCalls.mRenewalCalls[i].mLeaseDeadline.has_value());
+  }
+}
+
 // Guards against a second run of a task whose worker is cut off from the store and from the leader
 // by a network that refuses connections: its entry expires and its address refuses calls, but its
 // runs go on until its lease has expired.
