Take a former leader for this process only at its own address

Callers would see a task run twice.

Cause: a node that was elected again took a former leadership under its name for its own and so for ended. If a VM is replaced under its name at another address, the old process may still renew leases. Change: the address has to be the same too; otherwise the old address is asked. The leader also goes on to ask former ones when a wait begins anew, where it stopped for good once nothing waited. Why it works: one address has one process. Result: by reading alone, no test.

--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -199,7 +199,7 @@
   void
   RequestHandOver(const FormerLeader& aFormer, Duration aTimeout, const HandOverCallback& aCallback)
   {
-    if (aFormer.mNode == mSettings.mNode) {
+    if (aFormer.mNode == mSettings.mNode && aFormer.mAddress == mSettings.mPeers) {
       aCallback(ProvideHandOver(aFormer.mToken, aFormer.mNode));
       return;
     }
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -185,7 +185,6 @@
   void AskFormerLeaders()
   {
     if (mScheduler.EarlierLeases(Now()) == Duration(0)) {
-      mFormerLeadersTimer.Cancel();
       return;
     }
     for (const auto& it : mEarlierLeases.Active(BootTime())) {
