Shorten no lease that this leader has renewed itself

Callers would see tasks run twice.

Cause: since former leaders are asked again until they reply, the bound on their leases may arrive seconds after this leader began to renew. It was applied to the expected end of each worker's lease as a whole, also to what this leader's own calls had renewed since.

Change: the end of a worker's lease by this scheduler's own calls is kept apart, and the bound applies to inherited leases alone.

--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -84,6 +84,8 @@
   bool mHasRestarted = false;
   // Upper bound on when the worker's lease expires unless it is renewed. Nothing runs there later.
   TimePoint mLeaseExpiry;
+  // The same, regarding only leases that this scheduler's own calls may have renewed.
+  TimePoint mOwnLeaseExpiry;
   // No run is started on the worker before this time.
   TimePoint mAvoidUntil;
   TimePoint mDrainingSince;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -232,7 +232,8 @@
   const auto it = mFleet.find(aWorker);
   if (it != mFleet.end()) {
     auto& worker = it->second;
-    worker.mLeaseExpiry = std::max(worker.mLeaseExpiry, aNow.mSteady + MaxLeaseDuration(worker));
+    worker.mOwnLeaseExpiry = aNow.mSteady + MaxLeaseDuration(worker);
+    worker.mLeaseExpiry = std::max(worker.mLeaseExpiry, worker.mOwnLeaseExpiry);
   }
 }
 
@@ -254,6 +255,7 @@
   DropAllRuns(it->second, "worker_replaced", aNow);
   ForgetIncarnation(it->second);
   it->second.mLeaseExpiry = aNow.mSteady;
+  it->second.mOwnLeaseExpiry = aNow.mSteady;
 }
 
 void
@@ -284,8 +286,8 @@
   }
   aWorker.mHasRestarted = true;
   // Until the new incarnation has answered, an earlier scheduler may renew its lease too.
-  aWorker.mLeaseExpiry =
-    std::max(aNow.mSteady + MaxLeaseDuration(aWorker), InheritedLeaseExpiry(aWorker));
+  aWorker.mOwnLeaseExpiry = aNow.mSteady + MaxLeaseDuration(aWorker);
+  aWorker.mLeaseExpiry = std::max(aWorker.mOwnLeaseExpiry, InheritedLeaseExpiry(aWorker));
   mDirtyRacks.insert(aWorker.mEntry.mRack);
 }
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -105,10 +105,10 @@
 
   const Fleet& Workers() const { return mFleet; }
   const SchedulerCounts& Counts() const { return mCounts; }
-  // The former scheduler has ended and told how long leases may last that schedulers before it have
-  // renewed, see EarlierLeases(). With aNamesAllRuns, the loaded progress names all runs that may
-  // be in progress; from then on only the tasks with such a run wait for its worker, or for the end
-  // of its lease.
+  // Leases that earlier schedulers have renewed last no longer than aEarlierLeases from now; see
+  // EarlierLeases(). May be called again when more is known. With aNamesAllRuns, the loaded
+  // progress names all runs that may be in progress; from then on only the tasks with such a run
+  // wait for its worker, or for the end of its lease.
   void OnHandedOver(Duration aEarlierLeases, bool aNamesAllRuns, const CurrentTime& aNow);
   // The longest that a lease may last after a renewal, on this process's clock.
   Duration MaxLeaseDuration() const { return WithClockDrift(mSettings.mLeaseDuration); }
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -128,7 +128,8 @@
   const auto lastLease = std::max(MaxLeaseDuration(), aEarlierLeases);
   mInheritedUntil = std::min(mInheritedUntil, aNow.mSteady + lastLease);
   for (auto& [id, worker] : mFleet) {
-    worker.mLeaseExpiry = std::min(worker.mLeaseExpiry, InheritedLeaseExpiry(worker));
+    const auto inherited = std::min(worker.mLeaseExpiry, InheritedLeaseExpiry(worker));
+    worker.mLeaseExpiry = std::max(inherited, worker.mOwnLeaseExpiry);
   }
   if (aNamesAllRuns) {
     SettleTakeover();
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -432,6 +432,27 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a second run of a task because a former leader replies late: the bound on its
+// leases must not shorten one that this scheduler has renewed itself.
+Test(Takeover, keeps_its_own_leases_when_a_former_leader_replies_late)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.TakeOver({});
+  f.mScheduler->OnHandedOver(Duration(0), true, f.mNow);
+  f.RenewAllLeases();
+  f.AdvanceTime(f.mSettings.mLeaseDuration - Duration(500));
+  f.StoreProgress();
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.mWorkers.at(first.mWorker).mIsReachable = false;
+  f.mScheduler->OnHandedOver(Duration(0), false, f.mNow);
+  f.AdvanceTime(f.mSettings.mLeaseDuration);
+  cr_assert(f.Plan().mStarts.empty(), "the run was started a second time");
+  f.AdvanceTime(Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against a former leader that counts as having no inherited leases before it has read the
 // records of its predecessors.
 Test(Takeover, hands_over_the_longest_wait_before_the_records_are_read)
