--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -180,7 +180,6 @@
         self.after_write = None
 
     def _put(self, key, value, lease=0):
-        self.revision += 1
         created = self.items[key]["created"] if key in self.items else self.revision
         self.items[key] = {"key": key, "value": base64.b64encode(value).decode(),
                            "revision": self.revision, "created": created, "lease": lease}
@@ -188,7 +187,6 @@
 
     def _remove(self, key):
         if key in self.items:
-            self.revision += 1
             del self.items[key]
             self.history.append({"key": key, "revision": self.revision, "deleted": True})
 
@@ -198,13 +196,10 @@
 
     def put(self, key, value):
         """A write of the operator or of a worker."""
+        self.revision += 1
         self._put(key, value if isinstance(value, bytes) else json.dumps(value).encode())
         self._notify()
 
-    def remove(self, key):
-        self._remove(key)
-        self._notify()
-
     def text(self, key):
         item = self.items.get(key)
         return base64.b64decode(item["value"]).decode() if item else None
@@ -218,6 +213,7 @@
 
     def _end_lease(self, lease):
         del self.leases[lease]
+        self.revision += 1
         for key in [k for k, v in self.items.items() if v["lease"] == lease]:
             self._remove(key)
         self._notify()
@@ -286,6 +282,8 @@
         for it in body.get("writes", []):
             if it.get("lease", 0) and it["lease"] not in self.leases:
                 return 404, {}
+        # All that a transaction changes has its revision.
+        self.revision += 1
         for it in body.get("writes", []):
             self._put(it["key"], base64.b64decode(it["value"]), it.get("lease", 0))
         for key in body.get("remove", []):
@@ -852,10 +850,12 @@
 
     async def main():
         system = System(directory, nodes)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             trouble = os.environ.get("TROUBLE", "1") != "0"
             return await asyncio.wait_for(case(system, trouble), 115)
-        except Exception as error:  # pylint: disable=broad-except
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
             system.record("can't run: %r" % error)
             print("can't run: %r" % error, file=sys.stderr)
             return None
