--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -24,6 +24,8 @@
 GANG_TIMEOUT_S = 3.0
 HOST = "queue.example"
 PREFIX = "/batch/"
+# Not 1, with which the interpreter ends on any error.
+BROKEN = 11
 
 
 def now():
@@ -843,7 +845,10 @@
 
 
 def play(case, directory, nodes=3):
-    """Runs case(system, trouble) -> list of broken rules; exits with 0, 1 or 2."""
+    """Runs case(system, trouble) -> list of broken rules.
+
+    Exits with BROKEN if there are any, with 0 if there are none, and otherwise if it couldn't run.
+    """
     if not os.path.exists(os.path.join(REPOSITORY, deploy_command()[0])):
         print("the build of the deploy file is missing", file=sys.stderr)
         sys.exit(2)
@@ -867,4 +872,4 @@
         sys.exit(2)
     for text in broken:
         print("broken: " + text)
-    sys.exit(1 if broken else 0)
+    sys.exit(BROKEN if broken else 0)
