Review: each run of a case has loopback addresses of its own

In one of 50 runs, five cases side by side, a port that a case had picked was taken by another one before it listened there, so that the case couldn't run (exit 2).

--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -626,23 +626,25 @@
         self.accepted = {}
         self.version = 0
         self.used = set()
+        # Loopback addresses of this run alone, so that cases that run side by side share no port.
+        self.network = "127.%d.%d." % (64 + os.getpid() // 250 % 128, 1 + os.getpid() % 250)
         self.nodes = [self._new_node(i) for i in range(nodes)]
         self.temporary = tempfile.mkdtemp(prefix="lovagerock-review-")
         self.servers = []
         self.tasks = []
 
     def _new_node(self, index):
-        ip = "127.0.0.%d" % (11 + index)
+        ip = self.network + str(11 + index)
         node = {"name": "edge-zone-a-%d" % (index + 1), "ip": ip, "process": None}
         for it in ("frontend", "ready", "peers"):
             node[it] = free_address(self.used, ip)
-        node["store"] = free_address(self.used, "127.0.0.1")
+        node["store"] = free_address(self.used, self.network + "1")
         return node
 
     async def start(self, worker_plan, configuration):
         """worker_plan: list of (rack, kind, capacity)."""
         for i, (rack, kind, capacity) in enumerate(worker_plan):
-            worker = Worker(self, "i-%08x" % (0x1000 + i), free_address(self.used, "127.0.0.2"),
+            worker = Worker(self, "i-%08x" % (0x1000 + i), free_address(self.used, self.network + "2"),
                             rack, kind, capacity)
             self.workers[worker.id] = worker
         for node in self.nodes:
