Say of a read without an answer what happened to it

What was seen: `watch_interrupted ... reason="outcome of the write is unknown"`, although a watch writes nothing.

Cause: StoreClient mapped each call that was sent and had no answer to KvError::OutcomeUnknown, whose text is about writes.

Writes and calls for leases of the store keep OutcomeUnknown. No caller of a read tells these errors apart, so only the log changes.

--- a/src/kv/KvError.cpp
+++ b/src/kv/KvError.cpp
@@ -29,6 +29,10 @@
         return "the key-value service no longer knows the changes";
       case KvError::LeaseEnded:
         return "lease of the key-value service has ended";
+      case KvError::NoAnswer:
+        return "no answer of the key-value service within the time limit";
+      case KvError::ConnectionLost:
+        return "connection to the key-value service lost before its answer";
     }
     return "unknown key-value error";
   }
--- a/src/kv/KvError.h
+++ b/src/kv/KvError.h
@@ -21,6 +21,10 @@
   HistoryGone,
   // The lease has ended, or never was.
   LeaseEnded,
+  // The service didn't answer a read in time.
+  NoAnswer,
+  // The connection ended before the answer of a read was complete.
+  ConnectionLost,
 };
 
 const std::error_category&
--- a/tests/platform/ReplyTests.cpp
+++ b/tests/platform/ReplyTests.cpp
@@ -116,6 +116,106 @@
 
 namespace {
 
+// A store that gets calls and answers none.
+struct SilentStore
+{
+  explicit SilentStore(bool aClosesConnections)
+    : mClosesConnections(aClosesConnections)
+  {
+    mServer.emplace(mLoop);
+    cr_assert_not(mServer->Listen(testing::LocalAddress()));
+    for (const auto method : { http::Method::Get, http::Method::Post }) {
+      mServer->Handle(method, "/{path*}", [this](const http::Request&, const http::Responder& aTo) {
+        mHeld.push_back(aTo);
+        if (mClosesConnections) {
+          mLoop.Post([this] { mServer.reset(); });
+        }
+      });
+    }
+    mClient.emplace(mLoop, mServer->Address());
+  }
+
+  // Makes the call, which gets this object's client and a function to pass its error to, and
+  // returns the error.
+  template<typename Call>
+  std::error_code ErrorOf(Call aCall)
+  {
+    std::optional<std::error_code> error;
+    aCall(*mClient, [&](std::error_code aError) {
+      error = aError;
+      mLoop.Stop();
+    });
+    mLoop.Run();
+    return *error;
+  }
+
+  std::error_code ErrorOfWatch()
+  {
+    return ErrorOf([](StoreClient& aClient, const auto& aDone) {
+      aClient.Watch("requests/", kv::Revision(1), Duration(10),
+                    [aDone](std::error_code aError, const kv::EventPage&) { aDone(aError); });
+    });
+  }
+
+  std::error_code ErrorOfList()
+  {
+    return ErrorOf([](StoreClient& aClient, const auto& aDone) {
+      aClient.List("requests/", "",
+                   [aDone](std::error_code aError, const kv::ItemPage&) { aDone(aError); });
+    });
+  }
+
+  std::error_code ErrorOfGet()
+  {
+    return ErrorOf([](StoreClient& aClient, const auto& aDone) {
+      aClient.Get("leader/node", [aDone](std::error_code aError, const std::optional<kv::Item>&) {
+        aDone(aError);
+      });
+    });
+  }
+
+  std::error_code ErrorOfWrite()
+  {
+    return ErrorOf([](StoreClient& aClient, const auto& aDone) {
+      aClient.Write({},
+                    [aDone](std::error_code aError, const kv::WriteOutcome&) { aDone(aError); });
+    });
+  }
+
+  EventLoop mLoop;
+  bool mClosesConnections;
+  std::optional<http::HttpServer> mServer;
+  std::vector<http::Responder> mHeld;
+  std::optional<StoreClient> mClient;
+};
+
+} // namespace
+
+// Guards against log lines that say of a watch or a listing that the outcome of a write is unknown.
+Test(StoreClient, tells_that_a_read_has_no_answer)
+{
+  cr_assert_eq(SilentStore(false).ErrorOfWatch(), make_error_code(kv::KvError::NoAnswer));
+  cr_assert_eq(SilentStore(false).ErrorOfList(), make_error_code(kv::KvError::NoAnswer));
+  cr_assert_eq(SilentStore(false).ErrorOfGet(), make_error_code(kv::KvError::NoAnswer));
+}
+
+// Guards against the same, and against a lost connection that looks like a silent store.
+Test(StoreClient, tells_that_a_read_has_lost_its_connection)
+{
+  cr_assert_eq(SilentStore(true).ErrorOfWatch(), make_error_code(kv::KvError::ConnectionLost));
+  cr_assert_eq(SilentStore(true).ErrorOfList(), make_error_code(kv::KvError::ConnectionLost));
+  cr_assert_eq(SilentStore(true).ErrorOfGet(), make_error_code(kv::KvError::ConnectionLost));
+}
+
+// Guards against a write that counts as not done although the store may have carried it out.
+Test(StoreClient, does_not_know_the_outcome_of_a_write_without_an_answer)
+{
+  cr_assert_eq(SilentStore(false).ErrorOfWrite(), make_error_code(kv::KvError::OutcomeUnknown));
+  cr_assert_eq(SilentStore(true).ErrorOfWrite(), make_error_code(kv::KvError::OutcomeUnknown));
+}
+
+namespace {
+
 // A worker that records the last_seen of each renewal, in all its lives.
 class RenewedWorker
 {
