Find out why steps wait

Change: WaitScanner reads the scheduler's state after a plan and gives a typed WaitReason for each step that has waited for a second: takeover, unreported run, stop, incomplete gang, unconfirmed leadership, start held back or without an answer, evictions, reserved room, avoided, unanswered or missing workers, a demand that never fits, no room. It names the worker that is waited for and the rest of its lease. It is a friend of Scheduler and changes nothing there. Placer has an option to include workers that are paused, for "there would be room on workers that are avoided".

Bounds: a scan visits each task and run once; what keeps workers from a step is examined for the 32 longest waits only, the others are counted as not_examined.

A scan is meant for once a second.

--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -44,15 +44,16 @@
 
 } // namespace
 
-Placer::Placer(const Fleet& aFleet, TimePoint aNow)
+Placer::Placer(const Fleet& aFleet, TimePoint aNow, bool aIgnoresPauses)
 {
   std::map<RackId, std::vector<const Worker*>> racks;
   for (const auto& [id, worker] : aFleet) {
     if (worker.AcceptsWork()) {
       ++mRegistered[worker.mEntry.mService];
     }
+    const bool isPaused = worker.mAvoidUntil > aNow && !aIgnoresPauses;
     const bool isUsable = worker.mHasAnswered && !worker.mNeedsHigherToken &&
-                          worker.AcceptsWork() && worker.mRecorded && worker.mAvoidUntil <= aNow &&
+                          worker.AcceptsWork() && worker.mRecorded && !isPaused &&
                           worker.mLeaseExpiry > aNow;
     if (isUsable) {
       racks[worker.mEntry.mRack].push_back(&worker);
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -63,7 +63,8 @@
 class Placer
 {
 public:
-  Placer(const Fleet& aFleet, TimePoint aNow);
+  // With aIgnoresPauses, workers on which no run is started for a while may be chosen as well.
+  Placer(const Fleet& aFleet, TimePoint aNow, bool aIgnoresPauses = false);
 
   // Reserves resources on a worker; later choices treat them as used.
   void Reserve(const WorkerId& aWorker, const Capacity& aDemand);
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -24,6 +24,8 @@
   std::int64_t mWallMs = 0;
 };
 
+class WaitScanner;
+
 // Counts of decisions and of failed and lost runs since the scheduler was created.
 struct SchedulerCounts
 {
@@ -126,6 +128,8 @@
   int UnreportedRuns(const CurrentTime& aNow) const;
 
 private:
+  friend class WaitScanner;
+
   // The urgency of a job, by its account's guarantee and its expected end. DueSteps() places
   // Entitled jobs first and Worthless ones last. Between these, the queue's priority comes before
   // the class, and the objective decides last.
