Log and serve why jobs wait

What was seen: no log line says for a job that waits why it waits, and lovagerock-edge served no metrics.

Change: after a plan, once a second, the leader scans for waits. While anything has waited for over a second it logs `jobs_waiting` with the number of jobs by reason and `job_waits` for the 5 longest waits at most, for one job every 2 s at most; `takeover_waits` until the takeover is settled; `leader_held_up` if it has been allowed to start nothing for over a second while jobs wait. The scan also runs when the leader may not act.

The readiness server answers GET /metrics: whether the node leads, whether its takeover is settled, the workers that haven't answered, the waiting jobs and the longest wait by reason.

The new test EdgeNodes/serve_metrics_of_waiting_jobs with real processes hadn't been run at this commit.

--- /dev/null
+++ b/src/control/EdgeMetrics.cpp
@@ -0,0 +1,58 @@
+#include "control/EdgeMetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+#include <sstream>
+
+namespace lovagerock::control {
+
+namespace {
+
+prometheus::Family<prometheus::Gauge>&
+AddFamily(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+} // namespace
+
+EdgeMetrics::EdgeMetrics()
+  : mLeads(AddFamily(mRegistry, "lovagerock_leads", "1 while this node is the leader").Add({}))
+  , mSettled(AddFamily(mRegistry, "lovagerock_takeover_settled",
+                       "1 while this node leads and its takeover waits for no worker")
+               .Add({}))
+  , mUnanswered(AddFamily(mRegistry, "lovagerock_workers_unanswered",
+                          "Workers that may have runs of earlier leaders and haven't answered "
+                          "this one")
+                  .Add({}))
+{
+  auto& jobs = AddFamily(mRegistry, "lovagerock_jobs_waiting",
+                         "Jobs with tasks that have waited for over a second, by reason");
+  auto& longest = AddFamily(mRegistry, "lovagerock_jobs_longest_wait_seconds",
+                            "The longest wait of these jobs, by reason");
+  for (const auto it : scheduler::AllWaitReasons()) {
+    const prometheus::Labels labels{ { "reason", scheduler::WaitReasonName(it) } };
+    mReasons[static_cast<std::size_t>(it)] = { &jobs.Add(labels), &longest.Add(labels) };
+  }
+}
+
+std::string
+EdgeMetrics::Collect(const LeaderStatus* aLeader)
+{
+  const auto status = aLeader ? *aLeader : LeaderStatus();
+  mLeads.Set(aLeader ? 1 : 0);
+  mSettled.Set(status.mIsTakeoverSettled ? 1 : 0);
+  mUnanswered.Set(static_cast<double>(status.mUnansweredWorkers));
+  for (const auto it : scheduler::AllWaitReasons()) {
+    const auto& count = status.mWaits.Of(it);
+    const auto& gauges = mReasons[static_cast<std::size_t>(it)];
+    gauges.mJobs->Set(count.mJobs);
+    gauges.mLongest->Set(std::chrono::duration<double>(count.mLongest).count());
+  }
+  std::ostringstream stream;
+  prometheus::TextSerializer().Serialize(stream, mRegistry.Collect());
+  return stream.str();
+}
+
+} // namespace lovagerock::control
--- /dev/null
+++ b/src/control/EdgeMetrics.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "control/WaitMonitor.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <string>
+
+namespace lovagerock::control {
+
+// The metrics of an entry node.
+class EdgeMetrics
+{
+public:
+  EdgeMetrics();
+
+  // Returns all metrics in the text format of Prometheus. aLeader is null while the node doesn't
+  // lead.
+  std::string Collect(const LeaderStatus* aLeader);
+
+private:
+  struct ReasonGauges
+  {
+    prometheus::Gauge* mJobs = nullptr;
+    prometheus::Gauge* mLongest = nullptr;
+  };
+
+  prometheus::Registry mRegistry;
+  prometheus::Gauge& mLeads;
+  prometheus::Gauge& mSettled;
+  prometheus::Gauge& mUnanswered;
+  std::array<ReasonGauges, scheduler::kWaitReasons> mReasons;
+};
+
+} // namespace lovagerock::control
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -8,6 +8,7 @@
 #include "control/CallerApi.h"
 #include "control/ControlSettings.h"
 #include "control/Deployment.h"
+#include "control/EdgeMetrics.h"
 #include "control/Election.h"
 #include "control/Leader.h"
 #include "control/PrefixWatch.h"
@@ -77,6 +78,13 @@
                             [this](const http::Request&, http::Responder aTo) {
                               aTo.Send({ IsReady() ? 200 : 503, {}, "" });
                             });
+    mReadinessServer.Handle(
+      http::Method::Get, "/metrics", [this](const http::Request&, http::Responder aTo) {
+        const auto status = mLeader ? std::optional(mLeader->Status()) : std::nullopt;
+        aTo.Send({ 200,
+                   { { "Content-Type", "text/plain; version=0.0.4" } },
+                   mMetrics.Collect(status ? &*status : nullptr) });
+      });
     HandlePeers();
     for (const auto ec :
          { mCallerServer.Listen(mSettings.mCallers), mReadinessServer.Listen(mSettings.mReadiness),
@@ -365,6 +373,7 @@
   peer::NghttpTransport mPeers;
   http::HttpServer mCallerServer;
   http::HttpServer mReadinessServer;
+  EdgeMetrics mMetrics;
   CallerApi<Store, typename P::Callers> mCallerApi;
   std::optional<Deployment> mDeployment;
   StoreFreshness mStoreFreshness;
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -13,10 +13,12 @@
 #include "control/PrefixWatch.h"
 #include "control/ProgressWriter.h"
 #include "control/StoreFreshness.h"
+#include "control/WaitMonitor.h"
 #include "control/WorkerCalls.h"
 #include "control/WorkerLeases.h"
 #include "scheduler/JobRecord.h"
 #include "scheduler/Scheduler.h"
+#include "scheduler/WaitScanner.h"
 
 #include <map>
 #include <memory>
@@ -147,6 +149,12 @@
     return { mScheduler.PendingJobs(aQueue), isCurrent };
   }
 
+  // What this node knows as the leader, for the metrics.
+  LeaderStatus Status() const
+  {
+    return { mScheduler.IsTakeoverSettled(), mWaits.UnansweredWorkers(), mWaits.Counts() };
+  }
+
 private:
   static scheduler::CurrentTime Now()
   {
@@ -433,6 +441,7 @@
   void Plan()
   {
     if (!mElection.MayAct()) {
+      ReportWaits();
       return;
     }
     const auto begin = std::chrono::steady_clock::now();
@@ -440,6 +449,7 @@
     const auto orders = mScheduler.Plan(Now(), mElection.IsConfirmed());
     const auto end = std::chrono::steady_clock::now();
     mPacer.OnPlanned(end, std::chrono::ceil<Duration>(end - begin));
+    ReportWaits();
     // Stops are sent first, because other work waits for the capacity that they free.
     for (const auto& it : orders.mStops) {
       SendStop(it);
@@ -450,6 +460,17 @@
     ScheduleStore();
   }
 
+  // Reports what still waits after a plan, once per WaitMonitor::kPeriod.
+  void ReportWaits()
+  {
+    const LeaderCondition condition{ mElection.MayAct(), mElection.IsConfirmed(),
+                                     mScheduler.IsTakeoverSettled() };
+    const auto now = Now();
+    if (mWaits.OnPlan(condition, now.mSteady)) {
+      mWaits.OnReport(mWaitScanner.Scan(now, condition.mIsConfirmed), now.mSteady);
+    }
+  }
+
   void SendStart(const scheduler::StartOrder& aOrder)
   {
     const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
@@ -608,6 +629,8 @@
   const ControlSettings& mSettings;
   FencingToken mToken;
   scheduler::Scheduler mScheduler;
+  scheduler::WaitScanner mWaitScanner{ mScheduler };
+  WaitMonitor mWaits;
   HandOverSource mHandOverSource;
   EarlierLeases mEarlierLeases;
   // Reads the records of former leaders: progress, racks and the batch key.
--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -153,6 +153,14 @@
   });
 }
 
+std::string
+EdgeSystem::Metrics(int aNode)
+{
+  const auto result = mCaller.Get(At(aNode).mReadiness, "/metrics");
+  Require(result.Is(200), "no metrics of " + NodeName(aNode));
+  return result.mResponse.mBody;
+}
+
 CallResult
 EdgeSystem::Submit(int aNode, const std::string& aJob, const Json& aSteps,
                    std::chrono::milliseconds aTaskTime)
--- a/tests/integration/EdgeSystem.h
+++ b/tests/integration/EdgeSystem.h
@@ -49,6 +49,8 @@
   void AwaitStopped(int aNode);
   void Start(int aNode);
   void AwaitReady(int aNode);
+  // Returns the node's metrics in the text format.
+  std::string Metrics(int aNode);
 
   // Sets faults of the platform, see PlatformControl.
   void SetFaults(const Json& aFaults);
--- a/tests/integration/EdgeTests.cpp
+++ b/tests/integration/EdgeTests.cpp
@@ -67,6 +67,25 @@
   });
 }
 
+// Guards against an incident in which jobs stand and neither the leader's log nor its metrics tell
+// why.
+Test(EdgeNodes, serve_metrics_of_waiting_jobs)
+{
+  RunWithEdges(2, 1, [](EdgeSystem& aSystem) {
+    const auto has = [&aSystem](int aNode, const std::string& aLine) {
+      return aSystem.Metrics(aNode).find("\n" + aLine + "\n") != std::string::npos;
+    };
+    const int leader = aSystem.AwaitLeaderExcept({});
+    Require(aSystem.Submit(0, kJob, { Tasks(2, 8) }, 4s).Is(200), "not accepted");
+    AwaitTrue("the metrics to tell why the second task waits",
+              [&] { return has(leader, R"(lovagerock_jobs_waiting{reason="no_room"} 1)"); });
+    Require(has(leader, "lovagerock_leads 1"), "the leader doesn't tell that it leads");
+    Require(has(leader, "lovagerock_takeover_settled 1"), "the takeover isn't settled");
+    Require(has(1 - leader, "lovagerock_leads 0"), "a follower tells that it leads");
+    aSystem.AwaitState(1, kJob, "completed");
+  });
+}
+
 // Guards against jobs that are lost or run again when the node that schedules them is killed.
 Test(EdgeNodes, lose_and_repeat_nothing_when_leaders_are_killed)
 {
