Report waits after the orders of a plan are sent

The test of the metrics with real processes submits its single step as an array: it had been refused as malformed.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -434,14 +434,31 @@
   void SchedulePlan()
   {
     if (IsLoaded() && !mPlanTimer.IsPending()) {
-      mPlanTimer = mLoop.After(mPacer.Delay(std::chrono::steady_clock::now()), [this] { Plan(); });
+      mPlanTimer =
+        mLoop.After(mPacer.Delay(std::chrono::steady_clock::now()), [this] { OnPlanTimer(); });
+    }
+  }
+
+  void OnPlanTimer()
+  {
+    Plan();
+    ReportWaits();
+  }
+
+  // Reports what still waits after a plan, once per WaitMonitor::kPeriod.
+  void ReportWaits()
+  {
+    const LeaderCondition condition{ mElection.MayAct(), mElection.IsConfirmed(),
+                                     mScheduler.IsTakeoverSettled() };
+    const auto now = Now();
+    if (mWaits.OnPlan(condition, now.mSteady)) {
+      mWaits.OnReport(mWaitScanner.Scan(now, condition.mIsConfirmed), now.mSteady);
     }
   }
 
   void Plan()
   {
     if (!mElection.MayAct()) {
-      ReportWaits();
       return;
     }
     const auto begin = std::chrono::steady_clock::now();
@@ -449,7 +466,6 @@
     const auto orders = mScheduler.Plan(Now(), mElection.IsConfirmed());
     const auto end = std::chrono::steady_clock::now();
     mPacer.OnPlanned(end, std::chrono::ceil<Duration>(end - begin));
-    ReportWaits();
     // Stops are sent first, because other work waits for the capacity that they free.
     for (const auto& it : orders.mStops) {
       SendStop(it);
@@ -460,17 +476,6 @@
     ScheduleStore();
   }
 
-  // Reports what still waits after a plan, once per WaitMonitor::kPeriod.
-  void ReportWaits()
-  {
-    const LeaderCondition condition{ mElection.MayAct(), mElection.IsConfirmed(),
-                                     mScheduler.IsTakeoverSettled() };
-    const auto now = Now();
-    if (mWaits.OnPlan(condition, now.mSteady)) {
-      mWaits.OnReport(mWaitScanner.Scan(now, condition.mIsConfirmed), now.mSteady);
-    }
-  }
-
   void SendStart(const scheduler::StartOrder& aOrder)
   {
     const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
--- a/src/control/WaitMonitor.h
+++ b/src/control/WaitMonitor.h
@@ -58,7 +58,7 @@
   static constexpr std::size_t kMaxLines = 5;
   static constexpr Duration kJobPeriod{ 2000 };
 
-  // Must be called before each plan. Returns whether a report is due.
+  // Must be called after each plan. Returns whether a report is due.
   bool OnPlan(const LeaderCondition& aCondition, TimePoint aNow);
   // Logs what waits. OnPlan() is true again after kPeriod.
   void OnReport(scheduler::WaitReport aReport, TimePoint aNow);
--- a/tests/integration/EdgeTests.cpp
+++ b/tests/integration/EdgeTests.cpp
@@ -76,7 +76,7 @@
       return aSystem.Metrics(aNode).find("\n" + aLine + "\n") != std::string::npos;
     };
     const int leader = aSystem.AwaitLeaderExcept({});
-    Require(aSystem.Submit(0, kJob, { Tasks(2, 8) }, 4s).Is(200), "not accepted");
+    Require(aSystem.Submit(0, kJob, Json::array({ Tasks(2, 8) }), 4s).Is(200), "not accepted");
     AwaitTrue("the metrics to tell why the second task waits",
               [&] { return has(leader, R"(lovagerock_jobs_waiting{reason="no_room"} 1)"); });
     Require(has(leader, "lovagerock_leads 1"), "the leader doesn't tell that it leads");
