--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -125,24 +125,45 @@
                                             std::string(LOVAGEROCK_PROGRAMS) + "/lovagerock-edge",
                                             std::vector<std::string>{ "--boot", node.mSettings },
                                             mDirectory + "/" + NodeName(aNode) + ".log");
+  ReportDisruption();
 }
 
 void
 EdgeSystem::Kill(int aNode)
 {
   At(aNode).mProcess->Kill();
+  mFrozen.erase(aNode);
+  ReportDisruption();
+}
+
+void
+EdgeSystem::Freeze(int aNode)
+{
+  At(aNode).mProcess->Signal(SIGSTOP);
+  mFrozen.insert(aNode);
+  ReportDisruption();
+}
+
+void
+EdgeSystem::Resume(int aNode)
+{
+  At(aNode).mProcess->Signal(SIGCONT);
+  mFrozen.erase(aNode);
+  ReportDisruption();
 }
 
 void
 EdgeSystem::Stop(int aNode)
 {
   At(aNode).mProcess->Signal(SIGTERM);
+  ReportDisruption();
 }
 
 void
 EdgeSystem::AwaitStopped(int aNode)
 {
   At(aNode).mProcess->AwaitExit();
+  ReportDisruption();
 }
 
 void
@@ -179,14 +200,35 @@
   return SubmitPayload(aNode, aJob, aSteps, times);
 }
 
+http::ClientRequest
+EdgeSystem::SubmitCall(int aNode, const std::string& aJob, const Json& aSteps,
+                       const Json& aPayload) const
+{
+  auto call =
+    JobCall(http::Method::Post, mNodes.at(static_cast<std::size_t>(aNode)).mCallers, aJob);
+  call.mHeaders.Add("Content-Type", "application/json");
+  call.mBody = DumpJson({ { "spec", DumpJson(aPayload) }, { "steps", aSteps } });
+  return call;
+}
+
 CallResult
 EdgeSystem::SubmitPayload(int aNode, const std::string& aJob, const Json& aSteps,
                           const Json& aPayload)
 {
-  auto call = JobCall(http::Method::Post, At(aNode).mCallers, aJob);
-  call.mHeaders.Add("Content-Type", "application/json");
-  call.mBody = DumpJson({ { "spec", DumpJson(aPayload) }, { "steps", aSteps } });
-  return mCaller.Call(call);
+  return mCaller.Call(SubmitCall(aNode, aJob, aSteps, aPayload));
+}
+
+bool
+EdgeSystem::SubmitChecked(HttpCaller& aCaller, int aNode, const std::string& aJob,
+                          const Json& aSteps, std::chrono::milliseconds aTaskTime) const
+{
+  if (!aCaller.Call(SubmitCall(aNode, aJob, aSteps, aTaskTime.count())).Is(200)) {
+    return false;
+  }
+  const auto report =
+    aCaller.Post(mControl, "/job-accepted", DumpJson({ { "job", aJob }, { "steps", aSteps } }));
+  Require(report.Is(200), "the platform took no report of a job: " + report.Describe());
+  return true;
 }
 
 CallResult
@@ -280,6 +322,8 @@
     addresses.push_back(StoreOf(it).Port() - mStore.Port());
   }
   SetFaults({ { "refusing_addresses", addresses } });
+  mIsStoreClosed = !aNodes.empty();
+  ReportDisruption();
 }
 
 void
@@ -309,6 +353,23 @@
   Require(violations.empty(), "broken promises: " + DumpJson(violations));
 }
 
+void
+EdgeSystem::RequireNoIdleJob()
+{
+  const auto idle = Ledger().at("idle_jobs");
+  std::string text;
+  for (const auto& it : idle) {
+    text += '\n' + it.get<std::string>();
+  }
+  Require(idle.empty(), std::to_string(idle.size()) + " idle jobs:" + text);
+}
+
+void
+EdgeSystem::ReportDisruption()
+{
+  Command("/disruption", { { "lasts", !mFrozen.empty() || mIsStoreClosed } });
+}
+
 std::string
 EdgeSystem::LogTails() const
 {
--- a/tests/integration/EdgeSystem.h
+++ b/tests/integration/EdgeSystem.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,10 @@
   // The same with a time for the tasks of each step.
   CallResult Submit(int aNode, const std::string& aJob, const Json& aSteps,
                     const std::vector<std::chrono::milliseconds>& aTaskTimes);
+  // Submits a job with a caller of the thread's own, and tells the platform's check of idle jobs of
+  // it once it is accepted. Returns whether it is. May be called by several threads at a time.
+  bool SubmitChecked(HttpCaller& aCaller, int aNode, const std::string& aJob, const Json& aSteps,
+                     std::chrono::milliseconds aTaskTime) const;
   CallResult Cancel(int aNode, const std::string& aJob);
   // The job's state as the node tells it; empty without an answer of 200. The platform's ledger is
   // told of jobs that are shown as completed.
@@ -43,7 +48,11 @@
   int AwaitLeaderExcept(const std::vector<int>& aNodes);
   // Waits until no node holds the leadership.
   void AwaitNoLeader();
+  // The platform is told of all that happens to nodes, for its check of idle jobs.
   void Kill(int aNode);
+  // Stops the node's process by a signal until it is resumed.
+  void Freeze(int aNode);
+  void Resume(int aNode);
   // Asks the node to shut down; doesn't wait for its end.
   void Stop(int aNode);
   void AwaitStopped(int aNode);
@@ -68,6 +77,8 @@
   Json Ledger();
   // Ends the test if a task ran twice at a time or after its end.
   void RequireNothingRanTwice();
+  // Ends the test if a job had nothing running for too long, see IdleJobCheck.
+  void RequireNoIdleJob();
   std::string LogTails() const;
 
 private:
@@ -79,8 +90,12 @@
     std::unique_ptr<Process> mProcess;
   };
 
+  http::ClientRequest
+  SubmitCall(int aNode, const std::string& aJob, const Json& aSteps, const Json& aPayload) const;
   CallResult
   SubmitPayload(int aNode, const std::string& aJob, const Json& aSteps, const Json& aPayload);
+  // Tells the platform that a node or its way to the store has changed.
+  void ReportDisruption();
   void Command(const std::string& aPath, const Json& aBody);
   // The node's address of the store; the first one is used by tests.
   SocketAddress StoreOf(int aNode) const;
@@ -92,6 +107,8 @@
   SocketAddress mControl;
   std::unique_ptr<Process> mPlatform;
   std::vector<Node> mNodes;
+  std::set<int> mFrozen;
+  bool mIsStoreClosed = false;
   HttpCaller mCaller;
 };
 
--- a/tests/integration/FreePorts.cpp
+++ b/tests/integration/FreePorts.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace lovagerock::integration {
 
@@ -63,7 +64,7 @@
   {
     for (int i = 0; i < kBlocks * kBlockSize; ++i) {
       if (mNext + aCount > mEnd) {
-        OpenBlock();
+        OpenBlocks(aCount / kBlockSize + 1);
       }
       int n = 0;
       while (n < aCount && IsFree(mNext + n)) {
@@ -78,20 +79,40 @@
   }
 
 private:
-  void OpenBlock()
+  // Opens so many blocks in a row. The first ports of all but the first block lie within the range,
+  // so they stay bound only until the range is found.
+  void OpenBlocks(int aCount)
   {
     for (int i = 0; i < kBlocks; ++i) {
-      const int first = kFirstPort + mBlock * kBlockSize;
+      const int block = mBlock;
       mBlock = (mBlock + 1) % kBlocks;
-      if (BindPort(first) >= 0) {
-        mNext = first + 1;
-        mEnd = first + kBlockSize;
+      if (block + aCount <= kBlocks && BindBlocks(block, aCount)) {
+        mNext = kFirstPort + block * kBlockSize + 1;
+        mEnd = kFirstPort + (block + aCount) * kBlockSize;
+        mBlock = (block + aCount) % kBlocks;
         return;
       }
     }
     throw TestFailure("no free block of ports");
   }
 
+  static bool BindBlocks(int aBlock, int aCount)
+  {
+    std::vector<int> sockets;
+    for (int i = 0; i < aCount; ++i) {
+      const int fd = BindPort(kFirstPort + (aBlock + i) * kBlockSize);
+      if (fd < 0) {
+        break;
+      }
+      sockets.push_back(fd);
+    }
+    const bool isBound = static_cast<int>(sockets.size()) == aCount;
+    for (std::size_t i = isBound ? 1 : 0; i < sockets.size(); ++i) {
+      close(sockets[i]);
+    }
+    return isBound;
+  }
+
   int mBlock;
   int mNext = 0;
   int mEnd = 0;
