Store the record of a run before ordering it, so that a takeover waits for no other

Cause: a leader sent a start order and stored the progress that names the run at the same time. Its successor couldn't tell a task that was never ordered from one that was ordered and not recorded, so it started no inherited task before every worker had answered, or the last lease had ended that a former leader may have renewed: 13.1 s after the election if the former leader doesn't answer.

Change: Leader holds start orders back (HeldStarts) until the write that names their runs is stored; the jobs of such runs come first in a batch, and their orders are sent with its first transactions. Each claim of the leadership says since when all leaders in a row do so (ClaimRecord), and a leader whose takeover is settled notes its token (progress/settled). If a takeover was settled since that row began, the loaded progress names every run that may be in progress, and only the tasks with such a run wait, each for its own worker. After a leader of an earlier version all workers are waited for as before.

Why it works, and runs nothing twice: the write has the leadership as its condition, so each order's record precedes the claim of the next leader, whose listing finds it. A start that was held back is withdrawn if its job or worker has changed meanwhile (Scheduler::ReleaseStart).

EdgeNodes/repeat_nothing_when_registrations_expire_in_an_outage waited for a start while the store takes no writes, to make a run that no record names. There is no such start any more.

--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -4,6 +4,7 @@
 #include "base/CallbackGuard.h"
 #include "base/Json.h"
 #include "base/Random.h"
+#include "control/ClaimRecord.h"
 #include "control/Keys.h"
 #include "control/LeaderHistory.h"
 #include "control/PrefixWatch.h"
@@ -64,6 +65,11 @@
     return IsLeader() && !mHasPaused && BootTime() - mConfirmedAt < kLeadershipLease - kOrderTime;
   }
   FencingToken Token() const { return mToken.value_or(FencingToken()); }
+  // ClaimRecord::mNamesRunsSince of this node's claim; 0 if it isn't the last one.
+  FencingToken NamesRunsSince() const
+  {
+    return mLastClaim.mToken == Token() ? mLastClaim.mNamesRunsSince : FencingToken();
+  }
   // The condition on a leader's writes: the leader key still is the one that this node wrote.
   kv::ConditionalWrites::Condition Condition() const
   {
@@ -105,8 +111,8 @@
   void OnList(const std::map<std::string, kv::Item>& aItems)
   {
     if (const auto last = aItems.find(std::string(kLastLeaderKey)); last != aItems.end()) {
-      mLastClaim = std::max(mLastClaim, last->second.mRevision);
-      mHistory.OnListed(FencingToken(mLastClaim.Value()), BootTime());
+      OnLastClaim(last->second.mValue, last->second.mRevision);
+      mHistory.OnListed(mLastClaim.mToken, BootTime());
     }
     const auto it = aItems.find(std::string(kLeaderKey));
     if (it == aItems.end()) {
@@ -119,7 +125,7 @@
   void OnEvent(const kv::ItemEvent& aEvent)
   {
     if (aEvent.mKey == kLastLeaderKey) {
-      mLastClaim = std::max(mLastClaim, aEvent.mRevision);
+      OnLastClaim(aEvent.mValue.value_or(""), aEvent.mRevision);
       mHistory.OnClaim(FencingToken(aEvent.mRevision.Value()), BootTime());
     }
     if (aEvent.mKey != kLeaderKey) {
@@ -132,6 +138,13 @@
     }
   }
 
+  void OnLastClaim(const std::string& aValue, kv::Revision aRevision)
+  {
+    if (aRevision.Value() > mLastClaim.mToken.Value()) {
+      mLastClaim = ReadClaimRecord(aValue, aRevision);
+    }
+  }
+
   void OnLeaderPresent(const std::string& aValue, kv::Revision aRevision)
   {
     mLeaderRevision = aRevision;
@@ -204,20 +217,24 @@
   {
     kv::ConditionalWrites writes;
     writes.mConditions = { { std::string(kLeaderKey), kv::Revision() },
-                           { std::string(kLastLeaderKey), mLastClaim } };
-    writes.mWrites.push_back({ std::string(kLastLeaderKey), mSettings.mNode.Value(), {} });
+                           { std::string(kLastLeaderKey),
+                             kv::Revision(mLastClaim.mToken.Value()) } };
+    const auto claim = WriteClaimRecord(mSettings.mNode, mLastClaim.mNamesRunsSince);
+    writes.mWrites.push_back({ std::string(kLastLeaderKey), claim, {} });
     writes.mWrites.push_back({ std::string(kLeaderKey),
                                DumpJson({ { "node", mSettings.mNode.Value() },
                                           { "address", mSettings.mPeers.ToString() },
-                                          { "previous", mLastClaim.Value() } }),
+                                          { "previous", mLastClaim.mToken.Value() } }),
                                mLease });
-    mStore.Write(writes,
-                 mGuard.Wrap([this](std::error_code aError, const kv::WriteOutcome& aOutcome) {
-                   OnClaimed(aError, aOutcome);
-                 }));
+    mStore.Write(
+      writes, mGuard.Wrap([this, claim](std::error_code aError, const kv::WriteOutcome& aOutcome) {
+        OnClaimed(claim, aError, aOutcome);
+      }));
   }
 
-  void OnClaimed(std::error_code aError, const kv::WriteOutcome& aOutcome)
+  // aClaim is what was written as the last claim.
+  void
+  OnClaimed(const std::string& aClaim, std::error_code aError, const kv::WriteOutcome& aOutcome)
   {
     mIsClaiming = false;
     if (aError) {
@@ -228,8 +245,8 @@
       OnClaimRefused(aOutcome.mPresent);
       return;
     }
-    mLastClaim = aOutcome.mRevision;
-    mHistory.OnClaim(FencingToken(mLastClaim.Value()), BootTime());
+    OnLastClaim(aClaim, aOutcome.mRevision);
+    mHistory.OnClaim(mLastClaim.mToken, BootTime());
     mToken = FencingToken(aOutcome.mRevision.Value());
     mLeaderRevision = aOutcome.mRevision;
     mIsVacant = false;
@@ -248,8 +265,8 @@
     for (const auto& it : aPresent) {
       isHeld = isHeld || it.mKey == kLeaderKey;
       if (it.mKey == kLastLeaderKey) {
-        mLastClaim = std::max(mLastClaim, it.mRevision);
-        mHistory.OnListed(FencingToken(mLastClaim.Value()), BootTime());
+        OnLastClaim(it.mValue, it.mRevision);
+        mHistory.OnListed(mLastClaim.mToken, BootTime());
       }
     }
     if (!isHeld) {
@@ -309,8 +326,8 @@
   // The last seen revision of the leader key.
   kv::Revision mLeaderRevision;
   std::optional<SocketAddress> mAddress;
-  // The revision of the latest claim that this node knows of.
-  kv::Revision mLastClaim;
+  // The latest claim that this node knows of.
+  ClaimRecord mLastClaim;
   LeaderHistory mHistory;
   bool mIsVacant = false;
   bool mIsClaiming = false;
--- /dev/null
+++ b/src/control/HeldStarts.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "scheduler/Orders.h"
+
+#include <iterator>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace lovagerock::control {
+
+// Holds start orders back until the stored progress names their runs. So a leader that takes over
+// finds each run that may be in progress in the loaded progress, and has to wait only for the
+// workers that it names.
+//
+// Progress is stored in batches, one at a time.
+class HeldStarts
+{
+public:
+  // The progress that is taken next names the orders' runs.
+  void Add(std::vector<scheduler::StartOrder> aOrders) { Append(mUnnamed, std::move(aOrders)); }
+  // The progress of all changed jobs was taken to be stored.
+  void OnTaken() { Append(mStoring, std::exchange(mUnnamed, {})); }
+  // The jobs of the orders whose runs are being stored.
+  std::set<JobId> StoringJobs() const
+  {
+    std::set<JobId> jobs;
+    for (const auto& it : mStoring) {
+      jobs.insert(it.mRun.mTask.mJob);
+    }
+    return jobs;
+  }
+  // The outcome of storing it: if it isn't known to be stored, it will be taken again.
+  void OnStored(bool aIsStored)
+  {
+    Append(aIsStored ? mStored : mUnnamed, std::exchange(mStoring, {}));
+  }
+  // Returns the orders whose runs are named by stored progress, and holds them no longer.
+  std::vector<scheduler::StartOrder> TakeStored() { return std::exchange(mStored, {}); }
+  // The runs of all orders that are held back.
+  std::set<scheduler::RunRef> Runs() const
+  {
+    std::set<scheduler::RunRef> runs;
+    for (const auto* orders : { &mUnnamed, &mStoring, &mStored }) {
+      for (const auto& it : *orders) {
+        runs.insert(it.mRun);
+      }
+    }
+    return runs;
+  }
+
+private:
+  static void
+  Append(std::vector<scheduler::StartOrder>& aTo, std::vector<scheduler::StartOrder> aFrom)
+  {
+    aTo.insert(aTo.end(), std::make_move_iterator(aFrom.begin()),
+               std::make_move_iterator(aFrom.end()));
+  }
+
+  std::vector<scheduler::StartOrder> mUnnamed;
+  std::vector<scheduler::StartOrder> mStoring;
+  std::vector<scheduler::StartOrder> mStored;
+};
+
+} // namespace lovagerock::control
--- a/src/control/Keys.h
+++ b/src/control/Keys.h
@@ -11,7 +11,8 @@
 // Keys of the nodes' data in the store.
 inline constexpr std::string_view kLeaderPrefix = "leader/";
 inline constexpr std::string_view kLeaderKey = "leader/node";
-// Rewritten with each claim of the leadership, so that its revision is the last leader's token.
+// Rewritten with each claim of the leadership, so that its revision is the last leader's token. Its
+// value is a ClaimRecord.
 inline constexpr std::string_view kLastLeaderKey = "leader/last";
 // Requests of callers; the leader watches them.
 inline constexpr std::string_view kRequestPrefix = "requests/";
@@ -22,6 +23,8 @@
 inline constexpr std::string_view kProgressPrefix = "progress/job/";
 // For each rack, the workers on which work may be started.
 inline constexpr std::string_view kRackPrefix = "progress/rack/";
+// The token of a leadership whose takeover was settled.
+inline constexpr std::string_view kSettledKey = "progress/settled";
 // Rewritten with each batch of progress, so that a batch that the store applies late has no effect.
 inline constexpr std::string_view kBatchKey = "progress/batch";
 
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -8,6 +8,7 @@
 #include "control/Deployment.h"
 #include "control/Election.h"
 #include "control/HandOver.h"
+#include "control/HeldStarts.h"
 #include "control/PlanPacer.h"
 #include "control/PrefixReader.h"
 #include "control/PrefixWatch.h"
@@ -20,6 +21,7 @@
 #include "scheduler/Scheduler.h"
 #include "scheduler/WaitScanner.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -82,6 +84,7 @@
     , mElection(aElection)
     , mSettings(aSettings)
     , mToken(aElection.Token())
+    , mNamesRunsSince(aElection.NamesRunsSince())
     , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
     , mHandOverSource(aHandOverSource)
     , mEarlierLeases(aElection.FormerLeaders(), BootTime(),
@@ -233,6 +236,8 @@
     for (auto& it : aPage.mItems) {
       if (it.mKey == kBatchKey) {
         mBatchRevision = it.mRevision;
+      } else if (it.mKey == kSettledKey) {
+        OnSettledRecord(it);
       } else if (const auto job = JobOfKey(kProgressPrefix, it.mKey)) {
         mProgress[*job] = std::move(it.mValue);
       } else if (it.mKey.starts_with(kRackPrefix)) {
@@ -280,6 +285,25 @@
     mScheduler.AddRecordedWorkers(RackId(aItem.mKey.substr(kRackPrefix.size())), *workers);
   }
 
+  void OnSettledRecord(const kv::Item& aItem)
+  {
+    const auto json = ParseJson(aItem.mValue);
+    const auto token = json ? JsonValue(*json, "token", std::int64_t{ 0 }) : 0;
+    if (token <= 0) {
+      LogEvent("settled_record_malformed", LogLevel::Error).With("key", aItem.mKey);
+      return;
+    }
+    mSettled = FencingToken(token);
+  }
+
+  // Whether the stored progress names all runs that may be in progress. All leaderships since
+  // mNamesRunsSince have stored the progress before they ordered a run; what earlier ones ordered
+  // is known since one of these had settled its takeover.
+  bool NamesStoredProgressAllRuns() const
+  {
+    return mNamesRunsSince.Value() > 0 && mSettled >= mNamesRunsSince;
+  }
+
   void WatchRequests()
   {
     WatchCallbacks callbacks;
@@ -316,12 +340,14 @@
       mScheduler.MarkUnstored(it);
     }
     if (!IsLoaded()) {
-      if (mHandOver->mIsComplete) {
+      const bool namesAllRuns = mHandOver->mIsComplete || NamesStoredProgressAllRuns();
+      if (namesAllRuns) {
         mScheduler.OnHandedOver(mEarlierLeases.Remaining(BootTime()), true, Now());
       }
       LogEvent("jobs_loaded")
         .With("jobs", mScheduler.JobCount())
         .With("unreported_runs", mScheduler.UnreportedRuns(Now()))
+        .With("names_all_runs", namesAllRuns)
         .With("token", mToken);
       RenewRecordedLeases();
       WatchWorkers();
@@ -452,7 +478,8 @@
                                      mScheduler.IsTakeoverSettled() };
     const auto now = Now();
     if (mWaits.OnPlan(condition, now.mSteady)) {
-      mWaits.OnReport(mWaitScanner.Scan(now, condition.mIsConfirmed), now.mSteady);
+      mWaits.OnReport(mWaitScanner.Scan(now, condition.mIsConfirmed, mHeldStarts.Runs()),
+                      now.mSteady);
     }
   }
 
@@ -470,12 +497,34 @@
     for (const auto& it : orders.mStops) {
       SendStop(it);
     }
+    std::vector<scheduler::StartOrder> unnamed;
     for (const auto& it : orders.mStarts) {
-      SendStart(it);
+      if (it.mIsRepeated) {
+        SendStart(it);
+      } else {
+        unnamed.push_back(it);
+      }
     }
+    mHeldStarts.Add(std::move(unnamed));
+    SendStoredStarts();
     ScheduleStore();
   }
 
+  // Sends the start orders whose runs are named by stored progress.
+  void SendStoredStarts()
+  {
+    if (!mElection.IsConfirmed()) {
+      return;
+    }
+    for (const auto& it : mHeldStarts.TakeStored()) {
+      if (mScheduler.ReleaseStart(it.mWorker, it.mRun, Now())) {
+        SendStart(it);
+      } else {
+        SchedulePlan();
+      }
+    }
+  }
+
   void SendStart(const scheduler::StartOrder& aOrder)
   {
     const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
@@ -544,13 +593,19 @@
   void ScheduleStore()
   {
     if (mStoreTimer.IsPending() || mWriter->IsBusy() ||
-        !(mScheduler.HasProgress() || mDeleteExpired)) {
+        !(mScheduler.HasProgress() || mDeleteExpired || IsSettledRecordDue())) {
       return;
     }
     mStoreTimer = mLoop.After(mWriter->IsFailing() ? kStoreRetryDelay : kStoreDelay,
                               [this] { StoreProgress(); });
   }
 
+  // Whether the store has to be told that what leaders before mNamesRunsSince ordered is known.
+  bool IsSettledRecordDue() const
+  {
+    return mScheduler.IsTakeoverSettled() && mSettled < mNamesRunsSince;
+  }
+
   void StoreProgress()
   {
     // The writes have no effect after another leader was elected, so MayAct() isn't needed.
@@ -558,26 +613,49 @@
       return;
     }
     const auto batch = std::make_shared<scheduler::ProgressBatch>(mScheduler.TakeProgress());
+    mHeldStarts.OnTaken();
+    const auto held = PutFirst(mHeldStarts.StoringJobs(), batch->mWrites);
     std::vector<JobId> expired;
     if (std::exchange(mDeleteExpired, false)) {
       expired = mScheduler.ExpiredJobs(Now());
     }
     auto deletes = KeysOf(expired);
     auto writes = WritesOf(*batch, deletes);
-    const auto done = [this, batch, expired](bool aIsStored) {
+    const bool isSettledRecordDue = IsSettledRecordDue();
+    if (isSettledRecordDue) {
+      // The last one, because the progress before it names what this leader has learned.
+      writes.push_back({ std::string(kSettledKey), DumpJson({ { "token", mToken.Value() } }), {} });
+    }
+    const auto done = [this, batch, expired, isSettledRecordDue](bool aIsStored) {
+      mHeldStarts.OnStored(aIsStored);
       if (aIsStored) {
+        mSettled = isSettledRecordDue ? mToken : mSettled;
         mScheduler.OnStored(*batch);
         mScheduler.RemoveJobs(expired);
+        OnBatchStored(*batch);
       } else {
         mScheduler.OnNotStored(*batch);
         mDeleteExpired = !expired.empty();
       }
-      if (aIsStored) {
-        OnBatchStored(*batch);
-      }
       ScheduleStore();
     };
-    mWriter->StoreBatch(std::move(writes), std::move(deletes), done);
+    const auto onPart = [this, held](std::size_t aStoredWrites) {
+      if (aStoredWrites >= held) {
+        mHeldStarts.OnStored(true);
+        SendStoredStarts();
+      }
+    };
+    mWriter->StoreBatch(std::move(writes), std::move(deletes), done, onPart);
+  }
+
+  // Moves the writes of the jobs to the front; returns their number.
+  static std::size_t
+  PutFirst(const std::set<JobId>& aJobs, std::vector<scheduler::ProgressWrite>& aWrites)
+  {
+    const auto end =
+      std::stable_partition(aWrites.begin(), aWrites.end(),
+                            [&aJobs](const auto& aIt) { return aJobs.contains(aIt.mJob); });
+    return static_cast<std::size_t>(end - aWrites.begin());
   }
 
   void OnBatchStored(const scheduler::ProgressBatch& aBatch)
@@ -633,6 +711,10 @@
   Election<Store>& mElection;
   const ControlSettings& mSettings;
   FencingToken mToken;
+  // See ClaimRecord::mNamesRunsSince.
+  FencingToken mNamesRunsSince;
+  // The latest leadership of which the store says that its takeover was settled.
+  FencingToken mSettled;
   scheduler::Scheduler mScheduler;
   scheduler::WaitScanner mWaitScanner{ mScheduler };
   WaitMonitor mWaits;
@@ -648,6 +730,7 @@
   std::set<JobId> mHandedOverJobs;
   kv::Revision mBatchRevision;
   std::optional<ProgressWriter<Store>> mWriter;
+  HeldStarts mHeldStarts;
   std::optional<PrefixWatch<Store>> mRequests;
   // How recent this leader's view of the accepted and cancelled jobs is.
   StoreFreshness mRequestsFreshness;
--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -40,10 +40,14 @@
 
   // Stores the writes in order, then deletes the keys; calls back with whether all of it was
   // applied. Large batches take several transactions, so a failed batch may be stored in part.
-  void StoreBatch(std::vector<kv::ConditionalWrites::Write> aWrites,
-                  std::vector<std::string> aDeletes, std::function<void(bool)> aDone)
+  // After each one, aOnPart is called with the number of writes that are stored.
+  void
+  StoreBatch(std::vector<kv::ConditionalWrites::Write> aWrites, std::vector<std::string> aDeletes,
+             std::function<void(bool)> aDone, std::function<void(std::size_t)> aOnPart = {})
   {
     mIsBusy = true;
+    mStoredWrites = 0;
+    mOnPart = std::move(aOnPart);
     mWrites = std::move(aWrites);
     mDeletes = std::move(aDeletes);
     mDone = std::move(aDone);
@@ -80,8 +84,12 @@
   {
     if (!aError && aOutcome.mApplied) {
       mBatchRevision = aOutcome.mRevision;
+      mStoredWrites += mSentWrites;
       mWrites.erase(mWrites.begin(), mWrites.begin() + static_cast<long>(mSentWrites));
       mDeletes.erase(mDeletes.begin(), mDeletes.begin() + static_cast<long>(mSentDeletes));
+      if (mOnPart) {
+        mOnPart(mStoredWrites);
+      }
       SendNext();
       return;
     }
@@ -115,8 +123,10 @@
   std::vector<kv::ConditionalWrites::Write> mWrites;
   std::vector<std::string> mDeletes;
   std::size_t mSentWrites = 0;
+  std::size_t mStoredWrites = 0;
   std::size_t mSentDeletes = 0;
   std::function<void(bool)> mDone;
+  std::function<void(std::size_t)> mOnPart;
   CallbackGuard mGuard;
 };
 
--- a/src/scheduler/Orders.h
+++ b/src/scheduler/Orders.h
@@ -17,6 +17,8 @@
   std::string mPayload;
   // The checkpoint to resume from; empty to start from the beginning.
   std::string mCheckpoint;
+  // Whether an earlier order for the run had no answer.
+  bool mIsRepeated = false;
 };
 
 // An order to a worker to stop a run.
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -83,6 +83,9 @@
   void OnTokenRaised(const WorkerId& aWorker);
   // Another worker answered at the worker's address, so the worker's runs have ended.
   void OnWorkerReplaced(const WorkerId& aWorker, const CurrentTime& aNow);
+  // Returns whether a start order that was held back since Plan() returned it may be sent now. If
+  // not, the run has ended without an order.
+  bool ReleaseStart(const WorkerId& aWorker, const RunRef& aRun, const CurrentTime& aNow);
   void OnStartOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
                       WorkerClock aClock, const CurrentTime& aNow);
   void OnStopOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -269,6 +269,7 @@
       } else if (aMayStart && run.mPhase == RunPhase::Starting && run.mUnansweredStarts > 0 &&
                  aNow.mSteady - run.mLastOrderSent >= mSettings.mResendStartAfter) {
         aOrders.mStarts.push_back(MakeStart(id, run.mRun));
+        aOrders.mStarts.back().mIsRepeated = true;
       } else {
         continue;
       }
@@ -281,7 +282,9 @@
 StartOrder
 Scheduler::MakeStart(const WorkerId& aWorker, const RunRef& aRun) const
 {
-  StartOrder order{ aWorker, aRun, "", "" };
+  StartOrder order;
+  order.mWorker = aWorker;
+  order.mRun = aRun;
   const auto* job = FindJob(aRun.mTask.mJob);
   const auto* task = job ? job->Find(aRun.mTask) : nullptr;
   if (task) {
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -199,6 +199,24 @@
   aWorker.Add(placed);
 }
 
+bool
+Scheduler::ReleaseStart(const WorkerId& aWorker, const RunRef& aRun, const CurrentTime& aNow)
+{
+  const auto it = mFleet.find(aWorker);
+  auto* placed = it == mFleet.end() ? nullptr : it->second.Find(aRun);
+  if (!placed) {
+    return false;
+  }
+  auto& worker = it->second;
+  if (placed->mPhase != RunPhase::Starting || !worker.AcceptsWork()) {
+    DropRun(worker, aRun, RunEnd::Stopped, "", aNow);
+    return false;
+  }
+  placed->mStarted = aNow.mSteady;
+  placed->mLastOrderSent = aNow.mSteady;
+  return true;
+}
+
 void
 Scheduler::OnStartOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
                           WorkerClock aClock, const CurrentTime& aNow)
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -225,9 +225,16 @@
     writes.push_back({ KeyOf(kProgressPrefix, JobId("j" + std::to_string(i))), "text", {} });
   }
   bool isStored = false;
-  writer.StoreBatch(writes, { "requests/job/old" }, [&](bool aIsStored) { isStored = aIsStored; });
+  std::vector<std::size_t> parts;
+  writer.StoreBatch(
+    writes, { "requests/job/old" }, [&](bool aIsStored) { isStored = aIsStored; },
+    [&](std::size_t aStored) {
+      cr_assert(f.mStore.mItems.contains("progress/job/j" + std::to_string(aStored - 1)));
+      parts.push_back(aStored);
+    });
   f.RunUntil([&] { return isStored; });
   cr_assert(f.mStore.mItems.contains("progress/job/j69"));
+  cr_assert_eq(parts, (std::vector<std::size_t>{ 29, 58, 70 }));
 }
 
 namespace {
--- a/tests/control/TakeoverTests.cpp
+++ b/tests/control/TakeoverTests.cpp
@@ -29,6 +29,7 @@
     Submit("first");
     RunUntil([this] { return HasStarted("first"); });
     RunUntil([this] { return mLeader->UnstoredState().mProgress.empty(); });
+    RunUntil([this] { return mStore.mItems.contains(std::string(kSettledKey)); });
   }
 
   bool HasStarted(const std::string& aJob) const { return !StartsOf(aJob).empty(); }
@@ -71,3 +72,134 @@
   f.RunUntil([&] { return f.HasStarted("j"); });
   cr_assert_eq(f.StartsOf("j"), std::vector{ WorkerId("w") });
 }
+
+// Guards against the same when the leadership changes again before the next leader has loaded the
+// jobs.
+Test(Takeover, starts_jobs_without_runs_after_several_changes_of_leader)
+{
+  TakeoverFixture f;
+  f.RunFirstJob();
+  f.Silence("silent");
+  for (int i = 0; i < 2; ++i) {
+    f.mStore.mHeldPrefix = kRecordPrefix;
+    const auto token = f.mElection->Token();
+    f.EndLeadership();
+    f.RunUntil([&] { return f.mElection->Token() > token; });
+    cr_assert_not(f.IsLoaded());
+  }
+  f.mStore.mHeldPrefix.clear();
+  f.EndLeadership();
+  f.Submit("j");
+  f.RunUntil([&] { return f.HasStarted("j"); });
+}
+
+// Guards against a second run of a task whose worker doesn't answer: the record of the run is all
+// that the next leader knows of it.
+Test(Takeover, starts_no_task_whose_recorded_worker_does_not_answer)
+{
+  TakeoverFixture f;
+  f.mStore.Remove("workers/w");
+  f.AwaitLoaded();
+  f.Submit("j");
+  f.RunUntil([&] { return f.HasStarted("j"); });
+  f.Silence("silent");
+  f.mStore.Put("workers/w", "r");
+  f.EndLeadership();
+  f.Submit("k");
+  f.RunUntil([&] { return f.HasStarted("k"); });
+  f.RunForSomePlans();
+  cr_assert_eq(f.StartsOf("j").size(), 1, "the run was started a second time");
+}
+
+// Guards against an order that the next leader can't know of, because it was sent before the store
+// had the record of the run.
+Test(Takeover, finds_each_ordered_run_in_the_store)
+{
+  TakeoverFixture f;
+  f.RunFirstJob();
+  f.mStore.mWritesToDelay = 1000000;
+  f.Submit("j");
+  f.RunForSomePlans();
+  cr_assert_not(f.HasStarted("j"), "the run was ordered before it was recorded");
+  f.mStore.mWritesToDelay = 0;
+  f.RunUntil([&] { return f.HasStarted("j"); });
+  cr_assert(f.mStore.mItems.contains("progress/job/j"));
+}
+
+// Guards against an order for a job that was cancelled while its run was being recorded, and
+// against resources that stay occupied by the run.
+Test(Takeover, sends_no_order_for_a_job_that_was_cancelled_meanwhile)
+{
+  TakeoverFixture f;
+  f.RunFirstJob();
+  f.mStore.mWritesToDelay = 1000000;
+  f.Submit("j");
+  f.RunForSomePlans();
+  f.mStore.Put("requests/cancel/j", "");
+  f.RunUntil(
+    [&] { return f.mLeader->State(JobId("j"))->mState == scheduler::JobState::Cancelled; });
+  f.mStore.mWritesToDelay = 0;
+  f.RunForSomePlans();
+  cr_assert_not(f.HasStarted("j"));
+  // All resources of both workers but those of the first job.
+  for (int i = 0; i < 15; ++i) {
+    f.Submit("k" + std::to_string(i));
+  }
+  f.RunUntil([&] { return f.mCalls.mStarts.size() == 16; });
+}
+
+// Guards against a second run of a task that a node of an earlier version has ordered without a
+// record.
+Test(Takeover, waits_for_every_worker_after_a_leader_of_an_earlier_version)
+{
+  TakeoverFixture f;
+  f.RunFirstJob();
+  f.Silence("silent");
+  f.EndLeadership();
+  f.mStore.Put(std::string(kLastLeaderKey), "earlier-version");
+  f.Submit("j");
+  f.AwaitLoaded();
+  f.RunForSomePlans();
+  cr_assert_not(f.HasStarted("j"));
+  f.mCalls.mUnreachable.clear();
+  f.RunUntil([&] { return f.HasStarted("j"); });
+}
+
+// Guards against the same when no leader since then has heard of all workers.
+Test(Takeover, waits_for_every_worker_if_no_takeover_was_settled_since_an_earlier_version)
+{
+  TakeoverFixture f;
+  f.Silence("silent");
+  f.AwaitLoaded();
+  f.Submit("j");
+  f.RunUntil([&] { return f.HasStarted("j"); });
+  f.EndLeadership();
+  f.Submit("k");
+  f.RunUntil([&] { return !f.IsLoaded() || f.mLost > 0; });
+  f.AwaitLoaded();
+  f.RunForSomePlans();
+  cr_assert_not(f.HasStarted("k"));
+  f.mCalls.mUnreachable.clear();
+  f.RunUntil([&] { return f.HasStarted("k"); });
+}
+
+Test(ClaimRecord, tells_since_when_leaders_record_runs_before_they_order_them)
+{
+  const kv::Revision revision(70);
+  const auto first = ReadClaimRecord(WriteClaimRecord(NodeId("n"), FencingToken()), revision);
+  cr_assert_eq(first.mToken, FencingToken(70));
+  cr_assert_eq(first.mNamesRunsSince, FencingToken(70));
+  const auto later = ReadClaimRecord(WriteClaimRecord(NodeId("n"), FencingToken(40)), revision);
+  cr_assert_eq(later.mNamesRunsSince, FencingToken(40));
+}
+
+// Guards against trust in the records of a leader that doesn't write them: claims of earlier
+// versions hold the name of the node.
+Test(ClaimRecord, takes_other_texts_for_claims_of_earlier_versions)
+{
+  for (const auto* text : { "edge-1", "12", "", "{}", R"({"namesRunsSince":"x"})", "[1]" }) {
+    const auto claim = ReadClaimRecord(text, kv::Revision(70));
+    cr_assert_eq(claim.mToken, FencingToken(70));
+    cr_assert_eq(claim.mNamesRunsSince, FencingToken());
+  }
+}
--- a/tests/integration/EdgeTests.cpp
+++ b/tests/integration/EdgeTests.cpp
@@ -113,8 +113,8 @@
   });
 }
 
-// Guards against a second run of what a leader started in an outage of the store: its progress was
-// never stored, and the worker registers late after the outage.
+// Guards against a second run of what a leader started around an outage of the store: a run without
+// a record, which the next leader can't know of, and one whose worker registers late after it.
 Test(EdgeNodes, repeat_nothing_when_registrations_expire_in_an_outage)
 {
   RunWithEdges(2, 3, [](EdgeSystem& aSystem) {
@@ -132,17 +132,18 @@
     const auto first = std::string(kJob) + ".0.0.0";
     const auto later = std::string(kJob) + ".0.1.0";
     AwaitTrue("the first step to run", [&] { return IsRunning(aSystem, first); });
-    // The leadership stays confirmed, so that the leader goes on to start runs.
+    // The leadership stays confirmed, but no run can be recorded.
     aSystem.SetFaults({ { "refusing_writes", true } });
+    AwaitTrue("the first step to end", [&] { return !IsRunning(aSystem, first); });
+    std::this_thread::sleep_for(1000ms);
+    Require(!IsRunning(aSystem, later), "a run was started that the store doesn't name");
+    aSystem.SetFaults({ { "refusing_writes", false } });
     AwaitTrue(
       "the second step to run", [&] { return IsRunning(aSystem, later); }, 10ms);
     aSystem.SetFaults({ { "refusing", true }, { "lapse", true } });
     aSystem.Kill(leader);
     const auto worker = aSystem.Ledger().at("running").at(later).get<std::string>();
-    aSystem.SetFaults({ { "refusing", false },
-                        { "refusing_writes", false },
-                        { "late_worker", worker },
-                        { "late_ms", 2000 } });
+    aSystem.SetFaults({ { "refusing", false }, { "late_worker", worker }, { "late_ms", 2000 } });
     aSystem.AwaitState(1 - leader, kJob, "completed");
     aSystem.RequireNothingRanTwice();
   });
