Let a former leader tell how long ago it ended

Cause: the reply of a former leader said only that it had ended. Its last renewal was taken to be as late as the reply, and Scheduler::OnHandedOver() waited a whole lease in any case.

Change: the reply tells how long ago the leadership ended, or for a restarted process how long ago it started, on the clock that counts while the VM is suspended. EarlierLeases takes the last renewal from that. OnHandedOver() now expects the whole bound from its caller; its tests pass one lease where they passed 0 before, which is the bound that they had.

Why it works: a leadership that has ended, or a process that has, renews nothing. The time on the way only makes the bound later. Replies of earlier versions count as ended just now, as before.

--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -233,16 +233,23 @@
     if (mElection && mElection->Token() == aToken) {
       mElection->Resign("successor");
     }
+    // If this node leads again, it isn't known when an earlier leadership ended.
+    const bool isLeader = mElection && mElection->IsLeader();
+    const auto endedAgo = isLeader ? Duration(0) : BootTime() - mLastLedAt;
     if (mLastHandOver && mLastHandOver->mToken == aToken) {
-      return *mLastHandOver;
+      auto handOver = *mLastHandOver;
+      handOver.mEndedAgo = endedAgo;
+      handOver.mEarlierLeases = std::max(handOver.mEarlierLeases - endedAgo, Duration(0));
+      return handOver;
     }
     // A claim without an outcome yet may be the one that began that leadership.
     const bool isEnded = aNode == mSettings.mNode && !(mElection && mElection->IsClaiming());
-    return isEnded ? UnknownHandOver(aToken) : HandOver();
+    return isEnded ? UnknownHandOver(aToken, endedAgo) : HandOver();
   }
 
   void OnLost()
   {
+    mLastLedAt = BootTime();
     if (mLeader) {
       mLastHandOver = mLeader->UnstoredState();
     }
@@ -380,6 +387,9 @@
   std::optional<PrefixWatch<Store>> mConfigurationWatch;
   std::optional<Election<Store>> mElection;
   std::unique_ptr<LeaderType> mLeader;
+  // When the last leadership of this node ended, as BootTime(). An earlier process of the node had
+  // ended when this one started.
+  Duration mLastLedAt = BootTime();
   // The state that may not have been stored when this node's last leadership ended.
   std::optional<HandOver> mLastHandOver;
   const std::optional<SocketAddress> mNoAddress;
--- a/src/control/HandOver.cpp
+++ b/src/control/HandOver.cpp
@@ -6,10 +6,20 @@
 
 namespace lovagerock::control {
 
+namespace {
+
+Duration
+ReadDuration(const Json& aJson)
+{
+  return Duration(JsonInRange(aJson, std::int64_t{ 0 }, scheduler::kMaxDuration.count()));
+}
+
+} // namespace
+
 HandOver
-UnknownHandOver(FencingToken aToken)
+UnknownHandOver(FencingToken aToken, Duration aEndedAgo)
 {
-  return { aToken, false, scheduler::kMaxDuration, {} };
+  return { aToken, false, scheduler::kMaxDuration, {}, aEndedAgo };
 }
 
 Json
@@ -20,6 +30,7 @@
     progress.push_back(Json::array({ it.mJob.Value(), it.mText }));
   }
   return { { "token", aHandOver.mToken.Value() },
+           { "endedAgo", aHandOver.mEndedAgo.count() },
            { "complete", aHandOver.mIsComplete },
            { "earlierLeases", aHandOver.mEarlierLeases.count() },
            { "progress", std::move(progress) } };
@@ -31,11 +42,12 @@
   HandOver handOver;
   try {
     handOver.mToken = FencingToken(JsonAt<std::int64_t>(aJson, "token"));
-    handOver.mIsComplete = aJson.at("complete").get<bool>();
     // Earlier versions don't write it.
+    handOver.mEndedAgo =
+      aJson.contains("endedAgo") ? ReadDuration(aJson.at("endedAgo")) : Duration(0);
+    handOver.mIsComplete = aJson.at("complete").get<bool>();
     handOver.mEarlierLeases = aJson.contains("earlierLeases")
-                                ? Duration(JsonInRange(aJson.at("earlierLeases"), std::int64_t{ 0 },
-                                                       scheduler::kMaxDuration.count()))
+                                ? ReadDuration(aJson.at("earlierLeases"))
                                 : scheduler::kMaxDuration;
     for (const auto& it : aJson.at("progress")) {
       handOver.mProgress.push_back(
--- a/src/control/HandOver.h
+++ b/src/control/HandOver.h
@@ -20,6 +20,8 @@
   // scheduler::Scheduler::EarlierLeases().
   Duration mEarlierLeases{ 0 };
   std::vector<scheduler::ProgressWrite> mProgress;
+  // How long before this reply the leadership had ended at the latest.
+  Duration mEndedAgo{ 0 };
 };
 
 using HandOverCallback = std::function<void(HandOver)>;
@@ -31,7 +33,7 @@
 // Returns the hand-over of a node that knows nothing of the leadership but that it has ended there,
 // for instance because the leader's process was restarted.
 HandOver
-UnknownHandOver(FencingToken aToken);
+UnknownHandOver(FencingToken aToken, Duration aEndedAgo);
 
 // Encodes the hand-over for the peer protocol.
 Json
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -103,10 +103,10 @@
     if (!IsLoaded()) {
       // What the former leader handed over isn't applied yet.
       return { mToken, false, mScheduler.EarlierLeases(Now()),
-               mHandOver ? mHandOver->mProgress : HandOver().mProgress };
+               mHandOver ? mHandOver->mProgress : HandOver().mProgress, Duration(0) };
     }
     return { mToken, mScheduler.IsTakeoverSettled(), mScheduler.EarlierLeases(Now()),
-             mScheduler.UnstoredProgress() };
+             mScheduler.UnstoredProgress(), Duration(0) };
   }
 
   // Applies a changed configuration.
@@ -211,10 +211,12 @@
     if (aReply.mToken.Value() == 0) {
       return;
     }
-    mEarlierLeases.OnEnded(aReply.mToken, aReply.mEarlierLeases, BootTime());
-    const auto remaining = mEarlierLeases.Remaining(BootTime());
+    const auto now = BootTime();
+    mEarlierLeases.OnEnded(aReply.mToken, now - aReply.mEndedAgo, now + aReply.mEarlierLeases);
+    const auto remaining = mEarlierLeases.Remaining(now);
     LogEvent("former_leader_ended")
       .With("token", aReply.mToken)
+      .With("ended_ms_ago", aReply.mEndedAgo)
       .With("earlier_leases_ms", remaining);
     mScheduler.OnHandedOver(remaining, false, Now());
   }
--- a/src/control/LeaderHistory.cpp
+++ b/src/control/LeaderHistory.cpp
@@ -77,13 +77,12 @@
 }
 
 void
-EarlierLeases::OnEnded(FencingToken aToken, Duration aEarlierLeases, Duration aNow)
+EarlierLeases::OnEnded(FencingToken aToken, Duration aEndedAt, Duration aEarlierUntil)
 {
   for (auto& it : mEntries) {
     if (it.mLeader.mToken == aToken) {
-      it.mActsUntil = std::min(it.mActsUntil, aNow);
-      it.mEarlierUntil =
-        std::min(it.mEarlierUntil.value_or(Duration::max()), aNow + aEarlierLeases);
+      it.mActsUntil = std::min(it.mActsUntil, aEndedAt);
+      it.mEarlierUntil = std::min(it.mEarlierUntil.value_or(Duration::max()), aEarlierUntil);
     }
   }
 }
--- a/src/control/LeaderHistory.h
+++ b/src/control/LeaderHistory.h
@@ -56,9 +56,9 @@
   EarlierLeases(std::vector<FormerLeader> aLeaders, Duration aElectedAt, Duration aOutageTolerance,
                 Duration aLease);
 
-  // The leader has ended and sends nothing any more. Leases that leaders before it have renewed
-  // last no longer than aEarlierLeases from now, as it told.
-  void OnEnded(FencingToken aToken, Duration aEarlierLeases, Duration aNow);
+  // The leader sends nothing any more since aEndedAt at the latest. Leases that leaders before it
+  // have renewed end by aEarlierUntil, as it told.
+  void OnEnded(FencingToken aToken, Duration aEndedAt, Duration aEarlierUntil);
   // Returns how long leases may last that earlier leaders have renewed, or may still renew.
   Duration Remaining(Duration aNow) const;
   // Returns the leaders that may still act, as far as is known.
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -126,8 +126,7 @@
 void
 Scheduler::OnHandedOver(Duration aEarlierLeases, bool aNamesAllRuns, const CurrentTime& aNow)
 {
-  const auto lastLease = std::max(MaxLeaseDuration(), aEarlierLeases);
-  mInheritedUntil = std::min(mInheritedUntil, aNow.mSteady + lastLease);
+  mInheritedUntil = std::min(mInheritedUntil, aNow.mSteady + aEarlierLeases);
   for (auto& [id, worker] : mFleet) {
     const auto inherited = std::min(worker.mLeaseExpiry, InheritedLeaseExpiry(worker));
     worker.mLeaseExpiry = std::max(inherited, worker.mOwnLeaseExpiry);
--- a/tests/control/LeaderHistoryTests.cpp
+++ b/tests/control/LeaderHistoryTests.cpp
@@ -40,19 +40,33 @@
   auto leases = ThreeLeaders();
   const Duration now(23000);
   for (int token = 1; token <= 3; ++token) {
-    leases.OnEnded(FencingToken(token), Duration(1000000), now);
+    leases.OnEnded(FencingToken(token), now, now + Duration(1000000));
   }
   cr_assert_eq(leases.Remaining(now), kLease);
   cr_assert(leases.Active(now).empty());
 }
 
+// Guards against work that waits for leases that have ended: a former leader that is asked late
+// tells when it ended.
+Test(EarlierLeases, last_one_lease_after_the_end_that_a_leader_tells)
+{
+  auto leases = ThreeLeaders();
+  const Duration now(23000);
+  const Duration endedAgo(400);
+  for (int token = 1; token <= 3; ++token) {
+    leases.OnEnded(FencingToken(token), now - endedAgo, now + Duration(1000000));
+  }
+  cr_assert_eq(leases.Remaining(now), kLease - endedAgo);
+  cr_assert_eq(leases.Remaining(now + kLease), Duration(0));
+}
+
 // Guards against a second run on a worker whose lease a leader before the last one still renews.
 Test(EarlierLeases, count_a_leader_that_has_not_replied_as_acting)
 {
   auto leases = ThreeLeaders();
   const Duration now(23000);
-  leases.OnEnded(FencingToken(2), Duration(1000000), now);
-  leases.OnEnded(FencingToken(3), Duration(1000000), now);
+  leases.OnEnded(FencingToken(2), now, now + Duration(1000000));
+  leases.OnEnded(FencingToken(3), now, now + Duration(1000000));
   cr_assert_eq(leases.Remaining(now), Duration(20000) + kTolerance + kLease - now);
   cr_assert_eq(leases.Active(now).at(0).mToken, FencingToken(1));
   cr_assert(leases.Active(Duration(20000) + kTolerance).empty());
@@ -65,7 +79,7 @@
   history.OnClaim(FencingToken(1), Duration(21000));
   EarlierLeases leases(history.Before(FencingToken(2)), Duration(22000), kTolerance, kLease);
   const Duration now(22000);
-  leases.OnEnded(FencingToken(1), Duration(1000000), now);
+  leases.OnEnded(FencingToken(1), now, now + Duration(1000000));
   cr_assert_eq(leases.Remaining(now), Duration(21000) + kTolerance + kLease - now);
 }
 
@@ -73,7 +87,7 @@
 {
   auto leases = ThreeLeaders();
   const Duration now(22000);
-  leases.OnEnded(FencingToken(3), Duration(0), now);
+  leases.OnEnded(FencingToken(3), now, now + Duration(0));
   cr_assert_eq(leases.Remaining(now), kLease);
 }
 
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -164,7 +164,7 @@
 Test(Leader, applies_unstored_progress_of_the_former_leader)
 {
   LeaderFixture f;
-  f.mHandOver = { FencingToken(5), true, Duration(0), { { JobId("j"), kDone } } };
+  f.mHandOver = { FencingToken(5), true, Duration(0), { { JobId("j"), kDone } }, Duration(0) };
   f.Submit("j");
   f.RunUntil([&] {
     const auto state = f.mLeader ? f.mLeader->State(JobId("j")) : std::nullopt;
@@ -204,7 +204,7 @@
 {
   LeaderFixture f;
   f.mStore.mHeldPrefix = kRequestPrefix;
-  f.mHandOver = { FencingToken(5), true, Duration(0), { { JobId("j"), kDone } } };
+  f.mHandOver = { FencingToken(5), true, Duration(0), { { JobId("j"), kDone } }, Duration(0) };
   f.RunUntil([&] { return f.mLeader && f.mStore.mLists >= 3; });
   const auto state = f.mLeader->UnstoredState();
   cr_assert_not(f.mLeader->IsLoaded());
@@ -375,7 +375,7 @@
 // Guards against a bound on earlier leases that a former leader of an earlier version doesn't tell.
 Test(HandOver, takes_a_missing_bound_on_earlier_leases_for_the_longest)
 {
-  auto json = WriteHandOver({ FencingToken(5), true, Duration(70), {} });
+  auto json = WriteHandOver({ FencingToken(5), true, Duration(70), {}, Duration(0) });
   json.erase("earlierLeases");
   cr_assert_eq(ReadHandOver(json).mEarlierLeases, scheduler::kMaxDuration);
 }
@@ -415,20 +415,49 @@
   former.Withdraw();
   f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
   // The former leader knows of no leases that leaders before it may have renewed.
-  f.mHandOver = { token, false, Duration(0), {} };
+  f.mHandOver = { token, false, Duration(0), {}, Duration(0) };
   const auto handedOver = std::chrono::steady_clock::now();
   f.RunUntil([&] { return !f.mCalls.mStarts.empty(); });
   cr_assert_gt(std::chrono::steady_clock::now() - handedOver,
                f.mSettings.mScheduler.mLeaseDuration);
 }
 
+// Guards against a task that waits for a lease of which the former leader tells that it has ended.
+Test(Leader, starts_the_task_of_a_gone_worker_at_once_if_the_former_leader_ended_long_ago)
+{
+  LeaderFixture f;
+  // Longer than RunUntil() waits.
+  f.mSettings.mScheduler.mLeaseDuration = Duration(600000);
+  f.mSettings.mScheduler.mStoreOutageTolerance = Duration(600000);
+  f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
+  const auto token = f.mElection->Token();
+  f.mElection->Resign("test");
+  f.Submit("j");
+  f.mStore.Put("progress/job/j", kOnGoneWorker);
+  const auto endedAgo = f.mSettings.mScheduler.mLeaseDuration * 2;
+  f.mHandOver = { token, true, Duration(0), {}, endedAgo };
+  f.RunUntil([&] { return !f.mCalls.mStarts.empty(); });
+}
+
 // Guards against taking a node that knows nothing of a leadership for one that knows all its runs.
 Test(HandOver, names_no_runs_and_no_leases_of_an_unknown_leadership)
 {
-  const auto read = ReadHandOver(WriteHandOver(UnknownHandOver(FencingToken(5))));
+  const auto read = ReadHandOver(WriteHandOver(UnknownHandOver(FencingToken(5), Duration(0))));
   cr_assert_eq(read.mToken, FencingToken(5));
   cr_assert_not(read.mIsComplete);
   cr_assert_eq(read.mEarlierLeases, scheduler::kMaxDuration);
+  cr_assert_eq(read.mEndedAgo, Duration(0));
+}
+
+// Guards against a lease that is taken for longer than it may last, or for shorter, because the
+// time since the end of the leadership is lost.
+Test(HandOver, tells_how_long_ago_the_leadership_ended)
+{
+  const auto json = WriteHandOver(UnknownHandOver(FencingToken(5), Duration(40)));
+  cr_assert_eq(ReadHandOver(json).mEndedAgo, Duration(40));
+  auto earlier = json;
+  earlier.erase("endedAgo");
+  cr_assert_eq(ReadHandOver(earlier).mEndedAgo, Duration(0));
 }
 
 // Guards against a leader that keeps a leadership which it can't carry out: the store confirms its
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -290,7 +290,7 @@
   // task.
   for (int i = 0; i < 2; ++i) {
     f.TakeOver(progress);
-    f.mScheduler->OnHandedOver(Duration(0), true, f.mNow);
+    f.mScheduler->OnHandedOver(f.mScheduler->MaxLeaseDuration(), true, f.mNow);
     f.RenewAllLeases();
     cr_assert(f.Plan().mStarts.empty(), "the run on the silent worker was started a second time");
     progress = f.StoreProgress();
@@ -374,7 +374,7 @@
   const auto progress = f.StoreProgress();
   f.mWorkers.erase(first.mWorker);
   f.TakeOver(progress);
-  f.mScheduler->OnHandedOver(Duration(0), true, f.mNow);
+  f.mScheduler->OnHandedOver(f.mScheduler->MaxLeaseDuration(), true, f.mNow);
   f.RenewAllLeases();
   const auto starts = f.Plan().mStarts;
   cr_assert_eq(starts.size(), 1);
@@ -439,14 +439,14 @@
   SchedulerFixture f;
   f.AddWorkers(2);
   f.TakeOver({});
-  f.mScheduler->OnHandedOver(Duration(0), true, f.mNow);
+  f.mScheduler->OnHandedOver(f.mScheduler->MaxLeaseDuration(), true, f.mNow);
   f.RenewAllLeases();
   f.AdvanceTime(f.mSettings.mLeaseDuration - Duration(500));
   f.StoreProgress();
   f.Submit(f.Job("j", { f.Step(1, 1) }));
   const auto first = f.Plan().mStarts.at(0);
   f.mWorkers.at(first.mWorker).mIsReachable = false;
-  f.mScheduler->OnHandedOver(Duration(0), false, f.mNow);
+  f.mScheduler->OnHandedOver(f.mScheduler->MaxLeaseDuration(), false, f.mNow);
   f.AdvanceTime(f.mSettings.mLeaseDuration);
   cr_assert(f.Plan().mStarts.empty(), "the run was started a second time");
   f.AdvanceTime(Duration(500));
