Close kept connections that are as old as one that went silent

Callers saw: after all open connections to the store went silent while new ones worked, nodes refused requests on a route that had just been added with 404 for some 10 s.

Cause: HttpClient keeps up to 64 idle connections to a server for 30 s. When a call timed out, only its own connection was closed, and the next call took the next kept one, which was silent too. The watch of the configuration spent 1.7 s on each. Calls to workers use the same client.

Change: after a call that received nothing until its timeout, or whose answer stalled, the client also closes the idle connections to that server that were opened before the silence began. Newer ones stay, so that calls that time out later don't close the connections which replaced the silent ones. An answer that is only longer than its deadline closes nothing. Nothing is opened unless a call has timed out. Between nodes the connections have PINGs and need no change.

Evidence: of the three new tests, the first two fail with the former HttpClient.cpp; the third guards sound connections and passes with both.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -54,6 +54,7 @@
   SocketAddress mServer;
   bufferevent* mBuffer;
   evhttp_connection* mConnection;
+  TimePoint mOpened = std::chrono::steady_clock::now();
   // Whether either side has closed it. evhttp would open another one for the next call.
   bool mIsClosed = false;
   TimePoint mIdleSince;
@@ -81,6 +82,21 @@
     return it->second.empty() ? nullptr : &it->second;
   }
 
+  // Closes the idle connections to the server that were opened before the time. A path that goes
+  // silent takes all connections of that time with it, and later ones are sound.
+  void CloseSuspect(const SocketAddress& aServer, TimePoint aOpenedBefore)
+  {
+    const auto it = mIdle.find(aServer);
+    if (it == mIdle.end()) {
+      return;
+    }
+    std::erase_if(it->second,
+                  [aOpenedBefore](const auto& aIdle) { return aIdle->mOpened < aOpenedBefore; });
+    if (it->second.empty()) {
+      mIdle.erase(it);
+    }
+  }
+
   // Closes connections that were idle for longer than the limit.
   void CloseUnused()
   {
@@ -114,6 +130,8 @@
   // See ClientRequest::mStallTimeout and ClientRequest::mDeadline.
   std::optional<Duration> mStallTimeout;
   TimePoint mLatestEnd;
+  // The begin of the call, or the last time that a part of its answer arrived.
+  TimePoint mLastReceived = std::chrono::steady_clock::now();
   Timer mConnectTimer;
   Timer mDeadline;
 };
@@ -205,6 +223,18 @@
   }
 }
 
+// Whether nothing was received for the whole time in which the call waited for it. The answer of a
+// call without a stall timeout may just be longer than its deadline.
+bool
+IsSilent(const CallState& aCall)
+{
+  if (!aCall.mHeadersSeen) {
+    return aCall.mSent;
+  }
+  return aCall.mStallTimeout &&
+         std::chrono::steady_clock::now() >= aCall.mLastReceived + *aCall.mStallTimeout;
+}
+
 void
 OnTimeout(const std::weak_ptr<CallState>& aCall, HttpError aErrorIfSent)
 {
@@ -213,6 +243,10 @@
     return;
   }
   const bool sent = call->mSent;
+  const auto client = call->mClient.lock();
+  if (client && IsSilent(*call)) {
+    client->CloseSuspect(call->mConnection->mServer, call->mLastReceived);
+  }
   CancelRequest(*call);
   Finish(call, sent ? aErrorIfSent : HttpError::NotSent);
 }
@@ -234,6 +268,7 @@
 void
 OnProgress(const std::shared_ptr<CallState>& aCall)
 {
+  aCall->mLastReceived = std::chrono::steady_clock::now();
   const auto client = aCall->mClient.lock();
   if (aCall->mStallTimeout && client) {
     RestartDeadline(aCall, client->mLoop);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -82,7 +82,9 @@
 
 // An HTTP/1.1 client on evhttp with a pool of persistent connections per server. Belongs to its
 // loop. Callbacks never run inside Send(). Calls still open when the client is destroyed end
-// without a callback.
+// without a callback. After a call whose connection proved silent, the idle connections to that
+// server that are older than the silence are closed: they are likely silent too, and each would
+// cost a call its timeout.
 class HttpClient
 {
 public:
--- a/tests/http/HttpTests.cpp
+++ b/tests/http/HttpTests.cpp
@@ -5,6 +5,9 @@
 #include "support/LocalAddress.h"
 
 #include <criterion/criterion.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -186,6 +189,89 @@
 
 namespace {
 
+struct FreeListener
+{
+  void operator()(evconnlistener* aListener) const { evconnlistener_free(aListener); }
+};
+struct FreeBuffer
+{
+  void operator()(bufferevent* aBuffer) const { bufferevent_free(aBuffer); }
+};
+
+// A server that answers each request with "x". Its connections can go silent while new ones are
+// served: it reads what arrives there and neither answers nor closes.
+class FadingServer
+{
+public:
+  explicit FadingServer(EventLoop& aLoop)
+    : mLoop(aLoop)
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    mListener.reset(evconnlistener_new_bind(aLoop.Base(), &FadingServer::OnAccept, this,
+                                            LEV_OPT_CLOSE_ON_FREE, 64,
+                                            reinterpret_cast<sockaddr*>(&address), sizeof address));
+    cr_assert_not_null(mListener.get());
+    socklen_t n = sizeof address;
+    getsockname(evconnlistener_get_fd(mListener.get()), reinterpret_cast<sockaddr*>(&address), &n);
+    mAddress = SocketAddress("127.0.0.1", ntohs(address.sin_port));
+  }
+
+  const SocketAddress& Address() const { return mAddress; }
+  // The connections accepted so far.
+  std::size_t Accepted() const { return mConnections.size(); }
+  void SilenceOpenConnections() { mSilent = mConnections.size(); }
+
+private:
+  static void OnAccept(evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf)
+  {
+    auto& self = *static_cast<FadingServer*>(aSelf);
+    auto* buffer = bufferevent_socket_new(self.mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+    self.mConnections.emplace_back(buffer);
+    bufferevent_setcb(buffer, &FadingServer::OnRead, nullptr, nullptr, aSelf);
+    bufferevent_enable(buffer, EV_READ | EV_WRITE);
+  }
+
+  // The requests of these tests have no body and arrive in one piece.
+  static void OnRead(bufferevent* aBuffer, void* aSelf)
+  {
+    const auto& self = *static_cast<FadingServer*>(aSelf);
+    auto* input = bufferevent_get_input(aBuffer);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    const auto it = std::find_if(self.mConnections.begin(), self.mConnections.end(),
+                                 [aBuffer](const auto& aIt) { return aIt.get() == aBuffer; });
+    if (static_cast<std::size_t>(it - self.mConnections.begin()) >= self.mSilent) {
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+      bufferevent_write(aBuffer, answer.data(), answer.size());
+    }
+  }
+
+  EventLoop& mLoop;
+  std::unique_ptr<evconnlistener, FreeListener> mListener;
+  SocketAddress mAddress;
+  std::vector<std::unique_ptr<bufferevent, FreeBuffer>> mConnections;
+  std::size_t mSilent = 0;
+};
+
+// Makes calls to the server at the same time, each on a connection of its own, and waits for them.
+void
+CallAtOnce(Fixture& aFixture, const SocketAddress& aServer, int aCalls)
+{
+  int open = aCalls;
+  for (int i = 0; i < aCalls; ++i) {
+    auto request = aFixture.Request(Method::Get, "/a");
+    request.mServer = aServer;
+    aFixture.mClient->Send(request, [&](std::error_code aError, const Response&) {
+      cr_assert_not(aError);
+      if (--open == 0) {
+        aFixture.mLoop.Stop();
+      }
+    });
+  }
+  aFixture.mLoop.Run();
+}
+
 // Answers with one byte after each pause, aCount in all, and then ends the answer or stalls.
 void
 AnswerSlowly(EventLoop& aLoop, const Responder& aResponder, int aCount, Duration aPause, bool aEnds,
@@ -321,6 +407,85 @@
   cr_assert_eq(f.Call(f.Request(Method::Get, "/a")).second.mBody, "x");
 }
 
+// Guards against one timeout after another when all open connections to a server went silent at
+// once while new ones work: each kept connection used to be tried before a new one.
+Test(HttpClient, closes_kept_connections_when_one_proves_silent)
+{
+  Fixture f;
+  FadingServer server(f.mLoop);
+  FadingServer other(f.mLoop);
+  CallAtOnce(f, server.Address(), 8);
+  CallAtOnce(f, other.Address(), 2);
+  cr_assert_eq(f.mClient->IdleConnections(), 10);
+  server.SilenceOpenConnections();
+  auto request = f.Request(Method::Get, "/a");
+  request.mServer = server.Address();
+  request.mDeadline = Duration(100);
+  cr_assert_eq(f.Call(request).first, make_error_code(HttpError::DeadlineExceeded));
+  request.mDeadline = Duration(10000);
+  cr_assert_eq(f.Call(request).second.mBody, "x");
+  cr_assert_eq(server.Accepted(), 9);
+  // The other server's connections are kept.
+  cr_assert_eq(f.mClient->IdleConnections(), 3);
+  CallAtOnce(f, other.Address(), 2);
+  cr_assert_eq(other.Accepted(), 2);
+}
+
+// Guards against a new connection for each call that was still waiting when the silence was
+// noticed: their timeouts must not close the connections that have replaced the silent ones.
+Test(HttpClient, keeps_connections_that_are_newer_than_a_silent_call)
+{
+  Fixture f;
+  FadingServer server(f.mLoop);
+  CallAtOnce(f, server.Address(), 8);
+  server.SilenceOpenConnections();
+  auto request = f.Request(Method::Get, "/a");
+  request.mServer = server.Address();
+  request.mDeadline = Duration(100);
+  int open = 4;
+  const auto count = [&](std::error_code aError, const Response&) {
+    cr_assert_eq(aError, make_error_code(HttpError::DeadlineExceeded));
+    if (--open == 0) {
+      f.mLoop.Stop();
+    }
+  };
+  auto longer = request;
+  longer.mDeadline = Duration(1000);
+  for (int i = 0; i < 3; ++i) {
+    f.mClient->Send(longer, count);
+  }
+  f.mClient->Send(request, [&](std::error_code aError, const Response& aResponse) {
+    count(aError, aResponse);
+    request.mDeadline = Duration(10000);
+    f.mClient->Send(request,
+                    [](std::error_code aNextError, const Response&) { cr_assert_not(aNextError); });
+  });
+  f.mLoop.Run();
+  cr_assert_eq(f.mClient->IdleConnections(), 1);
+  cr_assert_eq(f.Call(request).second.mBody, "x");
+  cr_assert_eq(server.Accepted(), 9);
+}
+
+// Guards against new connections for a server that is sound but slow with one answer.
+Test(HttpClient, keeps_connections_when_an_answer_outlasts_its_deadline)
+{
+  Fixture f;
+  std::vector<Timer> timers;
+  std::optional<Responder> responder;
+  f.mServer->Handle(Method::Get, "/long", [&](const http::Request&, const Responder& aResponder) {
+    responder = aResponder;
+    AnswerSlowly(f.mLoop, aResponder, 2, Duration(20), false, timers);
+  });
+  f.mServer->Handle(Method::Get, "/a", [](const http::Request&, const Responder& aResponder) {
+    aResponder.Send({ 200, {}, "x" });
+  });
+  CallAtOnce(f, f.mServer->Address(), 4);
+  auto request = f.Request(Method::Get, "/long");
+  request.mDeadline = Duration(1000);
+  cr_assert_eq(f.Call(request).first, make_error_code(HttpError::DeadlineExceeded));
+  cr_assert_eq(f.mClient->IdleConnections(), 3);
+}
+
 Test(HttpClient, does_not_call_back_after_cancel)
 {
   Fixture f;
