Gather room only for gangs that fit beside lasting tasks, in bounded turns

Callers saw: two gangs that didn't fit beside tasks that last kept all free resources, and small jobs of another queue never began, although most of the accelerators were free.

Cause: Scheduler::GatherCapacity() and Placer::Gather() kept the free resources of as many workers as the gang would need if they were empty, without asking whether what runs there ends, and for as long as it waited.

Change: runs of tasks that last count as occupied for Gather(), unless the gang may stop them. A gang that doesn't fit so gathers nothing and leaves the turn to another one. A gang that has gathered for 6 s in vain lets others pass for 1 s; its turns double up to 24 s, so that it outlasts runs that are longer than its first turn. Guaranteed gangs gather without pauses. PlacedRun knows whether its task lasts, also after a takeover.

Evidence: six new tests.

Remaining: ordinary runs longer than 24 s under a stream of work can keep a gang waiting, and a small job behind a gang that waits for such runs may wait for up to 24 s.

--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -58,6 +58,8 @@
   WorkerClock mPercentClock;
   // The task saves checkpoints, so that a stop loses only the work since the last one.
   bool mCheckpointing = false;
+  // The task lasts, so the run isn't expected to end by itself.
+  bool mLongRunning = false;
 
   // Whether a start order without an answer may still be carried out, so that the run can begin
   // although the worker doesn't report it. A confirmed stop rules that out.
--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -36,6 +36,20 @@
   });
 }
 
+// Returns what the worker will have free once its present runs have ended, but those that last and
+// may not be stopped.
+Capacity
+CapacityBesideLasting(const Worker& aWorker, const MayStop& aMayStop)
+{
+  auto capacity = aWorker.mEntry.mCapacity;
+  for (const auto& it : aWorker.mRuns) {
+    if (it.mLongRunning && it.mPhase != RunPhase::Stopping && !aMayStop(it)) {
+      capacity -= it.mDemand;
+    }
+  }
+  return capacity;
+}
+
 bool
 Contains(const std::vector<WorkerId>& aWorkers, const WorkerId& aWorker)
 {
@@ -208,12 +222,20 @@
   return best;
 }
 
-void
-Placer::Gather(const PlacementRequest& aRequest)
+bool
+Placer::Gather(const PlacementRequest& aRequest, const MayStop& aMayStop)
 {
   std::vector<WorkerId> best;
   Accelerators bestFree(-1);
   for (auto& group : Groups(aRequest, false)) {
+    for (auto& it : group) {
+      const auto capacity = CapacityBesideLasting(*it.mWorker, aMayStop);
+      it.mCopies = aRequest.mStep->mDemand.CopiesIn(capacity, MaxCopies(it, aRequest));
+    }
+    if (TotalCopies(group) < aRequest.mCount) {
+      continue;
+    }
+    std::erase_if(group, [](const auto& aIt) { return aIt.mCopies <= 0; });
     std::sort(group.begin(), group.end(), [](const auto& aLeft, const auto& aRight) {
       return std::pair(aLeft.mFree.mAccelerators, aLeft.mFree.mCpu) >
              std::pair(aRight.mFree.mAccelerators, aRight.mFree.mCpu);
@@ -225,12 +247,11 @@
       if (copies >= aRequest.mCount) {
         break;
       }
-      const auto& capacity = it.mWorker->mEntry.mCapacity;
-      copies += aRequest.mStep->mDemand.CopiesIn(capacity, MaxCopies(it, aRequest));
+      copies += it.mCopies;
       free += it.mFree.mAccelerators;
       workers.push_back(it.mWorker->mEntry.mId);
     }
-    if (copies >= aRequest.mCount && free > bestFree) {
+    if (free > bestFree) {
       best = std::move(workers);
       bestFree = free;
     }
@@ -238,6 +259,7 @@
   for (const auto& it : best) {
     mCandidates[mPositions.at(it)].mFree = {};
   }
+  return !best.empty();
 }
 
 bool
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -54,6 +54,9 @@
   Accelerators mAccelerators;
 };
 
+// Whether a run may be stopped for the request.
+using MayStop = std::function<bool(const PlacedRun&)>;
+
 // Returns the cost of stopping a run; nullopt if it must not be stopped.
 using EvictionCost = std::function<std::optional<double>(const PlacedRun&)>;
 
@@ -80,9 +83,10 @@
   std::optional<EvictionPlan>
   Evict(const PlacementRequest& aRequest, const EvictionCost& aCost) const;
   // Reserves everything that is free on a set of workers that can hold all tasks of the request
-  // once their present runs have ended. Takes the workers with the most free resources, which are
-  // likely to have enough soonest.
-  void Gather(const PlacementRequest& aRequest);
+  // once their present runs have ended. Runs that last aren't expected to, unless they may be
+  // stopped. Takes the workers with the most free resources, which are likely to have enough
+  // soonest. Returns false if there is no such set.
+  bool Gather(const PlacementRequest& aRequest, const MayStop& aMayStop);
   RoomReport Room(const PlacementRequest& aRequest) const;
   // Whether the request would fit if no run occupied the workers that it may use.
   bool FitsOnIdleWorkers(const PlacementRequest& aRequest) const;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -31,6 +31,7 @@
 Scheduler::Scheduler(const SchedulerSettings& aSettings, TimePoint aTakeover)
   : mSettings(aSettings)
   , mInheritedUntil(aTakeover + aSettings.mStoreOutageTolerance + MaxLeaseDuration())
+  , mGatherTurns(aSettings.mGatherTurn, aSettings.mLongestGatherTurn, aSettings.mGatherPause)
 {
 }
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "scheduler/Fleet.h"
+#include "scheduler/GatherTurns.h"
 #include "scheduler/Job.h"
 #include "scheduler/Orders.h"
 #include "scheduler/Placer.h"
@@ -175,8 +176,6 @@
     bool mIsSpread = false;
     TimePoint mUntil;
   };
-  // Job, occurrence and step.
-  using StepKey = std::tuple<JobId, int, int>;
 
   Job* FindMutable(const JobId& aJob);
   // Marks the job's progress to be stored.
@@ -295,7 +294,8 @@
   // Returns how long the step has been ready.
   static Duration WaitingTime(const DueStep& aDue, const CurrentTime& aNow);
   // For a gang that has waited for mGatherAfter, reserves the free resources of workers that can
-  // hold it, so that their resources accumulate until it fits.
+  // hold it beside the runs that last, so that their resources accumulate until it fits. Unless the
+  // gang is guaranteed, it does so in turns: the runs that it waits for may go on for long.
   void GatherCapacity(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                       const CurrentTime& aNow);
   // Evicts runs so that the tasks of the request fit, and reserves the resources for the step.
@@ -315,6 +315,8 @@
                   const CurrentTime& aNow);
   void StartTasks(const DueStep& aDue, const std::vector<WorkerId>& aWorkers, Placer& aPlacer,
                   const CurrentTime& aNow, Orders& aOrders);
+  // Whether the step may evict runs of others at all.
+  static bool MayEvictAny(const DueStep& aFor);
   // Whether the run may be evicted for a step: its job is less urgent, or above its account's
   // guarantee.
   bool MayEvict(const PlacedRun& aRun, const DueStep& aFor) const;
@@ -360,6 +362,7 @@
   std::map<StepKey, Reservation> mReservations;
   // The speeds of the runs of each step of the jobs that aren't over.
   std::map<StepKey, TypicalSpeed> mStepSpeeds;
+  GatherTurns mGatherTurns;
   // When LogWaiting() last logged each step.
   std::map<StepKey, TimePoint> mWaitingLogged;
   // The result of EntitledJobs() for the current plan.
--- a/src/scheduler/SchedulerEvictions.cpp
+++ b/src/scheduler/SchedulerEvictions.cpp
@@ -34,6 +34,12 @@
   return priority > ownPriority || isAboveGuarantee;
 }
 
+bool
+Scheduler::MayEvictAny(const DueStep& aFor)
+{
+  return aFor.mJob->Policy().mPriority == 0 && aFor.mClass != Worthless;
+}
+
 bool
 Scheduler::MayMove(const PlacedRun& aRun, const DueStep& aFor) const
 {
@@ -94,7 +100,7 @@
 Scheduler::EvictFor(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                     const CurrentTime& aNow)
 {
-  if (aDue.mJob->Policy().mPriority != 0 || aDue.mClass == Worthless) {
+  if (!MayEvictAny(aDue)) {
     return false;
   }
   const auto plan = PlanEvictions(aDue, aRequest, aPlacer, false, aNow);
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -74,6 +74,7 @@
   std::erase_if(mWaitingLogged, [&aNow](const auto& aIt) {
     return aNow.mSteady - aIt.second > 2 * kWaitingLogPeriod;
   });
+  mGatherTurns.Prune(aNow.mSteady);
   std::erase_if(mReservations,
                 [&aNow](const auto& aIt) { return aIt.second.mUntil < aNow.mSteady; });
   for (const auto& [key, reservation] : mReservations) {
@@ -639,9 +640,18 @@
                           const CurrentTime& aNow)
 {
   const bool isDue = WaitingTime(aDue, aNow) >= mSettings.mGatherAfter;
-  if (aRequest.mStep->mGang && isDue && mGatheringSteps < mSettings.mMaxGatheringSteps) {
+  if (!aRequest.mStep->mGang || !isDue || mGatheringSteps >= mSettings.mMaxGatheringSteps) {
+    return;
+  }
+  const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
+  if (!aDue.mIsEntitled && mGatherTurns.IsPausing(key, aNow.mSteady)) {
+    return;
+  }
+  const bool mayEvict = MayEvictAny(aDue);
+  const auto mayStop = [&](const PlacedRun& aRun) { return mayEvict && MayEvict(aRun, aDue); };
+  if (aPlacer.Gather(aRequest, mayStop)) {
     ++mGatheringSteps;
-    aPlacer.Gather(aRequest);
+    mGatherTurns.OnGathered(key, aNow.mSteady);
   }
 }
 
@@ -673,6 +683,7 @@
     placed.mLastOrderSent = aNow.mSteady;
     placed.mOrderInFlight = true;
     placed.mCheckpointing = spec.mCheckpointing;
+    placed.mLongRunning = spec.mLongRunning;
     mFleet.at(aWorkers[i]).Add(placed);
     aPlacer.Reserve(aWorkers[i], spec.mDemand);
     aOrders.mStarts.push_back(MakeStart(aWorkers[i], placed.mRun));
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -182,6 +182,7 @@
     const auto& spec = job->Spec(aRun.mRun.mTask.mStep);
     placed.mDemand = spec.mDemand;
     placed.mCheckpointing = spec.mCheckpointing;
+    placed.mLongRunning = spec.mLongRunning;
   }
   const bool hasNoKnownRun =
     task && (task->mPhase == TaskPhase::Waiting || task->mPhase == TaskPhase::Unreported);
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -44,6 +44,11 @@
   // available (see Placer::Gather), for at most mMaxGatheringSteps gangs at once.
   Duration mGatherAfter{ 1000 };
   int mMaxGatheringSteps = 2;
+  // A gang without a guarantee that doesn't fit after mGatherTurn lets other steps pass for
+  // mGatherPause before it gathers again, each time for twice as long, up to mLongestGatherTurn.
+  Duration mGatherTurn{ 6000 };
+  Duration mLongestGatherTurn{ 24000 };
+  Duration mGatherPause{ 1000 };
   // Time for which resources stay reserved for a step for which other runs are being evicted.
   Duration mReservationDuration{ 1500 };
   // Time for which the records of a job are kept after its end.
--- a/src/scheduler/TaskRef.h
+++ b/src/scheduler/TaskRef.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 
 #include <compare>
+#include <tuple>
 
 namespace lovagerock::scheduler {
 
@@ -27,4 +28,7 @@
   auto operator<=>(const RunRef&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+// Job, occurrence and step.
+using StepKey = std::tuple<JobId, int, int>;
+
 } // namespace lovagerock::scheduler
--- a/src/scheduler/WaitScanner.h
+++ b/src/scheduler/WaitScanner.h
@@ -35,7 +35,6 @@
 
 private:
   using DueStep = Scheduler::DueStep;
-  using StepKey = Scheduler::StepKey;
 
   // Tasks of a step that wait for the same kind of event.
   struct Group
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -198,6 +198,144 @@
   cr_assert(f.State("gang") == JobState::InProgress);
 }
 
+namespace {
+
+// A job of one lasting task for each worker, on one accelerator.
+AcceptedJob
+OneLastingTaskPerWorker(SchedulerFixture& aFixture)
+{
+  auto lasting = aFixture.Step(static_cast<int>(aFixture.mWorkers.size()), 1);
+  lasting.mLongRunning = true;
+  lasting.mMaxPerWorker = 1;
+  return aFixture.Job("lasting", { lasting }, 1);
+}
+
+} // namespace
+
+// Guards against gangs that keep all free resources for good, because they only fit once tasks end
+// that last, while small jobs that would fit never begin.
+Test(Scheduler, gathers_nothing_for_gangs_that_do_not_fit_beside_lasting_tasks)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  f.Submit(OneLastingTaskPerWorker(f));
+  f.Plan();
+  f.Submit(f.Job("gang1", { f.Gang(2, 8) }, 1));
+  f.Submit(f.Job("gang2", { f.Gang(2, 8) }, 1));
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  f.Plan();
+  f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
+  f.Plan();
+  cr_assert(f.State("small") == JobState::InProgress);
+}
+
+// The same after a takeover: the next scheduler learns of the lasting runs from the workers.
+Test(Scheduler, gathers_nothing_beside_lasting_tasks_that_it_adopted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  f.Submit(OneLastingTaskPerWorker(f));
+  f.Plan();
+  f.Submit(f.Job("gang", { f.Gang(4, 8) }, 1));
+  f.TakeOver(f.StoreProgress());
+  f.RenewAllLeases();
+  f.Plan();
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  f.Plan();
+  f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
+  f.Plan();
+  cr_assert(f.State("small") == JobState::InProgress);
+}
+
+// Guards against gangs that can't be completed in the place of one that can: only a few may gather
+// at a time.
+Test(Scheduler, gathers_for_a_gang_behind_others_that_do_not_fit)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  f.Submit(OneLastingTaskPerWorker(f));
+  f.Plan();
+  f.Submit(f.Job("first", { f.Step(28, 1) }, 2));
+  f.Plan();
+  f.Submit(f.Job("gang1", { f.Gang(2, 8) }, 1));
+  f.Submit(f.Job("gang2", { f.Gang(2, 8) }, 1));
+  f.Submit(f.Job("gang3", { f.Gang(2, 7) }, 1));
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  f.Plan();
+  constexpr int kRounds = 32;
+  for (int i = 0; i < kRounds && f.State("gang3") == JobState::Queued; ++i) {
+    f.Submit(f.Job("small" + std::to_string(i), { f.Step(1, 1) }, 2));
+    const auto runs = f.Running();
+    const auto it = std::find_if(runs.begin(), runs.end(), [](const auto& aRun) {
+      return aRun.mTask.mJob != JobId("lasting");
+    });
+    cr_assert(it != runs.end());
+    f.EndRun(*it, RunEnd::Done);
+    f.RenewAllLeases();
+    f.Plan();
+    f.RenewAllLeases();
+  }
+  cr_assert(f.State("gang3") == JobState::InProgress);
+}
+
+// Guards against a small job that waits for as long as a gang waits for runs that go on and on.
+Test(Scheduler, lets_small_jobs_pass_after_a_gang_has_gathered_in_vain)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  auto runs = f.Step(4, 1);
+  runs.mMaxPerWorker = 1;
+  f.Submit(f.Job("first", { runs }, 1));
+  f.Plan();
+  f.Submit(f.Job("gang", { f.Gang(4, 8) }, 1));
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  f.Plan();
+  f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
+  f.Plan();
+  cr_assert(f.State("small") == JobState::Queued, "nothing was gathered");
+  f.AdvanceTime(f.mSettings.mGatherTurn);
+  f.Plan();
+  cr_assert(f.State("small") == JobState::InProgress);
+  // The gang gathers again.
+  f.AdvanceTime(f.mSettings.mGatherPause);
+  f.Plan();
+  f.Submit(f.Job("next", { f.Step(1, 1) }, 2));
+  f.Plan();
+  cr_assert(f.State("next") == JobState::Queued);
+}
+
+// Guards against a gang that never starts because its turns are shorter than the runs that it waits
+// for. These take all slots, end one after the other, and others wait for each slot.
+Test(Scheduler, gathers_longer_each_time_until_a_gang_fits)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  constexpr Duration kStep{ 500 };
+  const auto runTime = 3 * f.mSettings.mGatherTurn / 2;
+  f.Submit(f.Job("first", { f.Step(32, 1) }, 2));
+  f.Plan();
+  std::map<RunRef, TimePoint> ends;
+  // Each worker has eight runs, which follow one another in the list.
+  int number = 0;
+  for (const auto& it : f.Running()) {
+    ends[it] = f.mNow.mSteady + runTime * (number++ % 8 + 1) / 8;
+  }
+  f.Submit(f.Job("gang", { f.Gang(2, 8) }, 1));
+  constexpr int kRounds = 200;
+  for (int i = 0; i < kRounds && f.State("gang") == JobState::Queued; ++i) {
+    f.Submit(f.Job("next" + std::to_string(i), { f.Step(4, 1) }, 2));
+    for (const auto& it : f.Running()) {
+      const auto end = ends.try_emplace(it, f.mNow.mSteady + runTime).first->second;
+      if (f.mNow.mSteady >= end) {
+        f.EndRun(it, RunEnd::Done);
+      }
+    }
+    f.AdvanceTime(kStep);
+    f.Plan();
+  }
+  cr_assert(f.State("gang") == JobState::InProgress);
+}
+
 // Guards against resources that were freed by evictions for one job and are taken by another one.
 Test(Scheduler, reserves_evicted_resources_for_the_urgent_job)
 {
@@ -455,6 +593,25 @@
   cr_assert_eq(f.Running().size(), 4, "the moved run wasn't started again");
 }
 
+// Guards against a guaranteed gang that gives up its room: its account has been promised it.
+Test(Scheduler, gathers_for_a_guaranteed_gang_without_pauses)
+{
+  TwoRacksFixture f;
+  f.mScheduler->SetGuarantees({ { AccountId("account"), Accelerators(64) } });
+  f.Occupy("a", 4, RackId("r0"));
+  f.Occupy("b", 8, RackId("r0"));
+  f.Occupy("c", 8, RackId("r1"));
+  f.Occupy("d", 8, RackId("r1"));
+  f.SubmitGang();
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  f.Plan();
+  f.AdvanceTime(f.mSettings.mGatherTurn);
+  f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
+  f.Plan();
+  cr_assert(f.State("gang") == JobState::Queued);
+  cr_assert(f.State("small") == JobState::Queued);
+}
+
 // Guards against taking the room of a guaranteed job for that of another one.
 Test(Scheduler, moves_no_guaranteed_run_that_fits_nowhere_else)
 {
