Fence the orders of before with the first call that a restarted worker answers

What callers saw: a task that was done ran again on a worker that had restarted under its id, if the store took no writes at that time: a start without an answer was carried out seconds later.

Cause: a restarted worker refuses orders of before once a call has a higher fencing token. The leader asked the store for one only after the restart was noticed, by the write that records it. Until that write, some 20 ms after the first answer, and in an outage of the store as long as it lasts, the worker obeyed whatever arrived late.

Change: each stored batch gives a token that is higher than all that calls have carried. A call after a failed one, which is the first that can reach a restarted worker, carries it. Such a call renews no lease and names no ends, and orders carry the token only after an answer. So nothing that has it and is carried out late does harm, also if the worker restarts again. Work still waits for the record of the restart and the token of its revision, so that the next leader knows of the restart.

The token of a batch is the revision of a transaction that was applied. The writer's last revision may also be that of a later leader's batch, after a condition that failed; it was used as well.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -544,7 +544,7 @@
   // Whether the worker refused a call because of a token that this leader has sent itself since.
   bool IsFencedByItself(const WorkerId& aWorker, FencingToken aSent) const
   {
-    return aSent < mLeases.Token(aWorker);
+    return aSent < mLeases.HighestToken(aWorker);
   }
 
   void OnStartReply(const scheduler::StartOrder& aOrder, FencingToken aSent, OrderReply aReply)
@@ -663,9 +663,10 @@
   void OnBatchStored(const scheduler::ProgressBatch& aBatch)
   {
     // Written on condition of the leadership, so it is lower than the token of any later leader.
-    const FencingToken raised(mWriter->LastRevision().Value());
+    const FencingToken token(mWriter->AppliedRevision().Value());
+    mLeases.OnTokenObtained(token);
     for (const auto& it : aBatch.mRestarted) {
-      mLeases.RaiseToken(it, raised);
+      mLeases.RaiseToken(it, token);
     }
     for (const auto& it : aBatch.mProcessedEnds) {
       mLeases.Renew(it.mWorker);
--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -33,8 +33,9 @@
   }
 
   bool IsBusy() const { return mIsBusy; }
-  // The store's revision of the last transaction that was applied.
-  kv::Revision LastRevision() const { return mBatchRevision; }
+  // The store's revision of the last transaction that this writer knows to be applied; 0 if there
+  // was none. It is lower than that of any later claim of the leadership.
+  kv::Revision AppliedRevision() const { return mAppliedRevision; }
   // Whether the last batch failed.
   bool IsFailing() const { return mIsFailing; }
 
@@ -85,6 +86,7 @@
     if (!aError && aOutcome.mApplied) {
       mBatchRevision = aOutcome.mRevision;
       mStoredWrites += mSentWrites;
+      mAppliedRevision = aOutcome.mRevision;
       mWrites.erase(mWrites.begin(), mWrites.begin() + static_cast<long>(mSentWrites));
       mDeletes.erase(mDeletes.begin(), mDeletes.begin() + static_cast<long>(mSentDeletes));
       if (mOnPart) {
@@ -116,7 +118,9 @@
 
   Store& mStore;
   Condition mLeader;
+  // The last known revision of the batch key, which a later leader may have written.
   kv::Revision mBatchRevision;
+  kv::Revision mAppliedRevision;
   std::uint64_t mBatchNumber = 0;
   bool mIsBusy = false;
   bool mIsFailing = false;
--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -72,6 +72,18 @@
     Renew(aWorker.mWorker);
   }
 
+  // A token that was obtained while the leadership held. From now on, the first call that reaches a
+  // worker after a restart carries it, unless calls to the worker have carried it before.
+  void OnTokenObtained(FencingToken aToken) { mObtainedToken = std::max(mObtainedToken, aToken); }
+
+  // Returns the highest fencing token that a call to the worker has carried. The worker may refuse
+  // orders with a lower one, that of Token() too.
+  FencingToken HighestToken(const WorkerId& aWorker) const
+  {
+    const auto it = mHighestTokens.find(aWorker);
+    return it == mHighestTokens.end() ? Token(aWorker) : std::max(Token(aWorker), it->second);
+  }
+
   // Returns the end of a lease that is renewed now, on the worker's clock; nullopt until that clock
   // is known.
   std::optional<scheduler::WorkerClock> Deadline(const WorkerId& aWorker) const
@@ -106,6 +118,9 @@
       return;
     }
     const auto& worker = it->second;
+    if (worker.mNeedsHigherToken && mObtainedToken > HighestToken(aWorker)) {
+      mRaisedTokens[aWorker].mToken = mObtainedToken;
+    }
     RenewalCall call;
     call.mLeaseDeadline = renewal.mLastCallFailed ? std::nullopt : Deadline(aWorker);
     // Named only if the worker has ends to drop: a call that is carried out late, after the worker
@@ -121,7 +136,14 @@
     if (call.mLeaseDeadline) {
       mScheduler.OnLeaseSent(aWorker, Now());
     }
-    const auto target = Target(worker);
+    auto target = Target(worker);
+    if (renewal.mLastCallFailed) {
+      // The worker may have restarted, and then obeys outdated orders until it has seen a higher
+      // token. Orders don't carry this one before the worker has answered, nor does this call renew
+      // the lease or name ends, so nothing that is carried out late does harm with it.
+      target.mToken = std::max(HighestToken(aWorker), mObtainedToken);
+      mHighestTokens[aWorker] = target.mToken;
+    }
     const SentRenewal sent{ worker.mEntry.mIncarnation, target.mToken, call.mLastStoredEnd };
     mCalls.RenewLease(target, call, mGuard.Wrap([this, aWorker, sent](const auto& aReply) {
       OnRenewalReply(aWorker, sent, aReply);
@@ -155,10 +177,12 @@
     Timer mRetryTimer;
   };
 
-  // A token that was obtained after a restart, for the incarnation that began then.
+  // A token that is higher than that of the leadership.
   struct RaisedToken
   {
     FencingToken mToken;
+    // The incarnation whose record gave the last token that was obtained by one. Work waits for
+    // that of the present incarnation, so that the next leader learns of the restart.
     scheduler::WorkerIncarnation mIncarnation;
   };
 
@@ -197,12 +221,15 @@
         renewal.mClockReadAt = std::chrono::steady_clock::now();
         mScheduler.OnLeaseReport(aWorker, aReply.mReport, Now());
         renewal.mIncarnation = Incarnation(aWorker);
+        if (aSent.mToken > Token(aWorker)) {
+          mRaisedTokens[aWorker].mToken = aSent.mToken;
+        }
         if (HasRaisedToken(aWorker, aSent)) {
           mScheduler.OnTokenRaised(aWorker);
         }
         break;
       case scheduler::OrderOutcome::Fenced:
-        if (aSent.mToken < Token(aWorker)) {
+        if (aSent.mToken < HighestToken(aWorker)) {
           // An order with the raised token was faster than this call.
           break;
         }
@@ -298,6 +325,10 @@
   std::map<WorkerId, Renewal> mRenewals;
   // Kept for workers that have gone too, since they may come back.
   std::map<WorkerId, RaisedToken> mRaisedTokens;
+  // The tokens of calls after failed ones; kept as long.
+  std::map<WorkerId, FencingToken> mHighestTokens;
+  // The last token that was obtained while the leadership held.
+  FencingToken mObtainedToken;
   CallbackGuard mGuard;
 };
 
--- a/tests/integration/EdgeTests.cpp
+++ b/tests/integration/EdgeTests.cpp
@@ -338,6 +338,23 @@
   });
 }
 
+// Guards against the same while the store takes no writes: then the leader can't record the
+// restart, but has a higher token of an earlier write.
+Test(EdgeNodes, repeat_nothing_at_a_restarted_worker_while_the_store_takes_no_writes)
+{
+  RunWithEdges(1, 1, [](EdgeSystem& aSystem) {
+    aSystem.SetFaults({ { "late_starts", 1 }, { "late_start_ms", 4000 } });
+    Require(aSystem.Submit(0, kJob, Json::array({ Tasks(1, 1) }), 100ms).Is(200), "not accepted");
+    aSystem.AwaitState(0, kJob, "completed");
+    aSystem.SetFaults({ { "refusing_writes", true } });
+    aSystem.Restart("worker-0");
+    Require(!aSystem.Ledger().at("late_starts").empty(), "no start is delayed");
+    AwaitTrue("the start order to be carried out",
+              [&] { return aSystem.Ledger().at("late_starts").empty(); });
+    aSystem.RequireNothingRanTwice();
+  });
+}
+
 // Guards against two leaders that start the same task where workers don't check the fencing token:
 // a leader that the store has closed off must not start anything after it may have a successor.
 Test(EdgeNodes, repeat_nothing_on_workers_that_ignore_the_fencing_token)
