Test that leaders in a row use no run number twice

Failures of a task are told apart by the numbers of its runs. When a leader ordered a run before it was stored, the next leader gave the number again, on another worker, and two failures counted as one attempt.

Since a run is recorded before it is ordered, this can't happen any more: the next leader reads the record after its claim, and the write that names the run has the former leadership as its condition. What the former leader hands over is as new as its last record, and it hands over nothing older that a leader in between has rewritten, because only the last leader of all is asked for it. A run that was recorded and not ordered uses its number up.

The test ends the leadership four times, every other time while writes have no outcome.

--- a/tests/control/TakeoverTests.cpp
+++ b/tests/control/TakeoverTests.cpp
@@ -1,5 +1,7 @@
 #include "LeaderFixture.h"
 
+#include <set>
+
 using namespace lovagerock;
 using namespace lovagerock::control;
 
@@ -126,6 +128,33 @@
   cr_assert(f.mStore.mItems.contains("progress/job/j"));
 }
 
+// Guards against failed runs that don't count as attempts: failures are told apart by the number of
+// the run, so leaders in a row must not use a number twice, whether or not the last one could
+// record its run.
+Test(Takeover, orders_no_two_runs_of_a_task_with_one_number)
+{
+  TakeoverFixture f;
+  f.RunFirstJob();
+  f.mCalls.mHoldsOrders = true;
+  f.Submit("j");
+  for (int i = 0; i < 4; ++i) {
+    f.mStore.mWritesToDelay = i % 2 == 0 ? 1000000 : 0;
+    f.RunForSomePlans();
+    f.mStore.mWritesToDelay = 0;
+    const auto token = f.mElection->Token();
+    f.EndLeadership();
+    f.RunUntil([&] { return f.mElection->Token() > token && f.IsLoaded(); });
+  }
+  f.RunForSomePlans();
+  std::set<int> numbers;
+  for (const auto& [worker, call] : f.mCalls.mStarts) {
+    if (call.mRun.mTask.mJob == JobId("j")) {
+      cr_assert(numbers.insert(call.mRun.mRun).second, "run %d was ordered twice", call.mRun.mRun);
+    }
+  }
+  cr_assert_geq(numbers.size(), 2);
+}
+
 // Guards against an order for a job that was cancelled while its run was being recorded, and
 // against resources that stay occupied by the run.
 Test(Takeover, sends_no_order_for_a_job_that_was_cancelled_meanwhile)
