Count listed ends as done in the check of idle jobs

The check took jobs for idle whose workers had left after they listed an end and before it was acknowledged: a scheduler may know of such an end and never start the task again.

An end now counts as done once it was listed. An end that no scheduler was told of still makes the task due again when its worker is gone, and a job whose listed end was lost still has to end.

--- a/src/standin/platform/PlatformWorker.cpp
+++ b/src/standin/platform/PlatformWorker.cpp
@@ -244,6 +244,7 @@
   }
   Json finished = Json::array();
   for (const auto& it : mEnded) {
+    mLedger.OnListed(mId, it.mRun.first, it.mRun.second);
     finished.push_back(Json::array({ it.mNumber, it.mRun.first, it.mRun.second, it.mHow, "" }));
   }
   aTo.Send(http::JsonResponse(200, DumpJson({ { "clock_ms", ClockMs() },
--- a/src/standin/platform/RunLedger.h
+++ b/src/standin/platform/RunLedger.h
@@ -33,6 +33,8 @@
   std::int64_t OnWorkerBorn(const std::string& aWorker, std::int64_t aNowMs);
   void OnStart(const std::string& aWorker, const std::string& aTask, int aRun);
   void OnEnd(const std::string& aWorker, const std::string& aTask, int aRun, bool aIsDone);
+  // The worker has told a scheduler of the end of the run.
+  void OnListed(const std::string& aWorker, const std::string& aTask, int aRun);
   // A scheduler has let the worker forget the end of the run.
   void OnAcknowledged(const std::string& aWorker, const std::string& aTask, int aRun);
   void OnLeaseExpired(const std::string& aWorker);
@@ -65,12 +67,13 @@
     Run mRun;
     // The starts of the task since then.
     std::vector<std::string> mLaterStarts;
+    bool mIsListed = false;
   };
 
   void AddStartAfterDone(const std::string& aTask, const std::string& aStart);
   void ForgetDoneRuns(const std::string& aWorker);
-  // Whether a run of the task has ended as done and its worker keeps that end or has handed it
-  // over.
+  // Whether a run of the task has ended as done, and its worker keeps that end or has listed it. A
+  // scheduler may know of a listed end although it couldn't acknowledge it, as the worker left.
   bool IsDone(const std::string& aTask) const;
 
   std::map<std::string, std::int64_t> mBirthMs;
@@ -79,6 +82,8 @@
   std::map<std::string, JobRuns> mJobRuns;
   std::vector<DoneRun> mUnacknowledged;
   std::set<std::string> mAcknowledgedTasks;
+  // Tasks whose end as done was listed, and lost with its worker before it was acknowledged.
+  std::set<std::string> mListedTasks;
   std::set<std::string> mShownJobs;
   std::vector<std::string> mViolations;
 };
--- a/tests/standin/IdleJobCheckTests.cpp
+++ b/tests/standin/IdleJobCheckTests.cpp
@@ -162,6 +162,21 @@
   cr_assert(f.HasViolation());
 }
 
+// Guards against a check that waits for a task whose end a scheduler knows, as the worker listed it
+// before it left, although it couldn't be acknowledged any more.
+Test(IdleJobCheck, passes_over_a_job_whose_ends_were_listed_by_a_worker_that_left)
+{
+  CheckFixture f;
+  for (const auto& it : { Task(0, 0), Task(0, 1), Task(1, 0) }) {
+    f.Start(it);
+    f.End(it);
+    f.mLedger.OnListed(kWorker, it, 1);
+  }
+  f.mLedger.OnWorkerGone(kWorker);
+  f.Pass(kLong, kRoom);
+  cr_assert_not(f.HasViolation());
+}
+
 // Guards against idle time that is made up from a pause of the stand-in itself.
 Test(IdleJobCheck, counts_no_time_in_which_nothing_was_looked_at)
 {
