Count an end as done in the check of idle jobs when it is listed late

The check took jobs for idle whose last tasks ended on a silent worker: its lease expired before it listed their ends, and the ledger no longer took those ends for done.

An end that is listed as done counts from then on, whatever the lease. Between the expiry of the lease and that moment the task is due, as before.

--- a/src/standin/platform/PlatformWorker.cpp
+++ b/src/standin/platform/PlatformWorker.cpp
@@ -13,6 +13,8 @@
 // The longest lease that a worker grants.
 constexpr std::int64_t kLongestLeaseMs = 10000;
 constexpr int kAccelerators = 8;
+// How a run ends whose task is done.
+constexpr const char* kDone = "done";
 
 // The time that a task takes.
 Duration
@@ -206,7 +208,7 @@
   }
   const auto time = TaskTime(run.first, JsonValue(aBody, "spec", std::string()));
   mLedger.OnStart(mId, run.first, run.second);
-  mRunning[run] = mLoop.After(time, [this, run] { End(run, "done"); });
+  mRunning[run] = mLoop.After(time, [this, run] { End(run, kDone); });
   return nullptr;
 }
 
@@ -244,7 +246,9 @@
   }
   Json finished = Json::array();
   for (const auto& it : mEnded) {
-    mLedger.OnListed(mId, it.mRun.first, it.mRun.second);
+    if (it.mHow == kDone) {
+      mLedger.OnDoneListed(it.mRun.first);
+    }
     finished.push_back(Json::array({ it.mNumber, it.mRun.first, it.mRun.second, it.mHow, "" }));
   }
   aTo.Send(http::JsonResponse(200, DumpJson({ { "clock_ms", ClockMs() },
@@ -262,7 +266,7 @@
   auto& highest = mHighestEnded[run.first];
   highest = std::max(highest, run.second);
   mEnded.push_back({ ++mEnds, run, aHow });
-  mLedger.OnEnd(mId, run.first, run.second, std::string_view(aHow) == "done");
+  mLedger.OnEnd(mId, run.first, run.second, std::string_view(aHow) == kDone);
   if (!mFaults.mSilent) {
     for (const auto& it : std::exchange(mHolds, {})) {
       AnswerHold(it.mResponder);
--- a/src/standin/platform/RunLedger.cpp
+++ b/src/standin/platform/RunLedger.cpp
@@ -81,17 +81,16 @@
   if (!IsDone(aTask)) {
     ++mJobRuns[JobOf(aTask)].mDone[StepOf(aTask)];
   }
-  mUnacknowledged.push_back({ aTask, run, {}, false });
+  mUnacknowledged.push_back({ aTask, run, {} });
 }
 
 void
-RunLedger::OnListed(const std::string& aWorker, const std::string& aTask, int aRun)
+RunLedger::OnDoneListed(const std::string& aTask)
 {
-  for (auto& it : mUnacknowledged) {
-    if (it.mTask == aTask && it.mRun == Run{ aWorker, aRun }) {
-      it.mIsListed = true;
-    }
+  if (!IsDone(aTask)) {
+    ++mJobRuns[JobOf(aTask)].mDone[StepOf(aTask)];
   }
+  mListedTasks.insert(aTask);
 }
 
 void
@@ -143,7 +142,7 @@
   std::erase_if(mUnacknowledged, [&](const auto& aIt) {
     const bool isForgotten = aIt.mRun.mWorker == aWorker;
     if (isForgotten) {
-      (aIt.mIsListed ? mListedTasks : forgotten).insert(aIt.mTask);
+      forgotten.insert(aIt.mTask);
     }
     return isForgotten;
   });
--- a/src/standin/platform/RunLedger.h
+++ b/src/standin/platform/RunLedger.h
@@ -33,8 +33,8 @@
   std::int64_t OnWorkerBorn(const std::string& aWorker, std::int64_t aNowMs);
   void OnStart(const std::string& aWorker, const std::string& aTask, int aRun);
   void OnEnd(const std::string& aWorker, const std::string& aTask, int aRun, bool aIsDone);
-  // The worker has told a scheduler of the end of the run.
-  void OnListed(const std::string& aWorker, const std::string& aTask, int aRun);
+  // A worker has told a scheduler that a run of the task has ended as done.
+  void OnDoneListed(const std::string& aTask);
   // A scheduler has let the worker forget the end of the run.
   void OnAcknowledged(const std::string& aWorker, const std::string& aTask, int aRun);
   void OnLeaseExpired(const std::string& aWorker);
@@ -67,7 +67,6 @@
     Run mRun;
     // The starts of the task since then.
     std::vector<std::string> mLaterStarts;
-    bool mIsListed = false;
   };
 
   void AddStartAfterDone(const std::string& aTask, const std::string& aStart);
@@ -82,7 +81,7 @@
   std::map<std::string, JobRuns> mJobRuns;
   std::vector<DoneRun> mUnacknowledged;
   std::set<std::string> mAcknowledgedTasks;
-  // Tasks whose end as done was listed, and lost with its worker before it was acknowledged.
+  // Tasks of which an end as done was listed, be it before or after the lease expired.
   std::set<std::string> mListedTasks;
   std::set<std::string> mShownJobs;
   std::vector<std::string> mViolations;
--- a/tests/standin/IdleJobCheckTests.cpp
+++ b/tests/standin/IdleJobCheckTests.cpp
@@ -170,13 +170,31 @@
   for (const auto& it : { Task(0, 0), Task(0, 1), Task(1, 0) }) {
     f.Start(it);
     f.End(it);
-    f.mLedger.OnListed(kWorker, it, 1);
+    f.mLedger.OnDoneListed(it);
   }
   f.mLedger.OnWorkerGone(kWorker);
   f.Pass(kLong, kRoom);
   cr_assert_not(f.HasViolation());
 }
 
+// Guards against a check that waits for a task whose end a silent worker lists only after its lease
+// has expired.
+Test(IdleJobCheck, passes_over_a_job_whose_ends_were_listed_late)
+{
+  CheckFixture f;
+  for (const auto& it : { Task(0, 0), Task(0, 1), Task(1, 0) }) {
+    f.Start(it);
+    f.End(it);
+  }
+  f.mLedger.OnLeaseExpired(kWorker);
+  cr_assert_eq(f.mLedger.RunsOf(kJob).mDone.at(0), 0);
+  for (const auto& it : { Task(0, 0), Task(0, 1), Task(1, 0) }) {
+    f.mLedger.OnDoneListed(it);
+  }
+  f.Pass(kLong, kRoom);
+  cr_assert_not(f.HasViolation());
+}
+
 // Guards against idle time that is made up from a pause of the stand-in itself.
 Test(IdleJobCheck, counts_no_time_in_which_nothing_was_looked_at)
 {
