--- a/src/standin/platform/RunLedger.cpp
+++ b/src/standin/platform/RunLedger.cpp
@@ -164,9 +164,9 @@
 const JobRuns&
 RunLedger::RunsOf(const std::string& aJob) const
 {
-  static const JobRuns sNone;
+  static const JobRuns kNone;
   const auto it = mJobRuns.find(aJob);
-  return it == mJobRuns.end() ? sNone : it->second;
+  return it == mJobRuns.end() ? kNone : it->second;
 }
 
 std::map<std::string, std::string>
