Write a batch again at once after one whose answer was lost

Cause: a write without an answer is repeated after 150 ms; if it had been applied, the repeated one fails on the revision of the batch key and is repeated after another 150 ms.

Change: if the leader's key is unchanged and the batch key isn't, the batch key was changed by a write of this writer, so the transaction is sent again at once with the new revision.

Why it works: only the holder of the leader's key writes the batch key. After another election the leader's key has changed, and the batch fails as before.

Result: ProgressWriter/writes_again_at_once_after_a_write_whose_answer_was_lost fails without the change (the second batch isn't stored); ProgressWriter/stores_nothing_after_another_leader_has_stored_a_batch guards the other side. 80 tests of control pass.

--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -95,13 +95,9 @@
       SendNext();
       return;
     }
-    if (!aError) {
-      // An earlier transaction without a reply was applied, or the leadership is lost.
-      for (const auto& it : aOutcome.mPresent) {
-        if (it.mKey == kBatchKey) {
-          mBatchRevision = it.mRevision;
-        }
-      }
+    if (!aError && LearnBatchRevision(aOutcome)) {
+      SendNext();
+      return;
     }
     LogEvent("progress_not_stored", LogLevel::Warning)
       .With("writes", mWrites.size())
@@ -109,6 +105,22 @@
     Finish(false);
   }
 
+  // Takes the batch key's revision from the outcome of a transaction that wasn't applied. Returns
+  // whether the transaction may be sent again at once: the leadership holds, so an earlier
+  // transaction of this writer, which had no reply, has changed the batch key.
+  bool LearnBatchRevision(const kv::WriteOutcome& aOutcome)
+  {
+    const auto known = mBatchRevision;
+    bool isLeader = false;
+    for (const auto& it : aOutcome.mPresent) {
+      isLeader = isLeader || (it.mKey == mLeader.mKey && it.mRevision == mLeader.mRevision);
+      if (it.mKey == kBatchKey) {
+        mBatchRevision = it.mRevision;
+      }
+    }
+    return isLeader && mBatchRevision != known;
+  }
+
   void Finish(bool aIsStored)
   {
     mIsBusy = false;
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -212,6 +212,46 @@
   f.RunUntil([&] { return isStored; });
 }
 
+// Guards against starts that wait for a second retry of the write that records them: the answer of
+// the first write was lost, and the next one finds that it was applied.
+Test(ProgressWriter, writes_again_at_once_after_a_write_whose_answer_was_lost)
+{
+  Fixture f;
+  f.mStore.Put(std::string(kLeaderKey), "{}");
+  const auto leader = f.mStore.mItems.at(std::string(kLeaderKey)).mRevision;
+  ProgressWriter writer(f.mStore, { std::string(kLeaderKey), leader }, kv::Revision());
+  std::vector<bool> outcomes;
+  const auto store = [&](const char* aText) {
+    writer.StoreBatch({ { KeyOf(kProgressPrefix, JobId("j")), aText, {} } }, {},
+                      [&](bool aIsStored) { outcomes.push_back(aIsStored); });
+  };
+  f.mStore.mLoseAnswers = 1;
+  store("first");
+  f.RunUntil([&] { return outcomes.size() == 1; });
+  store("second");
+  f.RunUntil([&] { return outcomes.size() == 2; });
+  cr_assert_eq(outcomes, (std::vector<bool>{ false, true }));
+  cr_assert_eq(f.mStore.mItems.at("progress/job/j").mValue, std::string("second"));
+}
+
+// Guards against writes of a former leader: it must not take the batches of its successor for its
+// own.
+Test(ProgressWriter, stores_nothing_after_another_leader_has_stored_a_batch)
+{
+  Fixture f;
+  f.mStore.Put(std::string(kLeaderKey), "{}");
+  const auto leader = f.mStore.mItems.at(std::string(kLeaderKey)).mRevision;
+  ProgressWriter writer(f.mStore, { std::string(kLeaderKey), leader }, kv::Revision());
+  f.mStore.Put(std::string(kLeaderKey), "{}");
+  f.mStore.Put(std::string(kBatchKey), "1");
+  std::optional<bool> outcome;
+  writer.StoreBatch({ { KeyOf(kProgressPrefix, JobId("j")), "text", {} } }, {},
+                    [&](bool aIsStored) { outcome = aIsStored; });
+  f.RunUntil([&] { return outcome.has_value(); });
+  cr_assert_not(*outcome);
+  cr_assert_not(f.mStore.mItems.contains("progress/job/j"));
+}
+
 Test(ProgressWriter, splits_a_large_batch_into_several_transactions)
 {
   Fixture f;
