Store progress at once while starts are held back

Cause: changes of jobs are collected for 15 ms before they are stored, and starts wait for that write.

Change: while start orders are held back whose runs no write names yet, progress is stored without that delay, unless the last batch failed.

Result: 80 tests of control pass.

--- a/src/control/HeldStarts.h
+++ b/src/control/HeldStarts.h
@@ -19,6 +19,8 @@
 public:
   // The progress that is taken next names the orders' runs.
   void Add(std::vector<scheduler::StartOrder> aOrders) { Append(mUnnamed, std::move(aOrders)); }
+  // Whether there are orders whose runs no progress names yet.
+  bool HasUnnamed() const { return !mUnnamed.empty(); }
   // The progress of all changed jobs was taken to be stored.
   void OnTaken() { Append(mStoring, std::exchange(mUnnamed, {})); }
   // The jobs of the orders whose runs are being stored.
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -604,12 +604,15 @@
 
   void ScheduleStore()
   {
-    if (mStoreTimer.IsPending() || mWriter->IsBusy() ||
+    // Starts wait for their records, so these aren't batched with later changes.
+    const bool isUrgent = mHeldStarts.HasUnnamed() && !mWriter->IsFailing();
+    if ((mStoreTimer.IsPending() && !isUrgent) || mWriter->IsBusy() ||
         !(mScheduler.HasProgress() || mDeleteExpired || IsSettledRecordDue())) {
       return;
     }
-    mStoreTimer = mLoop.After(mWriter->IsFailing() ? kStoreRetryDelay : kStoreDelay,
-                              [this] { StoreProgress(); });
+    const auto delay = isUrgent ? Duration(0) : kStoreDelay;
+    mStoreTimer =
+      mLoop.After(mWriter->IsFailing() ? kStoreRetryDelay : delay, [this] { StoreProgress(); });
   }
 
   // Whether the store has to be told that what leaders before mNamesRunsSince ordered is known.
