Test with real processes that accepted jobs don't wait for a silent worker

The test freezes the leader, has a job accepted by another node, silences a worker and kills the leader. The stand-in's check finds a job that nothing runs of for over 3 s after 4 s of calm.

--- a/tests/integration/IdleJobSoakTests.cpp
+++ b/tests/integration/IdleJobSoakTests.cpp
@@ -1,5 +1,6 @@
 #include "base/Random.h"
 #include "integration/EdgeSystem.h"
+#include "integration/HttpCaller.h"
 #include "integration/JobTraffic.h"
 #include "integration/TestFailure.h"
 
@@ -247,3 +248,33 @@
     soak.Finish();
   });
 }
+
+// Guards against accepted jobs that wait for a worker which doesn't answer the next leader,
+// although no leader has ever ordered a run of theirs: the leader stands still while they are
+// accepted, and is killed.
+Test(IdleJobs, start_although_a_worker_is_silent_when_the_leader_changes)
+{
+  RunWithEdges(3, 3, [](EdgeSystem& aSystem) {
+    const int leader = aSystem.AwaitLeaderExcept({});
+    const int other = (leader + 1) % 3;
+    const Json step{
+      { "count", 1 }, { "cpu", 100 }, { "mem_mb", 100 }, { "gpu", 1 }, { "estimate_ms", 500 }
+    };
+    HttpCaller caller;
+    const auto submit = [&](const std::string& aJob) {
+      AwaitTrue(aJob + " to be accepted", [&] {
+        return aSystem.SubmitChecked(caller, other, aJob, Json::array({ step }), 500ms);
+      });
+    };
+    // Once it has ended, the leader's own takeover is settled and noted.
+    submit("0000000000000001");
+    aSystem.AwaitState(other, "0000000000000001", "completed");
+    aSystem.Freeze(leader);
+    submit("0000000000000002");
+    aSystem.SetFaults({ { "silent_workers", { "worker-2" } } });
+    aSystem.Kill(leader);
+    aSystem.AwaitState(other, "0000000000000002", "completed");
+    aSystem.RequireNoIdleJob();
+    aSystem.RequireNothingRanTwice();
+  });
+}
