Test that held starts are withdrawn when their tasks no longer need them

A held start order is released once the store names its run. ReleaseStart() checks the phase of the run and the worker, but the phase changes only in the next plan. Three tests fail on the present code: the order is sent for a cancelled job, for a task that was reported as done since, and for a gang of which another part was withdrawn.

--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -731,3 +731,48 @@
   cr_assert(workers->at(1).mHasRestarted);
   cr_assert_eq(WriteRackRecord({ workers->at(1) }), std::string(R"([["b","10.0.0.2:1",7,true]])"));
 }
+
+// Guards against a start order for a job that was cancelled between the plan and the answer of the
+// store, before the next plan has marked the run as unwanted.
+Test(ReleaseStart, sends_no_order_for_a_job_that_was_cancelled_since_the_plan)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto held = f.mScheduler->Plan(f.mNow).mStarts.at(0);
+  f.mScheduler->CancelJob(JobId("j"), f.mNow);
+  cr_assert_not(f.mScheduler->ReleaseStart(held.mWorker, held.mRun, f.mNow));
+}
+
+// Guards against a start of a task whose end is known: a worker that was silent until its lease
+// ended reports an earlier run as done while the record of the next run is being stored.
+Test(ReleaseStart, sends_no_order_for_a_task_that_was_reported_as_done_since_the_plan)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.RenewAllLeases();
+  f.EndRun(first.mRun, RunEnd::Done);
+  f.mWorkers.at(first.mWorker).mIsReachable = false;
+  f.AdvanceTime(f.mScheduler->MaxLeaseDuration() + Duration(500));
+  const auto held = f.mScheduler->Plan(f.mNow).mStarts.at(0);
+  cr_assert_neq(held.mWorker, first.mWorker);
+  f.mWorkers.at(first.mWorker).mIsReachable = true;
+  f.RenewLease(first.mWorker);
+  cr_assert(f.State("j") == JobState::Completed);
+  cr_assert_not(f.mScheduler->ReleaseStart(held.mWorker, held.mRun, f.mNow));
+}
+
+// Guards against a part of a gang that is started although another part can't be.
+Test(ReleaseStart, sends_no_order_for_a_gang_of_which_a_part_was_withdrawn)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Gang(2, 8) }));
+  const auto held = f.mScheduler->Plan(f.mNow).mStarts;
+  cr_assert_eq(held.size(), 2);
+  f.mScheduler->OnWorkerUnregistered(held[0].mWorker);
+  cr_assert_not(f.mScheduler->ReleaseStart(held[0].mWorker, held[0].mRun, f.mNow));
+  cr_assert_not(f.mScheduler->ReleaseStart(held[1].mWorker, held[1].mRun, f.mNow));
+}
