Test that a late hand-over names restarted workers

A former leader that answers only after the jobs are loaded shortens the expected leases. Its list of restarted workers, on which leases may last longer, is dropped.

--- a/tests/control/TakeoverTests.cpp
+++ b/tests/control/TakeoverTests.cpp
@@ -232,3 +232,17 @@
     cr_assert_eq(claim.mNamesRunsSince, FencingToken());
   }
 }
+
+// Guards against a lease that is expected to end too early: a former leader that answers only after
+// the jobs are loaded shortens the expected leases, and names a restarted worker whose lease may
+// last longer.
+Test(Takeover, learns_of_restarted_workers_from_a_late_hand_over)
+{
+  TakeoverFixture f;
+  const FencingToken former(f.mStore.mItems.at(std::string(kLastLeaderKey)).mRevision.Value());
+  f.Silence("silent");
+  f.AwaitLoaded();
+  f.mHandOver = { former, false, Duration(0), {}, Duration(0), { WorkerId("silent") } };
+  f.RunUntil([&] { return f.mLeader->UnstoredState().mEarlierLeases < Duration(10000); });
+  cr_assert_eq(f.mLeader->UnstoredState().mRestarted, std::vector{ WorkerId("silent") });
+}
