Test that a start doesn't wait for the rest of a long batch

Progress is stored one batch at a time, and a batch takes a transaction for each 29 records. The record of a run that is planned meanwhile waits for all of them. The test counts the transactions that the fake store gets before the order; the fake store can now take time for a write. It fails on the present code.

--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -97,9 +97,14 @@
     const bool isLost = mLoseAnswers > 0;
     mLoseAnswers -= isLost ? 1 : 0;
     const auto outcome = Apply(aWrites);
-    Answer([aCallback, outcome, isLost] {
+    const auto answer = [aCallback, outcome, isLost] {
       aCallback(isLost ? make_error_code(kv::KvError::OutcomeUnknown) : std::error_code(), outcome);
-    });
+    };
+    if (mWriteTime > Duration(0)) {
+      mTimers.push_back(mLoop.After(mWriteTime, answer));
+    } else {
+      Answer(answer);
+    }
     ServeWatches();
   }
 
@@ -216,6 +221,8 @@
   // ApplyDelayedWrites(), and those that are applied at once.
   int mWritesToDelay = 0;
   int mLoseAnswers = 0;
+  // The time until a write is answered.
+  Duration mWriteTime{ 0 };
   std::size_t mPageSize = 500;
   int mLists = 0;
   // Listings that were answered with an error.
--- a/tests/control/TakeoverTests.cpp
+++ b/tests/control/TakeoverTests.cpp
@@ -246,3 +246,45 @@
   f.RunUntil([&] { return f.mLeader->UnstoredState().mEarlierLeases < Duration(10000); });
   cr_assert_eq(f.mLeader->UnstoredState().mRestarted, std::vector{ WorkerId("silent") });
 }
+
+// Guards against a start that waits for records of other jobs: after a takeover, or a cancellation
+// of many jobs, a batch takes many transactions, and with a slow store each takes long.
+Test(Takeover, records_a_run_before_the_rest_of_a_long_batch)
+{
+  constexpr int kJobs = 400;
+  TakeoverFixture f;
+  f.RunFirstJob();
+  for (int i = 0; i < kJobs; ++i) {
+    // Fits on no worker.
+    scheduler::AcceptedJob job;
+    job.mId = JobId("large" + std::to_string(i));
+    job.mQueue = "queue";
+    job.mAcceptedMs = WallClockMs();
+    job.mPolicy = f.mPolicy;
+    job.mSpec.mSteps.emplace_back().mDemand.mAccelerators = Accelerators(100);
+    f.mStore.Put(KeyOf(kJobPrefix, job.mId), scheduler::WriteAcceptedJob(job));
+  }
+  f.RunUntil([&] { return f.mLeader->State(JobId("large" + std::to_string(kJobs - 1))); });
+  f.RunUntil([&] { return f.mLeader->UnstoredState().mProgress.empty(); });
+  f.mStore.mWriteTime = Duration(50);
+  for (int i = 0; i < kJobs; ++i) {
+    f.mStore.Put(KeyOf(kCancelPrefix, JobId("large" + std::to_string(i))), "");
+  }
+  const auto isStored = [&f](int aJob) {
+    return f.mStore.mItems.contains(KeyOf(kProgressPrefix, JobId("large" + std::to_string(aJob))));
+  };
+  f.RunUntil([&] {
+    for (int i = 0; i < kJobs; ++i) {
+      if (isStored(i)) {
+        return true;
+      }
+    }
+    return false;
+  });
+  const int writes = f.mStore.mWrites;
+  f.Submit("j");
+  f.RunUntil([&] { return f.HasStarted("j"); });
+  // The transactions that were under way when the job arrived and when it was planned, that of the
+  // record, and one that may have been sent since.
+  cr_assert_leq(f.mStore.mWrites - writes, 4);
+}
