Withdraw held starts whose tasks no longer need them, and learn of restarts from late hand-overs

Cause: Scheduler::ReleaseStart() looked at the run's phase alone, which the next plan changes, and sent orders to workers that had gone silent meanwhile. Leader::OnFormerLeaderReply() shortened the bound on leases, but applied the restarted workers of the first reply only.

Change: ReleaseStart() also asks whether the run is still wanted, and whether its worker has answered and has a lease. Orders of a gang are released in two passes, so that a member that is withdrawn keeps back the ones before it. Each reply of a former leader tells of restarted workers.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -222,6 +222,7 @@
     const auto now = BootTime();
     mEarlierLeases.OnEnded(aReply.mToken, now - aReply.mEndedAgo, now + aReply.mEarlierLeases);
     const auto remaining = mEarlierLeases.Remaining(now);
+    mScheduler.OnRestartsHandedOver(aReply.mRestarted);
     LogEvent("former_leader_ended")
       .With("token", aReply.mToken)
       .With("ended_ms_ago", aReply.mEndedAgo)
@@ -528,12 +529,19 @@
     if (!mElection.IsConfirmed()) {
       return;
     }
-    for (const auto& it : mHeldStarts.TakeStored()) {
-      if (mScheduler.ReleaseStart(it.mWorker, it.mRun, Now())) {
-        SendStart(it);
-      } else {
-        SchedulePlan();
-      }
+    auto orders = mHeldStarts.TakeStored();
+    const auto held = orders.size();
+    // Twice: one member of a gang that can't be started any more keeps back those before it.
+    for (int i = 0; i < 2; ++i) {
+      std::erase_if(orders, [this](const auto& aIt) {
+        return !mScheduler.ReleaseStart(aIt.mWorker, aIt.mRun, Now());
+      });
+    }
+    for (const auto& it : orders) {
+      SendStart(it);
+    }
+    if (orders.size() < held) {
+      SchedulePlan();
     }
   }
 
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -209,7 +209,14 @@
     return false;
   }
   auto& worker = it->second;
-  if (placed->mPhase != RunPhase::Starting || !worker.AcceptsWork()) {
+  if (placed->mPhase == RunPhase::Running) {
+    // A report lists it, so it needs no order.
+    placed->mOrderInFlight = false;
+    return false;
+  }
+  const bool isUsable =
+    worker.AcceptsWork() && worker.mHasAnswered && worker.mLeaseExpiry > aNow.mSteady;
+  if (placed->mPhase != RunPhase::Starting || !isUsable || !IsWanted(worker, *placed, aNow)) {
     DropRun(worker, aRun, RunEnd::Stopped, "", aNow);
     return false;
   }
