Tell how long ago a leadership ended also while the node leads again

Callers would have waited for leases that had ended (found in review): a node that succeeds itself, or leads again, told 0 for the time since its earlier leadership. It ended at the latest when the node's last leadership before the present one did, which the node knows.

--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -233,9 +233,8 @@
     if (mElection && mElection->Token() == aToken) {
       mElection->Resign("successor");
     }
-    // If this node leads again, it isn't known when an earlier leadership ended.
-    const bool isLeader = mElection && mElection->IsLeader();
-    const auto endedAgo = isLeader ? Duration(0) : BootTime() - mLastLedAt;
+    // It isn't the present leadership of this node, so it ended with an earlier one at the latest.
+    const auto endedAgo = BootTime() - mLastLedAt;
     if (mLastHandOver && mLastHandOver->mToken == aToken) {
       auto handOver = *mLastHandOver;
       handOver.mEndedAgo = endedAgo;
