Move the writes of a progress batch out of the leader

What turns a batch into writes and keys needs nothing of the leader, so it becomes ProgressWrites; no behavior changes. A comment of IdleJobCheck is shortened to what it counts.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -13,6 +13,7 @@
 #include "control/PrefixReader.h"
 #include "control/PrefixWatch.h"
 #include "control/ProgressWriter.h"
+#include "control/ProgressWrites.h"
 #include "control/StoreFreshness.h"
 #include "control/WaitMonitor.h"
 #include "control/WorkerCalls.h"
@@ -671,16 +672,6 @@
     mWriter->StoreBatch(std::move(writes), std::move(deletes), done, onPart);
   }
 
-  // Moves the writes of the jobs to the front; returns their number.
-  static std::size_t
-  PutFirst(const std::set<JobId>& aJobs, std::vector<scheduler::ProgressWrite>& aWrites)
-  {
-    const auto end =
-      std::stable_partition(aWrites.begin(), aWrites.end(),
-                            [&aJobs](const auto& aIt) { return aJobs.contains(aIt.mJob); });
-    return static_cast<std::size_t>(end - aWrites.begin());
-  }
-
   void OnBatchStored(const scheduler::ProgressBatch& aBatch)
   {
     // Written on condition of the leadership, so it is lower than the token of any later leader.
@@ -694,41 +685,6 @@
     }
   }
 
-  // Returns the batch's writes, progress before racks as ProgressBatch requires; appends the keys
-  // of racks without workers to aDeletes.
-  static std::vector<kv::ConditionalWrites::Write>
-  WritesOf(const scheduler::ProgressBatch& aBatch, std::vector<std::string>& aDeletes)
-  {
-    std::vector<kv::ConditionalWrites::Write> writes;
-    writes.reserve(aBatch.mWrites.size() + aBatch.mRacks.size());
-    for (const auto& it : aBatch.mWrites) {
-      writes.push_back({ KeyOf(kProgressPrefix, it.mJob), it.mText, {} });
-    }
-    for (const auto& it : aBatch.mRacks) {
-      auto key = std::string(kRackPrefix) + it.mRack.Value();
-      if (it.mWorkers.empty()) {
-        aDeletes.push_back(std::move(key));
-      } else {
-        writes.push_back({ std::move(key), scheduler::WriteRackRecord(it.mWorkers), {} });
-      }
-    }
-    return writes;
-  }
-
-  // Returns all keys of the jobs. Progress keys come last, so that no job record is ever listed
-  // after its progress has been deleted.
-  static std::vector<std::string> KeysOf(const std::vector<JobId>& aJobs)
-  {
-    std::vector<std::string> keys;
-    keys.reserve(3 * aJobs.size());
-    for (const auto prefix : { kJobPrefix, kCancelPrefix, kProgressPrefix }) {
-      for (const auto& job : aJobs) {
-        keys.push_back(KeyOf(prefix, job));
-      }
-    }
-    return keys;
-  }
-
   EventLoop& mLoop;
   Store& mStore;
   Calls& mCalls;
--- /dev/null
+++ b/src/control/ProgressWrites.cpp
@@ -0,0 +1,51 @@
+#include "control/ProgressWrites.h"
+
+#include "control/Keys.h"
+#include "scheduler/RackRecord.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagerock::control {
+
+std::size_t
+PutFirst(const std::set<JobId>& aJobs, std::vector<scheduler::ProgressWrite>& aWrites)
+{
+  const auto end = std::stable_partition(
+    aWrites.begin(), aWrites.end(), [&aJobs](const auto& aIt) { return aJobs.contains(aIt.mJob); });
+  return static_cast<std::size_t>(end - aWrites.begin());
+}
+
+std::vector<kv::ConditionalWrites::Write>
+WritesOf(const scheduler::ProgressBatch& aBatch, std::vector<std::string>& aDeletes)
+{
+  std::vector<kv::ConditionalWrites::Write> writes;
+  writes.reserve(aBatch.mWrites.size() + aBatch.mRacks.size());
+  for (const auto& it : aBatch.mWrites) {
+    writes.push_back({ KeyOf(kProgressPrefix, it.mJob), it.mText, {} });
+  }
+  for (const auto& it : aBatch.mRacks) {
+    auto key = std::string(kRackPrefix) + it.mRack.Value();
+    if (it.mWorkers.empty()) {
+      aDeletes.push_back(std::move(key));
+    } else {
+      writes.push_back({ std::move(key), scheduler::WriteRackRecord(it.mWorkers), {} });
+    }
+  }
+  return writes;
+}
+
+std::vector<std::string>
+KeysOf(const std::vector<JobId>& aJobs)
+{
+  std::vector<std::string> keys;
+  keys.reserve(3 * aJobs.size());
+  for (const auto prefix : { kJobPrefix, kCancelPrefix, kProgressPrefix }) {
+    for (const auto& job : aJobs) {
+      keys.push_back(KeyOf(prefix, job));
+    }
+  }
+  return keys;
+}
+
+} // namespace lovagerock::control
--- a/src/standin/platform/IdleJobCheck.h
+++ b/src/standin/platform/IdleJobCheck.h
@@ -22,8 +22,7 @@
 // it. Time counts only while nothing disrupts the system.
 //
 // A worker that is gone or silent disrupts the system only at the moment of the change: it is one
-// of many, and the others have to be used meanwhile. A reading that excuses all jobs until it
-// answers again would excuse a scheduler that waits for it with everything.
+// of many, and the others have to be used meanwhile.
 class IdleJobCheck
 {
 public:
