Let witnesses confirm a leader without the store, and end leases with it

Cause: a successor can't tell a killed leader from one that is cut off from the store. The second kind renewed workers' leases for 7 s after its successor's election, for 6 s each, so the successor gave runs on silent workers up only after 13.1 s. Lack of news about one leader held up everything on the workers that it may have reached.

Ruled out: that the leases really last that long (a killed leader's end 6.1 s after the kill), and that nothing plans (job_waits names the silent workers until 13.1 s after the election).

Change: a lease ends 6 s after the last time at which the store confirmed the leadership. Without the store, a leader renews leases, now for 3.4 s each and up to 10 s, only while more than half of nine workers that a record names have answered it within a second. A successor calls these first; from then on they refuse the former leader. A leader that resigns says so in the store, because it may have been confirmed until then. design.md 4.17 has the alternatives and the other cases.

Why it works: any two majorities of the same record share a worker, and that one refuses the former leader once it has answered the successor. The record can't differ between the two, since the claim is conditional on its revision and its writes are conditional on the leadership. Without a majority of answers the successor waits as before, for at most 12 s.

EarlierLeases takes the bounds of leases as a struct; what its existing tests require is unchanged.

--- a/src/control/ClaimRecord.cpp
+++ b/src/control/ClaimRecord.cpp
@@ -8,26 +8,35 @@
 
 namespace {
 
+// Values are 0 if the row begins with the claim itself, whose token isn't known when it is written.
 constexpr const char* kNamesRunsSince = "namesRunsSince";
+constexpr const char* kBoundsLeasesSince = "boundsLeasesSince";
+
+// Returns the beginning of a row; 0 if the claim doesn't name it.
+FencingToken
+ReadSince(const Json& aClaim, const char* aName, FencingToken aOwn)
+{
+  const auto since = JsonValue(aClaim, aName, std::int64_t{ -1 });
+  return since < 0 ? FencingToken() : since > 0 ? FencingToken(since) : aOwn;
+}
 
 } // namespace
 
 std::string
-WriteClaimRecord(const NodeId& aNode, FencingToken aNamesRunsSince)
+WriteClaimRecord(const NodeId& aNode, const ClaimRecord& aLast)
 {
-  return DumpJson({ { "node", aNode.Value() }, { kNamesRunsSince, aNamesRunsSince.Value() } });
+  return DumpJson({ { "node", aNode.Value() },
+                    { kNamesRunsSince, aLast.mNamesRunsSince.Value() },
+                    { kBoundsLeasesSince, aLast.mBoundsLeasesSince.Value() } });
 }
 
 ClaimRecord
 ReadClaimRecord(const std::string& aText, kv::Revision aRevision)
 {
-  ClaimRecord claim{ FencingToken(aRevision.Value()), FencingToken() };
-  const auto json = ParseJson(aText);
-  const auto since = json ? JsonValue(*json, kNamesRunsSince, std::int64_t{ -1 }) : -1;
-  if (since >= 0) {
-    claim.mNamesRunsSince = since > 0 ? FencingToken(since) : claim.mToken;
-  }
-  return claim;
+  const FencingToken token(aRevision.Value());
+  const auto json = ParseJson(aText).value_or(Json::object());
+  return { token, ReadSince(json, kNamesRunsSince, token),
+           ReadSince(json, kBoundsLeasesSince, token) };
 }
 
 } // namespace lovagerock::control
--- a/src/control/ClaimRecord.h
+++ b/src/control/ClaimRecord.h
@@ -16,12 +16,13 @@
   // The first of the leaderships in a row up to this one that store the progress which names a run
   // before they order it. 0 if this one may not do so: a node of an earlier version claimed it.
   FencingToken mNamesRunsSince;
+  // The same of the leaderships that renew workers' leases only as EarlierLeases expects of them.
+  FencingToken mBoundsLeasesSince;
 };
 
-// Serializes a claim for the store. aNamesRunsSince is 0 if the row begins with the claim itself,
-// whose token isn't known yet.
+// Serializes the claim that follows the given one.
 std::string
-WriteClaimRecord(const NodeId& aNode, FencingToken aNamesRunsSince);
+WriteClaimRecord(const NodeId& aNode, const ClaimRecord& aLast);
 // Parses a stored claim. Any text that isn't one is a claim of an earlier version.
 ClaimRecord
 ReadClaimRecord(const std::string& aText, kv::Revision aRevision);
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -26,6 +26,12 @@
   scheduler::SchedulerSettings mScheduler;
 };
 
+// While the store doesn't confirm the leadership, more than half of the witnesses must have
+// answered calls that were sent within this time, or the leader may not renew workers' leases; see
+// Witness.
+inline constexpr Duration kWitnessAnswerAge{ 1000 };
+// Meanwhile a witness holds back its reply to a lease renewal for up to this time only.
+inline constexpr Duration kWitnessWait{ 250 };
 // Duration of the leader's lease in the store, and how often it is renewed.
 inline constexpr Duration kLeadershipLease{ 1500 };
 inline constexpr Duration kLeadershipRenewal{ 400 };
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -8,6 +8,7 @@
 #include "control/Keys.h"
 #include "control/LeaderHistory.h"
 #include "control/PrefixWatch.h"
+#include "control/Witnesses.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -31,6 +32,9 @@
 // A leader that can't reach the store remains leader for mStoreOutageTolerance, because no other
 // node can be elected in an outage of the whole store. If only this node is cut off, workers that a
 // new leader has called refuse its orders by their fencing token.
+//
+// A claim is made on condition that this node knows the present records of witnesses and of the
+// last resignation.
 template<kv::PrefixStore Store>
 class Election
 {
@@ -64,12 +68,14 @@
   {
     return IsLeader() && !mHasPaused && BootTime() - mConfirmedAt < kLeadershipLease - kOrderTime;
   }
+  // The time since the store last confirmed the leadership. No other node is elected before it is
+  // kLeadershipLease, unless this one resigns.
+  Duration ConfirmationAge() const { return BootTime() - mConfirmedAt; }
   FencingToken Token() const { return mToken.value_or(FencingToken()); }
-  // ClaimRecord::mNamesRunsSince of this node's claim; 0 if it isn't the last one.
-  FencingToken NamesRunsSince() const
-  {
-    return mLastClaim.mToken == Token() ? mLastClaim.mNamesRunsSince : FencingToken();
-  }
+  // This node's claim; all tokens in it are 0 if it isn't the last one.
+  ClaimRecord OwnClaim() const { return mLastClaim.mToken == Token() ? mLastClaim : ClaimRecord(); }
+  // The record of witnesses. At the time of the election it is the one that is stored.
+  const WitnessRecord& Witnesses() const { return mWitnesses; }
   // The condition on a leader's writes: the leader key still is the one that this node wrote.
   kv::ConditionalWrites::Condition Condition() const
   {
@@ -79,16 +85,28 @@
   const std::optional<SocketAddress>& LeaderAddress() const { return mAddress; }
   // Returns the leaderships before this node's that it has seen, oldest first. No other one began
   // after the first of them.
-  std::vector<FormerLeader> FormerLeaders() const { return mHistory.Before(Token()); }
+  std::vector<FormerLeader> FormerLeaders() const
+  {
+    auto leaders = mHistory.Before(Token());
+    for (auto& it : leaders) {
+      it.mHasResigned = it.mToken == mResigned;
+    }
+    return leaders;
+  }
   // Whether this node has claimed the leadership and doesn't know the outcome yet.
   bool IsClaiming() const { return mIsClaiming; }
-  // Gives up the leadership and ends its lease, so that another node can take over at once.
+  // Gives up the leadership and removes the leader key, so that another node can take over at once.
   void Resign(const char* aReason)
   {
     if (IsLeader()) {
-      mStore.EndLease(mLease, [](std::error_code aError) {
+      kv::ConditionalWrites writes;
+      writes.mConditions = { Condition() };
+      writes.mWrites.push_back({ std::string(kResignedKey), std::to_string(Token().Value()), {} });
+      writes.mDeletes.emplace_back(kLeaderKey);
+      mStore.Write(writes, [](std::error_code aError, const kv::WriteOutcome&) {
         if (aError) {
-          LogEvent("lease_not_ended", LogLevel::Warning).With("reason", aError.message());
+          // The key is removed when the lease ends.
+          LogEvent("resignation_not_stored", LogLevel::Warning).With("reason", aError.message());
         }
       });
       EndLeadership(aReason);
@@ -114,6 +132,10 @@
       OnLastClaim(last->second.mValue, last->second.mRevision);
       mHistory.OnListed(mLastClaim.mToken, BootTime());
     }
+    for (const auto key : { kResignedKey, kWitnessKey }) {
+      const auto it = aItems.find(std::string(key));
+      OnRecord(it == aItems.end() ? kv::Item{ std::string(key), "", {} } : it->second);
+    }
     const auto it = aItems.find(std::string(kLeaderKey));
     if (it == aItems.end()) {
       OnLeaderAbsent();
@@ -128,6 +150,7 @@
       OnLastClaim(aEvent.mValue.value_or(""), aEvent.mRevision);
       mHistory.OnClaim(FencingToken(aEvent.mRevision.Value()), BootTime());
     }
+    OnRecord({ aEvent.mKey, aEvent.mValue.value_or(""), aEvent.mRevision });
     if (aEvent.mKey != kLeaderKey) {
       return;
     }
@@ -145,6 +168,24 @@
     }
   }
 
+  // Takes a record that claims are conditional on, if it is one.
+  void OnRecord(const kv::Item& aItem)
+  {
+    if (aItem.mKey == kResignedKey && aItem.mRevision >= mResignedRevision) {
+      mResignedRevision = aItem.mRevision;
+      mResigned = ReadResignation(aItem.mValue);
+    } else if (aItem.mKey == kWitnessKey && aItem.mRevision > mWitnesses.mRevision) {
+      mWitnesses = { ReadWitnesses(aItem.mValue), aItem.mRevision };
+    }
+  }
+
+  // Returns the token of the leadership that was resigned; 0 if the text names none.
+  static FencingToken ReadResignation(const std::string& aText)
+  {
+    const auto json = ParseJson(aText);
+    return FencingToken(json && json->is_number_integer() ? json->get<std::int64_t>() : 0);
+  }
+
   void OnLeaderPresent(const std::string& aValue, kv::Revision aRevision)
   {
     mLeaderRevision = aRevision;
@@ -217,9 +258,10 @@
   {
     kv::ConditionalWrites writes;
     writes.mConditions = { { std::string(kLeaderKey), kv::Revision() },
-                           { std::string(kLastLeaderKey),
-                             kv::Revision(mLastClaim.mToken.Value()) } };
-    const auto claim = WriteClaimRecord(mSettings.mNode, mLastClaim.mNamesRunsSince);
+                           { std::string(kLastLeaderKey), kv::Revision(mLastClaim.mToken.Value()) },
+                           { std::string(kResignedKey), mResignedRevision },
+                           { std::string(kWitnessKey), mWitnesses.mRevision } };
+    const auto claim = WriteClaimRecord(mSettings.mNode, mLastClaim);
     writes.mWrites.push_back({ std::string(kLastLeaderKey), claim, {} });
     writes.mWrites.push_back({ std::string(kLeaderKey),
                                DumpJson({ { "node", mSettings.mNode.Value() },
@@ -264,6 +306,7 @@
     bool isHeld = false;
     for (const auto& it : aPresent) {
       isHeld = isHeld || it.mKey == kLeaderKey;
+      OnRecord(it);
       if (it.mKey == kLastLeaderKey) {
         OnLastClaim(it.mValue, it.mRevision);
         mHistory.OnListed(mLastClaim.mToken, BootTime());
@@ -328,6 +371,10 @@
   std::optional<SocketAddress> mAddress;
   // The latest claim that this node knows of.
   ClaimRecord mLastClaim;
+  // The last leadership that ended by a resignation, and the revision of its record.
+  FencingToken mResigned;
+  kv::Revision mResignedRevision;
+  WitnessRecord mWitnesses;
   LeaderHistory mHistory;
   bool mIsVacant = false;
   bool mIsClaiming = false;
--- a/src/control/Keys.h
+++ b/src/control/Keys.h
@@ -14,6 +14,11 @@
 // Rewritten with each claim of the leadership, so that its revision is the last leader's token. Its
 // value is a ClaimRecord.
 inline constexpr std::string_view kLastLeaderKey = "leader/last";
+// Rewritten by a leader that resigns; its value is that leadership's token. A leader that ends
+// without it has not been confirmed for kLeadershipLease before the next claim.
+inline constexpr std::string_view kResignedKey = "leader/resigned";
+// The witnesses of the leaders, see Witness.
+inline constexpr std::string_view kWitnessKey = "leader/witnesses";
 // Requests of callers; the leader watches them.
 inline constexpr std::string_view kRequestPrefix = "requests/";
 inline constexpr std::string_view kJobPrefix = "requests/job/";
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -16,6 +16,7 @@
 #include "control/ProgressWrites.h"
 #include "control/StoreFreshness.h"
 #include "control/WaitMonitor.h"
+#include "control/Witnesses.h"
 #include "control/WorkerCalls.h"
 #include "control/WorkerLeases.h"
 #include "scheduler/JobRecord.h"
@@ -85,15 +86,19 @@
     , mElection(aElection)
     , mSettings(aSettings)
     , mToken(aElection.Token())
-    , mNamesRunsSince(aElection.NamesRunsSince())
+    , mNamesRunsSince(aElection.OwnClaim().mNamesRunsSince)
     , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
     , mHandOverSource(aHandOverSource)
-    , mEarlierLeases(aElection.FormerLeaders(), BootTime(),
-                     aSettings.mScheduler.mStoreOutageTolerance, mScheduler.MaxLeaseDuration())
+    , mEarlierLeases(aElection.FormerLeaders(),
+                     { aElection.Token(), BootTime(), aElection.OwnClaim().mBoundsLeasesSince },
+                     MakeLeaseBounds())
+    , mInheritedWitnesses(aElection.Witnesses())
+    , mWitnesses(mInheritedWitnesses.mWitnesses)
     , mRecords(aLoop, aStore, std::string(kRecordPrefix), MakeRecordCallbacks())
     , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
   {
     OnDeployment(aDeployment);
+    CallWitnesses();
     RequestHandOver();
     mRecords.Start();
   }
@@ -177,11 +182,96 @@
   {
     WorkerLeaseHooks hooks;
     hooks.mMayRenew = [this] { return mElection.MayAct(); };
+    hooks.mLeaseDuration = [this] { return LeaseDuration(); };
+    hooks.mRenewalWait = [this](const WorkerId& aWorker) {
+      return !mElection.IsConfirmed() && mWitnesses.IsWitness(aWorker) ? kWitnessWait
+                                                                       : kRenewalWait;
+    };
+    hooks.mOnAnswer = [this](const WorkerId& aWorker, auto aIncarnation, Duration aSent) {
+      mWitnesses.OnAnswer(aWorker, aIncarnation, aSent);
+      OnInheritedWitness(aWorker, aIncarnation);
+    };
     hooks.mOnUpdate = [this] { SchedulePlan(); };
     hooks.mOnFenced = [this](const WorkerId& aWorker) { OnFenced(aWorker); };
     return hooks;
   }
 
+  LeaseBounds MakeLeaseBounds() const
+  {
+    const auto& settings = mSettings.mScheduler;
+    return { settings.mStoreOutageTolerance, mScheduler.MaxLeaseDuration(),
+             mScheduler.WithClockDrift(settings.mWitnessedLease) };
+  }
+
+  // Returns for how long workers' leases may be renewed now. A successor relies on it: leases end
+  // at a fixed time after the last confirmation of the leadership, or shortly after the witnesses
+  // have answered the successor.
+  Duration LeaseDuration()
+  {
+    const auto& settings = mSettings.mScheduler;
+    const auto age = mElection.ConfirmationAge();
+    const auto lease = settings.mLeaseDuration - age;
+    if (lease >= settings.mWitnessedLease) {
+      mAreLeasesWitnessed = false;
+      return lease;
+    }
+    const bool haveAnswered = mWitnesses.HaveAnswered(BootTime());
+    if (!std::exchange(mAreLeasesWitnessed, true)) {
+      LogEvent("leases_witnessed", LogLevel::Warning)
+        .With("token", mToken)
+        .With("answered", haveAnswered);
+    }
+    const bool mayExtend = haveAnswered && age < settings.mStoreOutageTolerance;
+    return mayExtend ? settings.mWitnessedLease : lease;
+  }
+
+  // Calls the witnesses before anything is loaded, so that they refuse the former leader's calls.
+  void CallWitnesses()
+  {
+    for (const auto& it : mInheritedWitnesses.mWitnesses) {
+      const WorkerTarget target{ it.mWorker, it.mAddress, mToken };
+      mCalls.RenewLease(target, RenewalCall{}, mGuard.Wrap([this, it](const auto& aReply) {
+        if (aReply.mOutcome == scheduler::OrderOutcome::Done) {
+          OnInheritedWitness(it.mWorker, aReply.mReport.mIncarnation);
+        } else if (aReply.mOutcome == scheduler::OrderOutcome::Fenced) {
+          OnFenced(it.mWorker);
+        }
+      }));
+    }
+    CheckInheritedWitnesses();
+  }
+
+  // A worker has answered, and so refuses the calls of former leaders.
+  void OnInheritedWitness(const WorkerId& aWorker, scheduler::WorkerIncarnation aIncarnation)
+  {
+    if (!mHaveWitnessesAnswered) {
+      mInheritedAnswers.OnAnswer(aWorker, aIncarnation, BootTime());
+      CheckInheritedWitnesses();
+    }
+  }
+
+  void CheckInheritedWitnesses()
+  {
+    const auto& witnesses = mInheritedWitnesses.mWitnesses;
+    // Without witnesses, no former leader could renew leases on their answers.
+    if (!witnesses.empty() && !mInheritedAnswers.AnsweredSince(witnesses)) {
+      return;
+    }
+    mHaveWitnessesAnswered = true;
+    const auto now = BootTime();
+    mEarlierLeases.OnWitnessesAnswered(mInheritedWitnesses.mRevision, now);
+    LogEvent("witnesses_answered")
+      .With("token", mToken)
+      .With("witnesses", witnesses.size())
+      .With("earlier_leases_ms", mEarlierLeases.Remaining(now));
+    ApplyEarlierLeases();
+  }
+
+  void ApplyEarlierLeases()
+  {
+    mScheduler.OnHandedOver(mEarlierLeases.Remaining(BootTime()), false, Now());
+  }
+
   void RequestHandOver()
   {
     const auto former = mElection.FormerLeaders();
@@ -228,7 +318,7 @@
       .With("token", aReply.mToken)
       .With("ended_ms_ago", aReply.mEndedAgo)
       .With("earlier_leases_ms", remaining);
-    mScheduler.OnHandedOver(remaining, false, Now());
+    ApplyEarlierLeases();
   }
 
   ReaderCallbacks MakeRecordCallbacks()
@@ -308,6 +398,7 @@
       return;
     }
     mSettled = FencingToken(token);
+    mEarlierLeases.OnSettled(mSettled);
   }
 
   // Whether the stored progress names all runs that may be in progress. All leaderships since
@@ -355,13 +446,12 @@
     }
     if (!IsLoaded()) {
       const bool namesAllRuns = mHandOver->mIsComplete || NamesStoredProgressAllRuns();
-      if (namesAllRuns) {
-        mScheduler.OnHandedOver(mEarlierLeases.Remaining(BootTime()), true, Now());
-      }
+      mScheduler.OnHandedOver(mEarlierLeases.Remaining(BootTime()), namesAllRuns, Now());
       LogEvent("jobs_loaded")
         .With("jobs", mScheduler.JobCount())
         .With("unreported_runs", mScheduler.UnreportedRuns(Now()))
         .With("names_all_runs", namesAllRuns)
+        .With("earlier_leases_ms", mEarlierLeases.Remaining(BootTime()))
         .With("token", mToken);
       RenewRecordedLeases();
       WatchWorkers();
@@ -616,7 +706,8 @@
     // Starts wait for their records, so these aren't batched with later changes.
     const bool isUrgent = mHeldStarts.HasUnnamed() && !mWriter->IsFailing();
     if ((mStoreTimer.IsPending() && !isUrgent) || mWriter->IsBusy() ||
-        !(mScheduler.HasProgress() || mDeleteExpired || IsSettledRecordDue())) {
+        !(mScheduler.HasProgress() || mDeleteExpired || IsSettledRecordDue() ||
+          mWitnesses.Change(mScheduler.Workers()))) {
       return;
     }
     const auto delay = isUrgent ? Duration(0) : kStoreDelay;
@@ -624,10 +715,12 @@
       mLoop.After(mWriter->IsFailing() ? kStoreRetryDelay : delay, [this] { StoreProgress(); });
   }
 
-  // Whether the store has to be told that what leaders before mNamesRunsSince ordered is known.
+  // Whether the store has to be told that nothing of what earlier leaders ordered is unknown, and
+  // that leases which they have renewed don't matter any more.
   bool IsSettledRecordDue() const
   {
-    return mScheduler.IsTakeoverSettled() && mSettled < mNamesRunsSince;
+    return mSettled < mToken && mScheduler.IsTakeoverSettled() &&
+           mScheduler.EarlierLeases(Now()) == Duration(0);
   }
 
   void StoreProgress()
@@ -650,8 +743,17 @@
       // The last one, because the progress before it names what this leader has learned.
       writes.push_back({ std::string(kSettledKey), DumpJson({ { "token", mToken.Value() } }), {} });
     }
-    const auto done = [this, batch, expired, isSettledRecordDue](bool aIsStored) {
+    const auto witnesses = mWitnesses.Change(mScheduler.Workers());
+    if (witnesses) {
+      writes.push_back({ std::string(kWitnessKey), WriteWitnesses(*witnesses), {} });
+      mWitnesses.OnStoring(*witnesses);
+    }
+    const auto done = [this, batch, expired, isSettledRecordDue,
+                       hasWitnesses = witnesses.has_value()](bool aIsStored) {
       mHeldStarts.OnStored(aIsStored);
+      if (hasWitnesses) {
+        mWitnesses.OnStored(aIsStored);
+      }
       if (aIsStored) {
         mSettled = isSettledRecordDue ? mToken : mSettled;
         mScheduler.OnStored(*batch);
@@ -693,13 +795,22 @@
   FencingToken mToken;
   // See ClaimRecord::mNamesRunsSince.
   FencingToken mNamesRunsSince;
-  // The latest leadership of which the store says that its takeover was settled.
+  // The latest leadership of which the store says that its takeover was settled, see
+  // IsSettledRecordDue().
   FencingToken mSettled;
   scheduler::Scheduler mScheduler;
   scheduler::WaitScanner mWaitScanner{ mScheduler };
   WaitMonitor mWaits;
   HandOverSource mHandOverSource;
   EarlierLeases mEarlierLeases;
+  // The record of witnesses when the leadership began, their answers since then, and whether more
+  // than half of them have answered.
+  WitnessRecord mInheritedWitnesses;
+  WitnessAnswers mInheritedAnswers;
+  bool mHaveWitnessesAnswered = false;
+  LeaderWitnesses mWitnesses;
+  // Whether leases depend on the witnesses, because the store hasn't confirmed the leadership.
+  bool mAreLeasesWitnessed = false;
   // Reads the records of former leaders: progress, racks and the batch key.
   PrefixReader<Store> mRecords;
   std::map<JobId, std::string> mProgress;
--- a/src/control/LeaderHistory.cpp
+++ b/src/control/LeaderHistory.cpp
@@ -1,5 +1,7 @@
 #include "control/LeaderHistory.h"
 
+#include "control/ControlSettings.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <utility>
@@ -28,7 +30,7 @@
   if (!mLeaders.empty() && aToken <= mLeaders.back().mToken) {
     return;
   }
-  mLeaders.push_back({ aToken, NodeId(), std::nullopt, FencingToken(), aNow });
+  mLeaders.push_back({ aToken, NodeId(), std::nullopt, FencingToken(), aNow, false });
   if (mLeaders.size() > kMaxLeaders) {
     mLeaders.erase(mLeaders.begin());
   }
@@ -64,15 +66,24 @@
   return before;
 }
 
-EarlierLeases::EarlierLeases(std::vector<FormerLeader> aLeaders, Duration aElectedAt,
-                             Duration aOutageTolerance, Duration aLease)
-  : mUnknownUntil((aLeaders.empty() ? aElectedAt : aLeaders.front().mSeenAt) + aOutageTolerance +
-                  aLease)
-  , mLease(aLease)
+EarlierLeases::EarlierLeases(std::vector<FormerLeader> aLeaders, const NewLeadership& aPresent,
+                             const LeaseBounds& aBounds)
+  : mBounds(aBounds)
+  , mBoundsLeasesSince(aPresent.mBoundsLeasesSince)
 {
+  const FormerLeader present{ aPresent.mToken, {}, {}, {}, aPresent.mElectedAt, false };
+  mUnknownUntil = LeasesUntilBefore(aLeaders.empty() ? present : aLeaders.front());
   for (std::size_t i = 0; i < aLeaders.size(); ++i) {
-    const auto successor = i + 1 < aLeaders.size() ? aLeaders[i + 1].mSeenAt : aElectedAt;
-    mEntries.push_back({ std::move(aLeaders[i]), successor + aOutageTolerance, std::nullopt });
+    const auto& next = i + 1 < aLeaders.size() ? aLeaders[i + 1] : present;
+    Entry entry{ aLeaders[i], next.mToken, next.mSeenAt, {}, {}, {}, {} };
+    const bool isBounded = IsBounded(entry.mLeader.mToken);
+    const bool hasResigned = entry.mLeader.mHasResigned;
+    const auto confirmedUntil =
+      isBounded ? ConfirmedUntil(next.mSeenAt, hasResigned) : next.mSeenAt;
+    entry.mActsUntil =
+      confirmedUntil + (isBounded && hasResigned ? Duration(0) : mBounds.mOutageTolerance);
+    entry.mMayExtendUntil = entry.mActsUntil;
+    mEntries.push_back(std::move(entry));
   }
 }
 
@@ -82,18 +93,38 @@
   for (auto& it : mEntries) {
     if (it.mLeader.mToken == aToken) {
       it.mActsUntil = std::min(it.mActsUntil, aEndedAt);
+      it.mEndedAt = std::min(it.mEndedAt.value_or(aEndedAt), aEndedAt);
       it.mEarlierUntil = std::min(it.mEarlierUntil.value_or(Duration::max()), aEarlierUntil);
     }
   }
 }
 
+void
+EarlierLeases::OnWitnessesAnswered(kv::Revision aRecord, Duration aNow)
+{
+  for (auto& it : mEntries) {
+    // A record that was written later may name other witnesses than the leader had.
+    if (aRecord.Value() < it.mSuccessor.Value()) {
+      it.mMayExtendUntil = std::min(it.mMayExtendUntil, aNow + kWitnessAnswerAge);
+    }
+  }
+}
+
+void
+EarlierLeases::OnSettled(FencingToken aToken)
+{
+  if (!mEntries.empty() && aToken >= mEntries.front().mLeader.mToken) {
+    mUnknownUntil = Duration(0);
+  }
+}
+
 Duration
 EarlierLeases::Remaining(Duration aNow) const
 {
   auto until = mUnknownUntil;
   for (const auto& it : mEntries) {
     until = std::min(until, it.mEarlierUntil.value_or(until));
-    until = std::max(until, it.mActsUntil + mLease);
+    until = std::max(until, LeasesUntil(it));
   }
   return std::max(until - aNow, Duration(0));
 }
@@ -110,4 +141,38 @@
   return active;
 }
 
+bool
+EarlierLeases::IsBounded(FencingToken aLeader) const
+{
+  return mBoundsLeasesSince.Value() > 0 && aLeader >= mBoundsLeasesSince;
+}
+
+Duration
+EarlierLeases::ConfirmedUntil(Duration aSuccessorAt, bool aHasResigned)
+{
+  // The store lets the leadership of one that doesn't resign run out before the next claim.
+  return aHasResigned ? aSuccessorAt : aSuccessorAt - kLeadershipLease;
+}
+
+Duration
+EarlierLeases::LeasesUntil(const Entry& aEntry) const
+{
+  const auto oneLeaseAfterItsEnd =
+    aEntry.mEndedAt ? *aEntry.mEndedAt + mBounds.mLease : Duration::max();
+  if (!IsBounded(aEntry.mLeader.mToken)) {
+    return std::min(aEntry.mActsUntil + mBounds.mLease, oneLeaseAfterItsEnd);
+  }
+  const auto confirmed =
+    ConfirmedUntil(aEntry.mSuccessorAt, aEntry.mLeader.mHasResigned) + mBounds.mLease;
+  const auto extended = aEntry.mMayExtendUntil + mBounds.mWitnessedLease;
+  return std::min(std::max(confirmed, extended), oneLeaseAfterItsEnd);
+}
+
+Duration
+EarlierLeases::LeasesUntilBefore(const FormerLeader& aFirst) const
+{
+  // An earlier one than the first of the row may be among them.
+  return aFirst.mSeenAt + mBounds.mOutageTolerance + mBounds.mLease;
+}
+
 } // namespace lovagerock::control
--- a/src/control/LeaderHistory.h
+++ b/src/control/LeaderHistory.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/SocketAddress.h"
 #include "base/Units.h"
+#include "kv/PrefixStore.h"
 
 #include <optional>
 #include <vector>
@@ -24,6 +25,8 @@
   FencingToken mPredecessor;
   // When this node first saw the claim, as BootTime(). The leadership had begun by then.
   Duration mSeenAt{ 0 };
+  // Whether it is known to have resigned. It may have been confirmed until the next claim then.
+  bool mHasResigned = false;
 };
 
 // The latest leaderships that this node has seen, without a gap.
@@ -45,20 +48,45 @@
   std::vector<FormerLeader> mLeaders;
 };
 
+// For how long leaders keep workers' leases alive, on the clock of this process.
+struct LeaseBounds
+{
+  // A leader renews leases until this time after the last confirmation of its leadership.
+  Duration mOutageTolerance;
+  // A lease ends at most this long after the last confirmation before its renewal, or ...
+  Duration mLease;
+  // ... this long after a renewal on the answers of witnesses; see LeaderWitnesses.
+  Duration mWitnessedLease;
+};
+
+// A leadership that begins.
+struct NewLeadership
+{
+  FencingToken mToken;
+  // When it had begun at the latest.
+  Duration mElectedAt{ 0 };
+  // ClaimRecord::mBoundsLeasesSince of its claim. Earlier leaders may have renewed leases for
+  // mLease at any time until mOutageTolerance after their successor's claim.
+  FencingToken mBoundsLeasesSince;
+};
+
 // Bounds the leases of workers that earlier leaders have renewed, by what is known of the ends of
 // their leaderships. All times are BootTime().
 class EarlierLeases
 {
 public:
   // aLeaders are the leaderships before the present one, as LeaderHistory::Before() returns them.
-  // A leader may act for aOutageTolerance after its successor's election; a lease lasts for aLease
-  // after its last renewal.
-  EarlierLeases(std::vector<FormerLeader> aLeaders, Duration aElectedAt, Duration aOutageTolerance,
-                Duration aLease);
+  EarlierLeases(std::vector<FormerLeader> aLeaders, const NewLeadership& aPresent,
+                const LeaseBounds& aBounds);
 
   // The leader sends nothing any more since aEndedAt at the latest. Leases that leaders before it
   // have renewed end by aEarlierUntil, as it told.
   void OnEnded(FencingToken aToken, Duration aEndedAt, Duration aEarlierUntil);
+  // More than half of the witnesses of the record with that revision have answered the present
+  // leader, so they refuse the calls of the leaders before it.
+  void OnWitnessesAnswered(kv::Revision aRecord, Duration aNow);
+  // The store says that leases which leaders before that one have renewed don't matter any more.
+  void OnSettled(FencingToken aToken);
   // Returns how long leases may last that earlier leaders have renewed, or may still renew.
   Duration Remaining(Duration aNow) const;
   // Returns the leaders that may still act, as far as is known.
@@ -68,16 +96,34 @@
   struct Entry
   {
     FormerLeader mLeader;
+    // The leadership after it, and when that had begun at the latest.
+    FencingToken mSuccessor;
+    Duration mSuccessorAt{ 0 };
     // The latest time at which the leader may act.
     Duration mActsUntil{ 0 };
+    // The same regarding renewals on the answers of witnesses.
+    Duration mMayExtendUntil{ 0 };
+    // When the leader is known to have ended, if it is.
+    std::optional<Duration> mEndedAt;
     // When the last lease ends that leaders before it have renewed, if it told.
     std::optional<Duration> mEarlierUntil;
   };
 
+  // Whether the leader renews leases as mBounds says.
+  bool IsBounded(FencingToken aLeader) const;
+  // Returns the last time at which the store may have confirmed a leader that has a successor since
+  // then.
+  static Duration ConfirmedUntil(Duration aSuccessorAt, bool aHasResigned);
+  // Returns when the last lease ends that the leader may have renewed.
+  Duration LeasesUntil(const Entry& aEntry) const;
+  // The same of all leaders before one that was seen at that time.
+  Duration LeasesUntilBefore(const FormerLeader& aFirst) const;
+
+  LeaseBounds mBounds;
+  FencingToken mBoundsLeasesSince;
   std::vector<Entry> mEntries;
   // When the last lease ends that was renewed by leaders before those.
-  Duration mUnknownUntil;
-  Duration mLease;
+  Duration mUnknownUntil{ 0 };
 };
 
 } // namespace lovagerock::control
--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/BootClock.h"
 #include "base/CallbackGuard.h"
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
@@ -21,8 +22,14 @@
 // Functions of the leader that WorkerLeases calls.
 struct WorkerLeaseHooks
 {
-  // Whether leases may be renewed now.
+  // Whether workers may be called now.
   std::function<bool()> mMayRenew;
+  // For how long leases may be renewed now; at most 0 if they may not be.
+  std::function<Duration()> mLeaseDuration;
+  // For how long the worker may hold back its reply to a renewal.
+  std::function<Duration(const WorkerId&)> mRenewalWait;
+  // The worker has answered a call that was sent at that BootTime(), and accepted its token.
+  std::function<void(const WorkerId&, scheduler::WorkerIncarnation, Duration aSent)> mOnAnswer;
   // A worker's reply, or the lack of one, may require a new plan.
   std::function<void()> mOnUpdate;
   // The worker has seen a higher fencing token, so there is a newer leader.
@@ -85,20 +92,17 @@
   }
 
   // Returns the end of a lease that is renewed now, on the worker's clock; nullopt until that clock
-  // is known.
+  // is known, and while leases may not be renewed.
   std::optional<scheduler::WorkerClock> Deadline(const WorkerId& aWorker) const
   {
-    const auto it = mRenewals.find(aWorker);
-    if (it == mRenewals.end() || !it->second.mClock ||
-        it->second.mIncarnation != Incarnation(aWorker)) {
+    const auto clock = Clock(aWorker);
+    // Taken after the clock, so that a pause of this process between the two makes the lease
+    // shorter.
+    const auto duration = mHooks.mLeaseDuration();
+    if (!clock || duration <= Duration(0)) {
       return std::nullopt;
     }
-    const auto elapsed = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
-                                                              it->second.mClockReadAt);
-    // The worker's clock may have advanced less, and must not get a longer lease by that.
-    const auto advanced = elapsed * (100 - mSettings.mClockDriftPercent) / 100;
-    return *it->second.mClock +
-           scheduler::WorkerClock((advanced + mSettings.mLeaseDuration).count());
+    return *clock + scheduler::WorkerClock(duration.count());
   }
 
   // Renews the worker's lease now and repeatedly from then on, unless a call is already in flight.
@@ -129,8 +133,9 @@
     const bool mayDropEnds = worker.mListsEnds && !renewal.mLastCallFailed;
     call.mLastStoredEnd = mayDropEnds ? worker.mLastStoredEnd : 0;
     call.mDropsOnAnyConnection = renewal.mUndroppedReports >= kMaxUndroppedReports;
-    const bool mayWait = worker.mHasAnswered && !worker.mNeedsHigherToken;
-    call.mWait = call.mLeaseDeadline && mayWait ? kRenewalWait : Duration(0);
+    const bool mayWait = Clock(aWorker) && !renewal.mLastCallFailed && worker.mHasAnswered &&
+                         !worker.mNeedsHigherToken;
+    call.mWait = mayWait ? mHooks.mRenewalWait(aWorker) : Duration(0);
     renewal.mInFlight = true;
     renewal.mRetryTimer.Cancel();
     if (call.mLeaseDeadline) {
@@ -144,7 +149,8 @@
       target.mToken = std::max(HighestToken(aWorker), mObtainedToken);
       mHighestTokens[aWorker] = target.mToken;
     }
-    const SentRenewal sent{ worker.mEntry.mIncarnation, target.mToken, call.mLastStoredEnd };
+    const SentRenewal sent{ worker.mEntry.mIncarnation, target.mToken, call.mLastStoredEnd,
+                            BootTime() };
     mCalls.RenewLease(target, call, mGuard.Wrap([this, aWorker, sent](const auto& aReply) {
       OnRenewalReply(aWorker, sent, aReply);
     }));
@@ -194,6 +200,8 @@
     FencingToken mToken;
     // See RenewalCall::mLastStoredEnd.
     std::int64_t mNamedEnd = 0;
+    // BootTime() then.
+    Duration mSentAt{ 0 };
   };
 
   static scheduler::CurrentTime Now()
@@ -210,6 +218,9 @@
     CountFailures(aWorker, renewal, aReply.mOutcome);
     CountUndroppedReports(renewal, aSent.mNamedEnd, aReply);
     mHooks.mOnUpdate();
+    if (isDone) {
+      mHooks.mOnAnswer(aWorker, aReply.mReport.mIncarnation, aSent.mSentAt);
+    }
     switch (aReply.mOutcome) {
       case scheduler::OrderOutcome::Done:
         if (aReply.mReport.mIncarnation == aSent.mIncarnation &&
@@ -255,6 +266,21 @@
     }
   }
 
+  // Returns the time on the worker's clock, or an earlier one; nullopt until it is known.
+  std::optional<scheduler::WorkerClock> Clock(const WorkerId& aWorker) const
+  {
+    const auto it = mRenewals.find(aWorker);
+    if (it == mRenewals.end() || !it->second.mClock ||
+        it->second.mIncarnation != Incarnation(aWorker)) {
+      return std::nullopt;
+    }
+    const auto elapsed = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
+                                                              it->second.mClockReadAt);
+    // The worker's clock may have advanced less, and must not get a longer lease by that.
+    const auto advanced = elapsed * (100 - mSettings.mClockDriftPercent) / 100;
+    return *it->second.mClock + scheduler::WorkerClock(advanced.count());
+  }
+
   // Whether the call had the token that was obtained for the worker's present incarnation.
   bool HasRaisedToken(const WorkerId& aWorker, const SentRenewal& aSent) const
   {
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -125,6 +125,8 @@
   void OnHandedOver(Duration aEarlierLeases, bool aNamesAllRuns, const CurrentTime& aNow);
   // The longest that a lease may last after a renewal, on this process's clock.
   Duration MaxLeaseDuration() const { return WithClockDrift(mSettings.mLeaseDuration); }
+  // Returns the longest time on this process's clock in which a worker's clock advances by aTime.
+  Duration WithClockDrift(Duration aTime) const;
   // Whether tasks of inherited jobs may be started.
   bool IsTakeoverSettled() const { return mIsTakeoverSettled; }
   // Returns how long leases may last that earlier schedulers have renewed, or may still renew; 0
@@ -198,8 +200,6 @@
   void UpdateWorkerFailures(const WorkerId& aWorker, const RunRef& aRun, RunEnd aEnd,
                             const CurrentTime& aNow);
   void UpdateCheckpoint(Job& aJob, const TaskRef& aTask, const std::string& aCheckpoint);
-  // Returns the longest time on this process's clock in which a worker's clock advances by aTime.
-  Duration WithClockDrift(Duration aTime) const;
   // MaxLeaseDuration() for any order to the worker; see Worker::mHasRestarted.
   Duration MaxLeaseDuration(const Worker& aWorker) const
   {
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -7,16 +7,19 @@
 // Durations and limits of the scheduler. Durations are in milliseconds.
 struct SchedulerSettings
 {
-  // Duration of a worker's lease after a renewal, on the worker's clock.
+  // Duration of a worker's lease, on the worker's clock, from the last time before its renewal at
+  // which the store confirmed the leadership.
   Duration mLeaseDuration{ 6000 };
+  // The same from the renewal, while a majority of witnesses confirms the leadership instead. A
+  // successor waits for this lease, so it bounds how long tasks of silent workers are idle.
+  Duration mWitnessedLease{ 3400 };
   // The longest lease that a worker grants, on its own clock. An order that was meant for an
   // earlier incarnation, whose clock was ahead, makes the lease last that long.
   Duration mLongestLease{ 10000 };
   // By how many percent a worker's clock may run slower than this process's clock.
   int mClockDriftPercent = 2;
-  // Time a scheduler may keep working without an answer from the store. A scheduler that takes
-  // over assumes that the earlier one may renew worker leases for this long after the takeover.
-  Duration mStoreOutageTolerance{ 7000 };
+  // Time a scheduler may keep working without an answer from the store.
+  Duration mStoreOutageTolerance{ 10000 };
   // A start order without an answer is sent again after this time.
   Duration mResendStartAfter{ 100 };
   // After this many unanswered start orders, the run is stopped instead.
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -108,6 +108,7 @@
   {
     scheduler::WorkerEntry entry;
     entry.mId = Worker(aKey);
+    entry.mAddress = SocketAddress("127.0.0.1", 7001);
     entry.mService = ServiceId("service");
     entry.mRack = RackId(aValue);
     entry.mCapacity = { scheduler::MilliCores(8000), MemoryMiB(8000), Accelerators(8) };
--- a/tests/control/TakeoverTests.cpp
+++ b/tests/control/TakeoverTests.cpp
@@ -1,5 +1,6 @@
 #include "LeaderFixture.h"
 
+#include <algorithm>
 #include <set>
 
 using namespace lovagerock;
@@ -52,6 +53,15 @@
   // Ends the leadership without a hand-over. The same node is elected again.
   void EndLeadership() { mElection->Resign("test"); }
 
+  // Ends it as if the leader was killed: its lease in the store runs out.
+  void LoseLeader()
+  {
+    const auto token = mElection->Token();
+    mStore.ExpireLease(kv::StoreLease(1));
+    RunUntil([&] { return mElection->Token() > token; });
+    AwaitLoaded();
+  }
+
   // Lets time pass in which the leader plans several times.
   void RunForSomePlans()
   {
@@ -212,14 +222,114 @@
   f.RunUntil([&] { return f.HasStarted("k"); });
 }
 
+namespace {
+
+// A leader whose three workers are the witnesses, and a task that runs on one of them.
+struct WitnessFixture : TakeoverFixture
+{
+  WitnessFixture()
+  {
+    // No leader of an earlier version, which may renew leases for longer.
+    mStore.Remove(std::string(kLastLeaderKey));
+    mCalls.mIncarnation = scheduler::WorkerIncarnation(5);
+    mSettings.mScheduler.mLeaseDuration = Duration(300);
+    mSettings.mScheduler.mWitnessedLease = Duration(100);
+    mStore.Put("workers/v", "r");
+  }
+
+  // Returns the worker on which the job "first" runs.
+  WorkerId RunOnWitnesses()
+  {
+    RunFirstJob();
+    RunUntil([this] {
+      const auto it = mStore.mItems.find(std::string(kWitnessKey));
+      return it != mStore.mItems.end() && ReadWitnesses(it->second.mValue).size() == 3;
+    });
+    // The job doesn't end, so the leader keeps what it has stored.
+    return StartsOf("first").at(0);
+  }
+};
+
+} // namespace
+
+// Guards against tasks that are idle for many seconds after their leader was killed and their
+// worker has fallen silent: the next leader took the former one for one that still renews leases.
+Test(Takeover, restarts_the_task_of_a_silent_worker_once_the_witnesses_have_answered)
+{
+  WitnessFixture f;
+  const auto worker = f.RunOnWitnesses();
+  f.Silence(worker.Value());
+  f.LoseLeader();
+  // The outage tolerance is longer than this waits.
+  f.RunUntil([&] { return f.StartsOf("first").size() == 2; });
+  cr_assert_neq(f.StartsOf("first").at(1), worker);
+}
+
+// Guards against a second run of a task on a worker that only the former leader reaches: that one
+// renews leases as long as most witnesses answer it.
+Test(Takeover, restarts_no_task_of_a_silent_worker_before_the_witnesses_have_answered)
+{
+  WitnessFixture f;
+  const auto worker = f.RunOnWitnesses();
+  f.Silence(worker.Value());
+  const std::string other = worker == WorkerId("v") ? "w" : "v";
+  f.Silence(other);
+  f.LoseLeader();
+  f.RunForSomePlans();
+  f.RunForSomePlans();
+  cr_assert_eq(f.StartsOf("first").size(), 1, "the run was started a second time");
+  f.mCalls.mUnreachable.erase(WorkerId(other));
+  f.RunUntil([&] { return f.StartsOf("first").size() == 2; });
+}
+
+// Guards against leases that outlast the wait of a successor: without the store, a leader may renew
+// them only while most witnesses answer.
+Test(Leader, renews_no_leases_without_the_store_and_the_witnesses)
+{
+  WitnessFixture f;
+  const auto worker = f.RunOnWitnesses();
+  f.mStore.mIsDown = true;
+  const auto runFor = [&f](Duration aTime) {
+    const auto later = std::chrono::steady_clock::now() + aTime;
+    f.RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  };
+  runFor(kLeadershipLease);
+  f.mCalls.mRenewalCalls.clear();
+  runFor(Duration(200));
+  cr_assert(std::any_of(f.mCalls.mRenewalCalls.begin(), f.mCalls.mRenewalCalls.end(),
+                        [](const auto& aIt) { return aIt.mLeaseDeadline.has_value(); }),
+            "the witnesses answer, but no lease is renewed");
+  f.Silence(worker.Value());
+  f.Silence(worker == WorkerId("v") ? "w" : "v");
+  runFor(kWitnessAnswerAge + Duration(100));
+  f.mCalls.mRenewalCalls.clear();
+  runFor(Duration(200));
+  cr_assert_not(f.mCalls.mRenewalCalls.empty());
+  cr_assert(std::none_of(f.mCalls.mRenewalCalls.begin(), f.mCalls.mRenewalCalls.end(),
+                         [](const auto& aIt) { return aIt.mLeaseDeadline.has_value(); }),
+            "a lease is renewed although most witnesses are silent");
+}
+
 Test(ClaimRecord, tells_since_when_leaders_record_runs_before_they_order_them)
 {
   const kv::Revision revision(70);
-  const auto first = ReadClaimRecord(WriteClaimRecord(NodeId("n"), FencingToken()), revision);
+  const auto first = ReadClaimRecord(WriteClaimRecord(NodeId("n"), {}), revision);
   cr_assert_eq(first.mToken, FencingToken(70));
   cr_assert_eq(first.mNamesRunsSince, FencingToken(70));
-  const auto later = ReadClaimRecord(WriteClaimRecord(NodeId("n"), FencingToken(40)), revision);
+  cr_assert_eq(first.mBoundsLeasesSince, FencingToken(70));
+  const ClaimRecord last{ FencingToken(60), FencingToken(40), FencingToken(50) };
+  const auto later = ReadClaimRecord(WriteClaimRecord(NodeId("n"), last), revision);
   cr_assert_eq(later.mNamesRunsSince, FencingToken(40));
+  cr_assert_eq(later.mBoundsLeasesSince, FencingToken(50));
+}
+
+// Guards against trust in the bounds of a leader of the version that recorded runs, and renewed
+// leases for longer.
+Test(ClaimRecord, does_not_take_a_claim_for_one_that_bounds_leases)
+{
+  const auto claim = ReadClaimRecord(R"({"node":"n","namesRunsSince":40})", kv::Revision(70));
+  cr_assert_eq(claim.mNamesRunsSince, FencingToken(40));
+  cr_assert_eq(claim.mBoundsLeasesSince, FencingToken());
 }
 
 // Guards against trust in the records of a leader that doesn't write them: claims of earlier
@@ -230,6 +340,7 @@
     const auto claim = ReadClaimRecord(text, kv::Revision(70));
     cr_assert_eq(claim.mToken, FencingToken(70));
     cr_assert_eq(claim.mNamesRunsSince, FencingToken());
+    cr_assert_eq(claim.mBoundsLeasesSince, FencingToken());
   }
 }
 
