Store the record of a start between the transactions of a long batch

What callers saw: a start that was planned while a batch of progress was being stored waited for all of it. After a takeover, or a cancellation of many jobs, that is dozens of transactions of 29 records, each of which takes long on a slow store.

Cause: progress is stored in batches, one at a time, and a start is ordered only once its record is stored.

Change: while a batch is being stored, ProgressWriter stores the records of newly planned starts before the rest of it. They replace the older progress of the same jobs in that rest. A transaction that is refused is sent again before them, so that it can't overwrite them.

New: ProgressWriter/stores_urgent_writes_before_the_rest_of_a_batch, ProgressWriter/keeps_urgent_writes_of_keys_that_the_batch_has_too, ProgressWriter/fails_both_if_the_urgent_writes_are_not_stored.

--- a/src/control/HeldStarts.h
+++ b/src/control/HeldStarts.h
@@ -13,7 +13,8 @@
 // finds each run that may be in progress in the loaded progress, and has to wait only for the
 // workers that it names.
 //
-// Progress is stored in batches, one at a time.
+// Progress is stored in batches. While one is being stored, the progress of the jobs of later
+// orders may be stored before the rest of it.
 class HeldStarts
 {
 public:
@@ -21,29 +22,30 @@
   void Add(std::vector<scheduler::StartOrder> aOrders) { Append(mUnnamed, std::move(aOrders)); }
   // Whether there are orders whose runs no progress names yet.
   bool HasUnnamed() const { return !mUnnamed.empty(); }
+  // The jobs of those orders.
+  std::set<JobId> UnnamedJobs() const { return JobsOf(mUnnamed); }
   // The progress of all changed jobs was taken to be stored.
   void OnTaken() { Append(mStoring, std::exchange(mUnnamed, {})); }
-  // The jobs of the orders whose runs are being stored.
-  std::set<JobId> StoringJobs() const
-  {
-    std::set<JobId> jobs;
-    for (const auto& it : mStoring) {
-      jobs.insert(it.mRun.mTask.mJob);
-    }
-    return jobs;
-  }
+  // The jobs of the orders whose runs are being stored so.
+  std::set<JobId> StoringJobs() const { return JobsOf(mStoring); }
   // The outcome of storing it: if it isn't known to be stored, it will be taken again.
   void OnStored(bool aIsStored)
   {
     Append(aIsStored ? mStored : mUnnamed, std::exchange(mStoring, {}));
   }
+  // The same of the progress of UnnamedJobs(), which was taken to be stored before the rest.
+  void OnTakenFirst() { Append(mStoringFirst, std::exchange(mUnnamed, {})); }
+  void OnFirstStored(bool aIsStored)
+  {
+    Append(aIsStored ? mStored : mUnnamed, std::exchange(mStoringFirst, {}));
+  }
   // Returns the orders whose runs are named by stored progress, and holds them no longer.
   std::vector<scheduler::StartOrder> TakeStored() { return std::exchange(mStored, {}); }
   // The runs of all orders that are held back.
   std::set<scheduler::RunRef> Runs() const
   {
     std::set<scheduler::RunRef> runs;
-    for (const auto* orders : { &mUnnamed, &mStoring, &mStored }) {
+    for (const auto* orders : { &mUnnamed, &mStoring, &mStoringFirst, &mStored }) {
       for (const auto& it : *orders) {
         runs.insert(it.mRun);
       }
@@ -52,6 +54,15 @@
   }
 
 private:
+  static std::set<JobId> JobsOf(const std::vector<scheduler::StartOrder>& aOrders)
+  {
+    std::set<JobId> jobs;
+    for (const auto& it : aOrders) {
+      jobs.insert(it.mRun.mTask.mJob);
+    }
+    return jobs;
+  }
+
   static void
   Append(std::vector<scheduler::StartOrder>& aTo, std::vector<scheduler::StartOrder> aFrom)
   {
@@ -61,6 +72,7 @@
 
   std::vector<scheduler::StartOrder> mUnnamed;
   std::vector<scheduler::StartOrder> mStoring;
+  std::vector<scheduler::StartOrder> mStoringFirst;
   std::vector<scheduler::StartOrder> mStored;
 };
 
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -705,9 +705,13 @@
   {
     // Starts wait for their records, so these aren't batched with later changes.
     const bool isUrgent = mHeldStarts.HasUnnamed() && !mWriter->IsFailing();
-    if ((mStoreTimer.IsPending() && !isUrgent) || mWriter->IsBusy() ||
-        !(mScheduler.HasProgress() || mDeleteExpired || IsSettledRecordDue() ||
-          mWitnesses.Change(mScheduler.Workers()))) {
+    if (mWriter->IsBusy()) {
+      if (isUrgent && !mWriter->IsFirstBusy()) {
+        StoreHeldStarts();
+      }
+      return;
+    }
+    if ((mStoreTimer.IsPending() && !isUrgent) || !IsStoreDue()) {
       return;
     }
     const auto delay = isUrgent ? Duration(0) : kStoreDelay;
@@ -715,6 +719,45 @@
       mLoop.After(mWriter->IsFailing() ? kStoreRetryDelay : delay, [this] { StoreProgress(); });
   }
 
+  bool IsStoreDue() const
+  {
+    return mScheduler.HasProgress() || mDeleteExpired || IsSettledRecordDue() ||
+           mWitnesses.Change(mScheduler.Workers());
+  }
+
+  // Stores the records of the runs that were planned while a batch is being stored. After a
+  // takeover, or a cancellation of many jobs, the rest of it takes many transactions.
+  void StoreHeldStarts()
+  {
+    const auto batch = std::make_shared<scheduler::ProgressBatch>(
+      mScheduler.TakeProgressOf(mHeldStarts.UnnamedJobs()));
+    mHeldStarts.OnTakenFirst();
+    std::vector<std::string> deletes;
+    mWriter->StoreFirst(WritesOf(*batch, deletes), [this, batch](bool aIsStored) {
+      mHeldStarts.OnFirstStored(aIsStored);
+      if (aIsStored) {
+        mScheduler.OnStored(*batch);
+        SendStoredStarts();
+      } else {
+        mScheduler.OnNotStored(*batch);
+      }
+      ScheduleStore();
+    });
+    DropReplaced(*batch);
+  }
+
+  // Leaves the jobs of a later batch out of the one that is being stored, whose progress of them it
+  // replaces.
+  void DropReplaced(const scheduler::ProgressBatch& aLater)
+  {
+    if (mStoringBatch) {
+      std::erase_if(mStoringBatch->mWrites, [&aLater](const auto& aIt) {
+        return std::any_of(aLater.mWrites.begin(), aLater.mWrites.end(),
+                           [&aIt](const auto& aLaterIt) { return aLaterIt.mJob == aIt.mJob; });
+      });
+    }
+  }
+
   // Whether the store has to be told that nothing of what earlier leaders ordered is unknown, and
   // that leases which they have renewed don't matter any more.
   bool IsSettledRecordDue() const
@@ -748,8 +791,10 @@
       writes.push_back({ std::string(kWitnessKey), WriteWitnesses(*witnesses), {} });
       mWitnesses.OnStoring(*witnesses);
     }
+    mStoringBatch = batch;
     const auto done = [this, batch, expired, isSettledRecordDue,
                        hasWitnesses = witnesses.has_value()](bool aIsStored) {
+      mStoringBatch.reset();
       mHeldStarts.OnStored(aIsStored);
       if (hasWitnesses) {
         mWitnesses.OnStored(aIsStored);
@@ -822,6 +867,8 @@
   kv::Revision mBatchRevision;
   std::optional<ProgressWriter<Store>> mWriter;
   HeldStarts mHeldStarts;
+  // The batch that is being stored, but for StoreHeldStarts().
+  std::shared_ptr<scheduler::ProgressBatch> mStoringBatch;
   std::optional<PrefixWatch<Store>> mRequests;
   // How recent this leader's view of the accepted and cancelled jobs is.
   StoreFreshness mRequestsFreshness;
--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -9,14 +9,14 @@
 
 #include <algorithm>
 #include <functional>
-#include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace lovagerock::control {
 
-// Stores batches of progress, one at a time and in order. Each transaction also rewrites the batch
+// Stores batches of progress, one transaction at a time. Each transaction also rewrites the batch
 // key on condition of its revision, so that a transaction without a reply can't be applied after a
 // newer one.
 template<kv::PrefixStore Store>
@@ -32,7 +32,9 @@
   {
   }
 
-  bool IsBusy() const { return mIsBusy; }
+  bool IsBusy() const { return mBatch || mFirst; }
+  // Whether StoreFirst() may not be called.
+  bool IsFirstBusy() const { return mFirst.has_value(); }
   // The store's revision of the last transaction that this writer knows to be applied; 0 if there
   // was none. It is lower than that of any later claim of the leadership.
   kv::Revision AppliedRevision() const { return mAppliedRevision; }
@@ -46,12 +48,24 @@
   StoreBatch(std::vector<kv::ConditionalWrites::Write> aWrites, std::vector<std::string> aDeletes,
              std::function<void(bool)> aDone, std::function<void(std::size_t)> aOnPart = {})
   {
-    mIsBusy = true;
-    mStoredWrites = 0;
-    mOnPart = std::move(aOnPart);
-    mWrites = std::move(aWrites);
-    mDeletes = std::move(aDeletes);
-    mDone = std::move(aDone);
+    mBatch.emplace(
+      Batch{ std::move(aWrites), std::move(aDeletes), std::move(aDone), std::move(aOnPart), 0 });
+    SendNext();
+  }
+
+  // Stores the writes between two transactions of the batch that is being stored, in place of the
+  // writes of the same keys that the batch still has. If one of the two fails, so does the other.
+  void
+  StoreFirst(std::vector<kv::ConditionalWrites::Write> aWrites, std::function<void(bool)> aDone)
+  {
+    if (mBatch) {
+      const auto sent = mIsSending && !mIsFirstSent ? mSentWrites : 0;
+      auto& rest = mBatch->mWrites;
+      rest.erase(std::remove_if(rest.begin() + static_cast<long>(sent), rest.end(),
+                                [&aWrites](const auto& aIt) { return HasKey(aWrites, aIt.mKey); }),
+                 rest.end());
+    }
+    mFirst.emplace(Batch{ std::move(aWrites), {}, std::move(aDone), {}, 0 });
     SendNext();
   }
 
@@ -60,22 +74,57 @@
   // write of the batch key.
   static constexpr std::size_t kReservedEntries = 3;
 
+  struct Batch
+  {
+    std::vector<kv::ConditionalWrites::Write> mWrites;
+    std::vector<std::string> mDeletes;
+    std::function<void(bool)> mDone;
+    std::function<void(std::size_t)> mOnPart;
+    std::size_t mStoredWrites = 0;
+
+    bool IsEmpty() const { return mWrites.empty() && mDeletes.empty(); }
+  };
+
+  static bool
+  HasKey(const std::vector<kv::ConditionalWrites::Write>& aWrites, const std::string& aKey)
+  {
+    return std::any_of(aWrites.begin(), aWrites.end(),
+                       [&aKey](const auto& aIt) { return aIt.mKey == aKey; });
+  }
+
+  // Sends the next transaction unless one is under way.
   void SendNext()
   {
-    if (mWrites.empty() && mDeletes.empty()) {
-      Finish(true);
+    if (mIsSending || !IsBusy()) {
+      return;
+    }
+    mIsFirstSent = mFirst.has_value();
+    if (Sent()->IsEmpty()) {
+      Finish(Sent(), true);
+      SendNext();
       return;
     }
+    Send();
+  }
+
+  // The batch of the transaction that was sent last.
+  std::optional<Batch>& Sent() { return mIsFirstSent ? mFirst : mBatch; }
+
+  void Send()
+  {
+    mIsSending = true;
+    const auto& batch = *Sent();
     kv::ConditionalWrites call;
     call.mConditions = { mLeader, { std::string(kBatchKey), mBatchRevision } };
     call.mWrites.push_back({ std::string(kBatchKey), std::to_string(++mBatchNumber), {} });
     auto room = kv::kMaxTransactionEntries - kReservedEntries;
-    mSentWrites = std::min(room, mWrites.size());
-    call.mWrites.insert(call.mWrites.end(), mWrites.begin(),
-                        mWrites.begin() + static_cast<long>(mSentWrites));
+    mSentWrites = std::min(room, batch.mWrites.size());
+    call.mWrites.insert(call.mWrites.end(), batch.mWrites.begin(),
+                        batch.mWrites.begin() + static_cast<long>(mSentWrites));
     room -= mSentWrites;
-    mSentDeletes = std::min(room, mDeletes.size());
-    call.mDeletes.assign(mDeletes.begin(), mDeletes.begin() + static_cast<long>(mSentDeletes));
+    mSentDeletes = std::min(room, batch.mDeletes.size());
+    call.mDeletes.assign(batch.mDeletes.begin(),
+                         batch.mDeletes.begin() + static_cast<long>(mSentDeletes));
     mStore.Write(call, mGuard.Wrap([this](std::error_code aError, kv::WriteOutcome aOutcome) {
       OnWritten(aError, aOutcome);
     }));
@@ -84,25 +133,45 @@
   void OnWritten(std::error_code aError, const kv::WriteOutcome& aOutcome)
   {
     if (!aError && aOutcome.mApplied) {
-      mBatchRevision = aOutcome.mRevision;
-      mStoredWrites += mSentWrites;
-      mAppliedRevision = aOutcome.mRevision;
-      mWrites.erase(mWrites.begin(), mWrites.begin() + static_cast<long>(mSentWrites));
-      mDeletes.erase(mDeletes.begin(), mDeletes.begin() + static_cast<long>(mSentDeletes));
-      if (mOnPart) {
-        mOnPart(mStoredWrites);
-      }
-      SendNext();
+      OnApplied(aOutcome.mRevision);
       return;
     }
     if (!aError && LearnBatchRevision(aOutcome)) {
-      SendNext();
+      // The same one, since a later one may have newer values of its keys.
+      Send();
       return;
     }
+    mIsSending = false;
+    mIsFailing = true;
     LogEvent("progress_not_stored", LogLevel::Warning)
-      .With("writes", mWrites.size())
+      .With("writes", Sent()->mWrites.size())
       .With("reason", aError ? aError.message() : std::string("condition_failed"));
-    Finish(false);
+    for (auto* batch : { &mFirst, &mBatch }) {
+      if (*batch) {
+        Finish(*batch, false);
+      }
+    }
+  }
+
+  void OnApplied(kv::Revision aRevision)
+  {
+    mIsSending = false;
+    mBatchRevision = aRevision;
+    mAppliedRevision = aRevision;
+    auto& batch = *Sent();
+    batch.mStoredWrites += mSentWrites;
+    batch.mWrites.erase(batch.mWrites.begin(),
+                        batch.mWrites.begin() + static_cast<long>(mSentWrites));
+    batch.mDeletes.erase(batch.mDeletes.begin(),
+                         batch.mDeletes.begin() + static_cast<long>(mSentDeletes));
+    if (batch.mOnPart) {
+      batch.mOnPart(batch.mStoredWrites);
+    }
+    if (batch.IsEmpty()) {
+      mIsFailing = false;
+      Finish(Sent(), true);
+    }
+    SendNext();
   }
 
   // Takes the batch key's revision from the outcome of a transaction that wasn't applied. Returns
@@ -121,11 +190,11 @@
     return isLeader && mBatchRevision != known;
   }
 
-  void Finish(bool aIsStored)
+  static void Finish(std::optional<Batch>& aBatch, bool aIsStored)
   {
-    mIsBusy = false;
-    mIsFailing = !aIsStored;
-    std::exchange(mDone, nullptr)(aIsStored);
+    const auto done = std::move(aBatch->mDone);
+    aBatch.reset();
+    done(aIsStored);
   }
 
   Store& mStore;
@@ -134,15 +203,15 @@
   kv::Revision mBatchRevision;
   kv::Revision mAppliedRevision;
   std::uint64_t mBatchNumber = 0;
-  bool mIsBusy = false;
   bool mIsFailing = false;
-  std::vector<kv::ConditionalWrites::Write> mWrites;
-  std::vector<std::string> mDeletes;
+  std::optional<Batch> mBatch;
+  // The one that is stored before the rest of mBatch.
+  std::optional<Batch> mFirst;
+  // Whether a transaction is under way, whether it is or was one of mFirst, and what it holds.
+  bool mIsSending = false;
+  bool mIsFirstSent = false;
   std::size_t mSentWrites = 0;
-  std::size_t mStoredWrites = 0;
   std::size_t mSentDeletes = 0;
-  std::function<void(bool)> mDone;
-  std::function<void(std::size_t)> mOnPart;
   CallbackGuard mGuard;
 };
 
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -562,16 +562,23 @@
 }
 
 ProgressBatch
-Scheduler::TakeProgress()
+Scheduler::TakeProgressOf(const std::set<JobId>& aJobs)
 {
   ProgressBatch batch;
-  for (const auto& id : mDirty) {
-    if (const auto* job = FindJob(id)) {
+  for (const auto& id : aJobs) {
+    const auto* job = FindJob(id);
+    if (mDirty.erase(id) > 0 && job) {
       batch.mWrites.push_back({ id, WriteProgress(*job) });
       mStoring.insert(id);
     }
   }
-  mDirty.clear();
+  return batch;
+}
+
+ProgressBatch
+Scheduler::TakeProgress()
+{
+  auto batch = TakeProgressOf(std::set<JobId>(mDirty));
   for (const auto& rack : std::exchange(mDirtyRacks, {})) {
     batch.mRacks.push_back(TakeRack(rack));
   }
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -102,6 +102,9 @@
 
   // Returns what changed since the last call and has to be stored.
   ProgressBatch TakeProgress();
+  // Returns the changed progress of these jobs alone, which names the runs that were planned for
+  // them. It takes the place of the progress that a batch which isn't stored yet has of them.
+  ProgressBatch TakeProgressOf(const std::set<JobId>& aJobs);
   // The batch was written to the store.
   void OnStored(const ProgressBatch& aBatch);
   // Writing the batch failed: the next TakeProgress() returns its contents again.
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -279,6 +279,85 @@
 
 namespace {
 
+// A writer that stores a batch of three transactions.
+struct LongBatchFixture : Fixture
+{
+  LongBatchFixture()
+  {
+    mStore.Put(std::string(kLeaderKey), "{}");
+    const auto leader = mStore.mItems.at(std::string(kLeaderKey)).mRevision;
+    mWriter.emplace(mStore, kv::ConditionalWrites::Condition{ std::string(kLeaderKey), leader },
+                    kv::Revision());
+    mStore.mWriteTime = Duration(20);
+    std::vector<kv::ConditionalWrites::Write> writes;
+    for (int i = 0; i < 70; ++i) {
+      writes.push_back({ Key(i), "old", {} });
+    }
+    mWriter->StoreBatch(writes, {}, [this](bool aIsStored) { mBatch = aIsStored; });
+  }
+
+  static std::string Key(int aJob) { return KeyOf(kProgressPrefix, JobId(std::to_string(aJob))); }
+
+  std::optional<ProgressWriter<FakeStore>> mWriter;
+  std::optional<bool> mBatch;
+  std::optional<bool> mFirst;
+};
+
+} // namespace
+
+// Guards against records that a start waits for until all of a long batch is stored.
+Test(ProgressWriter, stores_urgent_writes_before_the_rest_of_a_batch)
+{
+  LongBatchFixture f;
+  int writes = 0;
+  f.mWriter->StoreFirst({ { "progress/job/urgent", "text", {} } }, [&](bool aIsStored) {
+    f.mFirst = aIsStored;
+    writes = f.mStore.mWrites;
+  });
+  f.RunUntil([&] { return f.mFirst.has_value(); });
+  cr_assert(*f.mFirst);
+  cr_assert_eq(writes, 2, "the transaction under way, and that of the urgent write");
+  cr_assert(f.mStore.mItems.contains("progress/job/urgent"));
+  cr_assert_not(f.mBatch.has_value());
+  f.RunUntil([&] { return f.mBatch.has_value(); });
+  cr_assert(*f.mBatch);
+  cr_assert(f.mStore.mItems.contains(LongBatchFixture::Key(69)));
+}
+
+// Guards against progress that an earlier value overwrites: of the transaction under way, which the
+// store refuses at first, or of the rest of the batch.
+Test(ProgressWriter, keeps_urgent_writes_of_keys_that_the_batch_has_too)
+{
+  LongBatchFixture f;
+  // As an earlier transaction of this writer does that is applied late.
+  f.mStore.Put(std::string(kBatchKey), "late");
+  f.mWriter->StoreFirst(
+    { { LongBatchFixture::Key(0), "new", {} }, { LongBatchFixture::Key(69), "new", {} } },
+    [&f](bool aIsStored) { f.mFirst = aIsStored; });
+  f.RunUntil([&] { return f.mBatch.has_value(); });
+  cr_assert(*f.mFirst);
+  cr_assert(*f.mBatch);
+  cr_assert_eq(f.mStore.mItems.at(LongBatchFixture::Key(0)).mValue, "new");
+  cr_assert_eq(f.mStore.mItems.at(LongBatchFixture::Key(68)).mValue, "old");
+  cr_assert_eq(f.mStore.mItems.at(LongBatchFixture::Key(69)).mValue, "new");
+}
+
+// Guards against a batch that counts as stored without the writes that urgent ones have replaced.
+Test(ProgressWriter, fails_both_if_the_urgent_writes_are_not_stored)
+{
+  LongBatchFixture f;
+  f.mWriter->StoreFirst({ { LongBatchFixture::Key(69), "new", {} } },
+                        [&f](bool aIsStored) { f.mFirst = aIsStored; });
+  f.mStore.mIsDown = true;
+  f.RunUntil([&] { return f.mBatch.has_value(); });
+  cr_assert_not(*f.mFirst);
+  cr_assert_not(*f.mBatch);
+  cr_assert(f.mWriter->IsFailing());
+  cr_assert_not(f.mWriter->IsBusy());
+}
+
+namespace {
+
 struct Candidate
 {
   Candidate(Fixture& aFixture, const std::string& aName, double aCores = 0.25)
