Move what a new leader finds out of former ones out of Leader

FormerLeaders calls the witnesses, asks the former leaders for their hand-over and their end, and bounds the leases that they may have renewed. Behavior is unchanged.

Also removes EndLease from the store interface: a leader that resigns removes its key in the transaction that notes the resignation, and its lease runs out.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -7,6 +7,7 @@
 #include "base/WallClock.h"
 #include "control/Deployment.h"
 #include "control/Election.h"
+#include "control/FormerLeaders.h"
 #include "control/HandOver.h"
 #include "control/HeldStarts.h"
 #include "control/PlanPacer.h"
@@ -88,18 +89,16 @@
     , mToken(aElection.Token())
     , mNamesRunsSince(aElection.OwnClaim().mNamesRunsSince)
     , mScheduler(aSettings.mScheduler, std::chrono::steady_clock::now())
-    , mHandOverSource(aHandOverSource)
-    , mEarlierLeases(aElection.FormerLeaders(),
+    , mFormerLeaders(aLoop, aCalls, aHandOverSource, aElection.FormerLeaders(),
+                     aElection.Witnesses(),
                      { aElection.Token(), BootTime(), aElection.OwnClaim().mBoundsLeasesSince },
-                     MakeLeaseBounds())
-    , mInheritedWitnesses(aElection.Witnesses())
-    , mWitnesses(mInheritedWitnesses.mWitnesses)
+                     MakeLeaseBounds(), MakeFormerLeaderHooks())
+    , mWitnesses(aElection.Witnesses().mWitnesses)
     , mRecords(aLoop, aStore, std::string(kRecordPrefix), MakeRecordCallbacks())
     , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
   {
     OnDeployment(aDeployment);
-    CallWitnesses();
-    RequestHandOver();
+    mFormerLeaders.Start();
     mRecords.Start();
   }
 
@@ -189,7 +188,7 @@
     };
     hooks.mOnAnswer = [this](const WorkerId& aWorker, auto aIncarnation, Duration aSent) {
       mWitnesses.OnAnswer(aWorker, aIncarnation, aSent);
-      OnInheritedWitness(aWorker, aIncarnation);
+      mFormerLeaders.OnAnswer(aWorker, aIncarnation);
     };
     hooks.mOnUpdate = [this] { SchedulePlan(); };
     hooks.mOnFenced = [this](const WorkerId& aWorker) { OnFenced(aWorker); };
@@ -225,100 +224,22 @@
     return mayExtend ? settings.mWitnessedLease : lease;
   }
 
-  // Calls the witnesses before anything is loaded, so that they refuse the former leader's calls.
-  void CallWitnesses()
+  FormerLeaderHooks MakeFormerLeaderHooks()
   {
-    for (const auto& it : mInheritedWitnesses.mWitnesses) {
-      const WorkerTarget target{ it.mWorker, it.mAddress, mToken };
-      mCalls.RenewLease(target, RenewalCall{}, mGuard.Wrap([this, it](const auto& aReply) {
-        if (aReply.mOutcome == scheduler::OrderOutcome::Done) {
-          OnInheritedWitness(it.mWorker, aReply.mReport.mIncarnation);
-        } else if (aReply.mOutcome == scheduler::OrderOutcome::Fenced) {
-          OnFenced(it.mWorker);
-        }
-      }));
-    }
-    CheckInheritedWitnesses();
-  }
-
-  // A worker has answered, and so refuses the calls of former leaders.
-  void OnInheritedWitness(const WorkerId& aWorker, scheduler::WorkerIncarnation aIncarnation)
-  {
-    if (!mHaveWitnessesAnswered) {
-      mInheritedAnswers.OnAnswer(aWorker, aIncarnation, BootTime());
-      CheckInheritedWitnesses();
-    }
-  }
-
-  void CheckInheritedWitnesses()
-  {
-    const auto& witnesses = mInheritedWitnesses.mWitnesses;
-    // Without witnesses, no former leader could renew leases on their answers.
-    if (!witnesses.empty() && !mInheritedAnswers.AnsweredSince(witnesses)) {
-      return;
-    }
-    mHaveWitnessesAnswered = true;
-    const auto now = BootTime();
-    mEarlierLeases.OnWitnessesAnswered(mInheritedWitnesses.mRevision, now);
-    LogEvent("witnesses_answered")
-      .With("token", mToken)
-      .With("witnesses", witnesses.size())
-      .With("earlier_leases_ms", mEarlierLeases.Remaining(now));
-    ApplyEarlierLeases();
-  }
-
-  void ApplyEarlierLeases()
-  {
-    mScheduler.OnHandedOver(mEarlierLeases.Remaining(BootTime()), false, Now());
-  }
-
-  void RequestHandOver()
-  {
-    const auto former = mElection.FormerLeaders();
-    if (former.empty()) {
-      OnHandOver(HandOver());
-      return;
-    }
-    mHandOverSource(former.back(), kHandOverTimeout,
-                    mGuard.Wrap([this](HandOver aHandOver) { OnHandOver(std::move(aHandOver)); }));
-  }
-
-  void OnHandOver(HandOver aHandOver)
-  {
-    mHandOver = std::move(aHandOver);
-    OnFormerLeaderReply(*mHandOver);
-    LoadJobs();
-  }
-
-  // Asks the former leaders that may still act whether they have ended, as long as work waits for
-  // leases that they may renew. What they haven't stored comes too late.
-  void AskFormerLeaders()
-  {
-    if (mScheduler.EarlierLeases(Now()) == Duration(0)) {
-      return;
-    }
-    for (const auto& it : mEarlierLeases.Active(BootTime())) {
-      mHandOverSource(it, kLeaderCallTimeout, mGuard.Wrap([this](const HandOver& aHandOver) {
-        OnFormerLeaderReply(aHandOver);
-        SchedulePlan();
-      }));
-    }
-  }
-
-  void OnFormerLeaderReply(const HandOver& aReply)
-  {
-    if (aReply.mToken.Value() == 0) {
-      return;
-    }
-    const auto now = BootTime();
-    mEarlierLeases.OnEnded(aReply.mToken, now - aReply.mEndedAgo, now + aReply.mEarlierLeases);
-    const auto remaining = mEarlierLeases.Remaining(now);
-    mScheduler.OnRestartsHandedOver(aReply.mRestarted);
-    LogEvent("former_leader_ended")
-      .With("token", aReply.mToken)
-      .With("ended_ms_ago", aReply.mEndedAgo)
-      .With("earlier_leases_ms", remaining);
-    ApplyEarlierLeases();
+    FormerLeaderHooks hooks;
+    hooks.mOnHandOver = [this](HandOver aHandOver) {
+      mHandOver = std::move(aHandOver);
+      LoadJobs();
+    };
+    hooks.mOnUpdate = [this] {
+      mScheduler.OnHandedOver(mFormerLeaders.EarlierLeasesLast(), false, Now());
+      SchedulePlan();
+    };
+    hooks.mOnRestarted = [this](const auto& aWorkers) {
+      mScheduler.OnRestartsHandedOver(aWorkers);
+    };
+    hooks.mOnFenced = [this](const WorkerId& aWorker) { OnFenced(aWorker); };
+    return hooks;
   }
 
   ReaderCallbacks MakeRecordCallbacks()
@@ -398,7 +319,7 @@
       return;
     }
     mSettled = FencingToken(token);
-    mEarlierLeases.OnSettled(mSettled);
+    mFormerLeaders.OnSettled(mSettled);
   }
 
   // Whether the stored progress names all runs that may be in progress. All leaderships since
@@ -446,18 +367,18 @@
     }
     if (!IsLoaded()) {
       const bool namesAllRuns = mHandOver->mIsComplete || NamesStoredProgressAllRuns();
-      mScheduler.OnHandedOver(mEarlierLeases.Remaining(BootTime()), namesAllRuns, Now());
+      mScheduler.OnHandedOver(mFormerLeaders.EarlierLeasesLast(), namesAllRuns, Now());
       LogEvent("jobs_loaded")
         .With("jobs", mScheduler.JobCount())
         .With("unreported_runs", mScheduler.UnreportedRuns(Now()))
         .With("names_all_runs", namesAllRuns)
-        .With("earlier_leases_ms", mEarlierLeases.Remaining(BootTime()))
+        .With("earlier_leases_ms", mFormerLeaders.EarlierLeasesLast())
         .With("token", mToken);
       RenewRecordedLeases();
       WatchWorkers();
       mPeriodicPlanTimer = mLoop.Every(kPlanPeriod, [this] { SchedulePlan(); });
       mExpiryTimer = mLoop.Every(kExpiryPeriod, [this] { mDeleteExpired = true; });
-      mFormerLeadersTimer = mLoop.Every(kFormerLeadersPeriod, [this] { AskFormerLeaders(); });
+      mFormerLeaders.KeepAsking([this] { return mScheduler.EarlierLeases(Now()) > Duration(0); });
     }
     SchedulePlan();
   }
@@ -846,13 +767,7 @@
   scheduler::Scheduler mScheduler;
   scheduler::WaitScanner mWaitScanner{ mScheduler };
   WaitMonitor mWaits;
-  HandOverSource mHandOverSource;
-  EarlierLeases mEarlierLeases;
-  // The record of witnesses when the leadership began, their answers since then, and whether more
-  // than half of them have answered.
-  WitnessRecord mInheritedWitnesses;
-  WitnessAnswers mInheritedAnswers;
-  bool mHaveWitnessesAnswered = false;
+  FormerLeaders<Calls> mFormerLeaders;
   LeaderWitnesses mWitnesses;
   // Whether leases depend on the witnesses, because the store hasn't confirmed the leadership.
   bool mAreLeasesWitnessed = false;
@@ -883,7 +798,6 @@
   Timer mPeriodicPlanTimer;
   Timer mStoreTimer;
   Timer mExpiryTimer;
-  Timer mFormerLeadersTimer;
   CallbackGuard mGuard;
 };
 
--- a/src/kv/PrefixStore.h
+++ b/src/kv/PrefixStore.h
@@ -108,7 +108,6 @@
   aStore.GrantLease(aTime, aOnLease);
   // Starts the lease's time anew.
   aStore.RenewLease(aLease, aOnDone);
-  aStore.EndLease(aLease, aOnDone);
 };
 
 } // namespace lovagerock::kv
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -135,12 +135,6 @@
     });
   }
 
-  void EndLease(kv::StoreLease aLease, kv::DoneCallback aCallback)
-  {
-    ExpireLease(aLease);
-    Answer([aCallback] { aCallback({}); });
-  }
-
   // Removes the lease and its keys, as when it isn't renewed in time.
   void ExpireLease(kv::StoreLease aLease)
   {
