Let a job pass gangs that gather while most of its service is idle

Cause: after workers had left, 33 of 48 remained, and six gangs waited. Those that gathered kept all that was free on the workers with the most free resources, in turns of 6 to 24 s. job_waits tells reason=no_room for a gang of two until 47.7 s, and room_reserved from then on: it fitted, but only into room that was kept.

Ruled out: takeovers (the last one was settled 17 s before), workers that are avoided (the reason would be another), a plan that isn't made.

Gangs within a guarantee keep theirs.

Why it works: gathering keeps room for large jobs from smaller ones that would fill it. While more than half is idle, the gang doesn't wait for want of room but for the workers of one rack, and need not keep others from running.

--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace lovagerock::scheduler {
 
@@ -79,7 +80,9 @@
       const auto service =
         mServices.try_emplace(worker->mEntry.mService, static_cast<int>(mServices.size()));
       mPositions[worker->mEntry.mId] = mCandidates.size();
-      mCandidates.push_back({ worker, worker->Free(), rack, service.first->second,
+      mTotal[worker->mEntry.mService] += worker->mEntry.mCapacity;
+      mUsed[worker->mEntry.mService] += worker->mUsed;
+      mCandidates.push_back({ worker, worker->Free(), Capacity(), rack, service.first->second,
                               worker->mCondition.IsSuspect(aNow),
                               worker->mCondition.IsDoubtful(aNow),
                               worker->mCondition.IsSuspect(aNow), TrialRuns(*worker), 0 });
@@ -92,8 +95,13 @@
 Placer::Reserve(const WorkerId& aWorker, const Capacity& aDemand)
 {
   if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
-    mCandidates[it->second].mFree -= aDemand;
-    --mCandidates[it->second].mTrialRuns;
+    auto& candidate = mCandidates[it->second];
+    candidate.mFree -= aDemand;
+    if (candidate.mGathered != Capacity() && !Capacity().FitsInto(candidate.mFree)) {
+      // The choice passed a gang.
+      candidate.mGathered += std::exchange(candidate.mFree, Capacity());
+    }
+    --candidate.mTrialRuns;
   }
 }
 
@@ -154,6 +162,9 @@
     auto candidate = it;
     candidate.mIsDoubtful =
       it.mIsDoubtful || Contains(aRequest.mAvoidedWorkers, it.mWorker->mEntry.mId);
+    if (aRequest.mMayPassGangs) {
+      candidate.mFree += it.mGathered;
+    }
     if (aIsEmpty) {
       candidate.mFree = it.mWorker->mEntry.mCapacity;
       candidate.mIsOnTrial = false;
@@ -223,7 +234,7 @@
 }
 
 bool
-Placer::Gather(const PlacementRequest& aRequest, const MayStop& aMayStop)
+Placer::Gather(const PlacementRequest& aRequest, const MayStop& aMayStop, bool aMayBePassed)
 {
   std::vector<WorkerId> best;
   Accelerators bestFree(-1);
@@ -257,11 +268,32 @@
     }
   }
   for (const auto& it : best) {
-    mCandidates[mPositions.at(it)].mFree = {};
+    auto& candidate = mCandidates[mPositions.at(it)];
+    const auto free = std::exchange(candidate.mFree, Capacity());
+    if (aMayBePassed && Capacity().FitsInto(free)) {
+      candidate.mGathered += free;
+    }
   }
   return !best.empty();
 }
 
+double
+Placer::UsedPart(const ServiceId& aService) const
+{
+  const auto total = mTotal.find(aService);
+  if (total == mTotal.end()) {
+    return 1;
+  }
+  const auto& used = mUsed.at(aService);
+  const auto part = [](auto aUsed, auto aTotal) {
+    return aTotal.Value() == 0
+             ? 0.0
+             : static_cast<double>(aUsed.Value()) / static_cast<double>(aTotal.Value());
+  };
+  return std::max(part(used.mAccelerators, total->second.mAccelerators),
+                  part(used.mCpu, total->second.mCpu));
+}
+
 bool
 Placer::FitsOnIdleWorkers(const PlacementRequest& aRequest) const
 {
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -29,6 +29,8 @@
   bool mAvoidsSuspects = false;
   // Whether workers on trial may take more than one of the tasks.
   bool mIgnoresTrials = false;
+  // Whether the tasks may take what Placer::Gather() keeps for gangs that may be passed.
+  bool mMayPassGangs = false;
 };
 
 // The runs to stop, and the workers that then have enough free resources, one per task.
@@ -85,8 +87,12 @@
   // Reserves everything that is free on a set of workers that can hold all tasks of the request
   // once their present runs have ended. Runs that last aren't expected to, unless they may be
   // stopped. Takes the workers with the most free resources, which are likely to have enough
-  // soonest. Returns false if there is no such set.
-  bool Gather(const PlacementRequest& aRequest, const MayStop& aMayStop);
+  // soonest. Returns false if there is no such set. With aMayBePassed, requests with mMayPassGangs
+  // may use what is reserved so.
+  bool Gather(const PlacementRequest& aRequest, const MayStop& aMayStop, bool aMayBePassed);
+  // Returns which part of the service's accelerators or of its processor cores runs occupied when
+  // the plan began, whichever is more; 1 if the service has no usable workers.
+  double UsedPart(const ServiceId& aService) const;
   RoomReport Room(const PlacementRequest& aRequest) const;
   // Whether the request would fit if no run occupied the workers that it may use.
   bool FitsOnIdleWorkers(const PlacementRequest& aRequest) const;
@@ -97,6 +103,8 @@
   {
     const Worker* mWorker = nullptr;
     Capacity mFree;
+    // What Gather() keeps free for gangs that may be passed; mFree doesn't count it.
+    Capacity mGathered;
     // The numbers of the worker's rack and service, in the order of their first worker.
     int mRack = 0;
     int mService = 0;
@@ -153,6 +161,9 @@
   std::map<ServiceId, int> mServices;
   // See RoomReport::mRegistered.
   std::map<ServiceId, int> mRegistered;
+  // The resources of each service's usable workers, and what runs occupied of them.
+  std::map<ServiceId, Capacity> mTotal;
+  std::map<ServiceId, Capacity> mUsed;
 };
 
 } // namespace lovagerock::scheduler
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -280,6 +280,8 @@
   void AvoidFailures(const DueStep& aDue, PlacementRequest& aRequest, const Placer& aPlacer,
                      const CurrentTime& aNow) const;
   void PlaceDue(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow, Orders& aOrders);
+  // Whether the step may take what is kept free for gangs, see mMaxWaitForGangs.
+  bool MayPassGangs(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow) const;
   // Starts the step on its reserved resources if they are free. Returns whether PlaceDue() is to do
   // nothing more for the step: it was started, or its reservation still waits for resources.
   bool
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -12,6 +12,8 @@
 // A job is worthless if it is expected to take longer than this many times the time from its
 // acceptance to its objective.
 constexpr int kWorthlessFactor = 3;
+// See SchedulerSettings::mMaxWaitForGangs.
+constexpr double kMaxUsedPart = 0.5;
 // A guaranteed step that waits is logged at most once in this time.
 constexpr Duration kWaitingLogPeriod{ 1000 };
 
@@ -482,6 +484,23 @@
   }
 }
 
+bool
+Scheduler::MayPassGangs(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow) const
+{
+  if (mGatheringSteps == 0 || aNow.mSteady - WaitingSince(aDue) < mSettings.mMaxWaitForGangs ||
+      aPlacer.UsedPart(aDue.mJob->Policy().mService) >= kMaxUsedPart) {
+    return false;
+  }
+  const auto& occurrences = aDue.mJob->OpenOccurrences();
+  return std::none_of(occurrences.begin(), occurrences.end(), [](const auto& aOccurrence) {
+    const auto& steps = aOccurrence.second.mSteps;
+    return std::any_of(steps.begin(), steps.end(), [](const auto& aStep) {
+      return std::any_of(aStep.mTasks.begin(), aStep.mTasks.end(),
+                         [](const auto& aTask) { return aTask.mPhase == TaskPhase::Active; });
+    });
+  });
+}
+
 bool
 Scheduler::PlaceReserved(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow,
                          Orders& aOrders)
@@ -543,6 +562,14 @@
       MoveGuaranteedFor(aDue, aRequest, aPlacer, aNow)) {
     return;
   }
+  if (aRequest.mStep->mGang && MayPassGangs(aDue, aPlacer, aNow)) {
+    auto passing = aRequest;
+    passing.mMayPassGangs = true;
+    if (const auto workers = aPlacer.Place(passing)) {
+      StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
+      return;
+    }
+  }
   LogWaiting(aDue, aRequest, aPlacer, aNow);
   GatherCapacity(aDue, aRequest, aPlacer, aNow);
   if (!aRequest.mStep->mGang) {
@@ -572,7 +599,14 @@
 Scheduler::PlaceEach(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
                      const CurrentTime& aNow, Orders& aOrders)
 {
-  const auto workers = aPlacer.PlaceSome(aRequest);
+  auto workers = aPlacer.PlaceSome(aRequest);
+  if (workers.empty() && MayPassGangs(aDue, aPlacer, aNow)) {
+    // One task, so that the gangs still get their room soon.
+    auto passing = aRequest;
+    passing.mCount = 1;
+    passing.mMayPassGangs = true;
+    workers = aPlacer.PlaceSome(passing);
+  }
   if (!workers.empty()) {
     StartTasks(aDue, workers, aPlacer, aNow, aOrders);
   }
@@ -649,7 +683,7 @@
   }
   const bool mayEvict = MayEvictAny(aDue);
   const auto mayStop = [&](const PlacedRun& aRun) { return mayEvict && MayEvict(aRun, aDue); };
-  if (aPlacer.Gather(aRequest, mayStop)) {
+  if (aPlacer.Gather(aRequest, mayStop, !aDue.mIsEntitled)) {
     ++mGatheringSteps;
     mGatherTurns.OnGathered(key, aNow.mSteady);
   }
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -304,6 +304,51 @@
   cr_assert(f.State("next") == JobState::Queued);
 }
 
+// Guards against jobs that have nothing running for many seconds although most of their service is
+// idle, because gangs keep the room that they fit into for themselves.
+Test(Scheduler, lets_a_job_pass_gangs_that_gather_while_most_of_the_service_is_idle)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  auto runs = f.Step(4, 1);
+  runs.mMaxPerWorker = 1;
+  f.Submit(f.Job("first", { runs }, 1));
+  f.Plan();
+  f.Submit(f.Job("gang", { f.Gang(4, 8) }, 1));
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  f.Plan();
+  f.Submit(f.Job("small", { f.Step(5, 1) }, 2));
+  f.Submit(f.Job("pair", { f.Gang(2, 7) }, 2));
+  f.Plan();
+  cr_assert(f.State("small") == JobState::Queued);
+  cr_assert(f.State("pair") == JobState::Queued);
+  f.AdvanceTime(f.mSettings.mMaxWaitForGangs);
+  f.Plan();
+  cr_assert(f.State("small") == JobState::InProgress);
+  cr_assert(f.State("pair") == JobState::InProgress);
+  cr_assert_eq(f.Running().size(), 4 + 1 + 2, "more than one task of a job has passed");
+}
+
+// The other side: guards against gangs that never get the room that small jobs take again and
+// again.
+Test(Scheduler, lets_no_job_pass_gangs_that_gather_while_most_of_the_service_is_in_use)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  auto runs = f.Step(4, 4);
+  runs.mMaxPerWorker = 1;
+  runs.mDemand.mCpu = MilliCores(64000);
+  f.Submit(f.Job("first", { runs }, 1));
+  f.Plan();
+  f.Submit(f.Job("gang", { f.Gang(4, 8) }, 1));
+  f.AdvanceTime(f.mSettings.mGatherAfter);
+  f.Plan();
+  f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
+  f.AdvanceTime(f.mSettings.mMaxWaitForGangs);
+  f.Plan();
+  cr_assert(f.State("small") == JobState::Queued);
+}
+
 // Guards against a gang that never starts because its turns are shorter than the runs that it waits
 // for. These take all slots, end one after the other, and others wait for each slot.
 Test(Scheduler, gathers_longer_each_time_until_a_gang_fits)
