Split the storing of a batch in Leader into steps

StoreProgress took what has changed, built the writes and handled their outcome in one function with a lambda of five captures. What is stored as one batch is a struct now.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -172,6 +172,18 @@
   }
 
 private:
+  // What is stored as one batch.
+  struct Unstored
+  {
+    scheduler::ProgressBatch mProgress;
+    // Jobs whose records are deleted.
+    std::vector<JobId> mExpiredJobs;
+    // Whether the record says that the takeover is settled, see IsSettledRecordDue().
+    bool mIsSettled = false;
+    // The new record of witnesses, if it changes.
+    std::optional<std::vector<Witness>> mWitnesses;
+  };
+
   static scheduler::CurrentTime Now()
   {
     return { std::chrono::steady_clock::now(), WallClockMs() };
@@ -671,8 +683,8 @@
   // replaces.
   void DropReplaced(const scheduler::ProgressBatch& aLater)
   {
-    if (mStoringBatch) {
-      std::erase_if(mStoringBatch->mWrites, [&aLater](const auto& aIt) {
+    if (mStoring) {
+      std::erase_if(mStoring->mProgress.mWrites, [&aLater](const auto& aIt) {
         return std::any_of(aLater.mWrites.begin(), aLater.mWrites.end(),
                            [&aIt](const auto& aLaterIt) { return aLaterIt.mJob == aIt.mJob; });
       });
@@ -693,51 +705,59 @@
     if (mWriter->IsBusy() || !mElection.IsLeader()) {
       return;
     }
-    const auto batch = std::make_shared<scheduler::ProgressBatch>(mScheduler.TakeProgress());
+    mStoring = TakeUnstored();
     mHeldStarts.OnTaken();
-    const auto held = PutFirst(mHeldStarts.StoringJobs(), batch->mWrites);
-    std::vector<JobId> expired;
-    if (std::exchange(mDeleteExpired, false)) {
-      expired = mScheduler.ExpiredJobs(Now());
-    }
-    auto deletes = KeysOf(expired);
-    auto writes = WritesOf(*batch, deletes);
-    const bool isSettledRecordDue = IsSettledRecordDue();
-    if (isSettledRecordDue) {
-      // The last one, because the progress before it names what this leader has learned.
+    const auto held = PutFirst(mHeldStarts.StoringJobs(), mStoring->mProgress.mWrites);
+    auto deletes = KeysOf(mStoring->mExpiredJobs);
+    auto writes = WritesOf(mStoring->mProgress, deletes);
+    if (mStoring->mIsSettled) {
+      // After the progress, which names what this leader has learned.
       writes.push_back({ std::string(kSettledKey), DumpJson({ { "token", mToken.Value() } }), {} });
     }
-    const auto witnesses = mWitnesses.Change(mScheduler.Workers());
-    if (witnesses) {
-      writes.push_back({ std::string(kWitnessKey), WriteWitnesses(*witnesses), {} });
-      mWitnesses.OnStoring(*witnesses);
-    }
-    mStoringBatch = batch;
-    const auto done = [this, batch, expired, isSettledRecordDue,
-                       hasWitnesses = witnesses.has_value()](bool aIsStored) {
-      mStoringBatch.reset();
-      mHeldStarts.OnStored(aIsStored);
-      if (hasWitnesses) {
-        mWitnesses.OnStored(aIsStored);
-      }
-      if (aIsStored) {
-        mSettled = isSettledRecordDue ? mToken : mSettled;
-        mScheduler.OnStored(*batch);
-        mScheduler.RemoveJobs(expired);
-        OnBatchStored(*batch);
-      } else {
-        mScheduler.OnNotStored(*batch);
-        mDeleteExpired = !expired.empty();
-      }
-      ScheduleStore();
-    };
+    if (mStoring->mWitnesses) {
+      writes.push_back({ std::string(kWitnessKey), WriteWitnesses(*mStoring->mWitnesses), {} });
+      mWitnesses.OnStoring(*mStoring->mWitnesses);
+    }
     const auto onPart = [this, held](std::size_t aStoredWrites) {
       if (aStoredWrites >= held) {
         mHeldStarts.OnStored(true);
         SendStoredStarts();
       }
     };
-    mWriter->StoreBatch(std::move(writes), std::move(deletes), done, onPart);
+    mWriter->StoreBatch(
+      std::move(writes), std::move(deletes), [this](bool aIsStored) { OnBatchDone(aIsStored); },
+      onPart);
+  }
+
+  Unstored TakeUnstored()
+  {
+    Unstored unstored;
+    unstored.mProgress = mScheduler.TakeProgress();
+    if (std::exchange(mDeleteExpired, false)) {
+      unstored.mExpiredJobs = mScheduler.ExpiredJobs(Now());
+    }
+    unstored.mIsSettled = IsSettledRecordDue();
+    unstored.mWitnesses = mWitnesses.Change(mScheduler.Workers());
+    return unstored;
+  }
+
+  void OnBatchDone(bool aIsStored)
+  {
+    const auto batch = *std::exchange(mStoring, std::nullopt);
+    mHeldStarts.OnStored(aIsStored);
+    if (batch.mWitnesses) {
+      mWitnesses.OnStored(aIsStored);
+    }
+    if (aIsStored) {
+      mSettled = batch.mIsSettled ? mToken : mSettled;
+      mScheduler.OnStored(batch.mProgress);
+      mScheduler.RemoveJobs(batch.mExpiredJobs);
+      OnBatchStored(batch.mProgress);
+    } else {
+      mScheduler.OnNotStored(batch.mProgress);
+      mDeleteExpired = !batch.mExpiredJobs.empty();
+    }
+    ScheduleStore();
   }
 
   void OnBatchStored(const scheduler::ProgressBatch& aBatch)
@@ -782,8 +802,8 @@
   kv::Revision mBatchRevision;
   std::optional<ProgressWriter<Store>> mWriter;
   HeldStarts mHeldStarts;
-  // The batch that is being stored, but for StoreHeldStarts().
-  std::shared_ptr<scheduler::ProgressBatch> mStoringBatch;
+  // What is being stored, but for StoreHeldStarts().
+  std::optional<Unstored> mStoring;
   std::optional<PrefixWatch<Store>> mRequests;
   // How recent this leader's view of the accepted and cancelled jobs is.
   StoreFreshness mRequestsFreshness;
