Start a gang in several racks while most of its service is idle

Cause: after 15 of 48 workers had left, a gang of seven tasks on four accelerators each waited for one rack that could hold it when idle. job_waits tells no_room to the end, with three to six waiting jobs in all: each rack had a run in the way. docs/incidents/failed-workers.md had this as an open point for gangs that don't last.

Change: a gang of which nothing has run for 2 s while less than half of its service is in use may run in several racks, as gangs that last do already. One rack comes first if it has the room at that moment.

Why it works: a rack is a preference, which makes the gang faster. With most of the service idle there is room beside it, and waiting for a rack has no bound.

The other side is Scheduler/starts_a_gang_in_one_rack_while_most_of_the_service_is_in_use.

--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -280,14 +280,15 @@
   void AvoidFailures(const DueStep& aDue, PlacementRequest& aRequest, const Placer& aPlacer,
                      const CurrentTime& aNow) const;
   void PlaceDue(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow, Orders& aOrders);
-  // Whether the step may take what is kept free for gangs, see mMaxWaitForGangs.
-  bool MayPassGangs(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow) const;
+  // Whether nothing of the job has run for mMaxIdleBesideRoom, although its service has room.
+  bool IsIdleBesideRoom(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow) const;
   // Starts the step on its reserved resources if they are free. Returns whether PlaceDue() is to do
   // nothing more for the step: it was started, or its reservation still waits for resources.
   bool
   PlaceReserved(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow, Orders& aOrders);
   // Whether the tasks of a rack-local step may run in several racks: because no rack could hold
-  // them even if it was idle, or because they last and have waited for long. What keeps the rack
+  // them even if it was idle, because they are a gang that IsIdleBesideRoom(), or because they last
+  // and have waited for long. What keeps the rack
   // full, among it tasks of the same step, may then last as well.
   bool MaySpread(const DueStep& aDue, const PlacementRequest& aRequest, const Placer& aPlacer,
                  const CurrentTime& aNow) const;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -12,7 +12,7 @@
 // A job is worthless if it is expected to take longer than this many times the time from its
 // acceptance to its objective.
 constexpr int kWorthlessFactor = 3;
-// See SchedulerSettings::mMaxWaitForGangs.
+// See SchedulerSettings::mMaxIdleBesideRoom.
 constexpr double kMaxUsedPart = 0.5;
 // A guaranteed step that waits is logged at most once in this time.
 constexpr Duration kWaitingLogPeriod{ 1000 };
@@ -485,9 +485,10 @@
 }
 
 bool
-Scheduler::MayPassGangs(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow) const
+Scheduler::IsIdleBesideRoom(const DueStep& aDue, const Placer& aPlacer,
+                            const CurrentTime& aNow) const
 {
-  if (mGatheringSteps == 0 || aNow.mSteady - WaitingSince(aDue) < mSettings.mMaxWaitForGangs ||
+  if (aNow.mSteady - WaitingSince(aDue) < mSettings.mMaxIdleBesideRoom ||
       aPlacer.UsedPart(aDue.mJob->Policy().mService) >= kMaxUsedPart) {
     return false;
   }
@@ -544,8 +545,10 @@
   if (aRequest.mRack.IsEmpty() && !aPlacer.FitsOnIdleWorkers(aRequest)) {
     return true;
   }
-  return aRequest.mStep->mLongRunning &&
-         aNow.mSteady - WaitingSince(aDue) >= mSettings.mMaxAvoidance;
+  if (aRequest.mStep->mLongRunning) {
+    return aNow.mSteady - WaitingSince(aDue) >= mSettings.mMaxAvoidance;
+  }
+  return aRequest.mStep->mGang && IsIdleBesideRoom(aDue, aPlacer, aNow);
 }
 
 void
@@ -554,7 +557,8 @@
 {
   auto spread = *aRequest.mStep;
   spread.mRackLocal = false;
-  if (aRequest.mStep->mRackLocal && MaySpread(aDue, aRequest, aPlacer, aNow)) {
+  if (aRequest.mStep->mRackLocal && !aPlacer.Place(aRequest) &&
+      MaySpread(aDue, aRequest, aPlacer, aNow)) {
     aRequest.mStep = &spread;
     aRequest.mRack = RackId();
   }
@@ -562,7 +566,7 @@
       MoveGuaranteedFor(aDue, aRequest, aPlacer, aNow)) {
     return;
   }
-  if (aRequest.mStep->mGang && MayPassGangs(aDue, aPlacer, aNow)) {
+  if (aRequest.mStep->mGang && IsIdleBesideRoom(aDue, aPlacer, aNow)) {
     auto passing = aRequest;
     passing.mMayPassGangs = true;
     if (const auto workers = aPlacer.Place(passing)) {
@@ -600,7 +604,7 @@
                      const CurrentTime& aNow, Orders& aOrders)
 {
   auto workers = aPlacer.PlaceSome(aRequest);
-  if (workers.empty() && MayPassGangs(aDue, aPlacer, aNow)) {
+  if (workers.empty() && IsIdleBesideRoom(aDue, aPlacer, aNow)) {
     // One task, so that the gangs still get their room soon.
     auto passing = aRequest;
     passing.mCount = 1;
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -52,10 +52,10 @@
   Duration mGatherTurn{ 6000 };
   Duration mLongestGatherTurn{ 24000 };
   Duration mGatherPause{ 1000 };
-  // A job of which nothing runs takes the resources that are kept for gangs without a guarantee
-  // once it has waited this long, if less than half of its service is in use. Gangs may not keep
-  // more idle than is at work.
-  Duration mMaxWaitForGangs{ 2000 };
+  // The longest time for which nothing of a job runs while less than half of its service is in use,
+  // because its tasks don't fit beside what is kept for gangs, or a gang doesn't fit into one rack.
+  // After that it takes what gangs without a guarantee keep, or runs in several racks.
+  Duration mMaxIdleBesideRoom{ 2000 };
   // Time for which resources stay reserved for a step for which other runs are being evicted.
   Duration mReservationDuration{ 1500 };
   // Time for which the records of a job are kept after its end.
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -322,13 +322,62 @@
   f.Plan();
   cr_assert(f.State("small") == JobState::Queued);
   cr_assert(f.State("pair") == JobState::Queued);
-  f.AdvanceTime(f.mSettings.mMaxWaitForGangs);
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
   f.Plan();
   cr_assert(f.State("small") == JobState::InProgress);
   cr_assert(f.State("pair") == JobState::InProgress);
   cr_assert_eq(f.Running().size(), 4 + 1 + 2, "more than one task of a job has passed");
 }
 
+namespace {
+
+// Two racks of two workers, of which runs occupy accelerators on one each; and a gang that fits
+// into one rack, but not beside these.
+struct BrokenRacksFixture : SchedulerFixture
+{
+  explicit BrokenRacksFixture(int aOccupied)
+  {
+    AddWorkers(4);
+    for (const auto* rack : { "r0", "r1" }) {
+      auto run = Step(1, aOccupied);
+      run.mPreferredRack = RackId(rack);
+      Submit(Job(std::string("run-") + rack, { run }));
+      Plan();
+    }
+    auto gang = Gang(2, 8);
+    gang.mRackLocal = true;
+    Submit(Job("gang", { gang }));
+    Plan();
+    cr_assert(State("gang") == JobState::Queued);
+    AdvanceTime(mSettings.mMaxIdleBesideRoom);
+  }
+};
+
+} // namespace
+
+// Guards against gangs that have nothing running for many seconds although most of their service is
+// idle, because each rack has a run in the way.
+Test(Scheduler, starts_a_gang_in_several_racks_while_most_of_the_service_is_idle)
+{
+  BrokenRacksFixture f(1);
+  f.Plan();
+  cr_assert(f.State("gang") == JobState::InProgress);
+}
+
+// The other side: guards against slow runs in several racks where waiting for one is worth it.
+Test(Scheduler, starts_a_gang_in_one_rack_while_most_of_the_service_is_in_use)
+{
+  BrokenRacksFixture f(8);
+  f.Plan();
+  cr_assert(f.State("gang") == JobState::Queued);
+  const auto run = f.Running().front();
+  f.EndRun(run, RunEnd::Done);
+  f.RenewAllLeases();
+  const auto orders = f.Plan();
+  cr_assert(f.State("gang") == JobState::InProgress);
+  cr_assert_eq(f.Racks(orders).size(), 1);
+}
+
 // The other side: guards against gangs that never get the room that small jobs take again and
 // again.
 Test(Scheduler, lets_no_job_pass_gangs_that_gather_while_most_of_the_service_is_in_use)
@@ -344,7 +393,7 @@
   f.AdvanceTime(f.mSettings.mGatherAfter);
   f.Plan();
   f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
-  f.AdvanceTime(f.mSettings.mMaxWaitForGangs);
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
   f.Plan();
   cr_assert(f.State("small") == JobState::Queued);
 }
