--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -289,8 +289,10 @@
     mWriter.emplace(mStore, kv::ConditionalWrites::Condition{ std::string(kLeaderKey), leader },
                     kv::Revision());
     mStore.mWriteTime = Duration(20);
+    constexpr int kWrites = 70;
     std::vector<kv::ConditionalWrites::Write> writes;
-    for (int i = 0; i < 70; ++i) {
+    writes.reserve(kWrites);
+    for (int i = 0; i < kWrites; ++i) {
       writes.push_back({ Key(i), "old", {} });
     }
     mWriter->StoreBatch(writes, {}, [this](bool aIsStored) { mBatch = aIsStored; });
--- a/tests/control/WitnessTests.cpp
+++ b/tests/control/WitnessTests.cpp
@@ -48,6 +48,7 @@
 Witnesses(const std::vector<std::string>& aNames)
 {
   std::vector<Witness> witnesses;
+  witnesses.reserve(aNames.size());
   for (const auto& it : aNames) {
     witnesses.push_back({ WorkerId(it), kAddress, kBorn });
   }
