--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -222,7 +222,7 @@
     const auto& settings = mSettings.mScheduler;
     const auto age = mElection.ConfirmationAge();
     const auto lease = settings.mLeaseDuration - age;
-    if (lease >= settings.mWitnessedLease) {
+    if (mElection.IsConfirmed() || lease >= settings.mWitnessedLease) {
       mAreLeasesWitnessed = false;
       return lease;
     }
