Take an unreadable record of witnesses for unknown ones, not for none

Found by reading the change once more; no caller has seen it. A new leader that couldn't read the record took it for an absent one: without witnesses no former leader renews leases on their answers, so it waited only 4.6 s. But the former leader may have written a record that only this node can't read, and renew leases by it. A task on a silent worker would have run twice. Lack of news was taken as proof.

Change: a malformed record is told apart from none, and the successor waits then as without answers of the witnesses, for 12 s at most.

Evidence: Takeover/restarts_no_task_of_a_silent_worker_if_the_witnesses_are_unknown fails without the change (1 of 1: started a second time). This test and restarts_no_task_of_a_silent_worker_before_the_witnesses_have_answered now look for as long as leases would last if the witnesses had answered; the second one looked for less, and so couldn't have failed. Witnesses/of_a_malformed_record_are_unknown requires nullopt where it required an empty list.

--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -175,7 +175,8 @@
       mResignedRevision = aItem.mRevision;
       mResigned = ReadResignation(aItem.mValue);
     } else if (aItem.mKey == kWitnessKey && aItem.mRevision > mWitnesses.mRevision) {
-      mWitnesses = { ReadWitnesses(aItem.mValue), aItem.mRevision };
+      const auto witnesses = ReadWitnesses(aItem.mValue);
+      mWitnesses = { witnesses.value_or(std::vector<Witness>()), aItem.mRevision, !witnesses };
     }
   }
 
--- a/src/control/FormerLeaders.h
+++ b/src/control/FormerLeaders.h
@@ -113,8 +113,9 @@
   void CheckWitnesses()
   {
     const auto& witnesses = mWitnesses.mWitnesses;
-    // Without witnesses, no former leader could renew leases on their answers.
-    if (!witnesses.empty() && !mAnswers.AnsweredSince(witnesses)) {
+    // Without a record, no former leader could renew leases on the answers of witnesses.
+    const bool isAwaited = !witnesses.empty() && !mAnswers.AnsweredSince(witnesses);
+    if (mWitnesses.mIsMalformed || isAwaited) {
       return;
     }
     mHaveWitnessesAnswered = true;
--- a/src/control/Witnesses.cpp
+++ b/src/control/Witnesses.cpp
@@ -116,7 +116,7 @@
   return DumpJson(json);
 }
 
-std::vector<Witness>
+std::optional<std::vector<Witness>>
 ReadWitnesses(const std::string& aText)
 {
   const auto json = ParseJson(aText).value_or(Json());
@@ -133,7 +133,7 @@
     }
   } catch (const Json::exception& ex) {
     LogEvent("witness_record_malformed", LogLevel::Error).With("reason", ex.what());
-    return {};
+    return std::nullopt;
   }
   return witnesses;
 }
--- a/src/control/Witnesses.h
+++ b/src/control/Witnesses.h
@@ -30,6 +30,8 @@
 {
   std::vector<Witness> mWitnesses;
   kv::Revision mRevision;
+  // Whether there is a record that can't be read. A leader may have witnesses then.
+  bool mIsMalformed = false;
 };
 
 // The most witnesses that there are. More than half of them have to answer, so up to four may be
@@ -39,8 +41,8 @@
 // Serializes the witnesses for the store.
 std::string
 WriteWitnesses(const std::vector<Witness>& aWitnesses);
-// Parses the stored witnesses. A record that is malformed names none.
-std::vector<Witness>
+// Parses the stored witnesses; returns nullopt if the record is malformed.
+std::optional<std::vector<Witness>>
 ReadWitnesses(const std::string& aText);
 
 // Returns the witnesses that the record has to name: the present ones that still are fit, and
--- a/tests/control/TakeoverTests.cpp
+++ b/tests/control/TakeoverTests.cpp
@@ -243,11 +243,18 @@
     RunFirstJob();
     RunUntil([this] {
       const auto it = mStore.mItems.find(std::string(kWitnessKey));
-      return it != mStore.mItems.end() && ReadWitnesses(it->second.mValue).size() == 3;
+      return it != mStore.mItems.end() && ReadWitnesses(it->second.mValue)->size() == 3;
     });
     // The job doesn't end, so the leader keeps what it has stored.
     return StartsOf("first").at(0);
   }
+
+  // Lets the time pass after which leases end if the witnesses have answered.
+  void RunUntilLeasesWouldEnd()
+  {
+    const auto later = std::chrono::steady_clock::now() + kWitnessAnswerAge + Duration(500);
+    RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  }
 };
 
 } // namespace
@@ -275,13 +282,25 @@
   const std::string other = worker == WorkerId("v") ? "w" : "v";
   f.Silence(other);
   f.LoseLeader();
-  f.RunForSomePlans();
-  f.RunForSomePlans();
+  f.RunUntilLeasesWouldEnd();
   cr_assert_eq(f.StartsOf("first").size(), 1, "the run was started a second time");
   f.mCalls.mUnreachable.erase(WorkerId(other));
   f.RunUntil([&] { return f.StartsOf("first").size() == 2; });
 }
 
+// Guards against a second run because the record of witnesses can't be read: the former leader may
+// have witnesses all the same.
+Test(Takeover, restarts_no_task_of_a_silent_worker_if_the_witnesses_are_unknown)
+{
+  WitnessFixture f;
+  const auto worker = f.RunOnWitnesses();
+  f.mStore.Put(std::string(kWitnessKey), "malformed");
+  f.Silence(worker.Value());
+  f.LoseLeader();
+  f.RunUntilLeasesWouldEnd();
+  cr_assert_eq(f.StartsOf("first").size(), 1, "the run was started a second time");
+}
+
 // Guards against leases that outlast the wait of a successor: without the store, a leader may renew
 // them only while most witnesses answer.
 Test(Leader, renews_no_leases_without_the_store_and_the_witnesses)
--- a/tests/control/WitnessTests.cpp
+++ b/tests/control/WitnessTests.cpp
@@ -60,15 +60,15 @@
 Test(Witnesses, round_trip_through_the_record)
 {
   const auto witnesses = Witnesses({ "a", "b", "c" });
-  cr_assert_eq(ReadWitnesses(WriteWitnesses(witnesses)), witnesses);
+  cr_assert_eq(*ReadWitnesses(WriteWitnesses(witnesses)), witnesses);
 }
 
 // Guards against a majority of a part of the witnesses.
-Test(Witnesses, of_a_malformed_record_are_none)
+Test(Witnesses, of_a_malformed_record_are_unknown)
 {
   for (const auto* text : { "", "{}", "7", R"([["a","127.0.0.1:1",5],["b"]])",
                             R"([["a","nowhere",5]])", R"([["a","127.0.0.1:1",0]])" }) {
-    cr_assert(ReadWitnesses(text).empty(), "%s", text);
+    cr_assert_not(ReadWitnesses(text).has_value(), "%s", text);
   }
 }
 
