Say in job_waits what a step needs and what would fit where

Callers saw jobs of which nothing ran although there was room for them.

Cause: the scan examined a step with placers of its own. It knew what is reserved for evictions but not what gangs had gathered, and it decided by a second copy of the plan's rules.

Change: the plan leaves its placer to the scan. Concession lists what a step may set aside, in the order in which the plan sets it aside; the scan names the least of these with which the step would start. A new reason, racks_occupied, tells a gang that waits for one rack from want of room, and the line has the demand and what fits under which conditions. A gang's own gathered resources count as free for it. Spreading over racks is a flag of the request in place of three changed copies of the step.

No decision of the plan changes.

--- a/src/control/WaitMonitor.cpp
+++ b/src/control/WaitMonitor.cpp
@@ -21,6 +21,24 @@
   return text;
 }
 
+void
+AddRoom(const scheduler::RoomReport& aRoom, LogEvent& aEvent)
+{
+  aEvent.With("gang", aRoom.mIsGang)
+    .With("one_rack", aRoom.mIsRackLocal)
+    .With("accelerators", aRoom.mDemand.mAccelerators)
+    .With("cpu", aRoom.mDemand.mCpu)
+    .With("mem_mib", aRoom.mDemand.mMemory)
+    .With("fitting", aRoom.mFitting)
+    .With("fitting_in_all_racks", aRoom.mFittingSpread)
+    .With("fitting_unreserved", aRoom.mFittingUnreserved)
+    .With("fitting_unavoided", aRoom.mFittingUnavoided)
+    .With("fitting_idle", aRoom.mFittingIdle)
+    .With("used_percent", aRoom.mUsedPercent)
+    .With("workers", aRoom.mWorkers)
+    .With("registered", aRoom.mRegistered);
+}
+
 void
 LogWait(const scheduler::WaitingStep& aWait)
 {
@@ -38,6 +56,9 @@
   if (aWait.mLeft) {
     event.With("left_ms", *aWait.mLeft);
   }
+  if (aWait.mRoom) {
+    AddRoom(*aWait.mRoom, event);
+  }
 }
 
 void
--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -59,17 +59,15 @@
 
 } // namespace
 
-Placer::Placer(const Fleet& aFleet, TimePoint aNow, bool aIgnoresPauses)
+Placer::Placer(const Fleet& aFleet, TimePoint aNow)
 {
   std::map<RackId, std::vector<const Worker*>> racks;
   for (const auto& [id, worker] : aFleet) {
     if (worker.AcceptsWork()) {
       ++mRegistered[worker.mEntry.mService];
     }
-    const bool isPaused = worker.mAvoidUntil > aNow && !aIgnoresPauses;
     const bool isUsable = worker.mHasAnswered && !worker.mNeedsHigherToken &&
-                          worker.AcceptsWork() && worker.mRecorded && !isPaused &&
-                          worker.mLeaseExpiry > aNow;
+                          worker.AcceptsWork() && worker.mRecorded && worker.mLeaseExpiry > aNow;
     if (isUsable) {
       racks[worker.mEntry.mRack].push_back(&worker);
     }
@@ -79,12 +77,15 @@
     for (const auto* worker : workers) {
       const auto service =
         mServices.try_emplace(worker->mEntry.mService, static_cast<int>(mServices.size()));
+      const bool isPaused = worker->mAvoidUntil > aNow;
       mPositions[worker->mEntry.mId] = mCandidates.size();
-      mTotal[worker->mEntry.mService] += worker->mEntry.mCapacity;
-      mUsed[worker->mEntry.mService] += worker->mUsed;
-      mCandidates.push_back({ worker, worker->Free(), Capacity(), rack, service.first->second,
-                              worker->mCondition.IsSuspect(aNow),
-                              worker->mCondition.IsDoubtful(aNow),
+      if (!isPaused) {
+        mTotal[worker->mEntry.mService] += worker->mEntry.mCapacity;
+        mUsed[worker->mEntry.mService] += worker->mUsed;
+      }
+      mCandidates.push_back({ worker, worker->Free(), Capacity(), 0, false, worker->Free(), rack,
+                              service.first->second, worker->mCondition.IsSuspect(aNow),
+                              worker->mCondition.IsDoubtful(aNow), isPaused,
                               worker->mCondition.IsSuspect(aNow), TrialRuns(*worker), 0 });
     }
     ++rack;
@@ -97,7 +98,7 @@
   if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
     auto& candidate = mCandidates[it->second];
     candidate.mFree -= aDemand;
-    if (candidate.mGathered != Capacity() && !Capacity().FitsInto(candidate.mFree)) {
+    if (candidate.mMayBePassed && !Capacity().FitsInto(candidate.mFree)) {
       // The choice passed a gang.
       candidate.mGathered += std::exchange(candidate.mFree, Capacity());
     }
@@ -105,6 +106,15 @@
   }
 }
 
+void
+Placer::Occupy(const WorkerId& aWorker, const Capacity& aDemand)
+{
+  Reserve(aWorker, aDemand);
+  if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
+    mCandidates[it->second].mUnoccupied -= aDemand;
+  }
+}
+
 void
 Placer::Release(const WorkerId& aWorker, const Capacity& aDemand)
 {
@@ -142,8 +152,11 @@
 {
   const auto& entry = aCandidate.mWorker->mEntry;
   const auto& label = aRequest.mStep->mRequiredLabel;
-  return aCandidate.mService == aService && !(aCandidate.mIsSuspect && aRequest.mAvoidsSuspects) &&
-         (aRequest.mRack.IsEmpty() || entry.mRack == aRequest.mRack) &&
+  const bool isInRack =
+    aRequest.mMaySpread || aRequest.mRack.IsEmpty() || entry.mRack == aRequest.mRack;
+  return aCandidate.mService == aService && isInRack &&
+         !(aCandidate.mIsSuspect && aRequest.mAvoidsSuspects) &&
+         !(aCandidate.mIsPaused && !aRequest.mIgnoresPauses) &&
          (label.empty() ||
           std::find(entry.mLabels.begin(), entry.mLabels.end(), label) != entry.mLabels.end()) &&
          !Contains(aRequest.mExcludedWorkers, entry.mId);
@@ -154,7 +167,7 @@
 {
   std::vector<Group> groups;
   const int service = ServiceNumber(aRequest.mService);
-  const bool isByRack = aRequest.mStep->mRackLocal;
+  const bool isByRack = aRequest.IsRackBound();
   for (const auto& it : mCandidates) {
     if (!IsEligible(it, service, aRequest)) {
       continue;
@@ -162,7 +175,10 @@
     auto candidate = it;
     candidate.mIsDoubtful =
       it.mIsDoubtful || Contains(aRequest.mAvoidedWorkers, it.mWorker->mEntry.mId);
-    if (aRequest.mMayPassGangs) {
+    if (aRequest.mIgnoresReservations) {
+      candidate.mFree = it.mUnoccupied;
+    } else if ((aRequest.mMayPassGangs && it.mMayBePassed) ||
+               (aRequest.mGatherer != 0 && aRequest.mGatherer == it.mGatherer)) {
       candidate.mFree += it.mGathered;
     }
     if (aIsEmpty) {
@@ -233,7 +249,7 @@
   return best;
 }
 
-bool
+int
 Placer::Gather(const PlacementRequest& aRequest, const MayStop& aMayStop, bool aMayBePassed)
 {
   std::vector<WorkerId> best;
@@ -267,14 +283,21 @@
       bestFree = free;
     }
   }
+  if (best.empty()) {
+    return 0;
+  }
+  ++mGatherers;
   for (const auto& it : best) {
     auto& candidate = mCandidates[mPositions.at(it)];
     const auto free = std::exchange(candidate.mFree, Capacity());
-    if (aMayBePassed && Capacity().FitsInto(free)) {
-      candidate.mGathered += free;
+    const bool isOfAnother = candidate.mGatherer != 0;
+    if (!isOfAnother && Capacity().FitsInto(free)) {
+      candidate.mGathered = free;
+      candidate.mGatherer = mGatherers;
+      candidate.mMayBePassed = aMayBePassed;
     }
   }
-  return !best.empty();
+  return mGatherers;
 }
 
 double
@@ -303,10 +326,24 @@
   });
 }
 
+int
+Placer::Fitting(const PlacementRequest& aRequest) const
+{
+  int most = 0;
+  for (const auto& it : Groups(aRequest, false)) {
+    most = std::max(most, TotalCopies(it));
+  }
+  return most;
+}
+
 RoomReport
 Placer::Room(const PlacementRequest& aRequest) const
 {
   RoomReport report;
+  report.mIsGang = aRequest.mStep->mGang;
+  report.mIsRackLocal = aRequest.mStep->mRackLocal;
+  report.mDemand = aRequest.mStep->mDemand;
+  report.mUsedPercent = static_cast<int>(100 * UsedPart(aRequest.mService));
   if (const auto it = mRegistered.find(aRequest.mService); it != mRegistered.end()) {
     report.mRegistered = it->second;
   }
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -2,6 +2,7 @@
 
 #include "scheduler/Fleet.h"
 #include "scheduler/JobSpec.h"
+#include "scheduler/RoomReport.h"
 
 #include <functional>
 #include <map>
@@ -29,8 +30,21 @@
   bool mAvoidsSuspects = false;
   // Whether workers on trial may take more than one of the tasks.
   bool mIgnoresTrials = false;
+  // Whether workers may be chosen on which no run is started for a while.
+  bool mIgnoresPauses = false;
+  // Whether the workers may be in several racks although the step is rack-local.
+  bool mMaySpread = false;
   // Whether the tasks may take what Placer::Gather() keeps for gangs that may be passed.
   bool mMayPassGangs = false;
+  // What Placer::Gather() returned for the step itself, which may use what it has gathered; 0 for
+  // nothing.
+  int mGatherer = 0;
+  // Whether all that runs don't occupy counts as free, whoever it is reserved for. Nothing may be
+  // started by such a request.
+  bool mIgnoresReservations = false;
+
+  // Whether all tasks have to be in one rack.
+  bool IsRackBound() const { return mStep->mRackLocal && !mMaySpread; }
 };
 
 // The runs to stop, and the workers that then have enough free resources, one per task.
@@ -40,22 +54,6 @@
   std::vector<WorkerId> mWorkers;
 };
 
-// How much room there is for a request, for the log.
-struct RoomReport
-{
-  // The workers of the service that are registered and not draining. Some of them may not be
-  // chosen, because they haven't answered, are avoided or lack the required label.
-  int mRegistered = 0;
-  // The workers that may be chosen.
-  int mWorkers = 0;
-  // The tasks that fit now, and those that would fit if the workers were idle; for a rack-local
-  // step the most of any rack.
-  int mFitting = 0;
-  int mFittingIdle = 0;
-  // The accelerators of those workers.
-  Accelerators mAccelerators;
-};
-
 // Whether a run may be stopped for the request.
 using MayStop = std::function<bool(const PlacedRun&)>;
 
@@ -68,11 +66,12 @@
 class Placer
 {
 public:
-  // With aIgnoresPauses, workers on which no run is started for a while may be chosen as well.
-  Placer(const Fleet& aFleet, TimePoint aNow, bool aIgnoresPauses = false);
+  Placer(const Fleet& aFleet, TimePoint aNow);
 
   // Reserves resources on a worker; later choices treat them as used.
   void Reserve(const WorkerId& aWorker, const Capacity& aDemand);
+  // The same for a run that is started on the worker and occupies the resources from now on.
+  void Occupy(const WorkerId& aWorker, const Capacity& aDemand);
   // Releases resources that were reserved.
   void Release(const WorkerId& aWorker, const Capacity& aDemand);
 
@@ -87,13 +86,16 @@
   // Reserves everything that is free on a set of workers that can hold all tasks of the request
   // once their present runs have ended. Runs that last aren't expected to, unless they may be
   // stopped. Takes the workers with the most free resources, which are likely to have enough
-  // soonest. Returns false if there is no such set. With aMayBePassed, requests with mMayPassGangs
-  // may use what is reserved so.
-  bool Gather(const PlacementRequest& aRequest, const MayStop& aMayStop, bool aMayBePassed);
+  // soonest. Returns a number that identifies what was reserved; 0 if there is no such set. With
+  // aMayBePassed, requests with mMayPassGangs may use it.
+  int Gather(const PlacementRequest& aRequest, const MayStop& aMayStop, bool aMayBePassed);
   // Returns which part of the service's accelerators or of its processor cores runs occupied when
   // the plan began, whichever is more; 1 if the service has no usable workers.
   double UsedPart(const ServiceId& aService) const;
+  // Returns the parts of the report that concern the request as it is.
   RoomReport Room(const PlacementRequest& aRequest) const;
+  // Returns how many tasks of the request fit; of a rack-bound one the most of any rack.
+  int Fitting(const PlacementRequest& aRequest) const;
   // Whether the request would fit if no run occupied the workers that it may use.
   bool FitsOnIdleWorkers(const PlacementRequest& aRequest) const;
 
@@ -103,14 +105,21 @@
   {
     const Worker* mWorker = nullptr;
     Capacity mFree;
-    // What Gather() keeps free for gangs that may be passed; mFree doesn't count it.
+    // What Gather() keeps free, for which call of it, and whether others may take it; mFree doesn't
+    // count it.
     Capacity mGathered;
+    int mGatherer = 0;
+    bool mMayBePassed = false;
+    // What no run occupies, whether it is reserved or not.
+    Capacity mUnoccupied;
     // The numbers of the worker's rack and service, in the order of their first worker.
     int mRack = 0;
     int mService = 0;
     // See WorkerCondition. In a group, a worker that the request avoids is doubtful too.
     bool mIsSuspect = false;
     bool mIsDoubtful = false;
+    // Whether no run is started on the worker for a while.
+    bool mIsPaused = false;
     // Whether the worker gets one run at a time, because it recently failed one, and how many more
     // it may get now.
     bool mIsOnTrial = false;
@@ -155,6 +164,8 @@
 
   // Sorted by rack.
   std::vector<Candidate> mCandidates;
+  // The number of calls of Gather() that have reserved something.
+  int mGatherers = 0;
   // The index of each worker in mCandidates.
   std::unordered_map<WorkerId, std::size_t> mPositions;
   // The number of each service, see Candidate::mService.
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -369,6 +369,8 @@
   std::map<AccountId, Accelerators> mGuarantees;
   std::unordered_map<JobId, Job> mJobs;
   Fleet mFleet;
+  // What the last plan has left free; none after a plan that could start nothing.
+  std::optional<Placer> mPlacer;
   std::map<StepKey, Reservation> mReservations;
   // The speeds of the runs of each step of the jobs that aren't over.
   std::map<StepKey, TypicalSpeed> mStepSpeeds;
@@ -380,8 +382,8 @@
   // The result of TasksBeingStopped() for the current plan. A waiting task may be among them: its
   // run is one of an earlier scheduler that isn't the current one.
   std::set<TaskRef> mBeingStopped;
-  // The number of steps for which the current plan gathers capacity.
-  int mGatheringSteps = 0;
+  // The steps for which the last plan gathered capacity, with the result of Placer::Gather().
+  std::map<StepKey, int> mGatherers;
   // Jobs whose progress has changed since it was last taken to be stored.
   std::set<JobId> mDirty;
   // Jobs whose progress was taken and isn't known to be stored yet.
--- a/src/scheduler/SchedulerEvictions.cpp
+++ b/src/scheduler/SchedulerEvictions.cpp
@@ -215,8 +215,7 @@
     aPlacer.Reserve(worker, aRequest.mStep->mDemand);
   }
   const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
-  const bool isSpread = aDue.mJob->Spec(aDue.mStep).mRackLocal && !aRequest.mStep->mRackLocal;
-  mReservations[key] = { aPlan.mWorkers, aRequest.mStep->mDemand, isSpread,
+  mReservations[key] = { aPlan.mWorkers, aRequest.mStep->mDemand, aRequest.mMaySpread,
                          aNow.mSteady + mSettings.mReservationDuration };
 }
 
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -43,10 +43,11 @@
 Scheduler::Plan(const CurrentTime& aNow, bool aMayStart)
 {
   Orders orders;
+  mPlacer.reset();
   ExpireLeases(aNow);
   UpdateTakeoverSettled(aNow);
   mEntitled = EntitledJobs();
-  mGatheringSteps = 0;
+  mGatherers.clear();
   for (auto& [id, job] : mJobs) {
     if (!job.IsOver()) {
       job.OpenDueOccurrences(aNow.mWallMs, aNow.mSteady);
@@ -68,7 +69,7 @@
 void
 Scheduler::PlaceAllDue(const CurrentTime& aNow, Orders& aOrders)
 {
-  Placer placer(mFleet, aNow.mSteady);
+  auto& placer = mPlacer.emplace(mFleet, aNow.mSteady);
   std::erase_if(mStepSpeeds, [this](const auto& aIt) {
     const auto* job = FindJob(std::get<0>(aIt.first));
     return !job || job->IsOver();
@@ -517,12 +518,7 @@
   }
   auto request = RequestFor(aDue);
   AvoidFailures(aDue, request, aPlacer, aNow);
-  auto spread = *request.mStep;
-  if (reservation.mIsSpread) {
-    spread.mRackLocal = false;
-    request.mStep = &spread;
-    request.mRack = RackId();
-  }
+  request.mMaySpread = reservation.mIsSpread;
   std::optional<std::vector<WorkerId>> workers;
   if (reservation.mWorkers.size() == aDue.mTasks.size()) {
     workers = aPlacer.Place(request);
@@ -555,13 +551,8 @@
 Scheduler::PlaceTogether(const DueStep& aDue, PlacementRequest aRequest, Placer& aPlacer,
                          const CurrentTime& aNow, Orders& aOrders)
 {
-  auto spread = *aRequest.mStep;
-  spread.mRackLocal = false;
-  if (aRequest.mStep->mRackLocal && !aPlacer.Place(aRequest) &&
-      MaySpread(aDue, aRequest, aPlacer, aNow)) {
-    aRequest.mStep = &spread;
-    aRequest.mRack = RackId();
-  }
+  aRequest.mMaySpread = aRequest.mStep->mRackLocal && !aPlacer.Place(aRequest) &&
+                        MaySpread(aDue, aRequest, aPlacer, aNow);
   if (PlaceWhole(aDue, aRequest, aPlacer, aNow, aOrders) ||
       MoveGuaranteedFor(aDue, aRequest, aPlacer, aNow)) {
     return;
@@ -649,7 +640,7 @@
     .With("tasks", aRequest.mCount)
     .With("accelerators", aRequest.mStep->mDemand.mAccelerators)
     .With("cpu", aRequest.mStep->mDemand.mCpu)
-    .With("one_rack", aRequest.mStep->mRackLocal)
+    .With("one_rack", aRequest.IsRackBound())
     .With("label", aRequest.mStep->mRequiredLabel)
     .With("registered", room.mRegistered)
     .With("workers", room.mWorkers)
@@ -678,7 +669,8 @@
                           const CurrentTime& aNow)
 {
   const bool isDue = WaitingTime(aDue, aNow) >= mSettings.mGatherAfter;
-  if (!aRequest.mStep->mGang || !isDue || mGatheringSteps >= mSettings.mMaxGatheringSteps) {
+  const bool isAnyLeft = mGatherers.size() < mSettings.mMaxGatheringSteps;
+  if (!aRequest.mStep->mGang || !isDue || !isAnyLeft) {
     return;
   }
   const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
@@ -687,8 +679,8 @@
   }
   const bool mayEvict = MayEvictAny(aDue);
   const auto mayStop = [&](const PlacedRun& aRun) { return mayEvict && MayEvict(aRun, aDue); };
-  if (aPlacer.Gather(aRequest, mayStop, !aDue.mIsEntitled)) {
-    ++mGatheringSteps;
+  if (const int gatherer = aPlacer.Gather(aRequest, mayStop, !aDue.mIsEntitled)) {
+    mGatherers.emplace(key, gatherer);
     mGatherTurns.OnGathered(key, aNow.mSteady);
   }
 }
@@ -723,7 +715,7 @@
     placed.mCheckpointing = spec.mCheckpointing;
     placed.mLongRunning = spec.mLongRunning;
     mFleet.at(aWorkers[i]).Add(placed);
-    aPlacer.Reserve(aWorkers[i], spec.mDemand);
+    aPlacer.Occupy(aWorkers[i], spec.mDemand);
     aOrders.mStarts.push_back(MakeStart(aWorkers[i], placed.mRun));
     ++mCounts.mStarts;
   }
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -2,6 +2,8 @@
 
 #include "base/Units.h"
 
+#include <cstddef>
+
 namespace lovagerock::scheduler {
 
 // Durations and limits of the scheduler. Durations are in milliseconds.
@@ -46,7 +48,7 @@
   // Once a gang has waited this long, the scheduler keeps resources free for it as they become
   // available (see Placer::Gather), for at most mMaxGatheringSteps gangs at once.
   Duration mGatherAfter{ 1000 };
-  int mMaxGatheringSteps = 2;
+  std::size_t mMaxGatheringSteps = 2;
   // A gang without a guarantee that doesn't fit after mGatherTurn lets other steps pass for
   // mGatherPause before it gathers again, each time for twice as long, up to mLongestGatherTurn.
   Duration mGatherTurn{ 6000 };
--- a/src/scheduler/WaitReason.cpp
+++ b/src/scheduler/WaitReason.cpp
@@ -34,6 +34,8 @@
       return "runs_being_evicted";
     case WaitReason::RoomReserved:
       return "room_reserved";
+    case WaitReason::RacksOccupied:
+      return "racks_occupied";
     case WaitReason::WorkersAvoided:
       return "workers_avoided";
     case WaitReason::WorkersUnanswered:
--- a/src/scheduler/WaitReason.h
+++ b/src/scheduler/WaitReason.h
@@ -2,6 +2,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "scheduler/RoomReport.h"
 
 #include <array>
 #include <cstddef>
@@ -32,6 +33,8 @@
   RunsBeingEvicted,
   // There would be room, but it is kept or gathered for other steps.
   RoomReserved,
+  // There would be room in several racks together, but the step prefers one.
+  RacksOccupied,
   // There would be room on workers that are avoided: they have failed or refused runs.
   WorkersAvoided,
   // The workers that have answered can't hold the step even if they are idle, and others of its
@@ -74,6 +77,8 @@
   WorkerId mWorker;
   // The time until that worker's lease ends, and with it the wait.
   std::optional<Duration> mLeft;
+  // What room there is for the step, if it waits for workers and was examined.
+  std::optional<RoomReport> mRoom;
 };
 
 // The workers that may have runs of an earlier scheduler and haven't answered this one.
--- a/src/scheduler/WaitScanner.cpp
+++ b/src/scheduler/WaitScanner.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/WaitScanner.h"
 
+#include "scheduler/Concession.h"
+
 #include <algorithm>
 #include <chrono>
 #include <tuple>
@@ -42,16 +44,13 @@
   std::sort(found.begin(), found.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.mWait.mWaited > aRight.mWait.mWaited;
   });
-  std::optional<Placers> placers;
+  const auto& placer = mScheduler.mPlacer;
   std::size_t examined = 0;
   report.mSteps.reserve(found.size());
   for (auto& it : found) {
-    if (it.mDue && examined < kMaxExaminedSteps) {
+    if (placer && it.mDue && examined < kMaxExaminedSteps) {
       ++examined;
-      if (!placers) {
-        placers = MakePlacers(aNow);
-      }
-      Examine(*it.mDue, *placers, aNow, it.mWait);
+      Examine(*it.mDue, *placer, aNow, it.mWait);
     }
     report.mSteps.push_back(std::move(it.mWait));
   }
@@ -260,53 +259,33 @@
   return std::max(std::chrono::ceil<Duration>(until - aNow.mSteady), Duration(0));
 }
 
-WaitScanner::Placers
-WaitScanner::MakePlacers(const CurrentTime& aNow) const
-{
-  const auto& fleet = mScheduler.mFleet;
-  Placers placers{ Placer(fleet, aNow.mSteady), Placer(fleet, aNow.mSteady),
-                   Placer(fleet, aNow.mSteady, true) };
-  for (const auto& [key, reservation] : mScheduler.mReservations) {
-    for (const auto& worker : reservation.mWorkers) {
-      placers.mPlanned.Reserve(worker, reservation.mDemand);
-    }
-  }
-  return placers;
-}
-
 void
-WaitScanner::Examine(const DueStep& aDue, const Placers& aPlacers, const CurrentTime& aNow,
+WaitScanner::Examine(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow,
                      WaitingStep& aWait) const
 {
-  if (mScheduler.mReservations.contains(
-        { aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep })) {
+  const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
+  auto request = mScheduler.RequestFor(aDue);
+  if (const auto it = mScheduler.mGatherers.find(key); it != mScheduler.mGatherers.end()) {
+    request.mGatherer = it->second;
+  }
+  mScheduler.AvoidFailures(aDue, request, aPlacer, aNow);
+  request.mMaySpread =
+    request.mStep->mRackLocal && mScheduler.MaySpread(aDue, request, aPlacer, aNow);
+  const auto room = ReportRoom(request, aPlacer);
+  aWait.mRoom = room;
+  if (mScheduler.mReservations.contains(key)) {
     aWait.mReason = WaitReason::RunsBeingEvicted;
     return;
   }
-  auto request = mScheduler.RequestFor(aDue);
-  auto spread = *request.mStep;
-  spread.mRackLocal = false;
-  auto allowed = request;
-  mScheduler.AvoidFailures(aDue, allowed, aPlacers.mPlanned, aNow);
-  if (request.mStep->mRackLocal && mScheduler.MaySpread(aDue, allowed, aPlacers.mPlanned, aNow)) {
-    request.mStep = &spread;
-    request.mRack = RackId();
-    allowed.mStep = &spread;
-    allowed.mRack = RackId();
-  }
-  const int needed = spread.mGang ? request.mCount : 1;
-  const auto room = aPlacers.mUnreserved.Room(allowed);
-  request.mAvoidsSuspects = false;
-  request.mIgnoresTrials = true;
-  const auto unavoided = aPlacers.mUnavoided.Room(request);
-  const auto silent = mSilentWorkers.find(request.mService);
   if (room.mRegistered == 0) {
     aWait.mReason = WaitReason::NoWorkers;
-  } else if (room.mFitting >= needed) {
-    aWait.mReason = WaitReason::RoomReserved;
-  } else if (unavoided.mFitting >= needed) {
-    aWait.mReason = WaitReason::WorkersAvoided;
-  } else if (unavoided.mFittingIdle >= needed) {
+    return;
+  }
+  const int needed = request.mStep->mGang ? request.mCount : 1;
+  const auto silent = mSilentWorkers.find(request.mService);
+  if (const auto reason = WhatKeepsFromRoom(request, needed, aPlacer)) {
+    aWait.mReason = *reason;
+  } else if (aPlacer.Room(Concede(request, kAllConcessions)).mFittingIdle >= needed) {
     aWait.mReason = WaitReason::NoRoom;
   } else if (silent != mSilentWorkers.end()) {
     aWait.mReason = WaitReason::WorkersUnanswered;
--- a/src/scheduler/WaitScanner.h
+++ b/src/scheduler/WaitScanner.h
@@ -13,6 +13,7 @@
 namespace lovagerock::scheduler {
 
 // Finds out why steps wait. Reads the scheduler's state after a plan and changes nothing there.
+// What keeps a step from room is decided by the same concessions as the plan's, see Concession.
 //
 // A scan visits each task and each run once; what keeps workers from a step is examined for the
 // steps that have waited longest only, kMaxExaminedSteps at most. It is meant to be made about once
@@ -66,17 +67,6 @@
     const WorkerId* mWorker = nullptr;
     TimePoint mSince;
   };
-  // The placers of one scan.
-  struct Placers
-  {
-    // With all reservations.
-    Placer mPlanned;
-    // Without them.
-    Placer mUnreserved;
-    // Without them, and with the workers that are avoided.
-    Placer mUnavoided;
-  };
-
   UnansweredWorkers FindUnanswered(const CurrentTime& aNow);
   void FindStops(const CurrentTime& aNow);
   void FindLateStarts(const CurrentTime& aNow, const std::set<RunRef>& aHeldStarts,
@@ -91,9 +81,8 @@
   DescribeWaiting(const Job& aJob, const StepGroups& aGroups, const UnansweredWorkers& aUnanswered,
                   bool aMayStart, WaitingStep& aWait) const;
   std::optional<Duration> LeaseLeft(const WorkerId& aWorker, const CurrentTime& aNow) const;
-  Placers MakePlacers(const CurrentTime& aNow) const;
-  // Finds out what keeps workers from the step.
-  void Examine(const DueStep& aDue, const Placers& aPlacers, const CurrentTime& aNow,
+  // Finds out what keeps workers from the step, by what the last plan has left free.
+  void Examine(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow,
                WaitingStep& aWait) const;
 
   Scheduler& mScheduler;
--- a/tests/scheduler/WaitScannerTests.cpp
+++ b/tests/scheduler/WaitScannerTests.cpp
@@ -219,6 +219,36 @@
   RequireReason(report, "behind", WaitReason::RoomReserved);
 }
 
+// Guards against a line that says only that there is no room, whether workers are full or the step
+// waits for one rack.
+Test(WaitScanner, tells_a_gang_that_waits_for_one_rack)
+{
+  WaitFixture f;
+  f.AddWorkers(4);
+  for (const auto* rack : { "r0", "r1" }) {
+    auto run = f.Step(1, 8);
+    run.mPreferredRack = RackId(rack);
+    f.Submit(f.Job(std::string("run-") + rack, { run }));
+    f.Plan();
+  }
+  auto gang = f.Gang(2, 8);
+  gang.mRackLocal = true;
+  f.Submit(f.Job("gang", { gang }));
+  const auto report = f.ScanLater();
+  RequireReason(report, "gang", WaitReason::RacksOccupied);
+  const auto room = WaitOf(report, "gang").mRoom;
+  cr_assert(room.has_value());
+  cr_assert(room->mIsGang && room->mIsRackLocal);
+  cr_assert_eq(room->mDemand.mAccelerators, Accelerators(8));
+  cr_assert_eq(room->mFitting, 1);
+  cr_assert_eq(room->mFittingSpread, 2);
+  cr_assert_eq(room->mFittingUnreserved, 2);
+  cr_assert_eq(room->mFittingIdle, 2);
+  cr_assert_eq(room->mUsedPercent, 50);
+  cr_assert_eq(room->mWorkers, 4);
+  cr_assert_eq(room->mRegistered, 4);
+}
+
 Test(WaitScanner, tells_that_workers_are_avoided)
 {
   WaitFixture f;
