Start jobs beside room for them twice over, at any load

Callers saw accepted jobs of which nothing ran for up to 15 s while their tasks fitted many times over.

Cause: a job of which nothing runs set aside the preference for one rack, and passed gangs that gather, only while less than half of its service was in use. A burst takes more. Class: a preference or a reservation is bounded by a measure of the service instead of by the room for the job that it keeps out.

Evidence (trials with real processes, 34 nodes, 350 workers, code before): at 24 jobs a second (42 to 90 % of the accelerators in use) 39 of 1,485 jobs had nothing running for over 3 s with room twice over, 15.1 s at the longest. 20 of them were gangs that prefer one rack and fitted into none; 19 fitted into a rack whose room was gathered, room_reserved in the log. At 20 a second beside drained workers 19 of 1,174, all for a rack. Ruled out there: workers that haven't answered (0.03 to 0.15 s after an election, no line at low load) and workers that are avoided (no line).

Change: the limit is room for the job twice over beside all runs, whatever it is kept for; the half of the service remains as a second ground. Concessions are tried from the cheapest on: passing gangs, several racks, both, avoided workers. They come before evictions, and also apply while runs are being evicted for the step. Guaranteed gangs can be passed after 3 s. A gang that was passed for 60 s comes first and can't be passed in its next turn, or it would starve: without that gathers_longer_each_time_until_a_gang_fits failed.

Tests: three failed with the second ground alone, as before the change: starts_a_gang_in_several_racks_if_it_fits_there_twice_over, lets_a_job_pass_gangs_that_gather_beside_room_for_it_twice_over, lets_a_job_pass_a_guaranteed_gang_only_after_a_while. lets_no_job_pass_gangs_that_gather_while_most_of_the_service_is_in_use asserted the fault itself, a job that waits beside room for it 16 times over; lets_no_job_pass_gangs_that_gather_if_it_fits_only_once takes its place with the same load and gang. scheduler: 139 tests pass.

--- a/src/scheduler/GatherTurns.cpp
+++ b/src/scheduler/GatherTurns.cpp
@@ -4,10 +4,11 @@
 
 namespace lovagerock::scheduler {
 
-GatherTurns::GatherTurns(Duration aFirst, Duration aLongest, Duration aPause)
+GatherTurns::GatherTurns(Duration aFirst, Duration aLongest, Duration aPause, Duration aPassedTime)
   : mFirst(aFirst)
   , mLongest(aLongest)
   , mPause(aPause)
+  , mPassedTime(aPassedTime)
 {
 }
 
@@ -22,13 +23,24 @@
   return aNow >= end && aNow < end + mPause;
 }
 
+bool
+GatherTurns::IsProtected(const StepKey& aStep, TimePoint aNow) const
+{
+  const auto it = mTurns.find(aStep);
+  return it != mTurns.end() && it->second.mIsProtected && !IsPausing(aStep, aNow);
+}
+
 void
 GatherTurns::OnGathered(const StepKey& aStep, TimePoint aNow)
 {
-  auto& turn = mTurns.try_emplace(aStep, Turn{ aNow, mFirst, aNow }).first->second;
+  auto& turn = mTurns.try_emplace(aStep, Turn{ aNow, mFirst, aNow, aNow, false }).first->second;
   if (aNow >= turn.mBegan + turn.mLength + mPause) {
     turn.mBegan = aNow;
     turn.mLength = std::min(2 * turn.mLength, mLongest);
+    turn.mIsProtected = aNow - turn.mPassedSince >= mPassedTime;
+    if (turn.mIsProtected) {
+      turn.mPassedSince = aNow;
+    }
   }
   turn.mLastGathered = aNow;
 }
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -31,7 +31,8 @@
 Scheduler::Scheduler(const SchedulerSettings& aSettings, TimePoint aTakeover)
   : mSettings(aSettings)
   , mInheritedUntil(aTakeover + aSettings.mStoreOutageTolerance + MaxLeaseDuration())
-  , mGatherTurns(aSettings.mGatherTurn, aSettings.mLongestGatherTurn, aSettings.mGatherPause)
+  , mGatherTurns(aSettings.mGatherTurn, aSettings.mLongestGatherTurn, aSettings.mGatherPause,
+                 aSettings.mMaxPassedTime)
 {
 }
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -144,8 +144,8 @@
   friend class WaitScanner;
 
   // The urgency of a job, by its account's guarantee and its expected end. DueSteps() places
-  // Entitled jobs first and Worthless ones last. Between these, the queue's priority comes before
-  // the class, and the objective decides last.
+  // Entitled jobs first, then gangs with a protected turn, and Worthless jobs last. Between these,
+  // the queue's priority comes before the class, and the objective decides last.
   enum PlanClass : int
   {
     // The job is within the number of accelerators that its account is guaranteed.
@@ -173,6 +173,8 @@
     // The PlanClass of the job.
     int mClass = 0;
     TimePoint mObjective;
+    // Whether the step has a protected turn, see GatherTurns.
+    bool mIsProtected = false;
   };
   // Resources that are kept for a step while the runs that occupy them are being stopped.
   struct Reservation
@@ -280,23 +282,29 @@
   void AvoidFailures(const DueStep& aDue, PlacementRequest& aRequest, const Placer& aPlacer,
                      const CurrentTime& aNow) const;
   void PlaceDue(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow, Orders& aOrders);
-  // Whether nothing of the job has run for mMaxIdleBesideRoom, although its service has room.
-  bool IsIdleBesideRoom(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow) const;
+  // Whether nothing of the job has run for mMaxIdleBesideRoom, although its service has room: most
+  // of it is idle, or the tasks fit twice over beside the runs. Each task that lasts counts by
+  // itself.
+  bool IsIdleBesideRoom(const DueStep& aDue, const PlacementRequest& aRequest,
+                        const Placer& aPlacer, const CurrentTime& aNow) const;
+  // Starts a step that IsIdleBesideRoom() with the first concession with which it fits: a gang
+  // whole, else one task, so that gangs still get their room soon. Returns whether it was started.
+  bool StartBesideRoom(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+                       const CurrentTime& aNow, Orders& aOrders);
   // Starts the step on its reserved resources if they are free. Returns whether PlaceDue() is to do
   // nothing more for the step: it was started, or its reservation still waits for resources.
   bool
   PlaceReserved(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow, Orders& aOrders);
   // Whether the tasks of a rack-local step may run in several racks: because no rack could hold
-  // them even if it was idle, because they are a gang that IsIdleBesideRoom(), or because they last
-  // and have waited for long. What keeps the rack
+  // them even if it was idle, or because they last and have waited for long. What keeps the rack
   // full, among it tasks of the same step, may then last as well.
   bool MaySpread(const DueStep& aDue, const PlacementRequest& aRequest, const Placer& aPlacer,
                  const CurrentTime& aNow) const;
   // Places a gang or a rack-local step.
   void PlaceTogether(const DueStep& aDue, PlacementRequest aRequest, Placer& aPlacer,
                      const CurrentTime& aNow, Orders& aOrders);
-  // Starts all tasks of the step, or evicts runs for them. Returns false if neither is possible.
-  bool PlaceWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+  // Starts a gang, or all tasks of another step, if they fit. Returns whether they were started.
+  bool StartWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                   const CurrentTime& aNow, Orders& aOrders);
   // Places independent tasks, as many as fit, and evicts runs for the rest.
   void PlaceEach(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
@@ -305,9 +313,12 @@
   static Duration WaitingTime(const DueStep& aDue, const CurrentTime& aNow);
   // For a gang that has waited for mGatherAfter, reserves the free resources of workers that can
   // hold it beside the runs that last, so that their resources accumulate until it fits. Unless the
-  // gang is guaranteed, it does so in turns: the runs that it waits for may go on for long.
+  // gang is guaranteed, it does so in turns: the runs that it waits for may go on for long. Jobs of
+  // which nothing runs may take them, see StartBesideRoom() and MayBePassed().
   void GatherCapacity(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                       const CurrentTime& aNow);
+  // Whether what the gang gathers now may be taken by jobs of which nothing runs.
+  bool MayBePassed(const DueStep& aDue, const Placer& aPlacer, const CurrentTime& aNow) const;
   // Evicts runs so that the tasks of the request fit, and reserves the resources for the step.
   // Returns false if the job may not evict others or no set of runs frees enough.
   bool EvictFor(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
--- a/src/scheduler/SchedulerEvictions.cpp
+++ b/src/scheduler/SchedulerEvictions.cpp
@@ -182,7 +182,8 @@
     const auto& task = run.mTask;
     auto* job = FindMutable(task.mJob);
     const StepKey key{ task.mJob, task.mOccurrence, task.mStep };
-    const DueStep none{ job, task.mOccurrence, task.mStep, {}, true, Entitled, job->Objective() };
+    const DueStep none{ job,  task.mOccurrence, task.mStep,       {},
+                        true, Entitled,         job->Objective(), false };
     auto& step = steps.try_emplace(key, none).first->second;
     if (!job->Spec(task.mStep).mGang) {
       step.mTasks.push_back(task.mIndex);
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -12,8 +12,6 @@
 // A job is worthless if it is expected to take longer than this many times the time from its
 // acceptance to its objective.
 constexpr int kWorthlessFactor = 3;
-// See SchedulerSettings::mMaxIdleBesideRoom.
-constexpr double kMaxUsedPart = 0.5;
 // A guaranteed step that waits is logged at most once in this time.
 constexpr Duration kWaitingLogPeriod{ 1000 };
 
@@ -353,7 +351,7 @@
         continue;
       }
       const int stepClass = planClass == Late && IsMostlyDone(step) ? InTime : planClass;
-      DueStep due{ &aJob, number, index, {}, aIsEntitled, stepClass, objective };
+      DueStep due{ &aJob, number, index, {}, aIsEntitled, stepClass, objective, false };
       for (std::size_t j = 0; j < step.mTasks.size(); ++j) {
         const auto& task = step.mTasks[j];
         const TaskRef ref{ aJob.Accepted().mId, number, index, static_cast<int>(j) };
@@ -366,6 +364,8 @@
         return step.mTasks[aLeft].mWaitingSince < step.mTasks[aRight].mWaitingSince;
       });
       const bool isWhole = due.mTasks.size() == step.mTasks.size();
+      due.mIsProtected =
+        mGatherTurns.IsProtected({ aJob.Accepted().mId, number, index }, aNow.mSteady);
       if (!due.mTasks.empty() && (isWhole || !aJob.Spec(index).mGang)) {
         aDue.push_back(std::move(due));
       }
@@ -384,8 +384,8 @@
   }
   const auto rank = [](const DueStep& aIt) {
     const bool isWorthless = aIt.mClass == Worthless;
-    return std::tuple(aIt.mClass != Entitled, isWorthless, aIt.mJob->Policy().mPriority, aIt.mClass,
-                      aIt.mObjective);
+    return std::tuple(aIt.mClass != Entitled, !aIt.mIsProtected, isWorthless,
+                      aIt.mJob->Policy().mPriority, aIt.mClass, aIt.mObjective);
   };
   std::sort(due.begin(), due.end(), [&rank](const auto& aLeft, const auto& aRight) {
     const auto left = rank(aLeft);
@@ -485,24 +485,6 @@
   }
 }
 
-bool
-Scheduler::IsIdleBesideRoom(const DueStep& aDue, const Placer& aPlacer,
-                            const CurrentTime& aNow) const
-{
-  if (aNow.mSteady - WaitingSince(aDue) < mSettings.mMaxIdleBesideRoom ||
-      aPlacer.UsedPart(aDue.mJob->Policy().mService) >= kMaxUsedPart) {
-    return false;
-  }
-  const auto& occurrences = aDue.mJob->OpenOccurrences();
-  return std::none_of(occurrences.begin(), occurrences.end(), [](const auto& aOccurrence) {
-    const auto& steps = aOccurrence.second.mSteps;
-    return std::any_of(steps.begin(), steps.end(), [](const auto& aStep) {
-      return std::any_of(aStep.mTasks.begin(), aStep.mTasks.end(),
-                         [](const auto& aTask) { return aTask.mPhase == TaskPhase::Active; });
-    });
-  });
-}
-
 bool
 Scheduler::PlaceReserved(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow,
                          Orders& aOrders)
@@ -528,6 +510,10 @@
     StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
     return true;
   }
+  if (StartBesideRoom(aDue, request, aPlacer, aNow, aOrders)) {
+    mReservations.erase(it);
+    return true;
+  }
   for (const auto& worker : reservation.mWorkers) {
     aPlacer.Reserve(worker, reservation.mDemand);
   }
@@ -541,10 +527,8 @@
   if (aRequest.mRack.IsEmpty() && !aPlacer.FitsOnIdleWorkers(aRequest)) {
     return true;
   }
-  if (aRequest.mStep->mLongRunning) {
-    return aNow.mSteady - WaitingSince(aDue) >= mSettings.mMaxAvoidance;
-  }
-  return aRequest.mStep->mGang && IsIdleBesideRoom(aDue, aPlacer, aNow);
+  return aRequest.mStep->mLongRunning &&
+         aNow.mSteady - WaitingSince(aDue) >= mSettings.mMaxAvoidance;
 }
 
 void
@@ -553,18 +537,12 @@
 {
   aRequest.mMaySpread = aRequest.mStep->mRackLocal && !aPlacer.Place(aRequest) &&
                         MaySpread(aDue, aRequest, aPlacer, aNow);
-  if (PlaceWhole(aDue, aRequest, aPlacer, aNow, aOrders) ||
-      MoveGuaranteedFor(aDue, aRequest, aPlacer, aNow)) {
+  // Concessions come before evictions, which throw work away.
+  if (StartWhole(aDue, aRequest, aPlacer, aNow, aOrders) ||
+      (aRequest.mStep->mGang && StartBesideRoom(aDue, aRequest, aPlacer, aNow, aOrders)) ||
+      EvictFor(aDue, aRequest, aPlacer, aNow) || MoveGuaranteedFor(aDue, aRequest, aPlacer, aNow)) {
     return;
   }
-  if (aRequest.mStep->mGang && IsIdleBesideRoom(aDue, aPlacer, aNow)) {
-    auto passing = aRequest;
-    passing.mMayPassGangs = true;
-    if (const auto workers = aPlacer.Place(passing)) {
-      StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
-      return;
-    }
-  }
   LogWaiting(aDue, aRequest, aPlacer, aNow);
   GatherCapacity(aDue, aRequest, aPlacer, aNow);
   if (!aRequest.mStep->mGang) {
@@ -573,14 +551,14 @@
 }
 
 bool
-Scheduler::PlaceWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+Scheduler::StartWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                       const CurrentTime& aNow, Orders& aOrders)
 {
-  if (const auto workers = aPlacer.Place(aRequest)) {
+  const auto workers = aPlacer.Place(aRequest);
+  if (workers) {
     StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
-    return true;
   }
-  return EvictFor(aDue, aRequest, aPlacer, aNow);
+  return workers.has_value();
 }
 
 Duration
@@ -594,13 +572,9 @@
 Scheduler::PlaceEach(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
                      const CurrentTime& aNow, Orders& aOrders)
 {
-  auto workers = aPlacer.PlaceSome(aRequest);
-  if (workers.empty() && IsIdleBesideRoom(aDue, aPlacer, aNow)) {
-    // One task, so that the gangs still get their room soon.
-    auto passing = aRequest;
-    passing.mCount = 1;
-    passing.mMayPassGangs = true;
-    workers = aPlacer.PlaceSome(passing);
+  const auto workers = aPlacer.PlaceSome(aRequest);
+  if (workers.empty() && StartBesideRoom(aDue, aRequest, aPlacer, aNow, aOrders)) {
+    return;
   }
   if (!workers.empty()) {
     StartTasks(aDue, workers, aPlacer, aNow, aOrders);
@@ -679,7 +653,7 @@
   }
   const bool mayEvict = MayEvictAny(aDue);
   const auto mayStop = [&](const PlacedRun& aRun) { return mayEvict && MayEvict(aRun, aDue); };
-  if (const int gatherer = aPlacer.Gather(aRequest, mayStop, !aDue.mIsEntitled)) {
+  if (const int gatherer = aPlacer.Gather(aRequest, mayStop, MayBePassed(aDue, aPlacer, aNow))) {
     mGatherers.emplace(key, gatherer);
     mGatherTurns.OnGathered(key, aNow.mSteady);
   }
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -54,9 +54,15 @@
   Duration mGatherTurn{ 6000 };
   Duration mLongestGatherTurn{ 24000 };
   Duration mGatherPause{ 1000 };
-  // The longest time for which nothing of a job runs while less than half of its service is in use,
-  // because its tasks don't fit beside what is kept for gangs, or a gang doesn't fit into one rack.
-  // After that it takes what gangs without a guarantee keep, or runs in several racks.
+  // After a gang without a guarantee has gathered for this long, it comes first in its next turn
+  // and can't be passed by jobs of which nothing runs, or a stream of these would keep it waiting
+  // for ever.
+  Duration mMaxPassedTime{ 60000 };
+  // A guaranteed gang can't be passed until it has waited this long.
+  Duration mGuaranteedGatherTime{ 3000 };
+  // The longest time for which nothing of a job runs beside room for it, see
+  // Scheduler::IsIdleBesideRoom(). After that it sets its preferences aside, and takes what gangs
+  // gather. The users allow 3 s; the rest is for the plan and the start.
   Duration mMaxIdleBesideRoom{ 2000 };
   // Time for which resources stay reserved for a step for which other runs are being evicted.
   Duration mReservationDuration{ 1500 };
--- a/src/scheduler/WaitScanner.cpp
+++ b/src/scheduler/WaitScanner.cpp
@@ -188,8 +188,8 @@
       DescribeWaiting(aJob, groups, aUnanswered, aMayStart, last.mWait);
       if (last.mWait.mReason == WaitReason::NotExamined) {
         last.mDue = DueStep{
-          &aJob, number,          index, groups.mWaiting.mTasks, mScheduler.mEntitled.contains(id),
-          0,     aJob.Objective()
+          &aJob, number,           index, groups.mWaiting.mTasks, mScheduler.mEntitled.contains(id),
+          0,     aJob.Objective(), false
         };
       }
     }
