Start jobs beside room for them on workers where others have failed

Callers would see jobs of which nothing runs for 4 s and more beside room for them, once jobs that fail by their own fault have run on many workers.

Cause: two failed runs of different jobs in a row pause a worker for 4 s, and recent ones put it on trial with one run at a time.

Change: a pause after failed runs is told apart from one after refused or unanswered starts. The last concession sets the first one aside, like trials. A worker that refuses or doesn't answer is still never used.

--- a/src/scheduler/Concession.cpp
+++ b/src/scheduler/Concession.cpp
@@ -9,11 +9,11 @@
 {
   aRequest.mMaySpread = aRequest.mMaySpread || aConcession.mSpreads;
   aRequest.mMayPassGangs = aConcession.mPassesGangs;
-  if (aConcession.mUsesAvoidedWorkers) {
+  if (aConcession.mUsesFailedWorkers) {
     aRequest.mExcludedWorkers.clear();
     aRequest.mAvoidsSuspects = false;
     aRequest.mIgnoresTrials = true;
-    aRequest.mIgnoresPauses = true;
+    aRequest.mIgnoresFailures = true;
   }
   return aRequest;
 }
@@ -28,7 +28,11 @@
       return it.mWaitReason;
     }
   }
-  return std::nullopt;
+  auto request = Concede(aRequest, kAllConcessions);
+  request.mIgnoresReservations = true;
+  request.mIgnoresPauses = true;
+  return aPlacer.Fitting(request) >= aNeeded ? std::optional(WaitReason::WorkersAvoided)
+                                             : std::nullopt;
 }
 
 RoomReport
@@ -41,6 +45,7 @@
   request.mIgnoresReservations = true;
   report.mFittingUnreserved = aPlacer.Fitting(request);
   request = Concede(std::move(request), kAllConcessions);
+  request.mIgnoresPauses = true;
   report.mFittingUnavoided = aPlacer.Fitting(request);
   return report;
 }
--- a/src/scheduler/Concession.h
+++ b/src/scheduler/Concession.h
@@ -15,16 +15,16 @@
   bool mSpreads = false;
   // Takes what Placer::Gather() keeps for gangs that may be passed.
   bool mPassesGangs = false;
-  // Uses workers that are avoided: paused ones, those on trial for several tasks, and those on
-  // which runs of the step have failed.
-  bool mUsesAvoidedWorkers = false;
+  // Uses workers that are avoided because runs have failed there: failing ones, those on trial for
+  // several tasks, and those on which runs of the step have failed.
+  bool mUsesFailedWorkers = false;
   // Why a step waits that would start with this concession.
   WaitReason mWaitReason = WaitReason::NoRoom;
 };
 
 // In the order in which they are made. A gang that is passed waits a little longer, while a gang in
 // several racks runs several times as long and occupies its workers all the while. Runs on workers
-// that are avoided may fail.
+// where others have failed may fail too.
 inline constexpr std::array<Concession, 4> kConcessions{ {
   { false, true, false, WaitReason::RoomReserved },
   { true, false, false, WaitReason::RacksOccupied },
--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -92,8 +92,11 @@
   TimePoint mLeaseExpiry;
   // The same, regarding only leases that this scheduler's own calls may have renewed.
   TimePoint mOwnLeaseExpiry;
-  // No run is started on the worker before this time.
+  // No run is started on the worker before this time: it has refused a start, or not answered one.
   TimePoint mAvoidUntil;
+  // The same, because its runs have failed. They may have failed by their own fault, so a step may
+  // set this doubt aside, see Concession.
+  TimePoint mFailingUntil;
   TimePoint mDrainingSince;
   // The highest FinishedRun::mNumber that was processed, and the highest one whose effects are
   // stored.
--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -78,14 +78,15 @@
       const auto service =
         mServices.try_emplace(worker->mEntry.mService, static_cast<int>(mServices.size()));
       const bool isPaused = worker->mAvoidUntil > aNow;
+      const bool isFailing = worker->mFailingUntil > aNow;
       mPositions[worker->mEntry.mId] = mCandidates.size();
-      if (!isPaused) {
+      if (!isPaused && !isFailing) {
         mTotal[worker->mEntry.mService] += worker->mEntry.mCapacity;
         mUsed[worker->mEntry.mService] += worker->mUsed;
       }
       mCandidates.push_back({ worker, worker->Free(), Capacity(), 0, false, worker->Free(), rack,
                               service.first->second, worker->mCondition.IsSuspect(aNow),
-                              worker->mCondition.IsDoubtful(aNow), isPaused,
+                              worker->mCondition.IsDoubtful(aNow), isFailing, isPaused,
                               worker->mCondition.IsSuspect(aNow), TrialRuns(*worker), 0 });
     }
     ++rack;
@@ -157,6 +158,7 @@
   return aCandidate.mService == aService && isInRack &&
          !(aCandidate.mIsSuspect && aRequest.mAvoidsSuspects) &&
          !(aCandidate.mIsPaused && !aRequest.mIgnoresPauses) &&
+         !(aCandidate.mIsFailing && !aRequest.mIgnoresFailures && !aRequest.mIgnoresPauses) &&
          (label.empty() ||
           std::find(entry.mLabels.begin(), entry.mLabels.end(), label) != entry.mLabels.end()) &&
          !Contains(aRequest.mExcludedWorkers, entry.mId);
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -30,7 +30,10 @@
   bool mAvoidsSuspects = false;
   // Whether workers on trial may take more than one of the tasks.
   bool mIgnoresTrials = false;
-  // Whether workers may be chosen on which no run is started for a while.
+  // Whether workers may be chosen on which no run is started for a while because runs have failed
+  // there.
+  bool mIgnoresFailures = false;
+  // The same for any reason. Nothing may be started by such a request.
   bool mIgnoresPauses = false;
   // Whether the workers may be in several racks although the step is rack-local.
   bool mMaySpread = false;
@@ -118,7 +121,9 @@
     // See WorkerCondition. In a group, a worker that the request avoids is doubtful too.
     bool mIsSuspect = false;
     bool mIsDoubtful = false;
-    // Whether no run is started on the worker for a while.
+    // Whether no run is started on the worker for a while: because runs have failed there, or
+    // because it has refused a start or not answered.
+    bool mIsFailing = false;
     bool mIsPaused = false;
     // Whether the worker gets one run at a time, because it recently failed one, and how many more
     // it may get now.
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -473,7 +473,7 @@
     worker.mCondition.OnDone();
   } else if (aEnd == RunEnd::Failed &&
              worker.mCondition.OnFailed(aRun.mTask.mJob, aNow.mSteady, mSettings)) {
-    worker.mAvoidUntil = std::max(worker.mAvoidUntil, aNow.mSteady + mSettings.mFailingPause);
+    worker.mFailingUntil = aNow.mSteady + mSettings.mFailingPause;
     LogEvent("worker_avoided").With("worker", aWorker).With("reason", "failing_runs");
   }
 }
--- a/src/scheduler/WaitScanner.cpp
+++ b/src/scheduler/WaitScanner.cpp
@@ -282,10 +282,12 @@
     return;
   }
   const int needed = request.mStep->mGang ? request.mCount : 1;
+  auto unavoided = Concede(request, kAllConcessions);
+  unavoided.mIgnoresPauses = true;
   const auto silent = mSilentWorkers.find(request.mService);
   if (const auto reason = WhatKeepsFromRoom(request, needed, aPlacer)) {
     aWait.mReason = *reason;
-  } else if (aPlacer.Room(Concede(request, kAllConcessions)).mFittingIdle >= needed) {
+  } else if (aPlacer.Room(unavoided).mFittingIdle >= needed) {
     aWait.mReason = WaitReason::NoRoom;
   } else if (silent != mSilentWorkers.end()) {
     aWait.mReason = WaitReason::WorkersUnanswered;
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -664,6 +664,31 @@
   cr_assert(f.State("j") == JobState::Cancelled);
 }
 
+// Guards against jobs that wait for as long as sound workers are held for failing, because jobs
+// fail on them by their own fault.
+Test(Scheduler, starts_a_gang_on_workers_on_which_others_failed_beside_room)
+{
+  SchedulerFixture f;
+  f.AddWorkers(4);
+  for (const auto* id : { "a", "b" }) {
+    auto step = f.Step(4, 1);
+    step.mMaxPerWorker = 1;
+    auto job = f.Job(id, { step });
+    job.mPolicy.mMaxAttempts = 1;
+    f.Submit(job);
+    for (const auto& it : f.Plan().mStarts) {
+      f.EndRun(it.mRun, RunEnd::Failed);
+    }
+    f.RenewAllLeases();
+  }
+  f.Submit(f.Job("gang", { f.Gang(4, 4) }));
+  f.Plan();
+  cr_assert(f.State("gang") == JobState::Queued);
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  f.Plan();
+  cr_assert(f.State("gang") == JobState::InProgress);
+}
+
 Test(Scheduler, pauses_a_worker_on_which_runs_of_several_jobs_fail)
 {
   SchedulerFixture f;
