Count a refused start as time in which nothing of a job runs

Callers would see a job of which nothing runs for as long as workers refuse its starts, in spite of room for it elsewhere.

Cause: the wait of a task began anew when a run ended, also one that was never carried out, so the job never reached the time after which it sets its preferences aside. In return, a job whose only run had just ended passed gangs at once, since its other tasks had waited for long.

Change: the time counts from the end of the job's last run that a worker had confirmed, or from when the step was ready.

Test: Scheduler/counts_a_refused_start_as_idle_time failed with the former time. scheduler: 141 tests pass.

--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -362,6 +362,11 @@
 Scheduler::DropRun(Worker& aWorker, const RunRef& aRun, RunEnd aEnd, const std::string& aCheckpoint,
                    const CurrentTime& aNow)
 {
+  const auto* placed = aWorker.Find(aRun);
+  auto* job = FindMutable(aRun.mTask.mJob);
+  if (job && placed && placed->mLastConfirmedClock != WorkerClock()) {
+    job->mRanUntil = aNow.mSteady;
+  }
   aWorker.Remove(aRun);
   ApplyEnd(aWorker.mEntry.mId, aRun, aEnd, aCheckpoint, aNow);
 }
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -282,9 +282,11 @@
   void AvoidFailures(const DueStep& aDue, PlacementRequest& aRequest, const Placer& aPlacer,
                      const CurrentTime& aNow) const;
   void PlaceDue(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow, Orders& aOrders);
-  // Whether nothing of the job has run for mMaxIdleBesideRoom, although its service has room: most
-  // of it is idle, or the tasks fit twice over beside the runs. Each task that lasts counts by
-  // itself.
+  // Returns for how long nothing of the job has run although the step was ready. A task that lasts
+  // counts by itself, whatever else runs of its job.
+  static Duration IdleTime(const DueStep& aDue, const CurrentTime& aNow);
+  // Whether IdleTime() has reached mMaxIdleBesideRoom, although its service has room: most
+  // of it is idle, or the tasks fit twice over beside the runs.
   bool IsIdleBesideRoom(const DueStep& aDue, const PlacementRequest& aRequest,
                         const Placer& aPlacer, const CurrentTime& aNow) const;
   // Starts a step that IsIdleBesideRoom() with the first concession with which it fits: a gang
--- a/src/scheduler/SchedulerConcessions.cpp
+++ b/src/scheduler/SchedulerConcessions.cpp
@@ -39,16 +39,27 @@
 
 } // namespace
 
+Duration
+Scheduler::IdleTime(const DueStep& aDue, const CurrentTime& aNow)
+{
+  const auto& job = *aDue.mJob;
+  if (job.Spec(aDue.mStep).mLongRunning) {
+    return std::chrono::duration_cast<Duration>(aNow.mSteady - WaitingSince(aDue));
+  }
+  if (HasActiveTask(job)) {
+    return Duration(0);
+  }
+  const auto ready = job.OpenOccurrences().at(aDue.mOccurrence).mReadySince[aDue.mStep];
+  return std::chrono::duration_cast<Duration>(aNow.mSteady - std::max(ready, job.mRanUntil));
+}
+
 bool
 Scheduler::IsIdleBesideRoom(const DueStep& aDue, const PlacementRequest& aRequest,
                             const Placer& aPlacer, const CurrentTime& aNow) const
 {
-  if (aNow.mSteady - WaitingSince(aDue) < mSettings.mMaxIdleBesideRoom) {
-    return false;
-  }
-  const bool isIdle = aRequest.mStep->mLongRunning || !HasActiveTask(*aDue.mJob);
-  return isIdle && (aPlacer.UsedPart(aRequest.mService) < kMostlyIdlePart ||
-                    FitsBesideRuns(aRequest, aPlacer));
+  return IdleTime(aDue, aNow) >= mSettings.mMaxIdleBesideRoom &&
+         (aPlacer.UsedPart(aRequest.mService) < kMostlyIdlePart ||
+          FitsBesideRuns(aRequest, aPlacer));
 }
 
 bool
@@ -72,7 +83,7 @@
       .With("step", aDue.mStep)
       .With("waited_for", WaitReasonName(it.mWaitReason))
       .With("several_racks", it.mSpreads)
-      .With("waited_ms", std::chrono::duration_cast<Duration>(aNow.mSteady - WaitingSince(aDue)));
+      .With("idle_ms", IdleTime(aDue, aNow));
     StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
     return true;
   }
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -449,6 +449,19 @@
   cr_assert_eq(f.Running().size(), 4 + 1 + 2, "more than one task of a job has passed");
 }
 
+// Guards against a job that waits anew each time that a worker refuses a start, so that nothing of
+// it runs for as long as workers do so.
+Test(Scheduler, counts_a_refused_start_as_idle_time)
+{
+  GatheringFixture f;
+  f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  const auto refused = f.mScheduler->Plan(f.mNow).mStarts.at(0);
+  f.mScheduler->OnStartOutcome(refused.mWorker, refused.mRun, OrderOutcome::TooLate, WorkerClock(),
+                               f.mNow);
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // The other side: guards against gangs that never get the room that small jobs take again and
 // again.
 Test(Scheduler, lets_no_job_pass_gangs_that_gather_if_it_fits_only_once)
