Place single tasks in the fullest racks

Gangs that prefer one rack found each rack broken by a few tasks of others, and waited or ran in several racks.

Cause: of workers with the same number of free accelerators, those with the fewest free cores were taken, in whichever rack.

Change: of such workers, those in the rack with the fewest free accelerators are taken.

What it changes under load isn't measured here.

--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -200,11 +200,16 @@
 std::vector<WorkerId>
 Placer::Fill(Group aGroup, const PlacementRequest& aRequest)
 {
+  std::map<int, Accelerators> freeInRack;
+  for (const auto& it : aGroup) {
+    freeInRack[it.mRack] += it.mFree.mAccelerators;
+  }
   std::erase_if(aGroup, [](const auto& aIt) { return aIt.mCopies <= 0; });
   const auto& preferred = aRequest.mStep->mPreferredRack;
-  const auto rank = [&preferred](const Candidate& aIt) {
+  const auto rank = [&](const Candidate& aIt) {
     const bool isRemote = !preferred.IsEmpty() && aIt.mWorker->mEntry.mRack != preferred;
-    return std::tuple(isRemote, aIt.mIsDoubtful, aIt.mFree.mAccelerators, aIt.mFree.mCpu);
+    return std::tuple(isRemote, aIt.mIsDoubtful, aIt.mFree.mAccelerators, freeInRack.at(aIt.mRack),
+                      aIt.mFree.mCpu);
   };
   std::sort(aGroup.begin(), aGroup.end(),
             [&](const auto& aLeft, const auto& aRight) { return rank(aLeft) < rank(aRight); });
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -158,7 +158,7 @@
   std::vector<Group> Groups(const PlacementRequest& aRequest, bool aIsEmpty) const;
   // Chooses workers from the group, one per task, for as many tasks as fit. Takes workers in the
   // preferred rack first, then those that aren't doubtful, then those with the least free
-  // resources.
+  // accelerators, of these the ones in the fullest racks, so that racks stay free for gangs.
   static std::vector<WorkerId> Fill(Group aGroup, const PlacementRequest& aRequest);
   // aOptions must be sorted by ascending cost.
   CopyCost CostOfCopy(const Candidate& aCandidate, const std::vector<EvictionOption>& aOptions,
