Move the placement of steps out of the file of the plan

SchedulerPlan.cpp had grown to over 700 lines: the order of a plan, takeovers and leases beside the choice of workers for steps. The latter is SchedulerPlacement.cpp now, moved as it was; kWaitingLogPeriod, used in both, is a constant of the class.

--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -143,6 +143,9 @@
 private:
   friend class WaitScanner;
 
+  // A guaranteed step that waits is logged at most once in this time.
+  static constexpr Duration kWaitingLogPeriod{ 1000 };
+
   // The urgency of a job, by its account's guarantee and its expected end. DueSteps() places
   // Entitled jobs first, then gangs with a protected turn, and Worthless jobs last. Between these,
   // the queue's priority comes before the class, and the objective decides last.
