Count a run that fails again on a restarted worker as another attempt

A job could be given one attempt more than its queue allows.

Cause: failed runs were told apart by their number alone. A worker that restarts under its id may carry out a start of before, until it has answered a call with a higher token. If that run had failed there already, it fails again with the same number, and the second failure was taken for a repeated report of the first.

Ruled out: to count each report of a failure whose number is known. Workers list an end until it is stored, also to the next leader, so one failure would count twice.

Change: a counted failure names the incarnation of the worker that reported it, and the stored progress has it too, behind the fields that earlier versions read. An unknown incarnation (of a record of an earlier version) matches each. Several members of a gang may fail in one run on different workers, so gangs still tell their failures apart by the run alone.

Why it works: an incarnation ends a run with a given number at most once, and lists the end with the same incarnation however often it is asked.

Tests: Scheduler/counts_a_run_that_fails_again_after_its_worker_has_restarted and Takeover/counts_no_failed_run_again_that_the_former_scheduler_counted failed before the change, as did the new line on an incarnation out of range in JobRecord/rejects_progress_with_numbers_out_of_range. Guards: Scheduler/counts_a_run_of_a_gang_once_if_several_members_fail, Takeover/counts_no_failed_run_again_that_an_earlier_version_counted. All 139 tests of test_scheduler pass.

What remains: a start of the task that is sent before the second failure is reported may be one too many.

--- a/src/scheduler/Job.cpp
+++ b/src/scheduler/Job.cpp
@@ -32,6 +32,13 @@
   return "queued";
 }
 
+bool
+FailedRun::MayBeSameAs(const FailedRun& aOther) const
+{
+  const bool isAnyUnknown = mIncarnation.Value() == 0 || aOther.mIncarnation.Value() == 0;
+  return mRun == aOther.mRun && (isAnyUnknown || mIncarnation == aOther.mIncarnation);
+}
+
 bool
 Occurrence::IsDone() const
 {
--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -2,6 +2,7 @@
 
 #include "scheduler/JobSpec.h"
 #include "scheduler/TaskRef.h"
+#include "scheduler/WorkerReport.h"
 
 #include <cstdint>
 #include <map>
@@ -35,6 +36,18 @@
   Done,
 };
 
+// A failed run that was counted as an attempt.
+struct FailedRun
+{
+  int mRun = 0;
+  // The incarnation of the worker that reported the end; 0 if unknown. A worker that has restarted
+  // may carry out a start of before, so that the run fails again with the same number.
+  WorkerIncarnation mIncarnation;
+
+  // Whether the two may be reports of the same end.
+  bool MayBeSameAs(const FailedRun& aOther) const;
+};
+
 struct Task
 {
   TaskPhase mPhase = TaskPhase::Waiting;
@@ -42,10 +55,10 @@
   int mRun = 0;
   // The highest run number whose end was processed.
   int mEndedRun = 0;
-  // The numbers of the failed runs that were counted as attempts; a gang keeps them in its first
-  // task. Workers report ends in any order and repeatedly, so a count or the highest number would
-  // not tell which failures were counted already.
-  std::vector<int> mFailedRuns;
+  // The failed runs that were counted as attempts; a gang keeps them in its first task. Workers
+  // report ends in any order and repeatedly, so a count or the highest number would not tell which
+  // failures were counted already.
+  std::vector<FailedRun> mFailedRuns;
   std::string mCheckpoint;
   // The worker of the current run; empty if there is none.
   WorkerId mWorker;
--- a/src/scheduler/JobRecord.cpp
+++ b/src/scheduler/JobRecord.cpp
@@ -116,8 +116,9 @@
 }
 
 // Serializes a task: 1 if it is done, 0 if it never ran, else an array of the highest run number,
-// the highest ended run number, the failed runs, the worker of the current run (empty if there is
-// none) and the checkpoint.
+// the highest ended run number, the numbers of the failed runs, the worker of the current run
+// (empty if there is none), the checkpoint, and the incarnations of the workers on which those runs
+// failed. Earlier versions don't write the last.
 Json
 WriteTask(const Task& aTask)
 {
@@ -127,8 +128,36 @@
   if (aTask.mRun == 0 && aTask.mFailedRuns.empty()) {
     return 0;
   }
-  return Json::array(
-    { aTask.mRun, aTask.mEndedRun, aTask.mFailedRuns, aTask.mWorker.Value(), aTask.mCheckpoint });
+  auto failedRuns = Json::array();
+  auto incarnations = Json::array();
+  for (const auto& it : aTask.mFailedRuns) {
+    failedRuns.push_back(it.mRun);
+    incarnations.push_back(it.mIncarnation.Value());
+  }
+  auto json = Json::array({ aTask.mRun, aTask.mEndedRun, std::move(failedRuns),
+                            aTask.mWorker.Value(), aTask.mCheckpoint });
+  if (!incarnations.empty()) {
+    json.push_back(std::move(incarnations));
+  }
+  return json;
+}
+
+// Reads the failed runs of a task that is an array.
+std::vector<FailedRun>
+ReadFailedRuns(const Json& aTask)
+{
+  const auto runs = ConvertJson<std::vector<int>>(aTask.at(2));
+  const auto incarnations =
+    aTask.size() > 5 ? ConvertJson<std::vector<Json>>(aTask.at(5)) : std::vector<Json>();
+  std::vector<FailedRun> failed;
+  for (std::size_t i = 0; i < runs.size(); ++i) {
+    WorkerIncarnation incarnation;
+    if (i < incarnations.size()) {
+      incarnation = WorkerIncarnation(JsonInRange(incarnations[i], std::int64_t{ 0 }, kMaxTimeMs));
+    }
+    failed.push_back({ runs[i], incarnation });
+  }
+  return failed;
 }
 
 void
@@ -143,7 +172,7 @@
   }
   aTask.mRun = JsonInRange(aJson.at(0), 0, kMaxRun);
   aTask.mEndedRun = JsonInRange(aJson.at(1), 0, kMaxRun);
-  aTask.mFailedRuns = ConvertJson<std::vector<int>>(aJson.at(2));
+  aTask.mFailedRuns = ReadFailedRuns(aJson);
   aTask.mWorker = WorkerId(aJson.at(3).get<std::string>());
   aTask.mPhase = aTask.mWorker.IsEmpty() ? TaskPhase::Waiting : TaskPhase::Unreported;
   aTask.mCheckpoint = aJson.at(4).get<std::string>();
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -362,7 +362,7 @@
                    const CurrentTime& aNow)
 {
   aWorker.Remove(aRun);
-  ApplyEnd(aWorker.mEntry.mId, aRun, aEnd, aCheckpoint, aNow);
+  ApplyEnd(aWorker, aRun, aEnd, aCheckpoint, aNow);
 }
 
 void
@@ -385,7 +385,7 @@
 }
 
 void
-Scheduler::ApplyEnd(const WorkerId& aWorker, const RunRef& aRun, RunEnd aEnd,
+Scheduler::ApplyEnd(const Worker& aWorker, const RunRef& aRun, RunEnd aEnd,
                     const std::string& aCheckpoint, const CurrentTime& aNow)
 {
   auto* job = FindMutable(aRun.mTask.mJob);
@@ -393,8 +393,8 @@
   if (!task || task->mPhase == TaskPhase::Done) {
     return;
   }
-  const bool isCurrent =
-    task->mPhase != TaskPhase::Waiting && task->mWorker == aWorker && task->mRun == aRun.mRun;
+  const bool isCurrent = task->mPhase != TaskPhase::Waiting &&
+                         task->mWorker == aWorker.mEntry.mId && task->mRun == aRun.mRun;
   const bool isNewEnd = aRun.mRun > task->mEndedRun;
   // Workers may report the ends of a task's runs in any order, so these count even if a later run
   // has ended.
@@ -426,7 +426,7 @@
 }
 
 void
-Scheduler::ApplyFailure(Job& aJob, const RunRef& aRun, const WorkerId& aWorker,
+Scheduler::ApplyFailure(Job& aJob, const RunRef& aRun, const Worker& aWorker,
                         const CurrentTime& aNow)
 {
   ++mCounts.mFailedRuns;
@@ -436,22 +436,29 @@
     spec.mGang
       ? aJob.FindOrCreateOccurrence(aRun.mTask.mOccurrence).mSteps[aRun.mTask.mStep].mTasks.front()
       : *task;
-  std::erase(task->mFailedWorkers, aWorker);
-  task->mFailedWorkers.push_back(aWorker);
+  const auto& id = aWorker.mEntry.mId;
+  std::erase(task->mFailedWorkers, id);
+  task->mFailedWorkers.push_back(id);
   if (task->mFailedWorkers.size() > kMaxFailedWorkers) {
     task->mFailedWorkers.erase(task->mFailedWorkers.begin());
   }
   auto& failed = counted.mFailedRuns;
-  if (spec.mLongRunning || std::find(failed.begin(), failed.end(), aRun.mRun) != failed.end()) {
+  // Several members of a gang may fail in one run, which is one attempt whatever their workers are.
+  const FailedRun failure{ aRun.mRun,
+                           spec.mGang ? WorkerIncarnation() : aWorker.mEntry.mIncarnation };
+  const bool isCounted = std::any_of(failed.begin(), failed.end(), [&failure](const auto& aFailed) {
+    return aFailed.MayBeSameAs(failure);
+  });
+  if (spec.mLongRunning || isCounted) {
     return;
   }
-  failed.push_back(aRun.mRun);
+  failed.push_back(failure);
   LogEvent("run_failed")
     .With("job", aRun.mTask.mJob)
     .With("step", aRun.mTask.mStep)
     .With("task", aRun.mTask.mIndex)
     .With("run", aRun.mRun)
-    .With("worker", aWorker)
+    .With("worker", id)
     .With("failures", failed.size())
     .With("max_attempts", aJob.Policy().mMaxAttempts);
   if (static_cast<int>(failed.size()) >= aJob.Policy().mMaxAttempts) {
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -194,11 +194,10 @@
   void DropRun(Worker& aWorker, const RunRef& aRun, RunEnd aEnd, const std::string& aCheckpoint,
                const CurrentTime& aNow);
   // Applies the end of a run to its task and job. Does nothing if the end was processed before.
-  void ApplyEnd(const WorkerId& aWorker, const RunRef& aRun, RunEnd aEnd,
+  void ApplyEnd(const Worker& aWorker, const RunRef& aRun, RunEnd aEnd,
                 const std::string& aCheckpoint, const CurrentTime& aNow);
   // Counts a failed run as an attempt, and fails the job after the last one.
-  void
-  ApplyFailure(Job& aJob, const RunRef& aRun, const WorkerId& aWorker, const CurrentTime& aNow);
+  void ApplyFailure(Job& aJob, const RunRef& aRun, const Worker& aWorker, const CurrentTime& aNow);
   // Counts a worker's failed runs in a row, and pauses new runs there if there are too many.
   void UpdateWorkerFailures(const WorkerId& aWorker, const RunRef& aRun, RunEnd aEnd,
                             const CurrentTime& aNow);
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -31,8 +31,8 @@
 HighestRun(const Task& aTask)
 {
   int highest = aTask.mRun;
-  for (const int it : aTask.mFailedRuns) {
-    highest = std::max(highest, it);
+  for (const auto& it : aTask.mFailedRuns) {
+    highest = std::max(highest, it.mRun);
   }
   return highest;
 }
--- a/tests/scheduler/FailureTests.cpp
+++ b/tests/scheduler/FailureTests.cpp
@@ -19,6 +19,44 @@
   cr_assert(f.State("j") == JobState::Failed);
 }
 
+// Guards against more attempts than a job has: a worker restarts after a run has failed there,
+// carries out a start of that run late, and the run fails again with the same number.
+Test(Scheduler, counts_a_run_that_fails_again_after_its_worker_has_restarted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  cr_assert(f.State("j") != JobState::Failed);
+  f.RestartWorker(first.mWorker);
+  f.mWorkers.at(first.mWorker).mRunning.push_back({ first.mRun, "", 0 });
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  cr_assert(f.State("j") == JobState::Failed, "the second failure didn't count");
+  cr_assert(f.Plan().mStarts.empty(), "a third run was started");
+}
+
+// Guards against a job that fails too early: several members of a gang may fail in one run, on
+// workers with different incarnations.
+Test(Scheduler, counts_a_run_of_a_gang_once_if_several_members_fail)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.RestartWorker(WorkerId("w1"));
+  f.RenewAllLeases();
+  f.StoreProgress();
+  f.Submit(f.Job("j", { f.Gang(2, 8) }));
+  const auto starts = f.Plan().mStarts;
+  cr_assert_eq(starts.size(), 2);
+  for (const auto& it : starts) {
+    f.EndRun(it.mRun, RunEnd::Failed);
+  }
+  f.RenewAllLeases();
+  cr_assert(f.State("j") != JobState::Failed);
+}
+
 Test(Scheduler, retries_a_failed_task_on_another_worker)
 {
   SchedulerFixture f;
--- a/tests/scheduler/RecordTests.cpp
+++ b/tests/scheduler/RecordTests.cpp
@@ -69,4 +69,7 @@
   cr_assert_not(isRead("\"next\":1", "\"next\":-1"));
   cr_assert_not(isRead("[[0]]", "[[[-1,0,[],\"w\",\"\"]]]"));
   cr_assert_not(isRead("[[0]]", "[[[1,1e300,[],\"w\",\"\"]]]"));
+  cr_assert_not(isRead("[[0]]", "[[[1,1,[1e300],\"\",\"\"]]]"));
+  cr_assert(isRead("[[0]]", "[[[1,1,[1],\"\",\"\",[7]]]]"));
+  cr_assert_not(isRead("[[0]]", "[[[1,1,[1],\"\",\"\",[-1]]]]"));
 }
--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -721,6 +721,46 @@
   cr_assert(orders.mStops.empty(), "the run was stopped");
 }
 
+// Guards against a job that fails too early, or makes too many attempts: workers go on to list the
+// ends of failed runs, which the former scheduler has counted.
+Test(Takeover, counts_no_failed_run_again_that_the_former_scheduler_counted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  auto job = f.Job("j", { f.Step(1, 1) });
+  job.mPolicy.mMaxAttempts = 3;
+  f.Submit(job);
+  const auto first = f.Plan().mStarts.at(0);
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  f.RestartWorker(first.mWorker);
+  f.mWorkers.at(first.mWorker).mRunning.push_back({ first.mRun, "", 0 });
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  f.TakeOver(f.StoreProgress());
+  f.RenewAllLeases();
+  cr_assert(f.State("j") != JobState::Failed, "a failed run was counted again");
+  const auto third = f.Plan().mStarts.at(0);
+  f.EndRun(third.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  cr_assert(f.State("j") == JobState::Failed, "a failed run wasn't counted any more");
+}
+
+// Guards against the same after an update: the progress of an earlier version doesn't tell on which
+// incarnations the runs have failed.
+Test(Takeover, counts_no_failed_run_again_that_an_earlier_version_counted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.TakeOver({ { JobId("j"), R"({"state":"in_progress","next":1,"done":0,"open":[)"
+                             R"({"number":0,"steps":[[[1,1,[1],"",""]]]}]})" } });
+  f.RenewAllLeases();
+  cr_assert(f.State("j") != JobState::Failed, "the failed run was counted again");
+}
+
 Test(RackRecord, reads_the_rows_of_earlier_versions)
 {
   const auto workers = ReadRackRecord(R"([["a","10.0.0.1:1"],["b","10.0.0.2:1",7,true]])");
