Count only queries in a row without a reply from the holder of a key

What callers saw: 409 "outcome_unknown" or "answer_not_kept" for a request whose key another node holds, although that node is there and answers.

Cause, read from the code: a node that waits for the answer asks the holder time and again, and takes it for gone after three queries without a reply. Replies between them didn't reset the count, so three connections that go silent in the lifetime of one request were enough.

Change: a reply resets the count.

Why it works: the limit tells apart a holder that is gone from one whose replies get lost. A holder that replies isn't gone.

Test: Claim/waits_for_a_holder_that_replies_between_lost_queries failed before (409) and passes now, with all 54 tests of test_routing.

--- a/src/routing/RequestTask.h
+++ b/src/routing/RequestTask.h
@@ -64,7 +64,7 @@
   std::optional<Claim> mClaim;
   kv::ModifyIndex mClaimIndex = 0;
   bool mClaimHeld = false;
-  // Queries to the holder of the claim that got no reply.
+  // Queries in a row to the holder of the claim that got no reply.
   int mUnreachableQueries = 0;
 
   // mAttempt is the number of the current attempt. mGeneration increases whenever a call to the
--- a/src/routing/RouterClaims.h
+++ b/src/routing/RouterClaims.h
@@ -167,11 +167,12 @@
 void
 Router<S, T, W>::OnClaimUnchanged(RequestTask& aTask, HolderStatus aHolderStatus)
 {
-  // Queries without a reply after which the holder is considered gone.
+  // Queries in a row without a reply after which the holder is considered gone.
   constexpr int kMaxUnreachable = 3;
   constexpr Duration kQueryInterval{ 200 };
-  const bool gone =
-    aHolderStatus == HolderStatus::Unreachable && ++aTask.mUnreachableQueries >= kMaxUnreachable;
+  const bool isUnreachable = aHolderStatus == HolderStatus::Unreachable;
+  aTask.mUnreachableQueries = isUnreachable ? aTask.mUnreachableQueries + 1 : 0;
+  const bool gone = aTask.mUnreachableQueries >= kMaxUnreachable;
   if (aHolderStatus != HolderStatus::Unknown && !gone) {
     aTask.mRetryAt = Now() + kQueryInterval;
     Schedule(aTask, aTask.mRetryAt);
--- a/tests/routing/ClaimTests.cpp
+++ b/tests/routing/ClaimTests.cpp
@@ -92,6 +92,35 @@
   cr_assert(f.Worker().mRequests.empty());
 }
 
+// Guards against a lost answer: the queries to a holder that is there get no reply now and then, as
+// while open connections between nodes go silent.
+Test(Claim, waits_for_a_holder_that_replies_between_lost_queries)
+{
+  constexpr int kQueries = 8;
+  Fixture f;
+  f.AddNode();
+  f.Worker().HoldRequests();
+  f.Worker().mPhase = workers::RequestPhase::Running;
+  const auto first = f.Start(kKeyed);
+  f.Until([&] { return f.Worker().mHeldResponders.size() == 1; });
+  int queries = 0;
+  for (auto& [address, handlers] : f.mNetwork.mHandlers) {
+    handlers["claim.join"] = [&](const Json&, const peer::ReplyFunction& aReply) {
+      if (++queries == kQueries) {
+        f.Worker().mHeldResponders[0].Send({ 200, {}, "late" });
+      }
+      // Every other reply is lost.
+      const auto status = queries % 2 == 0 ? HolderStatus::InProgress : HolderStatus::Unreachable;
+      aReply({ { "state", static_cast<int>(status) } });
+    };
+  }
+  const auto second = f.Finish(f.Start(kKeyed, "x", "a", 1));
+  cr_assert_eq(second.mResponse.mStatus, 200);
+  cr_assert_eq(second.mResponse.mBody, std::string("late"));
+  cr_assert_eq(f.Finish(first).mResponse.mBody, std::string("late"));
+  cr_assert_eq(f.Worker().mRequests.size(), 1);
+}
+
 Test(Claim, takes_over_a_released_claim)
 {
   Fixture f;
