--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -582,6 +582,29 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against the same if the former scheduler ended without having noticed the restart: neither
+// the stored records nor the worker, which is silent, tell of it.
+Test(Takeover, expects_the_longest_lease_of_a_worker_whose_restart_nobody_noticed)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  const WorkerId restarted("w0");
+  auto& worker = f.mWorkers.at(restarted);
+  worker.mAnswersOrders = false;
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  // The start has no answer and is carried out by the next incarnation.
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+  const auto progress = f.StoreProgress();
+  worker.mIsReachable = false;
+  f.TakeOver(progress);
+  f.AddWorkers(1);
+  f.mScheduler->OnHandedOver(f.mScheduler->MaxLeaseDuration(), true, f.mNow);
+  f.AdvanceTime(f.mSettings.mLongestLease);
+  cr_assert(f.Plan().mStarts.empty(), "the lease may not have expired");
+  f.AdvanceTime(Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against the same if the worker restarts around the takeover: the incarnation that answers
 // isn't the recorded one.
 Test(Takeover, notices_that_a_worker_is_not_the_recorded_incarnation)
