--- a/tests/scheduler/TakeoverTests.cpp
+++ b/tests/scheduler/TakeoverTests.cpp
@@ -582,6 +582,29 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against the same if the former scheduler ended without having noticed the restart: neither
+// the stored records nor the worker, which is silent, tell of it.
+Test(Takeover, expects_the_longest_lease_of_a_worker_whose_restart_nobody_noticed)
+{
+  SchedulerFixture f;
+  f.AddWorkers(1);
+  const WorkerId restarted("w0");
+  auto& worker = f.mWorkers.at(restarted);
+  worker.mAnswersOrders = false;
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  // The start has no answer and is carried out by the next incarnation.
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+  const auto progress = f.StoreProgress();
+  worker.mIsReachable = false;
+  f.TakeOver(progress);
+  f.AddWorkers(1);
+  f.mScheduler->OnHandedOver(f.mScheduler->MaxLeaseDuration(), true, f.mNow);
+  f.AdvanceTime(f.mSettings.mLongestLease);
+  cr_assert(f.Plan().mStarts.empty(), "the lease may not have expired");
+  f.AdvanceTime(Duration(500));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against the same if the worker restarts around the takeover: the incarnation that answers
 // isn't the recorded one.
 Test(Takeover, notices_that_a_worker_is_not_the_recorded_incarnation)
@@ -721,6 +744,46 @@
   cr_assert(orders.mStops.empty(), "the run was stopped");
 }
 
+// Guards against a job that fails too early, or makes too many attempts: workers go on to list the
+// ends of failed runs, which the former scheduler has counted.
+Test(Takeover, counts_no_failed_run_again_that_the_former_scheduler_counted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  auto job = f.Job("j", { f.Step(1, 1) });
+  job.mPolicy.mMaxAttempts = 3;
+  f.Submit(job);
+  const auto first = f.Plan().mStarts.at(0);
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  f.RestartWorker(first.mWorker);
+  f.mWorkers.at(first.mWorker).mRunning.push_back({ first.mRun, "", 0 });
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  f.TakeOver(f.StoreProgress());
+  f.RenewAllLeases();
+  cr_assert(f.State("j") != JobState::Failed, "a failed run was counted again");
+  const auto third = f.Plan().mStarts.at(0);
+  f.EndRun(third.mRun, RunEnd::Failed);
+  f.RenewAllLeases();
+  cr_assert(f.State("j") == JobState::Failed, "a failed run wasn't counted any more");
+}
+
+// Guards against the same after an update: the progress of an earlier version doesn't tell on which
+// incarnations the runs have failed.
+Test(Takeover, counts_no_failed_run_again_that_an_earlier_version_counted)
+{
+  SchedulerFixture f;
+  f.AddWorkers(2);
+  f.Submit(f.Job("j", { f.Step(1, 1) }));
+  const auto first = f.Plan().mStarts.at(0);
+  f.EndRun(first.mRun, RunEnd::Failed);
+  f.TakeOver({ { JobId("j"), R"({"state":"in_progress","next":1,"done":0,"open":[)"
+                             R"({"number":0,"steps":[[[1,1,[1],"",""]]]}]})" } });
+  f.RenewAllLeases();
+  cr_assert(f.State("j") != JobState::Failed, "the failed run was counted again");
+}
+
 Test(RackRecord, reads_the_rows_of_earlier_versions)
 {
   const auto workers = ReadRackRecord(R"([["a","10.0.0.1:1"],["b","10.0.0.2:1",7,true]])");
