Give the platform stand-in's workers a capacity and racks

The stand-in gave each worker a rack of its own and 8 cores, counted each task as one accelerator and accepted any start, so that no test could show what a scheduler does with room that is scarce in more than one resource, or that it overbooks a worker.

CPU, memory, accelerators and workers a rack are options now, with the former values as defaults. An order to start a task doesn't say what it takes, so tests tell the stand-in of each job before they submit it; a start over the capacity is refused. A task of a job that the stand-in wasn't told of takes one accelerator.

--- a/src/standin/platform/IdleJobCheck.h
+++ b/src/standin/platform/IdleJobCheck.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "standin/platform/JobTable.h"
 #include "standin/platform/RunLedger.h"
 
 #include <cstddef>
@@ -10,14 +11,6 @@
 
 namespace lovagerock::standin {
 
-// A step of a job: its number of tasks, each of which takes one accelerator, and the steps that
-// have to be done before it.
-struct JobStep
-{
-  int mTasks = 0;
-  std::vector<std::size_t> mAfter;
-};
-
 // Finds accepted jobs that nothing runs of, although a task could start and workers have room for
 // it. Time counts only while nothing disrupts the system.
 //
--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -31,14 +31,16 @@
 
 } // namespace
 
-PlatformControl::PlatformControl(EventLoop& aLoop, int aWorkers)
+PlatformControl::PlatformControl(EventLoop& aLoop, const FleetShape& aShape)
   : mLoop(aLoop)
   , mStore(aLoop)
   , mServer(aLoop)
 {
-  for (int i = 0; i < aWorkers; ++i) {
-    const auto id = "worker-" + std::to_string(i);
-    mPlaces[id].mWorker = NewWorker(id);
+  for (int i = 0; i < aShape.mWorkers; ++i) {
+    const auto spec = aShape.Worker(i);
+    auto& place = mPlaces[spec.mId];
+    place.mSpec = spec;
+    place.mWorker = NewWorker(spec);
   }
   mServer.Handle(http::Method::Post, "/configuration",
                  [this](const http::Request& aRequest, http::Responder aTo) {
@@ -49,6 +51,7 @@
   HandleCommand("/drain", &PlatformControl::OnDrain);
   HandleCommand("/restart", &PlatformControl::OnRestart);
   HandleCommand("/completion-shown", &PlatformControl::OnCompletionShown);
+  HandleCommand("/job-submitted", &PlatformControl::OnJobSubmitted);
   HandleCommand("/job-accepted", &PlatformControl::OnJobAccepted);
   HandleCommand("/disruption", &PlatformControl::OnDisruption);
   mServer.Handle(http::Method::Get, "/ledger", [this](const http::Request&, http::Responder aTo) {
@@ -67,10 +70,11 @@
 }
 
 std::unique_ptr<PlatformWorker>
-PlatformControl::NewWorker(const std::string& aId)
+PlatformControl::NewWorker(const WorkerSpec& aSpec)
 {
   return std::make_unique<PlatformWorker>(
-    mLoop, aId, mLedger, [this, aId](const WorkerCall& aCall) { DelayCall(aId, aCall); });
+    mLoop, aSpec, mState,
+    [this, id = aSpec.mId](const WorkerCall& aCall) { DelayCall(id, aCall); });
 }
 
 std::error_code
@@ -96,7 +100,8 @@
       RegisterAll();
     }
   });
-  mIdleJobTick = mLoop.Every(kIdleJobPeriod, [this] { mIdleJobs.Look(mLedger, Room(), Now()); });
+  mIdleJobTick =
+    mLoop.Every(kIdleJobPeriod, [this] { mIdleJobs.Look(mState.mLedger, Room(), Now()); });
   return {};
 }
 
@@ -214,7 +219,7 @@
   // The former life must have closed its port.
   place.mWorker.reset();
   place.mLeaving.Cancel();
-  place.mWorker = NewWorker(id);
+  place.mWorker = NewWorker(place.mSpec);
   place.mRestartedAt = std::chrono::steady_clock::now();
   LogEvent("worker_restarted").With("worker", id);
   if (const auto ec = place.mWorker->Listen(place.mAddress)) {
@@ -230,18 +235,22 @@
 void
 PlatformControl::OnCompletionShown(const Json& aBody)
 {
-  mLedger.OnCompletionShown(JsonValue(aBody, "job", std::string()));
+  mState.mLedger.OnCompletionShown(JsonValue(aBody, "job", std::string()));
+}
+
+void
+PlatformControl::OnJobSubmitted(const Json& aBody)
+{
+  mState.mJobs.Add(JsonValue(aBody, "job", std::string()),
+                   ReadSteps(JsonValue(aBody, "steps", Json::array())));
 }
 
 void
 PlatformControl::OnJobAccepted(const Json& aBody)
 {
-  std::vector<JobStep> steps;
-  for (const auto& it : JsonValue(aBody, "steps", Json::array())) {
-    steps.push_back(
-      { JsonValue(it, "count", 0), JsonValue(it, "after", std::vector<std::size_t>()) });
-  }
-  mIdleJobs.OnAccepted(JsonValue(aBody, "job", std::string()), std::move(steps), Now());
+  OnJobSubmitted(aBody);
+  mIdleJobs.OnAccepted(JsonValue(aBody, "job", std::string()),
+                       ReadSteps(JsonValue(aBody, "steps", Json::array())), Now());
 }
 
 void
@@ -259,13 +268,15 @@
 int
 PlatformControl::Room() const
 {
-  int room = 0;
+  Accelerators room;
   for (const auto& [id, place] : mPlaces) {
-    if (place.mWorker && !place.mRegistration.IsPending() && !mUnregistered.contains(id)) {
-      room += place.mWorker->Room();
+    if (place.mWorker && place.mWorker->IsUsable() && !place.mRegistration.IsPending() &&
+        !mUnregistered.contains(id)) {
+      const auto free = place.mWorker->Total() - place.mWorker->InUse();
+      room += std::max(Accelerators(0), free.mAccelerators);
     }
   }
-  return room;
+  return static_cast<int>(room.Value());
 }
 
 void
@@ -307,9 +318,9 @@
       late[id] = count;
     }
   }
-  return { { "starts", mLedger.AllStarts() },
-           { "running", mLedger.Running() },
-           { "violations", mLedger.Violations() },
+  return { { "starts", mState.mLedger.AllStarts() },
+           { "running", mState.mLedger.Running() },
+           { "violations", mState.mLedger.Violations() },
            { "idle_jobs", mIdleJobs.Violations() },
            { "late_starts", late } };
 }
--- a/src/standin/platform/PlatformControl.h
+++ b/src/standin/platform/PlatformControl.h
@@ -3,10 +3,11 @@
 #include "base/EventLoop.h"
 #include "base/Json.h"
 #include "http/HttpServer.h"
+#include "standin/platform/FleetShape.h"
 #include "standin/platform/IdleJobCheck.h"
 #include "standin/platform/MetadataService.h"
+#include "standin/platform/PlatformState.h"
 #include "standin/platform/PlatformWorker.h"
-#include "standin/platform/RunLedger.h"
 
 #include <map>
 #include <memory>
@@ -30,8 +31,10 @@
 //   POST /restart          {"worker", "register_after_ms"}: crashes and starts again at once under
 //                          the same id; registers after that time
 //   POST /completion-shown {"job"}: a caller was told that the job is completed
-//   POST /job-accepted     {"job", "steps": [{"count", "after": [step]}]}: a caller was told that
-//                          the job is accepted; each of its tasks needs one accelerator
+//   POST /job-submitted    {"job", "steps"}: a caller is about to submit the job, with the steps as
+//                          it describes them. Tells workers what its tasks take
+//   POST /job-accepted     {"job", "steps"}: a caller was told that the job is accepted. A step
+//                          without cpu, mem_mb and gpu needs one accelerator a task
 //   POST /disruption       {"lasts"}: something other than workers is disrupted or works again, and
 //                          whether a disruption goes on
 //   GET  /ledger           {"starts": {task: count}, "running": {task: worker},
@@ -41,7 +44,7 @@
 class PlatformControl
 {
 public:
-  PlatformControl(EventLoop& aLoop, int aWorkers);
+  PlatformControl(EventLoop& aLoop, const FleetShape& aShape);
 
   // Workers listen on the ports after the control address.
   std::error_code
@@ -51,6 +54,7 @@
   // A worker id and the address that belongs to it, in all its lives.
   struct Place
   {
+    WorkerSpec mSpec;
     SocketAddress mAddress;
     // Null once the worker has left for good.
     std::unique_ptr<PlatformWorker> mWorker;
@@ -63,13 +67,14 @@
   using Command = void (PlatformControl::*)(const Json&);
 
   void HandleCommand(const char* aPattern, Command aCommand);
-  std::unique_ptr<PlatformWorker> NewWorker(const std::string& aId);
+  std::unique_ptr<PlatformWorker> NewWorker(const WorkerSpec& aSpec);
   void OnFaults(const Json& aFaults);
   void SetWorkerFaults(const Json& aFaults);
   void SetUnregistered(std::set<std::string> aWorkers);
   void OnDrain(const Json& aBody);
   void OnRestart(const Json& aBody);
   void OnCompletionShown(const Json& aBody);
+  void OnJobSubmitted(const Json& aBody);
   void OnJobAccepted(const Json& aBody);
   void OnDisruption(const Json& aBody);
   // A worker was disrupted or works again.
@@ -87,7 +92,7 @@
   Json Ledger() const;
 
   EventLoop& mLoop;
-  RunLedger mLedger;
+  PlatformState mState;
   IdleJobCheck mIdleJobs;
   MetadataService mStore;
   std::map<std::string, Place> mPlaces;
--- a/src/standin/platform/PlatformWorker.cpp
+++ b/src/standin/platform/PlatformWorker.cpp
@@ -12,7 +12,6 @@
 constexpr Duration kTick{ 10 };
 // The longest lease that a worker grants.
 constexpr std::int64_t kLongestLeaseMs = 10000;
-constexpr int kAccelerators = 8;
 // How a run ends whose task is done.
 constexpr const char* kDone = "done";
 
@@ -29,13 +28,14 @@
 
 } // namespace
 
-PlatformWorker::PlatformWorker(EventLoop& aLoop, std::string aId, RunLedger& aLedger,
+PlatformWorker::PlatformWorker(EventLoop& aLoop, WorkerSpec aSpec, PlatformState& aState,
                                DelayCall aDelayCall)
-  : mId(std::move(aId))
-  , mLedger(aLedger)
+  : mSpec(std::move(aSpec))
+  , mState(aState)
+  , mLedger(aState.mLedger)
   , mLoop(aLoop)
   , mStarted(std::chrono::steady_clock::now())
-  , mBirthMs(aLedger.OnWorkerBorn(mId, WallClockMs()))
+  , mBirthMs(mLedger.OnWorkerBorn(mSpec.mId, WallClockMs()))
   , mDelayCall(std::move(aDelayCall))
   , mServer(aLoop)
 {
@@ -47,7 +47,7 @@
 
 PlatformWorker::~PlatformWorker()
 {
-  mLedger.OnWorkerGone(mId);
+  mLedger.OnWorkerGone(mSpec.mId);
 }
 
 std::string
@@ -57,8 +57,11 @@
               { "address", mServer.Address().ToString() },
               { "zone", "z" },
               { "state", mLeavesAtMs ? "draining" : "ready" },
-              { "capacity", { { "cpu", 8000 }, { "mem_mb", 8000 }, { "gpu", kAccelerators } } },
-              { "labels", { mId, "rack-" + mId } },
+              { "capacity",
+                { { "cpu", mSpec.mCapacity.mCpu.Value() },
+                  { "mem_mb", mSpec.mCapacity.mMemory.Value() },
+                  { "gpu", mSpec.mCapacity.mAccelerators.Value() } } },
+              { "labels", { mSpec.mId, mSpec.mRack } },
               { "born", mBirthMs } };
   if (mLeavesAtMs) {
     entry["remaining_ms"] = std::max<std::int64_t>(0, *mLeavesAtMs - ClockMs());
@@ -66,13 +69,14 @@
   return DumpJson(entry);
 }
 
-int
-PlatformWorker::Room() const
+Capacity
+PlatformWorker::InUse() const
 {
-  if (mLeavesAtMs || mFaults.mSilent) {
-    return 0;
+  Capacity sum;
+  for (const auto& [run, timer] : mRunning) {
+    sum += mState.mJobs.StepOfTask(run.first).mDemand;
   }
-  return std::max(0, kAccelerators - static_cast<int>(mRunning.size()));
+  return sum;
 }
 
 void
@@ -91,7 +95,7 @@
         mUnanswered.push_back(aTo);
         return;
       }
-      if (aRequest.mHeaders.Get("Expected-Instance") != mId) {
+      if (aRequest.mHeaders.Get("Expected-Instance") != mSpec.mId) {
         aTo.Send({ 421, {}, "" });
         return;
       }
@@ -206,8 +210,11 @@
       it != mHighestEnded.end() && run.second <= it->second) {
     return "old";
   }
+  if (!mState.mJobs.StepOfTask(run.first).mDemand.FitsInto(Total() - InUse())) {
+    return "room";
+  }
   const auto time = TaskTime(run.first, JsonValue(aBody, "spec", std::string()));
-  mLedger.OnStart(mId, run.first, run.second);
+  mLedger.OnStart(mSpec.mId, run.first, run.second);
   mRunning[run] = mLoop.After(time, [this, run] { End(run, kDone); });
   return nullptr;
 }
@@ -231,7 +238,7 @@
   std::erase_if(mEnded, [this, seen](const auto& aIt) {
     const bool isSeen = aIt.mNumber <= seen;
     if (isSeen) {
-      mLedger.OnAcknowledged(mId, aIt.mRun.first, aIt.mRun.second);
+      mLedger.OnAcknowledged(mSpec.mId, aIt.mRun.first, aIt.mRun.second);
     }
     return isSeen;
   });
@@ -266,7 +273,7 @@
   auto& highest = mHighestEnded[run.first];
   highest = std::max(highest, run.second);
   mEnded.push_back({ ++mEnds, run, aHow });
-  mLedger.OnEnd(mId, run.first, run.second, std::string_view(aHow) == kDone);
+  mLedger.OnEnd(mSpec.mId, run.first, run.second, std::string_view(aHow) == kDone);
   if (!mFaults.mSilent) {
     for (const auto& it : std::exchange(mHolds, {})) {
       AnswerHold(it.mResponder);
@@ -283,7 +290,7 @@
   while (!mRunning.empty()) {
     End(mRunning.begin()->first, "lapsed");
   }
-  mLedger.OnLeaseExpired(mId);
+  mLedger.OnLeaseExpired(mSpec.mId);
 }
 
 void
--- a/src/standin/platform/PlatformWorker.h
+++ b/src/standin/platform/PlatformWorker.h
@@ -3,7 +3,8 @@
 #include "base/EventLoop.h"
 #include "base/Json.h"
 #include "http/HttpServer.h"
-#include "standin/platform/RunLedger.h"
+#include "standin/platform/FleetShape.h"
+#include "standin/platform/PlatformState.h"
 
 #include <cstdint>
 #include <functional>
@@ -46,25 +47,29 @@
 };
 
 // One life of a worker of the users' platform. A task's payload is the time that it takes, in
-// milliseconds, or a list of such times by step. The destructor ends the worker as a crash does.
+// milliseconds, or a list of such times by step. A start for which the worker has too little room
+// is refused. The destructor ends the worker as a crash does.
 class PlatformWorker
 {
 public:
   using DelayCall = std::function<void(const WorkerCall&)>;
 
   // The function receives the late calls.
-  PlatformWorker(EventLoop& aLoop, std::string aId, RunLedger& aLedger, DelayCall aDelayCall);
+  PlatformWorker(EventLoop& aLoop, WorkerSpec aSpec, PlatformState& aState, DelayCall aDelayCall);
   ~PlatformWorker();
   PlatformWorker(const PlatformWorker&) = delete;
   PlatformWorker& operator=(const PlatformWorker&) = delete;
 
   std::error_code Listen(const SocketAddress& aAddress) { return mServer.Listen(aAddress); }
-  const std::string& Id() const { return mId; }
+  const std::string& Id() const { return mSpec.mId; }
   // What it writes into the registry. Its labels are its id and its rack.
   std::string Entry() const;
   WorkerFaults& Faults() { return mFaults; }
-  // The accelerators that are free for new tasks, each of which takes one.
-  int Room() const;
+  const Capacity& Total() const { return mSpec.mCapacity; }
+  // What its runs take.
+  Capacity InUse() const;
+  // Whether it takes new tasks.
+  bool IsUsable() const { return !mLeavesAtMs && !mFaults.mSilent; }
   // Registers as draining from now on, with the time until it leaves.
   void Drain(Duration aRemaining);
   // Carries out a call that nobody waits for any more. Returns the reason if it is refused, else
@@ -106,7 +111,8 @@
   void Refuse(const http::Responder& aTo, const char* aReason) const;
   std::int64_t ClockMs() const;
 
-  std::string mId;
+  WorkerSpec mSpec;
+  PlatformState& mState;
   RunLedger& mLedger;
   EventLoop& mLoop;
   TimePoint mStarted;
--- a/src/standin/platform/RunLedger.cpp
+++ b/src/standin/platform/RunLedger.cpp
@@ -1,33 +1,11 @@
 #include "standin/platform/RunLedger.h"
 
-#include "base/Json.h"
+#include "standin/platform/JobTable.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace lovagerock::standin {
 
-namespace {
-
-// A task's name begins with its job's.
-std::string
-JobOf(const std::string& aTask)
-{
-  return aTask.substr(0, aTask.find('.'));
-}
-
-} // namespace
-
-std::size_t
-StepOf(const std::string& aTask)
-{
-  const auto end = aTask.rfind('.');
-  const auto begin = end == std::string::npos ? end : aTask.rfind('.', end - 1);
-  const auto step =
-    begin == std::string::npos ? std::nullopt : ParseJson(aTask.substr(begin + 1, end - begin - 1));
-  return step && step->is_number_unsigned() ? step->get<std::size_t>() : 0;
-}
-
 std::int64_t
 RunLedger::OnWorkerBorn(const std::string& aWorker, std::int64_t aNowMs)
 {
--- a/src/standin/platform/RunLedger.h
+++ b/src/standin/platform/RunLedger.h
@@ -9,10 +9,6 @@
 
 namespace lovagerock::standin {
 
-// The step in a task's name, which is JOB.OCCURRENCE.STEP.INDEX.
-std::size_t
-StepOf(const std::string& aTask);
-
 // The runs of a job's tasks.
 struct JobRuns
 {
--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -55,18 +55,15 @@
 
 } // namespace
 
-EdgeSystem::EdgeSystem(int aNodes, int aWorkers)
+EdgeSystem::EdgeSystem(int aNodes, const WorkerFleet& aWorkers)
 {
   mDirectory = (std::filesystem::temp_directory_path() / "lovagerock-XXXXXX").string();
   Require(mkdtemp(mDirectory.data()) != nullptr, "can't create a temporary directory");
   mStore = FreeAddress(aNodes + 1);
-  mControl = FreeAddress(aWorkers + 1);
-  mPlatform = std::make_unique<Process>(
-    "platform", std::string(LOVAGEROCK_PROGRAMS) + "/lovagerock-platform",
-    std::vector<std::string>{ "--store", mStore.ToString(), "--store-addresses",
-                              std::to_string(aNodes + 1), "--control", mControl.ToString(),
-                              "--workers", std::to_string(aWorkers) },
-    mDirectory + "/platform.log");
+  mControl = FreeAddress(aWorkers.mCount + 1);
+  mPlatform =
+    std::make_unique<Process>("platform", std::string(LOVAGEROCK_PROGRAMS) + "/lovagerock-platform",
+                              PlatformArguments(aNodes, aWorkers), mDirectory + "/platform.log");
   AwaitTrue("the configuration to be written", [this] {
     return mCaller.Post(mControl, "/configuration", DumpJson(Configuration())).Is(200);
   });
@@ -79,6 +76,27 @@
   }
 }
 
+std::vector<std::string>
+EdgeSystem::PlatformArguments(int aNodes, const WorkerFleet& aWorkers) const
+{
+  return { "--store",
+           mStore.ToString(),
+           "--store-addresses",
+           std::to_string(aNodes + 1),
+           "--control",
+           mControl.ToString(),
+           "--workers",
+           std::to_string(aWorkers.mCount),
+           "--workers-per-rack",
+           std::to_string(aWorkers.mPerRack),
+           "--worker-cpu-millicores",
+           std::to_string(aWorkers.mMilliCores),
+           "--worker-memory-mb",
+           std::to_string(aWorkers.mMemoryMb),
+           "--worker-accelerators",
+           std::to_string(aWorkers.mAccelerators) };
+}
+
 EdgeSystem::~EdgeSystem()
 {
   for (auto& it : mNodes) {
@@ -215,13 +233,23 @@
 EdgeSystem::SubmitPayload(int aNode, const std::string& aJob, const Json& aSteps,
                           const Json& aPayload)
 {
+  Announce(mCaller, aJob, aSteps);
   return mCaller.Call(SubmitCall(aNode, aJob, aSteps, aPayload));
 }
 
+void
+EdgeSystem::Announce(HttpCaller& aCaller, const std::string& aJob, const Json& aSteps) const
+{
+  const auto report =
+    aCaller.Post(mControl, "/job-submitted", DumpJson({ { "job", aJob }, { "steps", aSteps } }));
+  Require(report.Is(200), "the platform took no report of a job: " + report.Describe());
+}
+
 bool
 EdgeSystem::SubmitChecked(HttpCaller& aCaller, int aNode, const std::string& aJob,
                           const Json& aSteps, std::chrono::milliseconds aTaskTime) const
 {
+  Announce(aCaller, aJob, aSteps);
   if (!aCaller.Call(SubmitCall(aNode, aJob, aSteps, aTaskTime.count())).Is(200)) {
     return false;
   }
@@ -383,7 +411,7 @@
 }
 
 void
-RunWithEdges(int aNodes, int aWorkers, const std::function<void(EdgeSystem&)>& aTest)
+RunWithEdges(int aNodes, const WorkerFleet& aWorkers, const std::function<void(EdgeSystem&)>& aTest)
 {
   std::string failure;
   try {
@@ -400,4 +428,12 @@
   cr_assert(failure.empty(), "%s", failure.c_str());
 }
 
+void
+RunWithEdges(int aNodes, int aWorkers, const std::function<void(EdgeSystem&)>& aTest)
+{
+  WorkerFleet workers;
+  workers.mCount = aWorkers;
+  RunWithEdges(aNodes, workers, aTest);
+}
+
 } // namespace lovagerock::integration
--- a/tests/integration/EdgeSystem.h
+++ b/tests/integration/EdgeSystem.h
@@ -14,14 +14,24 @@
 
 namespace lovagerock::integration {
 
-// Entry nodes on the stand-in for the users' platform, which has a store and workers of 8
-// accelerators. Each node has an address of the store of its own. All functions end the test on
-// failure. The destructor ends all processes.
+// The workers of the stand-in for the users' platform.
+struct WorkerFleet
+{
+  int mCount = 0;
+  int mPerRack = 1;
+  int mMilliCores = 8000;
+  int mMemoryMb = 8000;
+  int mAccelerators = 8;
+};
+
+// Entry nodes on the stand-in for the users' platform, which has a store and workers. Each node has
+// an address of the store of its own. All functions end the test on failure. The destructor ends
+// all processes.
 class EdgeSystem
 {
 public:
   // Starts everything and waits until all nodes are ready.
-  EdgeSystem(int aNodes, int aWorkers);
+  EdgeSystem(int aNodes, const WorkerFleet& aWorkers);
   ~EdgeSystem();
   EdgeSystem(const EdgeSystem&) = delete;
   EdgeSystem& operator=(const EdgeSystem&) = delete;
@@ -90,8 +100,12 @@
     std::unique_ptr<Process> mProcess;
   };
 
+  std::vector<std::string> PlatformArguments(int aNodes, const WorkerFleet& aWorkers) const;
   http::ClientRequest
   SubmitCall(int aNode, const std::string& aJob, const Json& aSteps, const Json& aPayload) const;
+  // Tells the platform what the tasks of a job take, before it is submitted, so that workers know
+  // it when the first start arrives.
+  void Announce(HttpCaller& aCaller, const std::string& aJob, const Json& aSteps) const;
   CallResult
   SubmitPayload(int aNode, const std::string& aJob, const Json& aSteps, const Json& aPayload);
   // Tells the platform that a node or its way to the store has changed.
@@ -115,6 +129,10 @@
 // Runs the test with a fresh system. A TestFailure ends all processes, prints the ends of their
 // logs and fails the Criterion test.
 void
+RunWithEdges(int aNodes, const WorkerFleet& aWorkers,
+             const std::function<void(EdgeSystem&)>& aTest);
+// The same with workers of 8 accelerators, each in a rack of its own.
+void
 RunWithEdges(int aNodes, int aWorkers, const std::function<void(EdgeSystem&)>& aTest);
 
 } // namespace lovagerock::integration
--- a/tests/standin/PlatformControlTests.cpp
+++ b/tests/standin/PlatformControlTests.cpp
@@ -27,7 +27,7 @@
   explicit PlatformFixture(int aWorkers)
     : mControl(integration::FreeAddress(aWorkers + 1))
     , mStore(integration::FreeAddress())
-    , mPlatform(mLoop, aWorkers)
+    , mPlatform(mLoop, FleetShape{ aWorkers })
   {
     cr_assert_not(mPlatform.Listen(mStore, 1, mControl));
   }
--- a/tests/standin/PlatformWorkerTests.cpp
+++ b/tests/standin/PlatformWorkerTests.cpp
@@ -22,7 +22,7 @@
 constexpr Duration kWaitLimit{ 30000 };
 constexpr std::int64_t kLeaseMs = 9000;
 
-// A worker with the id "w" and a caller.
+// A worker with the id "w", 4 cores, 4000 MiB and 4 accelerators, and a caller.
 struct WorkerFixture
 {
   WorkerFixture() { Restart(); }
@@ -32,7 +32,7 @@
   {
     mWorker.reset();
     mWorker = std::make_unique<PlatformWorker>(
-      mLoop, "w", mLedger, [this](const WorkerCall& aCall) { mLateCalls.push_back(aCall); });
+      mLoop, mSpec, mState, [this](const WorkerCall& aCall) { mLateCalls.push_back(aCall); });
     cr_assert_not(mWorker->Listen(mAddress));
     if (mAddress.Port() == 0) {
       const auto entry = ParseJson(mWorker->Entry()).value();
@@ -68,15 +68,24 @@
     return Call("run-start", StartBody(aRun, aToken, aTime));
   }
 
-  static Json StartBody(int aRun, std::int64_t aToken, const Json& aTime)
+  static Json
+  StartBody(int aRun, std::int64_t aToken, const Json& aTime, const std::string& aTask = kTask)
   {
-    return { { "task", kTask },
+    return { { "task", aTask },
              { "run", aRun },
              { "spec", DumpJson(aTime) },
              { "deadline_ms", kLeaseMs },
              { "fencing_token", aToken } };
   }
 
+  // Starts the first run of the task, which takes long. Returns the reason if that is refused.
+  std::string StartLong(const std::string& aTask)
+  {
+    const auto answer = Call("run-start", StartBody(1, 1, 60000, aTask));
+    cr_assert(answer.has_value());
+    return JsonValue(*answer, "reason", std::string());
+  }
+
   Json Hold(std::int64_t aToken, std::int64_t aSeen = 0)
   {
     const auto answer = Call("hold", { { "fencing_token", aToken }, { "last_seen", aSeen } });
@@ -97,7 +106,9 @@
   }
 
   EventLoop mLoop;
-  RunLedger mLedger;
+  WorkerSpec mSpec{ "w", "rack-w", { MilliCores(4000), MemoryMiB(4000), Accelerators(4) } };
+  PlatformState mState;
+  RunLedger& mLedger = mState.mLedger;
   SocketAddress mAddress{ "127.0.0.1", 0 };
   std::vector<WorkerCall> mLateCalls;
   std::unique_ptr<PlatformWorker> mWorker;
@@ -178,3 +189,47 @@
   f.Hold(1, 1);
   cr_assert_eq(f.mLedger.Violations().size(), 1);
 }
+
+// Guards against a stand-in that accepts work for which a worker has too little of anything, so
+// that a scheduler which overbooks workers goes unnoticed.
+Test(PlatformWorker, refuses_a_start_over_its_capacity)
+{
+  WorkerFixture f;
+  const auto add = [&f](const std::string& aJob, const Capacity& aDemand) {
+    f.mState.mJobs.Add(aJob, { { 2, {}, aDemand } });
+  };
+  add("cpu", { MilliCores(2500), MemoryMiB(1), Accelerators(0) });
+  add("memory", { MilliCores(1), MemoryMiB(2500), Accelerators(0) });
+  add("accelerators", { MilliCores(1), MemoryMiB(1), Accelerators(3) });
+  for (const std::string job : { "cpu", "memory", "accelerators" }) {
+    cr_assert_eq(f.StartLong(job + ".0.0.0"), std::string());
+    cr_assert_eq(f.StartLong(job + ".0.0.1"), std::string("room"));
+  }
+  // A repeated order isn't a new start.
+  cr_assert_eq(f.StartLong("cpu.0.0.0"), std::string());
+  f.Call("run-stop", { { "task", "cpu.0.0.0" }, { "run", 1 }, { "fencing_token", 1 } });
+  cr_assert_eq(f.StartLong("cpu.0.0.1"), std::string());
+}
+
+// Guards against tasks that take nothing because nobody has said what they need.
+Test(PlatformWorker, counts_an_unknown_task_as_one_accelerator)
+{
+  WorkerFixture f;
+  for (const std::string index : { "0", "1", "2", "3" }) {
+    cr_assert_eq(f.StartLong("unknown.0.0." + index), std::string());
+  }
+  cr_assert_eq(f.mWorker->InUse().mAccelerators.Value(), 4);
+  cr_assert_eq(f.StartLong("unknown.0.0.4"), std::string("room"));
+}
+
+// Guards against a worker that registers another capacity or rack than it was given.
+Test(PlatformWorker, registers_its_capacity_and_rack)
+{
+  WorkerFixture f;
+  const auto entry = ParseJson(f.mWorker->Entry()).value();
+  const auto capacity = entry.at("capacity");
+  cr_assert_eq(capacity.at("cpu").get<int>(), 4000);
+  cr_assert_eq(capacity.at("mem_mb").get<int>(), 4000);
+  cr_assert_eq(capacity.at("gpu").get<int>(), 4);
+  cr_assert_eq(entry.at("labels").at(1).get<std::string>(), std::string("rack-w"));
+}
