Let gangs work together on the platform stand-in

The members of a gang ran and ended one by one, so a gang that was started in part, or spread over racks, went unnoticed.

The members of one run work from the moment when all of them are present and are done together.

--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -33,6 +33,7 @@
 
 PlatformControl::PlatformControl(EventLoop& aLoop, const FleetShape& aShape)
   : mLoop(aLoop)
+  , mState(aLoop)
   , mStore(aLoop)
   , mServer(aLoop)
 {
--- a/src/standin/platform/PlatformState.h
+++ b/src/standin/platform/PlatformState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "standin/platform/GangTable.h"
 #include "standin/platform/JobTable.h"
 #include "standin/platform/RunLedger.h"
 
@@ -8,8 +9,14 @@
 // What all workers of a platform share.
 struct PlatformState
 {
+  explicit PlatformState(EventLoop& aLoop)
+    : mGangs(aLoop)
+  {
+  }
+
   RunLedger mLedger;
   JobTable mJobs;
+  GangTable mGangs;
 };
 
 } // namespace lovagerock::standin
--- a/src/standin/platform/PlatformWorker.cpp
+++ b/src/standin/platform/PlatformWorker.cpp
@@ -12,8 +12,6 @@
 constexpr Duration kTick{ 10 };
 // The longest lease that a worker grants.
 constexpr std::int64_t kLongestLeaseMs = 10000;
-// How a run ends whose task is done.
-constexpr const char* kDone = "done";
 
 // The time that a task takes.
 Duration
@@ -48,6 +46,7 @@
 PlatformWorker::~PlatformWorker()
 {
   mLedger.OnWorkerGone(mSpec.mId);
+  mState.mGangs.OnWorkerGone(mSpec.mId);
 }
 
 std::string
@@ -210,12 +209,20 @@
       it != mHighestEnded.end() && run.second <= it->second) {
     return "old";
   }
-  if (!mState.mJobs.StepOfTask(run.first).mDemand.FitsInto(Total() - InUse())) {
+  const auto& step = mState.mJobs.StepOfTask(run.first);
+  if (!step.mDemand.FitsInto(Total() - InUse())) {
     return "room";
   }
   const auto time = TaskTime(run.first, JsonValue(aBody, "spec", std::string()));
   mLedger.OnStart(mSpec.mId, run.first, run.second);
-  mRunning[run] = mLoop.After(time, [this, run] { End(run, kDone); });
+  if (step.mIsGang) {
+    mRunning[run] = Timer();
+    mState.mGangs.Join(step, time,
+                       { run.first, run.second, mSpec.mId, mSpec.mRack,
+                         [this, run](const char* aHow) { End(run, aHow); } });
+  } else {
+    mRunning[run] = mLoop.After(time, [this, run] { End(run, run_end::kDone); });
+  }
   return nullptr;
 }
 
@@ -226,7 +233,7 @@
   auto& highest = mHighestEnded[run.first];
   highest = std::max(highest, run.second);
   if (mRunning.contains(run)) {
-    End(run, "stopped");
+    End(run, run_end::kStopped);
   }
 }
 
@@ -253,7 +260,7 @@
   }
   Json finished = Json::array();
   for (const auto& it : mEnded) {
-    if (it.mHow == kDone) {
+    if (it.mHow == run_end::kDone) {
       mLedger.OnDoneListed(it.mRun.first);
     }
     finished.push_back(Json::array({ it.mNumber, it.mRun.first, it.mRun.second, it.mHow, "" }));
@@ -273,7 +280,8 @@
   auto& highest = mHighestEnded[run.first];
   highest = std::max(highest, run.second);
   mEnded.push_back({ ++mEnds, run, aHow });
-  mLedger.OnEnd(mSpec.mId, run.first, run.second, std::string_view(aHow) == kDone);
+  mLedger.OnEnd(mSpec.mId, run.first, run.second, std::string_view(aHow) == run_end::kDone);
+  mState.mGangs.OnEnd(run.first, run.second, mSpec.mId);
   if (!mFaults.mSilent) {
     for (const auto& it : std::exchange(mHolds, {})) {
       AnswerHold(it.mResponder);
@@ -288,7 +296,7 @@
     return;
   }
   while (!mRunning.empty()) {
-    End(mRunning.begin()->first, "lapsed");
+    End(mRunning.begin()->first, run_end::kLeaseExpired);
   }
   mLedger.OnLeaseExpired(mSpec.mId);
 }
--- a/src/standin/platform/PlatformWorker.h
+++ b/src/standin/platform/PlatformWorker.h
@@ -48,7 +48,8 @@
 
 // One life of a worker of the users' platform. A task's payload is the time that it takes, in
 // milliseconds, or a list of such times by step. A start for which the worker has too little room
-// is refused. The destructor ends the worker as a crash does.
+// is refused. The members of a gang work together, see GangTable. The destructor ends the worker as
+// a crash does.
 class PlatformWorker
 {
 public:
@@ -123,6 +124,7 @@
   std::optional<std::int64_t> mLeavesAtMs;
   WorkerFaults mFaults;
   DelayCall mDelayCall;
+  // The timers of the members of gangs are in the table of gangs.
   std::map<RunKey, Timer> mRunning;
   // The highest run of each task that ended here.
   std::map<std::string, int> mHighestEnded;
--- a/tests/standin/PlatformWorkerTests.cpp
+++ b/tests/standin/PlatformWorkerTests.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -107,7 +108,7 @@
 
   EventLoop mLoop;
   WorkerSpec mSpec{ "w", "rack-w", { MilliCores(4000), MemoryMiB(4000), Accelerators(4) } };
-  PlatformState mState;
+  PlatformState mState{ mLoop };
   RunLedger& mLedger = mState.mLedger;
   SocketAddress mAddress{ "127.0.0.1", 0 };
   std::vector<WorkerCall> mLateCalls;
@@ -227,9 +228,44 @@
 {
   WorkerFixture f;
   const auto entry = ParseJson(f.mWorker->Entry()).value();
-  const auto capacity = entry.at("capacity");
+  const auto& capacity = entry.at("capacity");
   cr_assert_eq(capacity.at("cpu").get<int>(), 4000);
   cr_assert_eq(capacity.at("mem_mb").get<int>(), 4000);
   cr_assert_eq(capacity.at("gpu").get<int>(), 4);
   cr_assert_eq(entry.at("labels").at(1).get<std::string>(), std::string("rack-w"));
 }
+
+// Guards against members of a gang that work, or end as done, before the others are there.
+Test(PlatformWorker, lets_a_gang_work_once_all_members_are_present)
+{
+  WorkerFixture f;
+  f.mState.mJobs.Add("gang", { { 2, {}, { {}, {}, Accelerators(1) }, true } });
+  const auto start = [&f](const std::string& aTask) {
+    cr_assert(f.Call("run-start", WorkerFixture::StartBody(1, 1, 10, aTask)).has_value());
+  };
+  start("gang.0.0.0");
+  cr_assert(f.Hold(1).at("finished").empty());
+  start("gang.0.0.1");
+  f.AwaitTrue([&] { return f.mLedger.Running().empty(); });
+  const auto finished = f.Hold(1).at("finished");
+  cr_assert_eq(finished.size(), 2);
+  cr_assert_eq(finished.at(0).at(3).get<std::string>(), std::string("done"));
+  cr_assert_eq(finished.at(1).at(3).get<std::string>(), std::string("done"));
+}
+
+// Guards against members that go on after another one was stopped.
+Test(PlatformWorker, breaks_a_gang_whose_member_is_stopped)
+{
+  WorkerFixture f;
+  f.mState.mJobs.Add("gang", { { 2, {}, { {}, {}, Accelerators(1) }, true } });
+  cr_assert_eq(f.StartLong("gang.0.0.0"), std::string());
+  cr_assert_eq(f.StartLong("gang.0.0.1"), std::string());
+  f.Call("run-stop", { { "task", "gang.0.0.0" }, { "run", 1 }, { "fencing_token", 1 } });
+  cr_assert(f.mLedger.Running().empty());
+  const auto finished = f.Hold(1).at("finished");
+  std::set<std::string> ends;
+  for (const auto& it : finished) {
+    ends.insert(it.at(3).get<std::string>());
+  }
+  cr_assert((ends == std::set<std::string>{ "broken", "stopped" }));
+}
