Judge room for idle jobs by what their tasks take

The check of idle jobs asked for two free accelerators whatever a job needs. For a gang, or a task of many cores, that is too little, and a gang is excused by nothing but a full service.

Room is counted by demand now, in whole tasks on workers that take new ones: one task twice over, or all tasks of a gang twice over, in any racks. The stand-in also tells how much is in use and how long jobs wait for their first start.

Measured: the former tests of the check pass with the same figures; the new ones show that a gang waits rightly with room for one task less than twice over, and is found with it.

--- a/src/standin/platform/IdleJobCheck.cpp
+++ b/src/standin/platform/IdleJobCheck.cpp
@@ -37,27 +37,32 @@
   OnDisruption(aNow);
 }
 
-bool
-IdleJobCheck::IsIdle(const Job& aJob, const JobRuns& aRuns)
+std::optional<std::size_t>
+IdleJobCheck::FindIdleStep(const Job& aJob, const JobRuns& aRuns, const FreeRoom& aRoom)
 {
   if (aRuns.mRunning > 0) {
-    return false;
+    return std::nullopt;
   }
   const auto isDone = [&](std::size_t aStep) {
     const auto it = aRuns.mDone.find(aStep);
     return it != aRuns.mDone.end() && it->second >= aJob.mSteps.at(aStep).mTasks;
   };
+  const auto hasRoom = [&aRoom](const JobStep& aStep) {
+    const int tasks = aStep.mIsGang ? aStep.mTasks : 1;
+    return aRoom.Fits(kRoomFactor * tasks, aStep.mDemand);
+  };
   for (std::size_t i = 0; i < aJob.mSteps.size(); ++i) {
-    const auto& after = aJob.mSteps.at(i).mAfter;
-    if (!isDone(i) && std::all_of(after.begin(), after.end(), isDone)) {
-      return true;
+    const auto& step = aJob.mSteps.at(i);
+    const auto& after = step.mAfter;
+    if (!isDone(i) && std::all_of(after.begin(), after.end(), isDone) && hasRoom(step)) {
+      return i;
     }
   }
-  return false;
+  return std::nullopt;
 }
 
 void
-IdleJobCheck::Look(const RunLedger& aLedger, int aRoom, TimePoint aNow)
+IdleJobCheck::Look(const RunLedger& aLedger, const FreeRoom& aRoom, TimePoint aNow)
 {
   if (mIsDisrupted) {
     mDisruptedAt = aNow;
@@ -65,13 +70,15 @@
   const bool isComparable = Since(mLookedAt, aNow) <= kLongestGap;
   mLookedAt = aNow;
   for (auto& [name, job] : mJobs) {
-    if (!isComparable || aRoom < kRoomFactor || !IsIdle(job, aLedger.RunsOf(name))) {
+    const auto step = isComparable ? FindIdleStep(job, aLedger.RunsOf(name), aRoom) : std::nullopt;
+    if (!step) {
       job.mIdleSince = aNow;
       continue;
     }
     const auto idle = Since(std::max(job.mIdleSince, mDisruptedAt + kCalmTime), aNow);
     if (idle > job.mLongestIdle) {
       job.mLongestIdle = idle;
+      job.mIdleStep = *step;
       job.mAge = Since(job.mAcceptedAt, aNow);
     }
   }
@@ -85,7 +92,8 @@
     if (job.mLongestIdle > kIdleLimit) {
       violations.push_back(name + " had nothing running for " +
                            std::to_string(job.mLongestIdle.count()) + " ms of calm, until " +
-                           std::to_string(job.mAge.count()) + " ms after it was accepted");
+                           std::to_string(job.mAge.count()) + " ms after it was accepted (" +
+                           job.mSteps.at(job.mIdleStep).Describe() + ")");
     }
   }
   return violations;
--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -55,9 +55,9 @@
   HandleCommand("/job-submitted", &PlatformControl::OnJobSubmitted);
   HandleCommand("/job-accepted", &PlatformControl::OnJobAccepted);
   HandleCommand("/disruption", &PlatformControl::OnDisruption);
-  mServer.Handle(http::Method::Get, "/ledger", [this](const http::Request&, http::Responder aTo) {
-    aTo.Send(http::JsonResponse(200, DumpJson(Ledger())));
-  });
+  HandleQuery("/ledger", &PlatformControl::Ledger);
+  HandleQuery("/usage", &PlatformControl::Usage);
+  HandleQuery("/waits", &PlatformControl::Waits);
 }
 
 void
@@ -70,6 +70,15 @@
                  });
 }
 
+void
+PlatformControl::HandleQuery(const char* aPattern, Query aQuery)
+{
+  mServer.Handle(http::Method::Get, aPattern,
+                 [this, aQuery](const http::Request&, http::Responder aTo) {
+                   aTo.Send(http::JsonResponse(200, DumpJson((this->*aQuery)())));
+                 });
+}
+
 std::unique_ptr<PlatformWorker>
 PlatformControl::NewWorker(const WorkerSpec& aSpec)
 {
@@ -250,8 +259,9 @@
 PlatformControl::OnJobAccepted(const Json& aBody)
 {
   OnJobSubmitted(aBody);
-  mIdleJobs.OnAccepted(JsonValue(aBody, "job", std::string()),
-                       ReadSteps(JsonValue(aBody, "steps", Json::array())), Now());
+  const auto job = JsonValue(aBody, "job", std::string());
+  mIdleJobs.OnAccepted(job, ReadSteps(JsonValue(aBody, "steps", Json::array())), Now());
+  mState.mWaits.OnAccepted(job, Now());
 }
 
 void
@@ -266,18 +276,44 @@
   mIdleJobs.OnDisruption(Now());
 }
 
-int
+FreeRoom
 PlatformControl::Room() const
 {
-  Accelerators room;
+  FreeRoom room;
   for (const auto& [id, place] : mPlaces) {
     if (place.mWorker && place.mWorker->IsUsable() && !place.mRegistration.IsPending() &&
         !mUnregistered.contains(id)) {
-      const auto free = place.mWorker->Total() - place.mWorker->InUse();
-      room += std::max(Accelerators(0), free.mAccelerators);
+      room.Add(place.mWorker->Total() - place.mWorker->InUse());
+    }
+  }
+  return room;
+}
+
+Json
+PlatformControl::Usage() const
+{
+  Capacity total;
+  Capacity inUse;
+  for (const auto& [id, place] : mPlaces) {
+    if (place.mWorker) {
+      total += place.mWorker->Total();
+      inUse += place.mWorker->InUse();
     }
   }
-  return static_cast<int>(room.Value());
+  return { { "accelerators", total.mAccelerators.Value() },
+           { "accelerators_in_use", inUse.mAccelerators.Value() },
+           { "cpu_millicores", total.mCpu.Value() },
+           { "cpu_millicores_in_use", inUse.mCpu.Value() } };
+}
+
+Json
+PlatformControl::Waits() const
+{
+  Json waits = Json::object();
+  for (const auto& [job, wait] : mState.mWaits.Waits(Now())) {
+    waits[job] = wait.count();
+  }
+  return waits;
 }
 
 void
--- a/src/standin/platform/PlatformControl.h
+++ b/src/standin/platform/PlatformControl.h
@@ -41,6 +41,9 @@
 //                          "violations": [text], "idle_jobs": [text],
 //                          "late_starts": {worker: count}}, where late starts are the late calls
 //                          that are still to be carried out
+//   GET  /usage            {"accelerators", "accelerators_in_use", "cpu_millicores",
+//                          "cpu_millicores_in_use"} over all workers
+//   GET  /waits            {job: ms} from the acceptance of each job to its first start, or to now
 class PlatformControl
 {
 public:
@@ -65,8 +68,10 @@
     TimePoint mRestartedAt;
   };
   using Command = void (PlatformControl::*)(const Json&);
+  using Query = Json (PlatformControl::*)() const;
 
   void HandleCommand(const char* aPattern, Command aCommand);
+  void HandleQuery(const char* aPattern, Query aQuery);
   std::unique_ptr<PlatformWorker> NewWorker(const WorkerSpec& aSpec);
   void OnFaults(const Json& aFaults);
   void SetWorkerFaults(const Json& aFaults);
@@ -79,8 +84,8 @@
   void OnDisruption(const Json& aBody);
   // A worker was disrupted or works again.
   void NoteDisruption();
-  // The accelerators that are free on workers that take new tasks.
-  int Room() const;
+  // What is free on workers that take new tasks.
+  FreeRoom Room() const;
   void DelayCall(const std::string& aId, const WorkerCall& aCall);
   // Carries out a late call, now or once the restart of its worker may have been noticed.
   void CarryOutLate(const std::string& aId, const WorkerCall& aCall);
@@ -90,6 +95,8 @@
   void Register(const std::string& aId);
   void Leave(const std::string& aId);
   Json Ledger() const;
+  Json Usage() const;
+  Json Waits() const;
 
   EventLoop& mLoop;
   PlatformState mState;
--- a/src/standin/platform/PlatformState.h
+++ b/src/standin/platform/PlatformState.h
@@ -3,6 +3,7 @@
 #include "standin/platform/GangTable.h"
 #include "standin/platform/JobTable.h"
 #include "standin/platform/RunLedger.h"
+#include "standin/platform/StartWaits.h"
 
 namespace lovagerock::standin {
 
@@ -17,6 +18,7 @@
   RunLedger mLedger;
   JobTable mJobs;
   GangTable mGangs;
+  StartWaits mWaits;
 };
 
 } // namespace lovagerock::standin
--- a/src/standin/platform/PlatformWorker.cpp
+++ b/src/standin/platform/PlatformWorker.cpp
@@ -215,6 +215,7 @@
   }
   const auto time = TaskTime(run.first, JsonValue(aBody, "spec", std::string()));
   mLedger.OnStart(mSpec.mId, run.first, run.second);
+  mState.mWaits.OnStart(JobOf(run.first), std::chrono::steady_clock::now());
   if (step.mIsGang) {
     mRunning[run] = Timer();
     mState.mGangs.Join(step, time,
--- a/tests/standin/IdleJobCheckTests.cpp
+++ b/tests/standin/IdleJobCheckTests.cpp
@@ -24,17 +24,28 @@
   return std::string(kJob) + ".0." + std::to_string(aStep) + "." + std::to_string(aIndex);
 }
 
+// A worker with so many free accelerators and nothing else.
+FreeRoom
+Room(int aAccelerators)
+{
+  FreeRoom room;
+  room.Add({ {}, {}, Accelerators(aAccelerators) });
+  return room;
+}
+
 // A calm system with an accepted job of two steps, of two tasks and one.
 struct CheckFixture
 {
   CheckFixture()
   {
-    mCheck.Look(mLedger, kRoom, mNow);
+    mCheck.Look(mLedger, Room(kRoom), mNow);
     Pass(kLong, kRoom);
     mCheck.OnAccepted(kJob, { { 2, {} }, { 1, { 0 } } }, mNow);
   }
 
-  void Pass(Duration aTime, int aRoom)
+  void Pass(Duration aTime, int aRoom) { Pass(aTime, Room(aRoom)); }
+
+  void Pass(Duration aTime, const FreeRoom& aRoom)
   {
     for (const auto end = mNow + aTime; mNow < end;) {
       mNow += kPeriod;
@@ -200,7 +211,54 @@
 {
   CheckFixture f;
   f.mNow += kLong;
-  f.mCheck.Look(f.mLedger, kRoom, f.mNow);
+  f.mCheck.Look(f.mLedger, Room(kRoom), f.mNow);
   f.Pass(IdleJobCheck::kIdleLimit, kRoom);
   cr_assert_not(f.HasViolation());
 }
+
+// Guards against a check that takes room for one task of a gang for room for the gang, or asks for
+// more than all its tasks twice over.
+Test(IdleJobCheck, asks_for_room_for_a_whole_gang_twice_over)
+{
+  CheckFixture f;
+  f.Start(Task(0, 0));
+  f.mCheck.OnAccepted("gang", { { 3, {}, { {}, {}, Accelerators(2) }, true } }, f.mNow);
+  FreeRoom room;
+  for (int i = 0; i < 5; ++i) {
+    // One task fits, and one accelerator remains.
+    room.Add({ {}, {}, Accelerators(3) });
+  }
+  f.Pass(kLong, room);
+  cr_assert_not(f.HasViolation());
+  room.Add({ {}, {}, Accelerators(2) });
+  f.Pass(IdleJobCheck::kIdleLimit + kPeriod, room);
+  cr_assert_eq(f.mCheck.Violations().size(), 1);
+  cr_assert(f.mCheck.Violations().front().starts_with("gang "));
+}
+
+// Guards against a check that looks at accelerators alone.
+Test(IdleJobCheck, asks_for_room_by_demand)
+{
+  CheckFixture f;
+  f.Start(Task(0, 0));
+  f.mCheck.OnAccepted("step", { { 9, {}, { MilliCores(2000), MemoryMiB(500), {} } } }, f.mNow);
+  FreeRoom room;
+  room.Add({ MilliCores(9000), MemoryMiB(999), Accelerators(8) });
+  room.Add({ MilliCores(1999), MemoryMiB(9000), Accelerators(8) });
+  f.Pass(kLong, room);
+  cr_assert_not(f.HasViolation());
+  room.Add({ MilliCores(2000), MemoryMiB(500), {} });
+  f.Pass(IdleJobCheck::kIdleLimit + kPeriod, room);
+  cr_assert(f.HasViolation());
+}
+
+// Guards against a worker that has promised too much and takes room away from the others.
+Test(FreeRoom, counts_no_negative_room)
+{
+  FreeRoom room;
+  room.Add({ MilliCores(-500), {}, Accelerators(-3) });
+  room.Add({ MilliCores(500), {}, Accelerators(3) });
+  const Capacity demand{ {}, {}, Accelerators(1) };
+  cr_assert(room.Fits(3, demand));
+  cr_assert_not(room.Fits(4, demand));
+}
--- a/tests/standin/PlatformControlTests.cpp
+++ b/tests/standin/PlatformControlTests.cpp
@@ -171,3 +171,18 @@
   f.AwaitLateStarts(0);
   cr_assert_eq(f.Ledger().at("violations").size(), 1);
 }
+
+// Guards against a use that ignores what the tasks of a submitted job take.
+Test(PlatformControl, counts_what_tasks_take_by_the_demand_of_their_job)
+{
+  PlatformFixture f(2);
+  const auto usage = [&f] {
+    return f.Call(PlatformFixture::Request(f.mControl, http::Method::Get, "/usage"));
+  };
+  const Json step{ { "count", 1 }, { "cpu", 3000 }, { "mem_mb", 10 }, { "gpu", 5 } };
+  f.Command("/job-submitted", { { "job", "00000000000000aa" }, { "steps", { step } } });
+  cr_assert(f.Start(0, 1));
+  cr_assert_eq(usage().at("accelerators").get<int>(), 16);
+  cr_assert_eq(usage().at("accelerators_in_use").get<int>(), 5);
+  cr_assert_eq(usage().at("cpu_millicores_in_use").get<int>(), 3000);
+}
