--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -20,6 +20,8 @@
 // Callers name the host that they connect to.
 constexpr const char* kHost = "127.0.0.1";
 constexpr const char* kPrefix = "/batch/";
+// A caller whose node stands still asks another one after this time.
+constexpr std::chrono::milliseconds kSubmitTimeout{ 3000 };
 
 std::string
 NodeName(int aNode)
@@ -250,7 +252,9 @@
                           const Json& aSteps, std::chrono::milliseconds aTaskTime) const
 {
   Announce(aCaller, aJob, aSteps);
-  if (!aCaller.Call(SubmitCall(aNode, aJob, aSteps, aTaskTime.count())).Is(200)) {
+  auto call = SubmitCall(aNode, aJob, aSteps, aTaskTime.count());
+  call.mDeadline = kSubmitTimeout;
+  if (!aCaller.Call(call).Is(200)) {
     return false;
   }
   const auto report =
@@ -374,6 +378,27 @@
   return result.Body();
 }
 
+Json
+EdgeSystem::Usage(HttpCaller& aCaller) const
+{
+  const auto result = aCaller.Get(mControl, "/usage");
+  Require(result.Is(200), "no use of workers: " + result.Describe());
+  return result.Body();
+}
+
+std::map<std::string, std::chrono::milliseconds>
+EdgeSystem::Waits()
+{
+  const auto result = mCaller.Get(mControl, "/waits");
+  Require(result.Is(200), "no waits of jobs: " + result.Describe());
+  std::map<std::string, std::chrono::milliseconds> waits;
+  const auto body = result.Body();
+  for (const auto& [job, wait] : body.items()) {
+    waits[job] = std::chrono::milliseconds(wait.get<std::int64_t>());
+  }
+  return waits;
+}
+
 void
 EdgeSystem::RequireNothingRanTwice()
 {
--- a/tests/integration/EdgeSystem.h
+++ b/tests/integration/EdgeSystem.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -89,6 +90,11 @@
   void RequireNothingRanTwice();
   // Ends the test if a job had nothing running for too long, see IdleJobCheck.
   void RequireNoIdleJob();
+  // How much of all workers is in use, see PlatformControl; by a caller of the thread's own.
+  Json Usage(HttpCaller& aCaller) const;
+  // The time from the acceptance of each job that was submitted with SubmitChecked() to its first
+  // start.
+  std::map<std::string, std::chrono::milliseconds> Waits();
   std::string LogTails() const;
 
 private:
--- a/tests/integration/IdleJobSoakTests.cpp
+++ b/tests/integration/IdleJobSoakTests.cpp
@@ -144,7 +144,7 @@
     const auto jobs = mTraffic.Finish();
     std::cerr << jobs.size() << " jobs accepted\n";
     for (const auto& it : jobs) {
-      mSystem.AwaitState(AnyNode(), it, "completed");
+      mSystem.AwaitState(AnyNode(), it.mName, "completed");
     }
     mSystem.RequireNothingRanTwice();
     mSystem.RequireNoIdleJob();
--- a/tests/integration/JobTraffic.cpp
+++ b/tests/integration/JobTraffic.cpp
@@ -1,10 +1,9 @@
 #include "integration/JobTraffic.h"
 
-#include "base/Random.h"
 #include "integration/TestFailure.h"
 
 #include <array>
-#include <chrono>
+#include <utility>
 
 namespace lovagerock::integration {
 
@@ -43,12 +42,29 @@
                          { "estimate_ms", aTime.count() } } });
 }
 
+TrafficJob
+DrawSmallJob(Random& aRandom)
+{
+  constexpr std::array kTaskCounts{ 5, 13, 20 };
+  constexpr std::array kTaskTimes{ milliseconds(600), milliseconds(1000), milliseconds(1600) };
+  const auto time = kTaskTimes.at(aRandom.Below(kTaskTimes.size()));
+  return { Steps(kTaskCounts.at(aRandom.Below(kTaskCounts.size())), time), time };
+}
+
 } // namespace
 
-JobTraffic::JobTraffic(const EdgeSystem& aSystem, int aNodes, int aCallers, std::uint64_t aSeed)
+JobSource
+SmallJobs()
+{
+  return { DrawSmallJob, [](Random& aRandom) { return aRandom.Jitter(kLongestPause); } };
+}
+
+JobTraffic::JobTraffic(const EdgeSystem& aSystem, int aNodes, int aCallers, std::uint64_t aSeed,
+                       JobSource aSource)
   : mSystem(aSystem)
   , mNodes(aNodes)
   , mSeed(aSeed)
+  , mSource(std::move(aSource))
   , mCallers(static_cast<std::size_t>(aCallers))
 {
   for (int i = 0; i < aCallers; ++i) {
@@ -65,35 +81,43 @@
 void
 JobTraffic::Run(Caller& aCaller, int aNumber)
 {
-  constexpr std::array kTaskCounts{ 5, 13, 20 };
-  constexpr std::array kTaskTimes{ milliseconds(600), milliseconds(1000), milliseconds(1600) };
   Random random(mSeed * kSeedsPerRun + static_cast<std::uint64_t>(aNumber));
   HttpCaller http;
   for (int job = 0; !mIsStopped; ++job) {
-    const auto time = kTaskTimes.at(random.Below(kTaskTimes.size()));
-    const auto steps = Steps(kTaskCounts.at(random.Below(kTaskCounts.size())), time);
+    const auto drawn = mSource.mDraw(random);
     const auto name = JobName(aNumber, job);
     try {
       for (int i = 0; i < kAttempts && !mIsStopped; ++i) {
         const auto node = static_cast<int>(random.Below(static_cast<std::uint64_t>(mNodes)));
-        if (mSystem.SubmitChecked(http, node, name, steps, time)) {
-          aCaller.mAccepted.push_back(name);
+        if (mSystem.SubmitChecked(http, node, name, drawn.mSteps, drawn.mTaskTime)) {
+          aCaller.mAccepted.push_back({ name, drawn.mSteps });
           break;
         }
-        std::this_thread::sleep_for(kRetryPause);
+        Pause(kRetryPause);
       }
     } catch (const TestFailure& ex) {
       aCaller.mFailure = ex.what();
       return;
     }
-    std::this_thread::sleep_for(random.Jitter(kLongestPause));
+    Pause(mSource.mDrawPause(random));
   }
 }
 
+void
+JobTraffic::Pause(milliseconds aTime)
+{
+  std::unique_lock lock(mMutex);
+  mStopped.wait_for(lock, aTime, [this] { return mIsStopped.load(); });
+}
+
 void
 JobTraffic::Stop()
 {
-  mIsStopped = true;
+  {
+    const std::lock_guard lock(mMutex);
+    mIsStopped = true;
+  }
+  mStopped.notify_all();
   for (auto& it : mCallers) {
     if (it.mThread.joinable()) {
       it.mThread.join();
@@ -101,11 +125,11 @@
   }
 }
 
-std::vector<std::string>
+std::vector<AcceptedJob>
 JobTraffic::Finish()
 {
   Stop();
-  std::vector<std::string> accepted;
+  std::vector<AcceptedJob> accepted;
   for (const auto& it : mCallers) {
     Require(it.mFailure.empty(), it.mFailure);
     accepted.insert(accepted.end(), it.mAccepted.begin(), it.mAccepted.end());
