Add a soak with gangs of a deployment that stand idle beside room

Users report jobs of which nothing runs for over 3 s although the workers have room for them twice over, at any load. The scheduler lets such jobs take room that is kept for others, or run in several racks, only while less than half of the service is in use (design.md 4.16); no test had a load above that with gangs.

leaves_no_gang_idle_beside_room kills all nodes and a leader and freezes another one for 12 s under a deployment's jobs. It prints the part of the accelerators in use and the waits of large gangs.

--- a/tests/integration/IdleJobSoakTests.cpp
+++ b/tests/integration/IdleJobSoakTests.cpp
@@ -1,18 +1,25 @@
 #include "base/Random.h"
+#include "integration/DeploymentJobs.h"
 #include "integration/EdgeSystem.h"
 #include "integration/HttpCaller.h"
 #include "integration/JobTraffic.h"
 #include "integration/TestFailure.h"
+#include "integration/UsageWatch.h"
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
+#include <iterator>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace lovagerock;
 using namespace lovagerock::integration;
@@ -24,6 +31,14 @@
 // One worker of this many is in trouble in a round.
 constexpr int kTroubleShare = 8;
 constexpr std::chrono::milliseconds kDrainTime{ 1000 };
+constexpr std::chrono::milliseconds kStandstill{ 12000 };
+constexpr std::chrono::milliseconds kStatePeriod{ 50 };
+// A gang that takes most of the workers may have to wait until all other jobs have ended.
+constexpr std::chrono::seconds kGangEndLimit{ 180 };
+// Enough that some hand jobs in while others wait for a node that stands still.
+constexpr int kDeploymentCallers = 24;
+// A gang that takes at least this part of a rack counts as large.
+constexpr double kLargeGangRackShare = 0.5;
 // The time between changes, in which jobs begin and end undisturbed. It is longer than the calm
 // time and the limit of IdleJobCheck together, so that what stands after a change is found.
 constexpr std::chrono::milliseconds kRoundTime{ 12000 };
@@ -46,6 +61,19 @@
   int mSeed = SettingOr("LOVAGEROCK_EDGE_SOAK_SEED", 3);
 };
 
+// The default seed and load leave gangs idle that prefer one rack, while other racks have room.
+struct GangSoakSettings : SoakSettings
+{
+  GangSoakSettings()
+  {
+    mWorkers = SettingOr("LOVAGEROCK_EDGE_SOAK_WORKERS", 48);
+    mSeed = SettingOr("LOVAGEROCK_EDGE_SOAK_SEED", 4);
+  }
+
+  // The part of the accelerators that the jobs would keep in use if none of them waited.
+  int mLoadPercent = SettingOr("LOVAGEROCK_EDGE_SOAK_LOAD_PERCENT", 80);
+};
+
 enum class WorkerTrouble
 {
   Silence,
@@ -95,11 +123,12 @@
 class IdleJobSoak
 {
 public:
-  IdleJobSoak(EdgeSystem& aSystem, const SoakSettings& aSettings)
+  IdleJobSoak(EdgeSystem& aSystem, const SoakSettings& aSettings, int aCallers, JobSource aSource)
     : mSystem(aSystem)
     , mSettings(aSettings)
     , mRandom(static_cast<std::uint64_t>(aSettings.mSeed))
-    , mTraffic(aSystem, aSettings.mNodes, kCallers, static_cast<std::uint64_t>(aSettings.mSeed))
+    , mTraffic(aSystem, aSettings.mNodes, aCallers, static_cast<std::uint64_t>(aSettings.mSeed),
+               std::move(aSource))
   {
   }
 
@@ -137,20 +166,48 @@
     std::this_thread::sleep_for(kRoundTime);
   }
 
-  // Ends the traffic and requires that each accepted job ends, that none of them was idle for too
-  // long, and that nothing ran twice.
-  void Finish()
+  // Kills a leader, and makes the next one stand still until it is replaced.
+  void LoseTwoLeaders()
   {
-    const auto jobs = mTraffic.Finish();
+    const int killed = mSystem.AwaitLeaderExcept({});
+    std::cerr << "leader edge-" << killed << " killed\n";
+    LoseLeader(killed, LeaderLoss::Kill, 0ms);
+    std::this_thread::sleep_for(kRoundTime);
+    BringBack(killed, LeaderLoss::Kill);
+    const int frozen = mSystem.AwaitLeaderExcept({});
+    std::cerr << "leader edge-" << frozen << " frozen\n";
+    LoseLeader(frozen, LeaderLoss::Freeze, kStandstill);
+    std::this_thread::sleep_for(kRoundTime);
+  }
+
+  // Ends the traffic, awaits the end of each accepted job for at most the time, and gives the jobs.
+  std::vector<AcceptedJob> AwaitEnds(std::chrono::seconds aLimit)
+  {
+    auto jobs = mTraffic.Finish();
     std::cerr << jobs.size() << " jobs accepted\n";
     for (const auto& it : jobs) {
-      mSystem.AwaitState(AnyNode(), it.mName, "completed");
+      AwaitEnd(it.mName, aLimit);
     }
+    return jobs;
+  }
+
+  // Requires that nothing ran twice, and that no job was idle for too long.
+  void RequireKeptPromises()
+  {
     mSystem.RequireNothingRanTwice();
     mSystem.RequireNoIdleJob();
   }
 
 private:
+  void AwaitEnd(const std::string& aJob, std::chrono::seconds aLimit)
+  {
+    const auto end = std::chrono::steady_clock::now() + aLimit;
+    while (mSystem.State(AnyNode(), aJob) != "completed") {
+      Require(std::chrono::steady_clock::now() < end, aJob + " doesn't end");
+      std::this_thread::sleep_for(kStatePeriod);
+    }
+  }
+
   int AnyNode() { return static_cast<int>(Below(mSettings.mNodes)); }
   std::uint64_t Below(int aBound) { return mRandom.Below(static_cast<std::uint64_t>(aBound)); }
 
@@ -229,6 +286,41 @@
   JobTraffic mTraffic;
 };
 
+std::vector<AcceptedJob>
+LargeGangs(const std::vector<AcceptedJob>& aJobs, const WorkerFleet& aWorkers)
+{
+  const auto rackShare = [&](const Json& aStep) {
+    const auto share = [&](const char* aResource, int aOfWorker) {
+      return aStep.at("count").get<double>() * aStep.at(aResource).get<double>() / aOfWorker /
+             aWorkers.mPerRack;
+    };
+    return std::max(share("cpu", aWorkers.mMilliCores), share("gpu", aWorkers.mAccelerators));
+  };
+  std::vector<AcceptedJob> gangs;
+  std::copy_if(aJobs.begin(), aJobs.end(), std::back_inserter(gangs), [&](const auto& aIt) {
+    const auto& step = aIt.mSteps.at(0);
+    return JsonValue(step, "gang", false) && rackShare(step) >= kLargeGangRackShare;
+  });
+  return gangs;
+}
+
+// Prints how long the jobs waited for their first start, so that jobs that starve can be seen.
+void
+PrintWaits(const char* aWhat, const std::vector<AcceptedJob>& aJobs,
+           const std::map<std::string, std::chrono::milliseconds>& aWaits)
+{
+  std::chrono::milliseconds sum{ 0 };
+  std::chrono::milliseconds longest{ 0 };
+  for (const auto& it : aJobs) {
+    const auto wait = aWaits.at(it.mName);
+    sum += wait;
+    longest = std::max(longest, wait);
+  }
+  const auto count = std::max<std::int64_t>(1, static_cast<std::int64_t>(aJobs.size()));
+  std::cerr << "waits of " << aJobs.size() << ' ' << aWhat << ": longest " << longest.count()
+            << " ms, mean " << sum.count() / count << " ms\n";
+}
+
 } // namespace
 
 // Guards against accepted jobs of which nothing runs for many seconds after the loss of a leader,
@@ -240,12 +332,39 @@
   std::cerr << "idle job soak: seed " << settings.mSeed << ", nodes " << settings.mNodes
             << ", workers " << settings.mWorkers << ", rounds " << settings.mRounds << '\n';
   RunWithEdges(settings.mNodes, settings.mWorkers, [&](EdgeSystem& aSystem) {
-    IdleJobSoak soak(aSystem, settings);
+    IdleJobSoak soak(aSystem, settings, kCallers, SmallJobs());
     soak.LoseAllNodes();
     for (int i = 0; i < settings.mRounds; ++i) {
       soak.RunRound();
     }
-    soak.Finish();
+    soak.AwaitEnds(kWaitLimit);
+    soak.RequireKeptPromises();
+  });
+}
+
+// Guards against gangs of which nothing runs for many seconds, although the workers have room for
+// them twice over, because the leader keeps the room for others or waits for a rack with all of it.
+Test(IdleJobSoak, leaves_no_gang_idle_beside_room)
+{
+  const GangSoakSettings settings;
+  std::cerr << "gang soak: seed " << settings.mSeed << ", nodes " << settings.mNodes << ", workers "
+            << settings.mWorkers << ", rounds " << settings.mRounds << ", load "
+            << settings.mLoadPercent << " %\n";
+  const auto workers = DeploymentWorkers(settings.mWorkers);
+  RunWithEdges(settings.mNodes, workers, [&](EdgeSystem& aSystem) {
+    IdleJobSoak soak(aSystem, settings, kDeploymentCallers,
+                     DeploymentJobs(settings.mLoadPercent, workers, kDeploymentCallers));
+    soak.LoseAllNodes();
+    UsageWatch usage(aSystem);
+    for (int i = 0; i < settings.mRounds; ++i) {
+      soak.LoseTwoLeaders();
+    }
+    std::cerr << usage.Finish() << '\n';
+    const auto jobs = soak.AwaitEnds(kGangEndLimit);
+    const auto waits = aSystem.Waits();
+    PrintWaits("large gangs", LargeGangs(jobs, workers), waits);
+    PrintWaits("all jobs", jobs, waits);
+    soak.RequireKeptPromises();
   });
 }
 
