--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -31,14 +31,17 @@
 
 } // namespace
 
-PlatformControl::PlatformControl(EventLoop& aLoop, int aWorkers)
+PlatformControl::PlatformControl(EventLoop& aLoop, const FleetShape& aShape)
   : mLoop(aLoop)
+  , mState(aLoop)
   , mStore(aLoop)
   , mServer(aLoop)
 {
-  for (int i = 0; i < aWorkers; ++i) {
-    const auto id = "worker-" + std::to_string(i);
-    mPlaces[id].mWorker = NewWorker(id);
+  for (int i = 0; i < aShape.mWorkers; ++i) {
+    const auto spec = aShape.Worker(i);
+    auto& place = mPlaces[spec.mId];
+    place.mSpec = spec;
+    place.mWorker = NewWorker(spec);
   }
   mServer.Handle(http::Method::Post, "/configuration",
                  [this](const http::Request& aRequest, http::Responder aTo) {
@@ -49,11 +52,12 @@
   HandleCommand("/drain", &PlatformControl::OnDrain);
   HandleCommand("/restart", &PlatformControl::OnRestart);
   HandleCommand("/completion-shown", &PlatformControl::OnCompletionShown);
+  HandleCommand("/job-submitted", &PlatformControl::OnJobSubmitted);
   HandleCommand("/job-accepted", &PlatformControl::OnJobAccepted);
   HandleCommand("/disruption", &PlatformControl::OnDisruption);
-  mServer.Handle(http::Method::Get, "/ledger", [this](const http::Request&, http::Responder aTo) {
-    aTo.Send(http::JsonResponse(200, DumpJson(Ledger())));
-  });
+  HandleQuery("/ledger", &PlatformControl::Ledger);
+  HandleQuery("/usage", &PlatformControl::Usage);
+  HandleQuery("/waits", &PlatformControl::Waits);
 }
 
 void
@@ -66,11 +70,21 @@
                  });
 }
 
+void
+PlatformControl::HandleQuery(const char* aPattern, Query aQuery)
+{
+  mServer.Handle(http::Method::Get, aPattern,
+                 [this, aQuery](const http::Request&, http::Responder aTo) {
+                   aTo.Send(http::JsonResponse(200, DumpJson((this->*aQuery)())));
+                 });
+}
+
 std::unique_ptr<PlatformWorker>
-PlatformControl::NewWorker(const std::string& aId)
+PlatformControl::NewWorker(const WorkerSpec& aSpec)
 {
   return std::make_unique<PlatformWorker>(
-    mLoop, aId, mLedger, [this, aId](const WorkerCall& aCall) { DelayCall(aId, aCall); });
+    mLoop, aSpec, mState,
+    [this, id = aSpec.mId](const WorkerCall& aCall) { DelayCall(id, aCall); });
 }
 
 std::error_code
@@ -96,7 +110,8 @@
       RegisterAll();
     }
   });
-  mIdleJobTick = mLoop.Every(kIdleJobPeriod, [this] { mIdleJobs.Look(mLedger, Room(), Now()); });
+  mIdleJobTick =
+    mLoop.Every(kIdleJobPeriod, [this] { mIdleJobs.Look(mState.mLedger, Room(), Now()); });
   return {};
 }
 
@@ -214,7 +229,7 @@
   // The former life must have closed its port.
   place.mWorker.reset();
   place.mLeaving.Cancel();
-  place.mWorker = NewWorker(id);
+  place.mWorker = NewWorker(place.mSpec);
   place.mRestartedAt = std::chrono::steady_clock::now();
   LogEvent("worker_restarted").With("worker", id);
   if (const auto ec = place.mWorker->Listen(place.mAddress)) {
@@ -230,18 +245,23 @@
 void
 PlatformControl::OnCompletionShown(const Json& aBody)
 {
-  mLedger.OnCompletionShown(JsonValue(aBody, "job", std::string()));
+  mState.mLedger.OnCompletionShown(JsonValue(aBody, "job", std::string()));
+}
+
+void
+PlatformControl::OnJobSubmitted(const Json& aBody)
+{
+  mState.mJobs.Add(JsonValue(aBody, "job", std::string()),
+                   ReadSteps(JsonValue(aBody, "steps", Json::array())));
 }
 
 void
 PlatformControl::OnJobAccepted(const Json& aBody)
 {
-  std::vector<JobStep> steps;
-  for (const auto& it : JsonValue(aBody, "steps", Json::array())) {
-    steps.push_back(
-      { JsonValue(it, "count", 0), JsonValue(it, "after", std::vector<std::size_t>()) });
-  }
-  mIdleJobs.OnAccepted(JsonValue(aBody, "job", std::string()), std::move(steps), Now());
+  OnJobSubmitted(aBody);
+  const auto job = JsonValue(aBody, "job", std::string());
+  mIdleJobs.OnAccepted(job, ReadSteps(JsonValue(aBody, "steps", Json::array())), Now());
+  mState.mWaits.OnAccepted(job, Now());
 }
 
 void
@@ -256,18 +276,46 @@
   mIdleJobs.OnDisruption(Now());
 }
 
-int
+FreeRoom
 PlatformControl::Room() const
 {
-  int room = 0;
+  FreeRoom room;
   for (const auto& [id, place] : mPlaces) {
-    if (place.mWorker && !place.mRegistration.IsPending() && !mUnregistered.contains(id)) {
-      room += place.mWorker->Room();
+    if (place.mWorker && place.mWorker->IsUsable() && !place.mRegistration.IsPending() &&
+        !mUnregistered.contains(id)) {
+      room.Add(place.mWorker->Total() - place.mWorker->InUse());
     }
   }
   return room;
 }
 
+Json
+PlatformControl::Usage() const
+{
+  Capacity total;
+  Capacity inUse;
+  for (const auto& [id, place] : mPlaces) {
+    if (place.mWorker) {
+      total += place.mWorker->Total();
+      inUse += place.mWorker->InUse();
+    }
+  }
+  return { { "accelerators", total.mAccelerators.Value() },
+           { "accelerators_in_use", inUse.mAccelerators.Value() },
+           { "cpu_millicores", total.mCpu.Value() },
+           { "cpu_millicores_in_use", inUse.mCpu.Value() } };
+}
+
+Json
+PlatformControl::Waits() const
+{
+  Json waits = Json::object();
+  for (const auto& [job, wait] : mState.mWaits.Waits(Now())) {
+    waits[job] = wait.count();
+  }
+  return waits;
+}
+
 void
 PlatformControl::DelayCall(const std::string& aId, const WorkerCall& aCall)
 {
@@ -307,9 +355,9 @@
       late[id] = count;
     }
   }
-  return { { "starts", mLedger.AllStarts() },
-           { "running", mLedger.Running() },
-           { "violations", mLedger.Violations() },
+  return { { "starts", mState.mLedger.AllStarts() },
+           { "running", mState.mLedger.Running() },
+           { "violations", mState.mLedger.Violations() },
            { "idle_jobs", mIdleJobs.Violations() },
            { "late_starts", late } };
 }
--- a/src/standin/platform/PlatformControl.h
+++ b/src/standin/platform/PlatformControl.h
@@ -3,10 +3,11 @@
 #include "base/EventLoop.h"
 #include "base/Json.h"
 #include "http/HttpServer.h"
+#include "standin/platform/FleetShape.h"
 #include "standin/platform/IdleJobCheck.h"
 #include "standin/platform/MetadataService.h"
+#include "standin/platform/PlatformState.h"
 #include "standin/platform/PlatformWorker.h"
-#include "standin/platform/RunLedger.h"
 
 #include <map>
 #include <memory>
@@ -30,18 +31,23 @@
 //   POST /restart          {"worker", "register_after_ms"}: crashes and starts again at once under
 //                          the same id; registers after that time
 //   POST /completion-shown {"job"}: a caller was told that the job is completed
-//   POST /job-accepted     {"job", "steps": [{"count", "after": [step]}]}: a caller was told that
-//                          the job is accepted; each of its tasks needs one accelerator
+//   POST /job-submitted    {"job", "steps"}: a caller is about to submit the job, with the steps as
+//                          it describes them. Tells workers what its tasks take
+//   POST /job-accepted     {"job", "steps"}: a caller was told that the job is accepted. A step
+//                          without cpu, mem_mb and gpu needs one accelerator a task
 //   POST /disruption       {"lasts"}: something other than workers is disrupted or works again, and
 //                          whether a disruption goes on
 //   GET  /ledger           {"starts": {task: count}, "running": {task: worker},
 //                          "violations": [text], "idle_jobs": [text],
 //                          "late_starts": {worker: count}}, where late starts are the late calls
 //                          that are still to be carried out
+//   GET  /usage            {"accelerators", "accelerators_in_use", "cpu_millicores",
+//                          "cpu_millicores_in_use"} over all workers
+//   GET  /waits            {job: ms} from the acceptance of each job to its first start, or to now
 class PlatformControl
 {
 public:
-  PlatformControl(EventLoop& aLoop, int aWorkers);
+  PlatformControl(EventLoop& aLoop, const FleetShape& aShape);
 
   // Workers listen on the ports after the control address.
   std::error_code
@@ -51,6 +57,7 @@
   // A worker id and the address that belongs to it, in all its lives.
   struct Place
   {
+    WorkerSpec mSpec;
     SocketAddress mAddress;
     // Null once the worker has left for good.
     std::unique_ptr<PlatformWorker> mWorker;
@@ -61,21 +68,24 @@
     TimePoint mRestartedAt;
   };
   using Command = void (PlatformControl::*)(const Json&);
+  using Query = Json (PlatformControl::*)() const;
 
   void HandleCommand(const char* aPattern, Command aCommand);
-  std::unique_ptr<PlatformWorker> NewWorker(const std::string& aId);
+  void HandleQuery(const char* aPattern, Query aQuery);
+  std::unique_ptr<PlatformWorker> NewWorker(const WorkerSpec& aSpec);
   void OnFaults(const Json& aFaults);
   void SetWorkerFaults(const Json& aFaults);
   void SetUnregistered(std::set<std::string> aWorkers);
   void OnDrain(const Json& aBody);
   void OnRestart(const Json& aBody);
   void OnCompletionShown(const Json& aBody);
+  void OnJobSubmitted(const Json& aBody);
   void OnJobAccepted(const Json& aBody);
   void OnDisruption(const Json& aBody);
   // A worker was disrupted or works again.
   void NoteDisruption();
-  // The accelerators that are free on workers that take new tasks.
-  int Room() const;
+  // What is free on workers that take new tasks.
+  FreeRoom Room() const;
   void DelayCall(const std::string& aId, const WorkerCall& aCall);
   // Carries out a late call, now or once the restart of its worker may have been noticed.
   void CarryOutLate(const std::string& aId, const WorkerCall& aCall);
@@ -85,9 +95,11 @@
   void Register(const std::string& aId);
   void Leave(const std::string& aId);
   Json Ledger() const;
+  Json Usage() const;
+  Json Waits() const;
 
   EventLoop& mLoop;
-  RunLedger mLedger;
+  PlatformState mState;
   IdleJobCheck mIdleJobs;
   MetadataService mStore;
   std::map<std::string, Place> mPlaces;
--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -20,6 +20,8 @@
 // Callers name the host that they connect to.
 constexpr const char* kHost = "127.0.0.1";
 constexpr const char* kPrefix = "/batch/";
+// A caller whose node stands still asks another one after this time.
+constexpr std::chrono::milliseconds kSubmitTimeout{ 3000 };
 
 std::string
 NodeName(int aNode)
@@ -55,18 +57,15 @@
 
 } // namespace
 
-EdgeSystem::EdgeSystem(int aNodes, int aWorkers)
+EdgeSystem::EdgeSystem(int aNodes, const WorkerFleet& aWorkers)
 {
   mDirectory = (std::filesystem::temp_directory_path() / "lovagerock-XXXXXX").string();
   Require(mkdtemp(mDirectory.data()) != nullptr, "can't create a temporary directory");
   mStore = FreeAddress(aNodes + 1);
-  mControl = FreeAddress(aWorkers + 1);
-  mPlatform = std::make_unique<Process>(
-    "platform", std::string(LOVAGEROCK_PROGRAMS) + "/lovagerock-platform",
-    std::vector<std::string>{ "--store", mStore.ToString(), "--store-addresses",
-                              std::to_string(aNodes + 1), "--control", mControl.ToString(),
-                              "--workers", std::to_string(aWorkers) },
-    mDirectory + "/platform.log");
+  mControl = FreeAddress(aWorkers.mCount + 1);
+  mPlatform =
+    std::make_unique<Process>("platform", std::string(LOVAGEROCK_PROGRAMS) + "/lovagerock-platform",
+                              PlatformArguments(aNodes, aWorkers), mDirectory + "/platform.log");
   AwaitTrue("the configuration to be written", [this] {
     return mCaller.Post(mControl, "/configuration", DumpJson(Configuration())).Is(200);
   });
@@ -79,6 +78,27 @@
   }
 }
 
+std::vector<std::string>
+EdgeSystem::PlatformArguments(int aNodes, const WorkerFleet& aWorkers) const
+{
+  return { "--store",
+           mStore.ToString(),
+           "--store-addresses",
+           std::to_string(aNodes + 1),
+           "--control",
+           mControl.ToString(),
+           "--workers",
+           std::to_string(aWorkers.mCount),
+           "--workers-per-rack",
+           std::to_string(aWorkers.mPerRack),
+           "--worker-cpu-millicores",
+           std::to_string(aWorkers.mMilliCores),
+           "--worker-memory-mb",
+           std::to_string(aWorkers.mMemoryMb),
+           "--worker-accelerators",
+           std::to_string(aWorkers.mAccelerators) };
+}
+
 EdgeSystem::~EdgeSystem()
 {
   for (auto& it : mNodes) {
@@ -215,14 +235,26 @@
 EdgeSystem::SubmitPayload(int aNode, const std::string& aJob, const Json& aSteps,
                           const Json& aPayload)
 {
+  Announce(mCaller, aJob, aSteps);
   return mCaller.Call(SubmitCall(aNode, aJob, aSteps, aPayload));
 }
 
+void
+EdgeSystem::Announce(HttpCaller& aCaller, const std::string& aJob, const Json& aSteps) const
+{
+  const auto report =
+    aCaller.Post(mControl, "/job-submitted", DumpJson({ { "job", aJob }, { "steps", aSteps } }));
+  Require(report.Is(200), "the platform took no report of a job: " + report.Describe());
+}
+
 bool
 EdgeSystem::SubmitChecked(HttpCaller& aCaller, int aNode, const std::string& aJob,
                           const Json& aSteps, std::chrono::milliseconds aTaskTime) const
 {
-  if (!aCaller.Call(SubmitCall(aNode, aJob, aSteps, aTaskTime.count())).Is(200)) {
+  Announce(aCaller, aJob, aSteps);
+  auto call = SubmitCall(aNode, aJob, aSteps, aTaskTime.count());
+  call.mDeadline = kSubmitTimeout;
+  if (!aCaller.Call(call).Is(200)) {
     return false;
   }
   const auto report =
@@ -346,6 +378,27 @@
   return result.Body();
 }
 
+Json
+EdgeSystem::Usage(HttpCaller& aCaller) const
+{
+  const auto result = aCaller.Get(mControl, "/usage");
+  Require(result.Is(200), "no use of workers: " + result.Describe());
+  return result.Body();
+}
+
+std::map<std::string, std::chrono::milliseconds>
+EdgeSystem::Waits()
+{
+  const auto result = mCaller.Get(mControl, "/waits");
+  Require(result.Is(200), "no waits of jobs: " + result.Describe());
+  std::map<std::string, std::chrono::milliseconds> waits;
+  const auto body = result.Body();
+  for (const auto& [job, wait] : body.items()) {
+    waits[job] = std::chrono::milliseconds(wait.get<std::int64_t>());
+  }
+  return waits;
+}
+
 void
 EdgeSystem::RequireNothingRanTwice()
 {
@@ -383,7 +436,7 @@
 }
 
 void
-RunWithEdges(int aNodes, int aWorkers, const std::function<void(EdgeSystem&)>& aTest)
+RunWithEdges(int aNodes, const WorkerFleet& aWorkers, const std::function<void(EdgeSystem&)>& aTest)
 {
   std::string failure;
   try {
@@ -400,4 +453,12 @@
   cr_assert(failure.empty(), "%s", failure.c_str());
 }
 
+void
+RunWithEdges(int aNodes, int aWorkers, const std::function<void(EdgeSystem&)>& aTest)
+{
+  WorkerFleet workers;
+  workers.mCount = aWorkers;
+  RunWithEdges(aNodes, workers, aTest);
+}
+
 } // namespace lovagerock::integration
