--- a/src/scheduler/SchedulerEvictions.cpp
+++ b/src/scheduler/SchedulerEvictions.cpp
@@ -182,7 +182,8 @@
     const auto& task = run.mTask;
     auto* job = FindMutable(task.mJob);
     const StepKey key{ task.mJob, task.mOccurrence, task.mStep };
-    const DueStep none{ job, task.mOccurrence, task.mStep, {}, true, Entitled, job->Objective() };
+    const DueStep none{ job,  task.mOccurrence, task.mStep,       {},
+                        true, Entitled,         job->Objective(), false };
     auto& step = steps.try_emplace(key, none).first->second;
     if (!job->Spec(task.mStep).mGang) {
       step.mTasks.push_back(task.mIndex);
@@ -215,8 +216,7 @@
     aPlacer.Reserve(worker, aRequest.mStep->mDemand);
   }
   const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
-  const bool isSpread = aDue.mJob->Spec(aDue.mStep).mRackLocal && !aRequest.mStep->mRackLocal;
-  mReservations[key] = { aPlan.mWorkers, aRequest.mStep->mDemand, isSpread,
+  mReservations[key] = { aPlan.mWorkers, aRequest.mStep->mDemand, aRequest.mMaySpread,
                          aNow.mSteady + mSettings.mReservationDuration };
 }
 
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -12,8 +12,6 @@
 // A job is worthless if it is expected to take longer than this many times the time from its
 // acceptance to its objective.
 constexpr int kWorthlessFactor = 3;
-// See SchedulerSettings::mMaxIdleBesideRoom.
-constexpr double kMaxUsedPart = 0.5;
 // A guaranteed step that waits is logged at most once in this time.
 constexpr Duration kWaitingLogPeriod{ 1000 };
 
@@ -43,10 +41,11 @@
 Scheduler::Plan(const CurrentTime& aNow, bool aMayStart)
 {
   Orders orders;
+  mPlacer.reset();
   ExpireLeases(aNow);
   UpdateTakeoverSettled(aNow);
   mEntitled = EntitledJobs();
-  mGatheringSteps = 0;
+  mGatherers.clear();
   for (auto& [id, job] : mJobs) {
     if (!job.IsOver()) {
       job.OpenDueOccurrences(aNow.mWallMs, aNow.mSteady);
@@ -68,7 +67,7 @@
 void
 Scheduler::PlaceAllDue(const CurrentTime& aNow, Orders& aOrders)
 {
-  Placer placer(mFleet, aNow.mSteady);
+  auto& placer = mPlacer.emplace(mFleet, aNow.mSteady);
   std::erase_if(mStepSpeeds, [this](const auto& aIt) {
     const auto* job = FindJob(std::get<0>(aIt.first));
     return !job || job->IsOver();
@@ -352,7 +351,7 @@
         continue;
       }
       const int stepClass = planClass == Late && IsMostlyDone(step) ? InTime : planClass;
-      DueStep due{ &aJob, number, index, {}, aIsEntitled, stepClass, objective };
+      DueStep due{ &aJob, number, index, {}, aIsEntitled, stepClass, objective, false };
       for (std::size_t j = 0; j < step.mTasks.size(); ++j) {
         const auto& task = step.mTasks[j];
         const TaskRef ref{ aJob.Accepted().mId, number, index, static_cast<int>(j) };
@@ -365,6 +364,8 @@
         return step.mTasks[aLeft].mWaitingSince < step.mTasks[aRight].mWaitingSince;
       });
       const bool isWhole = due.mTasks.size() == step.mTasks.size();
+      due.mIsProtected =
+        mGatherTurns.IsProtected({ aJob.Accepted().mId, number, index }, aNow.mSteady);
       if (!due.mTasks.empty() && (isWhole || !aJob.Spec(index).mGang)) {
         aDue.push_back(std::move(due));
       }
@@ -383,8 +384,8 @@
   }
   const auto rank = [](const DueStep& aIt) {
     const bool isWorthless = aIt.mClass == Worthless;
-    return std::tuple(aIt.mClass != Entitled, isWorthless, aIt.mJob->Policy().mPriority, aIt.mClass,
-                      aIt.mObjective);
+    return std::tuple(aIt.mClass != Entitled, !aIt.mIsProtected, isWorthless,
+                      aIt.mJob->Policy().mPriority, aIt.mClass, aIt.mObjective);
   };
   std::sort(due.begin(), due.end(), [&rank](const auto& aLeft, const auto& aRight) {
     const auto left = rank(aLeft);
@@ -484,24 +485,6 @@
   }
 }
 
-bool
-Scheduler::IsIdleBesideRoom(const DueStep& aDue, const Placer& aPlacer,
-                            const CurrentTime& aNow) const
-{
-  if (aNow.mSteady - WaitingSince(aDue) < mSettings.mMaxIdleBesideRoom ||
-      aPlacer.UsedPart(aDue.mJob->Policy().mService) >= kMaxUsedPart) {
-    return false;
-  }
-  const auto& occurrences = aDue.mJob->OpenOccurrences();
-  return std::none_of(occurrences.begin(), occurrences.end(), [](const auto& aOccurrence) {
-    const auto& steps = aOccurrence.second.mSteps;
-    return std::any_of(steps.begin(), steps.end(), [](const auto& aStep) {
-      return std::any_of(aStep.mTasks.begin(), aStep.mTasks.end(),
-                         [](const auto& aTask) { return aTask.mPhase == TaskPhase::Active; });
-    });
-  });
-}
-
 bool
 Scheduler::PlaceReserved(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow,
                          Orders& aOrders)
@@ -517,12 +500,7 @@
   }
   auto request = RequestFor(aDue);
   AvoidFailures(aDue, request, aPlacer, aNow);
-  auto spread = *request.mStep;
-  if (reservation.mIsSpread) {
-    spread.mRackLocal = false;
-    request.mStep = &spread;
-    request.mRack = RackId();
-  }
+  request.mMaySpread = reservation.mIsSpread;
   std::optional<std::vector<WorkerId>> workers;
   if (reservation.mWorkers.size() == aDue.mTasks.size()) {
     workers = aPlacer.Place(request);
@@ -532,6 +510,10 @@
     StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
     return true;
   }
+  if (StartBesideRoom(aDue, request, aPlacer, aNow, aOrders)) {
+    mReservations.erase(it);
+    return true;
+  }
   for (const auto& worker : reservation.mWorkers) {
     aPlacer.Reserve(worker, reservation.mDemand);
   }
@@ -545,35 +527,22 @@
   if (aRequest.mRack.IsEmpty() && !aPlacer.FitsOnIdleWorkers(aRequest)) {
     return true;
   }
-  if (aRequest.mStep->mLongRunning) {
-    return aNow.mSteady - WaitingSince(aDue) >= mSettings.mMaxAvoidance;
-  }
-  return aRequest.mStep->mGang && IsIdleBesideRoom(aDue, aPlacer, aNow);
+  return aRequest.mStep->mLongRunning &&
+         aNow.mSteady - WaitingSince(aDue) >= mSettings.mMaxAvoidance;
 }
 
 void
 Scheduler::PlaceTogether(const DueStep& aDue, PlacementRequest aRequest, Placer& aPlacer,
                          const CurrentTime& aNow, Orders& aOrders)
 {
-  auto spread = *aRequest.mStep;
-  spread.mRackLocal = false;
-  if (aRequest.mStep->mRackLocal && !aPlacer.Place(aRequest) &&
-      MaySpread(aDue, aRequest, aPlacer, aNow)) {
-    aRequest.mStep = &spread;
-    aRequest.mRack = RackId();
-  }
-  if (PlaceWhole(aDue, aRequest, aPlacer, aNow, aOrders) ||
-      MoveGuaranteedFor(aDue, aRequest, aPlacer, aNow)) {
+  aRequest.mMaySpread = aRequest.mStep->mRackLocal && !aPlacer.Place(aRequest) &&
+                        MaySpread(aDue, aRequest, aPlacer, aNow);
+  // Concessions come before evictions, which throw work away.
+  if (StartWhole(aDue, aRequest, aPlacer, aNow, aOrders) ||
+      (aRequest.mStep->mGang && StartBesideRoom(aDue, aRequest, aPlacer, aNow, aOrders)) ||
+      EvictFor(aDue, aRequest, aPlacer, aNow) || MoveGuaranteedFor(aDue, aRequest, aPlacer, aNow)) {
     return;
   }
-  if (aRequest.mStep->mGang && IsIdleBesideRoom(aDue, aPlacer, aNow)) {
-    auto passing = aRequest;
-    passing.mMayPassGangs = true;
-    if (const auto workers = aPlacer.Place(passing)) {
-      StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
-      return;
-    }
-  }
   LogWaiting(aDue, aRequest, aPlacer, aNow);
   GatherCapacity(aDue, aRequest, aPlacer, aNow);
   if (!aRequest.mStep->mGang) {
@@ -582,14 +551,14 @@
 }
 
 bool
-Scheduler::PlaceWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
+Scheduler::StartWhole(const DueStep& aDue, const PlacementRequest& aRequest, Placer& aPlacer,
                       const CurrentTime& aNow, Orders& aOrders)
 {
-  if (const auto workers = aPlacer.Place(aRequest)) {
+  const auto workers = aPlacer.Place(aRequest);
+  if (workers) {
     StartTasks(aDue, *workers, aPlacer, aNow, aOrders);
-    return true;
   }
-  return EvictFor(aDue, aRequest, aPlacer, aNow);
+  return workers.has_value();
 }
 
 Duration
@@ -603,13 +572,9 @@
 Scheduler::PlaceEach(const DueStep& aDue, PlacementRequest& aRequest, Placer& aPlacer,
                      const CurrentTime& aNow, Orders& aOrders)
 {
-  auto workers = aPlacer.PlaceSome(aRequest);
-  if (workers.empty() && IsIdleBesideRoom(aDue, aPlacer, aNow)) {
-    // One task, so that the gangs still get their room soon.
-    auto passing = aRequest;
-    passing.mCount = 1;
-    passing.mMayPassGangs = true;
-    workers = aPlacer.PlaceSome(passing);
+  const auto workers = aPlacer.PlaceSome(aRequest);
+  if (workers.empty() && StartBesideRoom(aDue, aRequest, aPlacer, aNow, aOrders)) {
+    return;
   }
   if (!workers.empty()) {
     StartTasks(aDue, workers, aPlacer, aNow, aOrders);
@@ -649,7 +614,7 @@
     .With("tasks", aRequest.mCount)
     .With("accelerators", aRequest.mStep->mDemand.mAccelerators)
     .With("cpu", aRequest.mStep->mDemand.mCpu)
-    .With("one_rack", aRequest.mStep->mRackLocal)
+    .With("one_rack", aRequest.IsRackBound())
     .With("label", aRequest.mStep->mRequiredLabel)
     .With("registered", room.mRegistered)
     .With("workers", room.mWorkers)
@@ -678,7 +643,8 @@
                           const CurrentTime& aNow)
 {
   const bool isDue = WaitingTime(aDue, aNow) >= mSettings.mGatherAfter;
-  if (!aRequest.mStep->mGang || !isDue || mGatheringSteps >= mSettings.mMaxGatheringSteps) {
+  const bool isAnyLeft = mGatherers.size() < mSettings.mMaxGatheringSteps;
+  if (!aRequest.mStep->mGang || !isDue || !isAnyLeft) {
     return;
   }
   const StepKey key{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep };
@@ -687,8 +653,8 @@
   }
   const bool mayEvict = MayEvictAny(aDue);
   const auto mayStop = [&](const PlacedRun& aRun) { return mayEvict && MayEvict(aRun, aDue); };
-  if (aPlacer.Gather(aRequest, mayStop, !aDue.mIsEntitled)) {
-    ++mGatheringSteps;
+  if (const int gatherer = aPlacer.Gather(aRequest, mayStop, MayBePassed(aDue, aPlacer, aNow))) {
+    mGatherers.emplace(key, gatherer);
     mGatherTurns.OnGathered(key, aNow.mSteady);
   }
 }
@@ -723,7 +689,7 @@
     placed.mCheckpointing = spec.mCheckpointing;
     placed.mLongRunning = spec.mLongRunning;
     mFleet.at(aWorkers[i]).Add(placed);
-    aPlacer.Reserve(aWorkers[i], spec.mDemand);
+    aPlacer.Occupy(aWorkers[i], spec.mDemand);
     aOrders.mStarts.push_back(MakeStart(aWorkers[i], placed.mRun));
     ++mCounts.mStarts;
   }
