Reserve the room of an evicted run once where gangs gather

What callers would see: two urgent steps for which the same run is evicted. Neither starts when it has ended; both wait until their reservations expire, 1.5 s later, and evict again. Found by reading; not seen in a run.

Cause: Placer::Reserve moved what it reserved beyond the free room of a worker from the account of the gang that gathers there and may be passed, also for room that a run still occupies. Free room was then 0 instead of below 0, so the next choice of evictions counted the run that is being stopped as free again. In the next plan, each of the two reservations takes the room from the other.

Change: only Occupy(), which stands for a start, takes from what a gang has gathered, and no more than isn't free otherwise. Reserve() leaves a shortage in the free room.

Why it works: the sum of free and gathered room changes by the demand alone, and only starts, which need room that is free now, may draw on gathered room.

Tests: Placer/reserves_evicted_room_once_where_a_gang_has_gathered and Placer/reserves_evicted_room_once_where_a_gang_was_passed failed before. 148 of 149 tests of test_scheduler pass, all but the known red one of Takeover.

--- a/src/scheduler/Capacity.h
+++ b/src/scheduler/Capacity.h
@@ -52,6 +52,12 @@
     mAccelerators -= aOther.mAccelerators;
     return *this;
   }
+  // Returns the smaller amount of each component.
+  static Capacity Min(const Capacity& aLeft, const Capacity& aRight)
+  {
+    return { std::min(aLeft.mCpu, aRight.mCpu), std::min(aLeft.mMemory, aRight.mMemory),
+             std::min(aLeft.mAccelerators, aRight.mAccelerators) };
+  }
   friend Capacity operator+(Capacity aLeft, const Capacity& aRight) { return aLeft += aRight; }
   friend Capacity operator-(Capacity aLeft, const Capacity& aRight) { return aLeft -= aRight; }
 };
--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -51,6 +51,14 @@
   return capacity;
 }
 
+// Returns the components below 0, by which more is reserved than is free, because runs are being
+// stopped there.
+Capacity
+Shortage(const Capacity& aFree)
+{
+  return Capacity::Min(aFree, Capacity());
+}
+
 bool
 Contains(const std::vector<WorkerId>& aWorkers, const WorkerId& aWorker)
 {
@@ -97,22 +105,23 @@
 Placer::Reserve(const WorkerId& aWorker, const Capacity& aDemand)
 {
   if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
-    auto& candidate = mCandidates[it->second];
-    candidate.mFree -= aDemand;
-    if (candidate.mMayBePassed && !Capacity().FitsInto(candidate.mFree)) {
-      // The choice passed a gang.
-      candidate.mGathered += std::exchange(candidate.mFree, Capacity());
-    }
-    --candidate.mTrialRuns;
+    mCandidates[it->second].mFree -= aDemand;
+    --mCandidates[it->second].mTrialRuns;
   }
 }
 
 void
 Placer::Occupy(const WorkerId& aWorker, const Capacity& aDemand)
 {
-  Reserve(aWorker, aDemand);
   if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
-    mCandidates[it->second].mUnoccupied -= aDemand;
+    auto& candidate = mCandidates[it->second];
+    // What isn't free otherwise is taken from a gang that is passed.
+    const auto free = candidate.mFree - Shortage(candidate.mFree);
+    const auto taken = candidate.mMayBePassed ? Capacity::Min(aDemand, free) : aDemand;
+    candidate.mFree -= taken;
+    candidate.mGathered -= aDemand - taken;
+    candidate.mUnoccupied -= aDemand;
+    --candidate.mTrialRuns;
   }
 }
 
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -71,7 +71,8 @@
 public:
   Placer(const Fleet& aFleet, TimePoint aNow);
 
-  // Reserves resources on a worker; later choices treat them as used.
+  // Reserves resources on a worker; later choices treat them as used. They may still be occupied by
+  // runs that are being stopped.
   void Reserve(const WorkerId& aWorker, const Capacity& aDemand);
   // The same for a run that is started on the worker and occupies the resources from now on.
   void Occupy(const WorkerId& aWorker, const Capacity& aDemand);
--- a/tests/scheduler/PlacerTests.cpp
+++ b/tests/scheduler/PlacerTests.cpp
@@ -65,3 +65,75 @@
   fleet[WorkerId("left")].mRegistered = false;
   cr_assert_eq(RoomForOneTask(fleet).mRegistered, 0);
 }
+
+namespace {
+
+// A worker with a run that occupies some of its 8 accelerators.
+struct PlacerFixture
+{
+  explicit PlacerFixture(int aUsed)
+  {
+    auto& worker = mFleet[kWorker] = UsableWorker(kWorker.Value());
+    PlacedRun run;
+    run.mRun = { { JobId("job"), 0, 0, 0 }, 1 };
+    run.mDemand = Demand(aUsed);
+    worker.Add(run);
+  }
+
+  static Capacity Demand(int aAccelerators)
+  {
+    return { MilliCores(1000), MemoryMiB(1000), Accelerators(aAccelerators) };
+  }
+
+  // A request for one task.
+  PlacementRequest Request(int aAccelerators)
+  {
+    mStep.mCount = 1;
+    mStep.mDemand = Demand(aAccelerators);
+    PlacementRequest request;
+    request.mService = ServiceId("service");
+    request.mStep = &mStep;
+    return request;
+  }
+
+  static int Gather(Placer& aPlacer, const PlacementRequest& aRequest)
+  {
+    return aPlacer.Gather(
+      aRequest, [](const PlacedRun&) { return true; }, true);
+  }
+
+  const WorkerId kWorker{ "w" };
+  Fleet mFleet;
+  StepSpec mStep;
+};
+
+} // namespace
+
+// Guards against two steps for which the same run is evicted, so that neither finds room when it
+// has ended.
+Test(Placer, reserves_evicted_room_once_where_a_gang_has_gathered)
+{
+  PlacerFixture f(4);
+  Placer placer(f.mFleet, kNow);
+  cr_assert_neq(f.Gather(placer, f.Request(8)), 0);
+  placer.Reserve(f.kWorker, f.Demand(4));
+  f.mFleet.at(f.kWorker).mRuns.front().mPhase = RunPhase::Stopping;
+  const auto plan = placer.Evict(f.Request(4), [](const PlacedRun&) { return std::nullopt; });
+  cr_assert_not(plan.has_value());
+}
+
+// The same if a step has passed the gang since.
+Test(Placer, reserves_evicted_room_once_where_a_gang_was_passed)
+{
+  PlacerFixture f(2);
+  Placer placer(f.mFleet, kNow);
+  cr_assert_neq(f.Gather(placer, f.Request(8)), 0);
+  placer.Reserve(f.kWorker, f.Demand(2));
+  placer.Occupy(f.kWorker, f.Demand(4));
+  auto passing = f.Request(1);
+  passing.mMayPassGangs = true;
+  cr_assert_not(placer.Place(passing).has_value(), "the gathered room is used up");
+  f.mFleet.at(f.kWorker).mRuns.front().mPhase = RunPhase::Stopping;
+  const auto plan = placer.Evict(f.Request(2), [](const PlacedRun&) { return std::nullopt; });
+  cr_assert_not(plan.has_value());
+}
