Keep the shortage of reserved room where a gang gathers

What callers would see: a task that is started on a worker where the run that is evicted for it still occupies the room, so the start is refused, or, by workers that don't guard their capacity, carried out over it.

Cause: where more is reserved than is free, because runs are being stopped, Placer::Gather set the free room from below 0 to 0. When the step that has the reservation came later in the plan, its release made the occupied room count as free. A gang comes before such a step if it is guaranteed, has a protected turn or an earlier objective.

Change: Gather() takes what is above 0 in each component and leaves the rest.

Why it works: releasing a reservation then adds up to what is free in fact.

--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -305,9 +305,11 @@
   ++mGatherers;
   for (const auto& it : best) {
     auto& candidate = mCandidates[mPositions.at(it)];
-    const auto free = std::exchange(candidate.mFree, Capacity());
+    // A shortage stays: the reservation behind it may be released later in the plan.
+    const auto shortage = Shortage(candidate.mFree);
+    const auto free = std::exchange(candidate.mFree, shortage) - shortage;
     const bool isOfAnother = candidate.mGatherer != 0;
-    if (!isOfAnother && Capacity().FitsInto(free)) {
+    if (!isOfAnother) {
       candidate.mGathered = free;
       candidate.mGatherer = mGatherers;
       candidate.mMayBePassed = aMayBePassed;
--- a/tests/scheduler/PlacerTests.cpp
+++ b/tests/scheduler/PlacerTests.cpp
@@ -109,6 +109,21 @@
 
 } // namespace
 
+// Guards against a start on a worker that is still occupied by the run that is evicted for it,
+// because a gang has gathered there in the meantime.
+Test(Placer, keeps_count_of_occupied_room_that_is_reserved_when_a_gang_gathers)
+{
+  PlacerFixture f(8);
+  f.mFleet[WorkerId("idle")] = UsableWorker("idle");
+  Placer placer(f.mFleet, kNow);
+  placer.Reserve(f.kWorker, f.Demand(8));
+  auto gang = f.Request(8);
+  gang.mCount = 2;
+  cr_assert_neq(f.Gather(placer, gang), 0);
+  placer.Release(f.kWorker, f.Demand(8));
+  cr_assert_not(placer.Place(f.Request(8)).has_value());
+}
+
 // Guards against two steps for which the same run is evicted, so that neither finds room when it
 // has ended.
 Test(Placer, reserves_evicted_room_once_where_a_gang_has_gathered)
