Count no idle time while the only run of a job is being stopped

What callers would see: a gang that is passed, although the job that passes it had a run until a moment ago.

Cause: a task whose run is being stopped isn't Active, and mRanUntil is only set at the end of the run. In between, the idle time counted from when the step was ready, or from an earlier run, so another task of the job passed gangs, or took workers where runs have failed, in the plan that evicted the run.

Change: a run that its worker has confirmed and that is being stopped counts as one that runs. At its end mRanUntil takes over, as before. A run that was never confirmed doesn't count.

Cost: where the worker of such a run is silent, other tasks of the job make no concession until its lease has expired, as for runs that aren't being stopped.

--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -284,9 +284,13 @@
   void AvoidFailures(const DueStep& aDue, PlacementRequest& aRequest, const Placer& aPlacer,
                      const CurrentTime& aNow) const;
   void PlaceDue(const DueStep& aDue, Placer& aPlacer, const CurrentTime& aNow, Orders& aOrders);
+  // Whether a run of the task that its worker has confirmed is being stopped.
+  bool IsBeingStopped(const TaskRef& aRef, const Task& aTask) const;
+  // Whether something of the job runs, or has been ordered to.
+  bool HasRun(const Job& aJob) const;
   // Returns for how long nothing of the job has run although the step was ready. A task that lasts
   // counts by itself, whatever else runs of its job.
-  static Duration IdleTime(const DueStep& aDue, const CurrentTime& aNow);
+  Duration IdleTime(const DueStep& aDue, const CurrentTime& aNow) const;
   // Whether IdleTime() has reached mMaxIdleBesideRoom, although its service has room: most
   // of it is idle, or the tasks fit twice over beside the runs.
   bool IsIdleBesideRoom(const DueStep& aDue, const PlacementRequest& aRequest,
--- a/src/scheduler/SchedulerConcessions.cpp
+++ b/src/scheduler/SchedulerConcessions.cpp
@@ -13,19 +13,6 @@
 // Room counts as enough for a step if it holds the step this many times.
 constexpr int kRoomFactor = 2;
 
-bool
-HasActiveTask(const Job& aJob)
-{
-  const auto& occurrences = aJob.OpenOccurrences();
-  return std::any_of(occurrences.begin(), occurrences.end(), [](const auto& aOccurrence) {
-    const auto& steps = aOccurrence.second.mSteps;
-    return std::any_of(steps.begin(), steps.end(), [](const auto& aStep) {
-      return std::any_of(aStep.mTasks.begin(), aStep.mTasks.end(),
-                         [](const auto& aTask) { return aTask.mPhase == TaskPhase::Active; });
-    });
-  });
-}
-
 // Whether runs leave enough room for the gang, or for one of the tasks, whatever keeps them from
 // it.
 bool
@@ -39,14 +26,46 @@
 
 } // namespace
 
+bool
+Scheduler::IsBeingStopped(const TaskRef& aRef, const Task& aTask) const
+{
+  const auto it = mFleet.find(aTask.mWorker);
+  if (aTask.mPhase != TaskPhase::Stopping || it == mFleet.end()) {
+    return false;
+  }
+  const auto& runs = it->second.mRuns;
+  return std::any_of(runs.begin(), runs.end(), [&](const auto& aRun) {
+    return aRun.mRun.mTask == aRef && aRun.mLastConfirmedClock != WorkerClock();
+  });
+}
+
+bool
+Scheduler::HasRun(const Job& aJob) const
+{
+  for (const auto& [number, occurrence] : aJob.OpenOccurrences()) {
+    TaskRef ref{ aJob.Accepted().mId, number, 0, 0 };
+    for (const auto& step : occurrence.mSteps) {
+      ref.mIndex = 0;
+      for (const auto& task : step.mTasks) {
+        if (task.mPhase == TaskPhase::Active || IsBeingStopped(ref, task)) {
+          return true;
+        }
+        ++ref.mIndex;
+      }
+      ++ref.mStep;
+    }
+  }
+  return false;
+}
+
 Duration
-Scheduler::IdleTime(const DueStep& aDue, const CurrentTime& aNow)
+Scheduler::IdleTime(const DueStep& aDue, const CurrentTime& aNow) const
 {
   const auto& job = *aDue.mJob;
   if (job.Spec(aDue.mStep).mLongRunning) {
     return std::chrono::duration_cast<Duration>(aNow.mSteady - WaitingSince(aDue));
   }
-  if (HasActiveTask(job)) {
+  if (HasRun(job)) {
     return Duration(0);
   }
   const auto ready = job.OpenOccurrences().at(aDue.mOccurrence).mReadySince[aDue.mStep];
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -478,6 +478,28 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a job that passes gangs as soon as its only run is told to stop, because the time
+// counts from when the step was ready.
+Test(Scheduler, counts_no_idle_time_while_a_run_is_being_stopped)
+{
+  GatheringFixture f;
+  f.Submit(f.Job("small", { f.Step(2, 1) }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  const auto passed = f.Plan();
+  cr_assert_eq(passed.mStarts.size(), 1);
+  auto urgent = f.Step(2, 4);
+  urgent.mMaxPerWorker = 1;
+  urgent.mRequiredLabel = f.Racks(passed).begin()->Value();
+  f.Submit(f.Job("urgent", { urgent }, 0));
+  const auto orders = f.mScheduler->Plan(f.mNow);
+  cr_assert_eq(orders.mStops.size(), 1);
+  cr_assert_eq(orders.mStops.front().mRun.mTask.mJob, JobId("small"));
+  const bool hasPassed =
+    std::any_of(orders.mStarts.begin(), orders.mStarts.end(),
+                [](const auto& aIt) { return aIt.mRun.mTask.mJob == JobId("small"); });
+  cr_assert_not(hasPassed, "the other task has passed a gang");
+}
+
 // The other side: guards against gangs that never get the room that small jobs take again and
 // again.
 Test(Scheduler, lets_no_job_pass_gangs_that_gather_if_it_fits_only_once)
