End the protection of a gang's turn with the turn

What callers would see: urgent jobs that come after a gang of low priority for up to 10 s longer than intended. Found by reading; not seen in a run.

Cause: IsProtected() excluded only the pause after a protected turn. After the pause the step counted as protected again until its next turn began, which takes long if two others gather, and in any case in the first plan of that turn.

Change: a step is protected until the end of the turn alone.

Test: GatherTurns/protects_no_step_after_its_protected_turn failed before. 151 of 152 tests of test_scheduler pass, all but the known red one of Takeover.

--- a/src/scheduler/GatherTurns.cpp
+++ b/src/scheduler/GatherTurns.cpp
@@ -27,7 +27,8 @@
 GatherTurns::IsProtected(const StepKey& aStep, TimePoint aNow) const
 {
   const auto it = mTurns.find(aStep);
-  return it != mTurns.end() && it->second.mIsProtected && !IsPausing(aStep, aNow);
+  return it != mTurns.end() && it->second.mIsProtected &&
+         aNow < it->second.mBegan + it->second.mLength;
 }
 
 void
