Count room twice over regardless of the limit of tasks on a worker

What callers would see: a task that waits for longer than 3 s although one of its step may still run on a worker with room for many, because gangs gather there and the service has no other worker that the step may use. Found by reading; not seen in a run.

Cause: the proof of room asks for two tasks of the step. Where one task of the step may run on a worker, as for a label that a single worker has, that is never given, whatever room there is.

Change: the proof allows twice as many tasks of the step on each worker.

Why it works: the proof says that what is left holds another one like it, which is a matter of room. The choice of workers keeps to the limit as before.

Test: Scheduler/counts_room_twice_over_on_a_worker_that_takes_one_task_of_a_step failed before. 152 of 153 tests of test_scheduler pass, all but the known red one of Takeover.

--- a/src/scheduler/SchedulerConcessions.cpp
+++ b/src/scheduler/SchedulerConcessions.cpp
@@ -21,6 +21,10 @@
   auto request = Concede(aRequest, kAllConcessions);
   request.mIgnoresReservations = true;
   request.mCount = kRoomFactor * (aRequest.mStep->mGang ? aRequest.mCount : 1);
+  // The room is what counts, so the limit of tasks on a worker grows with their number.
+  auto step = *aRequest.mStep;
+  step.mMaxPerWorker *= kRoomFactor;
+  request.mStep = &step;
   return aPlacer.Fitting(request) >= request.mCount;
 }
 
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -478,6 +478,23 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a task that waits beside room for many, because only one of its step may run on
+// the only worker with its label.
+Test(Scheduler, counts_room_twice_over_on_a_worker_that_takes_one_task_of_a_step)
+{
+  GatheringFixture f;
+  auto& worker = f.mWorkers.at(WorkerId("w1"));
+  worker.mEntry.mLabels.emplace_back("single");
+  f.mScheduler->OnWorkerEntry(worker.mEntry, f.mNow);
+  auto step = f.Step(1, 1);
+  step.mMaxPerWorker = 1;
+  step.mRequiredLabel = "single";
+  f.Submit(f.Job("small", { step }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  f.Plan();
+  cr_assert(f.State("small") == JobState::InProgress);
+}
+
 // Guards against a job that passes gangs as soon as its only run is told to stop, because the time
 // counts from when the step was ready.
 Test(Scheduler, counts_no_idle_time_while_a_run_is_being_stopped)
