--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -495,6 +495,20 @@
   cr_assert(f.State("small") == JobState::InProgress);
 }
 
+// Guards against tasks that last and wait for as long as gangs gather, because another task of
+// their step runs.
+Test(Scheduler, lets_each_task_that_lasts_pass_gangs_beside_room_for_it_twice_over)
+{
+  GatheringFixture f;
+  // The gang still fits beside them, so it goes on gathering.
+  auto step = f.Step(2, 0);
+  step.mLongRunning = true;
+  f.Submit(f.Job("lasting", { step }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 // Guards against a job that passes gangs as soon as its only run is told to stop, because the time
 // counts from when the step was ready.
 Test(Scheduler, counts_no_idle_time_while_a_run_is_being_stopped)
