Count a run that ended before its start was answered as a run

What callers would see: a gang that is passed by a job of which a run has just failed.

Cause: the idle time of a job begins anew at the end of a run only if its worker has confirmed it, by an answer to its start or by a report that it runs. The worker's report of its end may come before both, for a run that ends at once or a start whose answer is late or lost.

Change: a run that has ended as done or failed counts in any case. Other ends may be those of runs that never were.

--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -147,8 +147,8 @@
   int mDoneOccurrences = 0;
   // Whether any task is known to have started.
   bool mBegun = false;
-  // When the last run ended that a worker had confirmed; unset if there was none. A start that was
-  // refused is no run.
+  // When the last run ended that a worker had confirmed, or has done or failed; unset if there was
+  // none. A start that was refused is no run.
   TimePoint mRanUntil;
   // Whether the job was loaded from the store at a takeover. Runs that an earlier scheduler started
   // may not be known yet.
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -364,7 +364,9 @@
 {
   const auto* placed = aWorker.Find(aRun);
   auto* job = FindMutable(aRun.mTask.mJob);
-  if (job && placed && placed->mLastConfirmedClock != WorkerClock()) {
+  // A run may end before its start is answered.
+  const bool hasWorked = aEnd == RunEnd::Done || aEnd == RunEnd::Failed;
+  if (job && placed && (hasWorked || placed->mLastConfirmedClock != WorkerClock())) {
     job->mRanUntil = aNow.mSteady;
   }
   aWorker.Remove(aRun);
--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -495,6 +495,20 @@
   cr_assert(f.State("small") == JobState::InProgress);
 }
 
+// Guards against a job that passes gangs right after a run that failed before its start was
+// answered.
+Test(Scheduler, counts_idle_time_from_the_end_of_a_run_whose_start_was_not_answered)
+{
+  GatheringFixture f;
+  f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  const auto start = f.mScheduler->Plan(f.mNow).mStarts.at(0);
+  f.mWorkers.at(start.mWorker).mRunning.push_back({ start.mRun, "", 0 });
+  f.EndRun(start.mRun, RunEnd::Failed);
+  f.RenewLease(start.mWorker);
+  cr_assert(f.Plan().mStarts.empty(), "the job has passed a gang");
+}
+
 // Guards against tasks that last and wait for as long as gangs gather, because another task of
 // their step runs.
 Test(Scheduler, lets_each_task_that_lasts_pass_gangs_beside_room_for_it_twice_over)
