--- a/tests/scheduler/PlacementTests.cpp
+++ b/tests/scheduler/PlacementTests.cpp
@@ -478,6 +478,73 @@
   cr_assert_eq(f.Plan().mStarts.size(), 1);
 }
 
+// Guards against a task that waits beside room for many, because only one of its step may run on
+// the only worker with its label.
+Test(Scheduler, counts_room_twice_over_on_a_worker_that_takes_one_task_of_a_step)
+{
+  GatheringFixture f;
+  auto& worker = f.mWorkers.at(WorkerId("w1"));
+  worker.mEntry.mLabels.emplace_back("single");
+  f.mScheduler->OnWorkerEntry(worker.mEntry, f.mNow);
+  auto step = f.Step(1, 1);
+  step.mMaxPerWorker = 1;
+  step.mRequiredLabel = "single";
+  f.Submit(f.Job("small", { step }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  f.Plan();
+  cr_assert(f.State("small") == JobState::InProgress);
+}
+
+// Guards against a job that passes gangs right after a run that failed before its start was
+// answered.
+Test(Scheduler, counts_idle_time_from_the_end_of_a_run_whose_start_was_not_answered)
+{
+  GatheringFixture f;
+  f.Submit(f.Job("small", { f.Step(1, 1) }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  const auto start = f.mScheduler->Plan(f.mNow).mStarts.at(0);
+  f.mWorkers.at(start.mWorker).mRunning.push_back({ start.mRun, "", 0 });
+  f.EndRun(start.mRun, RunEnd::Failed);
+  f.RenewLease(start.mWorker);
+  cr_assert(f.Plan().mStarts.empty(), "the job has passed a gang");
+}
+
+// Guards against tasks that last and wait for as long as gangs gather, because another task of
+// their step runs.
+Test(Scheduler, lets_each_task_that_lasts_pass_gangs_beside_room_for_it_twice_over)
+{
+  GatheringFixture f;
+  // The gang still fits beside them, so it goes on gathering.
+  auto step = f.Step(2, 0);
+  step.mLongRunning = true;
+  f.Submit(f.Job("lasting", { step }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
+// Guards against a job that passes gangs as soon as its only run is told to stop, because the time
+// counts from when the step was ready.
+Test(Scheduler, counts_no_idle_time_while_a_run_is_being_stopped)
+{
+  GatheringFixture f;
+  f.Submit(f.Job("small", { f.Step(2, 1) }, 2));
+  f.AdvanceTime(f.mSettings.mMaxIdleBesideRoom);
+  const auto passed = f.Plan();
+  cr_assert_eq(passed.mStarts.size(), 1);
+  auto urgent = f.Step(2, 4);
+  urgent.mMaxPerWorker = 1;
+  urgent.mRequiredLabel = f.Racks(passed).begin()->Value();
+  f.Submit(f.Job("urgent", { urgent }, 0));
+  const auto orders = f.mScheduler->Plan(f.mNow);
+  cr_assert_eq(orders.mStops.size(), 1);
+  cr_assert_eq(orders.mStops.front().mRun.mTask.mJob, JobId("small"));
+  const bool hasPassed =
+    std::any_of(orders.mStarts.begin(), orders.mStarts.end(),
+                [](const auto& aIt) { return aIt.mRun.mTask.mJob == JobId("small"); });
+  cr_assert_not(hasPassed, "the other task has passed a gang");
+}
+
 // The other side: guards against gangs that never get the room that small jobs take again and
 // again.
 Test(Scheduler, lets_no_job_pass_gangs_that_gather_if_it_fits_only_once)
