--- a/tests/scheduler/PlacerTests.cpp
+++ b/tests/scheduler/PlacerTests.cpp
@@ -73,7 +73,7 @@
 {
   explicit PlacerFixture(int aUsed)
   {
-    auto& worker = mFleet[kWorker] = UsableWorker(kWorker.Value());
+    auto& worker = mFleet[mWorkerId] = UsableWorker(mWorkerId.Value());
     PlacedRun run;
     run.mRun = { { JobId("job"), 0, 0, 0 }, 1 };
     run.mDemand = Demand(aUsed);
@@ -102,7 +102,7 @@
       aRequest, [](const PlacedRun&) { return true; }, true);
   }
 
-  const WorkerId kWorker{ "w" };
+  const WorkerId mWorkerId{ "w" };
   Fleet mFleet;
   StepSpec mStep;
 };
@@ -116,11 +116,11 @@
   PlacerFixture f(8);
   f.mFleet[WorkerId("idle")] = UsableWorker("idle");
   Placer placer(f.mFleet, kNow);
-  placer.Reserve(f.kWorker, f.Demand(8));
+  placer.Reserve(f.mWorkerId, f.Demand(8));
   auto gang = f.Request(8);
   gang.mCount = 2;
   cr_assert_neq(f.Gather(placer, gang), 0);
-  placer.Release(f.kWorker, f.Demand(8));
+  placer.Release(f.mWorkerId, f.Demand(8));
   cr_assert_not(placer.Place(f.Request(8)).has_value());
 }
 
@@ -131,8 +131,8 @@
   PlacerFixture f(4);
   Placer placer(f.mFleet, kNow);
   cr_assert_neq(f.Gather(placer, f.Request(8)), 0);
-  placer.Reserve(f.kWorker, f.Demand(4));
-  f.mFleet.at(f.kWorker).mRuns.front().mPhase = RunPhase::Stopping;
+  placer.Reserve(f.mWorkerId, f.Demand(4));
+  f.mFleet.at(f.mWorkerId).mRuns.front().mPhase = RunPhase::Stopping;
   const auto plan = placer.Evict(f.Request(4), [](const PlacedRun&) { return std::nullopt; });
   cr_assert_not(plan.has_value());
 }
@@ -143,12 +143,12 @@
   PlacerFixture f(2);
   Placer placer(f.mFleet, kNow);
   cr_assert_neq(f.Gather(placer, f.Request(8)), 0);
-  placer.Reserve(f.kWorker, f.Demand(2));
-  placer.Occupy(f.kWorker, f.Demand(4));
+  placer.Reserve(f.mWorkerId, f.Demand(2));
+  placer.Occupy(f.mWorkerId, f.Demand(4));
   auto passing = f.Request(1);
   passing.mMayPassGangs = true;
   cr_assert_not(placer.Place(passing).has_value(), "the gathered room is used up");
-  f.mFleet.at(f.kWorker).mRuns.front().mPhase = RunPhase::Stopping;
+  f.mFleet.at(f.mWorkerId).mRuns.front().mPhase = RunPhase::Stopping;
   const auto plan = placer.Evict(f.Request(2), [](const PlacedRun&) { return std::nullopt; });
   cr_assert_not(plan.has_value());
 }
