Test hostile callers that submit jobs, and the ports of lovagerock-node

Callers outside our control end a node or make it hang with small requests: what one accepted request costs the leader isn't bounded, and neither is the number of accepted jobs. The operators' and the peers' port of lovagerock-node have no limits over all connections.

The stand-in of the platform's store ends a page of a listing at 1 MiB and refuses values over 1 MiB, as the store's interface says. Before, a listing of large records exceeded what the client accepts, and no leader could be loaded. Tests that are listed for the hostile program run one at a time, as ctest does.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -25,5 +25,7 @@
 ctest --test-dir "$directory" --output-on-failure --parallel 4 -E "$exclude"
 for program in "${!skipped[@]}"; do
   # As in the tests' properties, so that systems of processes aren't starved by each other.
-  CRITERION_JOBS=3 "$directory/tests/$program/test_$program" --filter "!(${skipped[$program]})"
+  jobs=3
+  [ "$program" = hostile ] && jobs=1
+  CRITERION_JOBS=$jobs "$directory/tests/$program/test_$program" --filter "!(${skipped[$program]})"
 done
--- a/src/standin/platform/MetadataService.cpp
+++ b/src/standin/platform/MetadataService.cpp
@@ -11,7 +11,10 @@
 namespace {
 
 constexpr Duration kTick{ 10 };
+// A page of a listing ends with the item that reaches one of these.
 constexpr std::size_t kPageItems = 500;
+constexpr std::size_t kPageBytes = 1024 * 1024;
+constexpr std::size_t kMaxValueBytes = 1024 * 1024;
 
 Json
 WriteItem(const MetadataItem& aItem)
@@ -157,14 +160,18 @@
 void
 MetadataService::OnRange(const http::Request& aRequest, const http::Responder& aTo)
 {
-  auto items = mTable.Range(aRequest.QueryParameter("prefix"), aRequest.QueryParameter("after"),
-                            kPageItems + 1);
-  const bool hasMore = items.size() > kPageItems;
-  items.resize(std::min(items.size(), kPageItems));
+  const auto items = mTable.Range(aRequest.QueryParameter("prefix"),
+                                  aRequest.QueryParameter("after"), kPageItems + 1);
   Json rows = Json::array();
+  std::size_t bytes = 0;
   for (const auto& it : items) {
+    if (rows.size() == kPageItems || bytes >= kPageBytes) {
+      break;
+    }
+    bytes += it.mValue.size();
     rows.push_back(WriteItem(it));
   }
+  const bool hasMore = rows.size() < items.size();
   Reply(aTo,
         { { "items", std::move(rows) }, { "has_more", hasMore }, { "as_of", mTable.Revision() } });
 }
@@ -230,6 +237,12 @@
     Reply(aTo, { { "error", ex.what() } }, 400);
     return;
   }
+  const auto& writes = transaction.mWrites;
+  if (std::any_of(writes.begin(), writes.end(),
+                  [](const auto& aIt) { return aIt.mValue.size() > kMaxValueBytes; })) {
+    Reply(aTo, { { "error", "value too large" } }, 400);
+    return;
+  }
   const auto result = mTable.Commit(transaction);
   if (mFaults.mLostAnswers > 0) {
     --mFaults.mLostAnswers;
--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -343,6 +343,16 @@
   Require(result.Is(200), aPath + " failed: " + result.Describe());
 }
 
+void
+EdgeSystem::Configure(const Json& aConfiguration, const std::string& aNewPrefix)
+{
+  Command("/configuration", aConfiguration);
+  for (auto& it : mNodes) {
+    AwaitTrue("the configuration to be applied",
+              [&] { return mCaller.Get(it.mCallers, aNewPrefix).Is(200); });
+  }
+}
+
 void
 EdgeSystem::SetFaults(const Json& aFaults)
 {
--- a/tests/integration/EdgeSystem.h
+++ b/tests/integration/EdgeSystem.h
@@ -78,6 +78,9 @@
   // Returns the node's metrics in the text format.
   std::string Metrics(int aNode);
 
+  // Replaces the configuration, which has version 1, and waits until all nodes serve the queue with
+  // the path prefix. It must be a public one, and no part of the present configuration.
+  void Configure(const Json& aConfiguration, const std::string& aNewPrefix);
   // Sets faults of the platform, see PlatformControl.
   void SetFaults(const Json& aFaults);
   // Closes the store to the nodes, and opens it to all others.
--- a/tests/integration/LocalSystem.h
+++ b/tests/integration/LocalSystem.h
@@ -53,6 +53,8 @@
   // The address of a node for callers and for operators. Nodes count from 0.
   const SocketAddress& NodeAddress(int aNode) const { return NodeAt(aNode).mListen; }
   const SocketAddress& AdminAddress(int aNode) const { return NodeAt(aNode).mAdmin; }
+  // The address of a node for other nodes.
+  const SocketAddress& PeerAddress(int aNode) const { return NodeAt(aNode).mPeer; }
   Process& NodeProcess(int aNode) { return *mNodes.at(static_cast<std::size_t>(aNode)).mProcess; }
 
   // Starts a node that has ended again, with the same settings.
