Bound what one accepted job costs the leader

What callers saw: 20 submissions of 150 bytes with a count of 70,000 took more memory than the node has, and an ordinary job after them got no answer within 8 s. One job with 1,000,000 repetitions that are all due took 336,636 KiB. A job whose tasks need nothing opened 14,221 connections to its worker.

Cause: each task of an accepted job was an object of 176 bytes from its acceptance on, and all due occurrences were opened at once. A plan listed all waiting tasks of all jobs, and RequestFor() searched that list for each task, which takes a time that grows with the square of the count. A plan started as many tasks as fit, however many that is.

Change: a step keeps the tasks up to the last one that had a run; the others are a number (Step::Touch, Step::At, Step::Untouched). Occurrences that are due wait while the open ones have more than 4,096 tasks. A plan looks for workers for 512 waiting steps at most: three quarters of them the first by rank, the others in turn (PlanWindow), and for 512 tasks of a step that isn't a gang. It starts no more runs than leave 2,048 unconfirmed, 32,768 in all and 512 on one worker; a gang is started whole or not at all.

Why these numbers: the design size has 22,000 running tasks and gangs of 512, the deployments have steps of at most 230 tasks.

--- a/src/scheduler/Job.cpp
+++ b/src/scheduler/Job.cpp
@@ -39,6 +39,24 @@
   return mRun == aOther.mRun && (isAnyUnknown || mIncarnation == aOther.mIncarnation);
 }
 
+const Task&
+Step::At(int aIndex) const
+{
+  static const Task kInitial;
+  const auto index = static_cast<std::size_t>(aIndex);
+  return index < mTasks.size() ? mTasks[index] : kInitial;
+}
+
+Task&
+Step::Touch(int aIndex)
+{
+  const auto index = static_cast<std::size_t>(aIndex);
+  if (index >= mTasks.size()) {
+    mTasks.resize(index + 1);
+  }
+  return mTasks[index];
+}
+
 bool
 Occurrence::IsDone() const
 {
@@ -77,7 +95,7 @@
   auto [it, isNew] = mOpenOccurrences.try_emplace(aOccurrence);
   if (isNew) {
     for (const auto& spec : mAccepted.mSpec.mSteps) {
-      it->second.mSteps.emplace_back().mTasks.resize(static_cast<std::size_t>(spec.mCount));
+      it->second.mSteps.emplace_back().mCount = spec.mCount;
     }
     it->second.mReadySince.resize(mAccepted.mSpec.mSteps.size());
     mNextOccurrence = std::max(mNextOccurrence, aOccurrence + 1);
@@ -96,11 +114,24 @@
                                : mAccepted.mAcceptedMs;
 }
 
+std::int64_t
+Job::TasksPerOccurrence() const
+{
+  std::int64_t tasks = 0;
+  for (const auto& it : mAccepted.mSpec.mSteps) {
+    tasks += it.mCount;
+  }
+  return tasks;
+}
+
 void
 Job::OpenDueOccurrences(std::int64_t aNowMs, TimePoint aNow)
 {
+  const auto mayOpen =
+    std::max<std::int64_t>(kMaxOpenTasks / std::max<std::int64_t>(TasksPerOccurrence(), 1), 1);
   while (mNextOccurrence < mAccepted.mSpec.Occurrences() &&
-         (mAccepted.mSpec.mRepetitions == 0 || NextDueMs() <= aNowMs)) {
+         (mAccepted.mSpec.mRepetitions == 0 || NextDueMs() <= aNowMs) &&
+         static_cast<std::int64_t>(mOpenOccurrences.size()) < mayOpen) {
     FindOrCreateOccurrence(mNextOccurrence);
   }
   for (auto& [number, occurrence] : mOpenOccurrences) {
@@ -121,15 +152,17 @@
       aTask.mStep >= static_cast<int>(it->second.mSteps.size())) {
     return nullptr;
   }
-  const auto& tasks = it->second.mSteps[aTask.mStep].mTasks;
-  return aTask.mIndex >= 0 && aTask.mIndex < static_cast<int>(tasks.size()) ? &tasks[aTask.mIndex]
-                                                                            : nullptr;
+  const auto& step = it->second.mSteps[aTask.mStep];
+  return aTask.mIndex >= 0 && aTask.mIndex < step.mCount ? &step.At(aTask.mIndex) : nullptr;
 }
 
 Task*
 Job::Find(const TaskRef& aTask)
 {
-  return const_cast<Task*>(std::as_const(*this).Find(aTask));
+  if (!std::as_const(*this).Find(aTask)) {
+    return nullptr;
+  }
+  return &mOpenOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep].Touch(aTask.mIndex);
 }
 
 Task*
@@ -168,6 +201,7 @@
     }
   };
   if (Spec(aTask.mStep).mGang) {
+    step.Touch(step.mCount - 1);
     std::for_each(step.mTasks.begin(), step.mTasks.end(), mark);
   } else {
     mark(*task);
--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -70,13 +70,24 @@
   std::vector<WorkerId> mFailedWorkers;
 };
 
+// The tasks of a step. Most tasks of a large step wait for their first run, so only those up to the
+// last one that had a run are kept one by one.
 struct Step
 {
+  // The tasks with the lowest indices; the others are as a new Task.
   std::vector<Task> mTasks;
+  // The number of all tasks.
+  int mCount = 0;
   // The number of done tasks. A gang's tasks are done all at once.
   int mDone = 0;
 
-  bool IsDone() const { return mDone == static_cast<int>(mTasks.size()); }
+  bool IsDone() const { return mDone == mCount; }
+  // The number of tasks that aren't kept one by one.
+  int Untouched() const { return mCount - static_cast<int>(mTasks.size()); }
+  // Returns the task, which is at its initial state if it isn't kept.
+  const Task& At(int aIndex) const;
+  // Returns the task to change it, and keeps it from now on.
+  Task& Touch(int aIndex);
 };
 
 // One execution of all steps of a job; a repeated job has several.
@@ -115,7 +126,8 @@
   // The occurrences that are due and aren't done, by number.
   std::map<int, Occurrence>& OpenOccurrences() { return mOpenOccurrences; }
   const std::map<int, Occurrence>& OpenOccurrences() const { return mOpenOccurrences; }
-  // Creates the occurrences that have become due and records which steps have become ready.
+  // Creates the occurrences that have become due and records which steps have become ready. While
+  // the open ones have more than kMaxOpenTasks, later ones wait for their end.
   void OpenDueOccurrences(std::int64_t aNowMs, TimePoint aNow);
   // Returns when the next occurrence is due, in milliseconds since 1970, or 0 if none is left.
   std::int64_t NextDueMs() const;
@@ -139,6 +151,8 @@
   Duration RemainingRunTime() const;
   // Returns the time by which the job should be done, see QueuePolicy::mSlackFactor.
   TimePoint Objective() const;
+  // Frees what is needed only to start tasks. The job must be over.
+  void ReleasePayload() { mAccepted.mSpec.mPayload = std::string(); }
   // Returns the sum of the accelerators of a step's tasks, for the step where it is largest.
   Accelerators LargestStepAccelerators() const;
 
@@ -159,6 +173,8 @@
   // Returns for each step its expected end, counted from the start of the occurrence. Steps that
   // are done in aOccurrence, which may be null, take no time.
   std::vector<Duration> StepEndTimes(const Occurrence* aOccurrence) const;
+  // The number of tasks of each occurrence.
+  std::int64_t TasksPerOccurrence() const;
 
   AcceptedJob mAccepted;
   QueuePolicy mPolicy;
--- a/src/scheduler/JobRecord.cpp
+++ b/src/scheduler/JobRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduler/Limits.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -19,6 +20,10 @@
 
 namespace {
 
+// A task without a run, as WriteTask() writes it.
+constexpr int kNeverRan = 0;
+constexpr int kMaxTasksWrittenWhole = 512;
+
 Json
 WriteStepSpec(const StepSpec& aStep)
 {
@@ -126,7 +131,7 @@
     return 1;
   }
   if (aTask.mRun == 0 && aTask.mFailedRuns.empty()) {
-    return 0;
+    return kNeverRan;
   }
   auto failedRuns = Json::array();
   auto incarnations = Json::array();
@@ -186,8 +191,13 @@
   const auto& steps = aJson.at("steps");
   for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
     auto& step = occurrence.mSteps[i];
-    for (std::size_t j = 0; j < step.mTasks.size(); ++j) {
-      ReadTask(steps.at(i).at(j), step, step.mTasks[j]);
+    const auto& tasks = steps.at(i);
+    // Later tasks have never run.
+    const int count = std::min(static_cast<int>(tasks.size()), step.mCount);
+    for (int j = 0; j < count; ++j) {
+      if (const auto& task = tasks.at(static_cast<std::size_t>(j)); task != kNeverRan) {
+        ReadTask(task, step, step.Touch(j));
+      }
     }
   }
 }
@@ -258,6 +268,10 @@
       for (const auto& task : step.mTasks) {
         tasks.push_back(WriteTask(task));
       }
+      // Earlier versions expect all tasks of a step. Steps of more tasks were unusual.
+      if (step.mCount <= kMaxTasksWrittenWhole) {
+        tasks.get_ref<Json::array_t&>().resize(static_cast<std::size_t>(step.mCount), kNeverRan);
+      }
       steps.push_back(std::move(tasks));
     }
     occurrences.push_back({ { "number", number }, { "steps", std::move(steps) } });
--- a/src/scheduler/Limits.h
+++ b/src/scheduler/Limits.h
@@ -20,8 +20,12 @@
 // The highest number of a run.
 inline constexpr int kMaxRun = 1'000'000'000;
 inline constexpr double kMaxSlackFactor = 1000;
-// The most tasks of a step, and the most occurrences of a job.
+// The most tasks of a stored step, and the most occurrences of a job. What is accepted has lower
+// limits, see JobLimits.
 inline constexpr int kMaxTasks = 100'000;
 inline constexpr int kMaxOccurrences = 1'000'000;
+// The most tasks of the occurrences of one job that are open at a time, unless one occurrence has
+// more. The record of their progress has to fit into a value of the store, 1 MiB.
+inline constexpr int kMaxOpenTasks = 4096;
 
 } // namespace lovagerock::scheduler
--- a/src/scheduler/Placer.cpp
+++ b/src/scheduler/Placer.cpp
@@ -75,7 +75,7 @@
 
 } // namespace
 
-Placer::Placer(const Fleet& aFleet, TimePoint aNow, const WorkerSpeeds* aSpeeds)
+Placer::Placer(const Fleet& aFleet, TimePoint aNow, const WorkerSpeeds* aSpeeds, int aMaxRuns)
 {
   std::map<RackId, std::vector<const Worker*>> racks;
   for (const auto& [id, worker] : aFleet) {
@@ -100,11 +100,12 @@
         mTotal[worker->mEntry.mService] += worker->mEntry.mCapacity;
         mUsed[worker->mEntry.mService] += worker->mUsed;
       }
-      mCandidates.push_back(
-        { worker, worker->Free(), Capacity(), 0, false, worker->Free(), rack, service.first->second,
-          worker->mCondition.IsSuspect(aNow), worker->mCondition.IsDoubtful(aNow), isFailing,
-          isPaused, worker->mIsInEvacuatedZone, worker->mCondition.IsSuspect(aNow),
-          TrialRuns(*worker), 0, aSpeeds ? aSpeeds->Speed(*worker, aNow) : WorkerSpeed(), 0 });
+      mCandidates.push_back({ worker, worker->Free(), Capacity(), 0, false, worker->Free(), rack,
+                              service.first->second, worker->mCondition.IsSuspect(aNow),
+                              worker->mCondition.IsDoubtful(aNow), isFailing, isPaused,
+                              worker->mIsInEvacuatedZone, worker->mCondition.IsSuspect(aNow),
+                              TrialRuns(*worker), aMaxRuns - static_cast<int>(worker->mRuns.size()),
+                              0, aSpeeds ? aSpeeds->Speed(*worker, aNow) : WorkerSpeed(), 0 });
     }
     ++rack;
   }
@@ -116,6 +117,7 @@
   if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
     mCandidates[it->second].mFree -= aDemand;
     --mCandidates[it->second].mTrialRuns;
+    --mCandidates[it->second].mRunRoom;
   }
 }
 
@@ -131,6 +133,7 @@
     candidate.mGathered -= aDemand - taken;
     candidate.mUnoccupied -= aDemand;
     --candidate.mTrialRuns;
+    --candidate.mRunRoom;
   }
 }
 
@@ -140,6 +143,7 @@
   if (const auto it = mPositions.find(aWorker); it != mPositions.end()) {
     mCandidates[it->second].mFree += aDemand;
     ++mCandidates[it->second].mTrialRuns;
+    ++mCandidates[it->second].mRunRoom;
   }
 }
 
@@ -155,8 +159,8 @@
 {
   const auto& worker = *aCandidate.mWorker;
   const bool isLimited = aCandidate.mIsOnTrial && !aRequest.mIgnoresTrials;
-  const int limit =
-    isLimited ? std::clamp(aCandidate.mTrialRuns, 0, aRequest.mCount) : aRequest.mCount;
+  const int most = std::clamp(aCandidate.mRunRoom, 0, aRequest.mCount);
+  const int limit = isLimited ? std::clamp(aCandidate.mTrialRuns, 0, most) : most;
   if (aRequest.mStep->mMaxPerWorker <= 0) {
     return limit;
   }
@@ -205,6 +209,7 @@
     if (aIsEmpty) {
       candidate.mFree = it.mWorker->mEntry.mCapacity;
       candidate.mIsOnTrial = false;
+      candidate.mRunRoom += static_cast<int>(it.mWorker->mRuns.size());
     }
     candidate.mCopies =
       aRequest.mStep->mDemand.CopiesIn(candidate.mFree, MaxCopies(candidate, aRequest));
--- a/src/scheduler/Placer.h
+++ b/src/scheduler/Placer.h
@@ -6,6 +6,7 @@
 #include "scheduler/WorkerSpeeds.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -75,8 +76,9 @@
 class Placer
 {
 public:
-  // Without aSpeeds, all workers count as equally fast.
-  Placer(const Fleet& aFleet, TimePoint aNow, const WorkerSpeeds* aSpeeds = nullptr);
+  // Without aSpeeds, all workers count as equally fast. No worker gets more than aMaxRuns runs.
+  Placer(const Fleet& aFleet, TimePoint aNow, const WorkerSpeeds* aSpeeds = nullptr,
+         int aMaxRuns = std::numeric_limits<int>::max());
 
   // Reserves resources on a worker; later choices treat them as used. They may still be occupied by
   // runs that are being stopped.
@@ -138,6 +140,8 @@
     // it may get now.
     bool mIsOnTrial = false;
     int mTrialRuns = 0;
+    // How many more runs the worker may get, whatever they need.
+    int mRunRoom = 0;
     // The number of tasks of the request that fit.
     int mCopies = 0;
     WorkerSpeed mSpeed;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -31,6 +31,7 @@
 Scheduler::Scheduler(const SchedulerSettings& aSettings, TimePoint aTakeover)
   : mSettings(aSettings)
   , mInheritedUntil(aTakeover + aSettings.mStoreOutageTolerance + MaxLeaseDuration())
+  , mPlanWindow(aSettings.mMaxPlannedSteps)
   , mGatherTurns(aSettings.mGatherTurn, aSettings.mLongestGatherTurn, aSettings.mGatherPause,
                  aSettings.mMaxPassedTime)
   , mAccountUsage(aSettings.mAccountHalfLife)
@@ -471,7 +472,7 @@
   auto* task = aJob.Find(aRun.mTask);
   auto& counted =
     spec.mGang
-      ? aJob.FindOrCreateOccurrence(aRun.mTask.mOccurrence).mSteps[aRun.mTask.mStep].mTasks.front()
+      ? aJob.FindOrCreateOccurrence(aRun.mTask.mOccurrence).mSteps[aRun.mTask.mStep].Touch(0)
       : *task;
   const auto& id = aWorker.mEntry.mId;
   std::erase(task->mFailedWorkers, id);
@@ -532,7 +533,11 @@
   if (aJob.mInherited && !mIsTakeoverSettled) {
     return false;
   }
-  const auto& tasks = it->second.mSteps[ref.mStep].mTasks;
+  const auto& step = it->second.mSteps[ref.mStep];
+  const auto& tasks = step.mTasks;
+  if (step.Untouched() > 0) {
+    return true;
+  }
   return std::any_of(tasks.begin(), tasks.end(), [&](const auto& aTask) {
     const bool isPresent = aTask.mPhase == TaskPhase::Active || MayRunUnreported(aTask, aNow);
     if (isPresent && aTask.mRun == aRun.mRun.mRun) {
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -6,6 +6,7 @@
 #include "scheduler/Job.h"
 #include "scheduler/Orders.h"
 #include "scheduler/Placer.h"
+#include "scheduler/PlanWindow.h"
 #include "scheduler/RunTimes.h"
 #include "scheduler/SchedulerSettings.h"
 #include "scheduler/StepRanking.h"
@@ -167,7 +168,7 @@
     Job* mJob = nullptr;
     int mOccurrence = 0;
     int mStep = 0;
-    // The indices of the tasks in the step.
+    // The indices of the tasks in the step; see TakeTasks().
     std::vector<int> mTasks;
     // Whether the job is within its account's guarantee.
     bool mIsEntitled = false;
@@ -312,6 +313,21 @@
   void UpdateAccountUsage(const std::vector<DueStep>& aDue, const CurrentTime& aNow);
   void
   AddDue(Job& aJob, bool aIsEntitled, const CurrentTime& aNow, std::vector<DueStep>& aDue) const;
+  // Returns the number of the step's tasks that wait for a worker.
+  int CountWaiting(const Job& aJob, int aOccurrence, int aStep) const;
+  // Whether the task waits and none of its runs is being stopped.
+  bool IsWaiting(const Task& aTask, const TaskRef& aRef) const
+  {
+    return aTask.mPhase == TaskPhase::Waiting &&
+           (mBeingStopped.empty() || !mBeingStopped.contains(aRef));
+  }
+  // Sets the tasks of the step to those that wait, the longest wait first, at most aLimit.
+  void ListWaiting(DueStep& aDue, int aLimit) const;
+  // Sets the tasks of the step that this plan may start, of a gang all. Returns false if there is
+  // none, or if the plan may not start so many runs any more.
+  bool TakeTasks(DueStep& aDue) const;
+  // Returns how many runs this plan may start.
+  int CountStartRoom() const;
   // Returns the class of a job without a guarantee.
   PlanClass ClassOf(const Job& aJob, TimePoint aObjective, const CurrentTime& aNow) const;
   // Returns Job::RemainingRunTime() with regard to what is known of such estimates.
@@ -457,6 +473,9 @@
   std::set<ZoneId> mEvacuatedZones;
   std::unordered_map<JobId, Job> mJobs;
   Fleet mFleet;
+  PlanWindow mPlanWindow;
+  // How many runs the current plan may still start.
+  int mStartRoom = 0;
   // What the last plan has left free; none after a plan that could start nothing.
   std::optional<Placer> mPlacer;
   std::map<StepKey, Reservation> mReservations;
--- a/src/scheduler/SchedulerEvictions.cpp
+++ b/src/scheduler/SchedulerEvictions.cpp
@@ -305,7 +305,7 @@
                                   aExcluded.end());
   const auto& occurrence = aMoved.mJob->OpenOccurrences().at(aMoved.mOccurrence);
   for (const int index : aMoved.mTasks) {
-    const auto& task = occurrence.mSteps[aMoved.mStep].mTasks[index];
+    const auto& task = occurrence.mSteps[aMoved.mStep].At(index);
     aPlacer.Release(task.mWorker, request.mStep->mDemand);
   }
   if (auto workers = aPlacer.Place(request)) {
--- a/src/scheduler/SchedulerGangMembers.cpp
+++ b/src/scheduler/SchedulerGangMembers.cpp
@@ -81,7 +81,11 @@
   bool isAnyPresent = false;
   TaskRef ref = aTask;
   ref.mIndex = 0;
-  for (const auto& it : job->OpenOccurrences().at(aTask.mOccurrence).mSteps[aTask.mStep].mTasks) {
+  const auto& step = job->OpenOccurrences().at(aTask.mOccurrence).mSteps[aTask.mStep];
+  if (step.Untouched() > 0) {
+    return false;
+  }
+  for (const auto& it : step.mTasks) {
     const bool isPresent = it.mPhase == TaskPhase::Active && it.mRun == aMember.mRun;
     if (!isPresent && !AwaitsOtherWorker(ref, aMember.mRun)) {
       return false;
--- a/src/scheduler/SchedulerPlacement.cpp
+++ b/src/scheduler/SchedulerPlacement.cpp
@@ -41,12 +41,16 @@
     std::any_of(step.mTasks.begin(), step.mTasks.end(), [attempts](const auto& aTask) {
       return !aTask.mFailedRuns.empty() && aTask.mFailedRuns.size() + 1 >= attempts;
     });
+  std::vector<bool> isRequested(step.mTasks.size());
+  for (const int index : aDue.mTasks) {
+    if (const auto i = static_cast<std::size_t>(index); i < isRequested.size()) {
+      isRequested[i] = true;
+    }
+  }
   for (std::size_t i = 0; i < step.mTasks.size(); ++i) {
     const auto& task = step.mTasks[i];
-    const bool isRequested =
-      std::find(aDue.mTasks.begin(), aDue.mTasks.end(), static_cast<int>(i)) != aDue.mTasks.end();
     const bool isPresent =
-      !isRequested && (task.mPhase == TaskPhase::Active || task.mPhase == TaskPhase::Stopping);
+      !isRequested[i] && (task.mPhase == TaskPhase::Active || task.mPhase == TaskPhase::Stopping);
     if (isPresent && (spec.mMaxPerWorker > 0 || spec.mRackLocal)) {
       ++request.mPresent[task.mWorker];
       if (const auto it = mFleet.find(task.mWorker); spec.mRackLocal && it != mFleet.end()) {
@@ -66,7 +70,7 @@
   const auto ready = occurrence.mReadySince[aDue.mStep];
   auto since = TimePoint::max();
   for (const int index : aDue.mTasks) {
-    const auto& task = occurrence.mSteps[aDue.mStep].mTasks[index];
+    const auto& task = occurrence.mSteps[aDue.mStep].At(index);
     since = std::min(since, std::max(ready, task.mWaitingSince));
   }
   return since;
@@ -297,7 +301,7 @@
   }
   int highestRun = 0;
   for (std::size_t i = 0; i < aWorkers.size(); ++i) {
-    auto& task = step.mTasks[aDue.mTasks[i]];
+    auto& task = step.Touch(aDue.mTasks[i]);
     task.mRun = aRun.value_or((spec.mGang ? gangRun : HighestRun(task)) + 1);
     highestRun = std::max(highestRun, task.mRun);
     task.mPhase = TaskPhase::Active;
@@ -318,6 +322,7 @@
     aOrders.mStarts.push_back(MakeStart(aWorkers[i], placed.mRun));
     ++mCounts.mStarts;
   }
+  mStartRoom -= static_cast<int>(aWorkers.size());
   MarkDirty(job.Accepted().mId);
   LogEvent("step_started")
     .With("job", job.Accepted().mId)
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -48,7 +48,8 @@
 Scheduler::PlaceAllDue(const CurrentTime& aNow, Orders& aOrders)
 {
   mSpeeds.Refresh(mFleet, aNow.mSteady);
-  auto& placer = mPlacer.emplace(mFleet, aNow.mSteady, &mSpeeds);
+  auto& placer = mPlacer.emplace(mFleet, aNow.mSteady, &mSpeeds, mSettings.mMaxRunsPerWorker);
+  mStartRoom = CountStartRoom();
   mSpeeds.ForgetSteps([this](const StepKey& aStep) {
     const auto* job = FindJob(std::get<0>(aStep));
     return !job || job->IsOver() || !job->OpenOccurrences().contains(std::get<1>(aStep));
@@ -69,11 +70,73 @@
     }
   }
   PlaceRefusedGangMembers(placer, aNow, aOrders);
-  for (const auto& due : DueSteps(aNow)) {
-    PlaceDue(due, placer, aNow, aOrders);
+  auto steps = DueSteps(aNow);
+  for (const auto position : mPlanWindow.Choose(steps.size())) {
+    if (auto& due = steps[position]; TakeTasks(due)) {
+      PlaceDue(due, placer, aNow, aOrders);
+    }
   }
 }
 
+int
+Scheduler::CountStartRoom() const
+{
+  int runs = 0;
+  int starting = 0;
+  for (const auto& [id, worker] : mFleet) {
+    runs += static_cast<int>(worker.mRuns.size());
+    starting += static_cast<int>(
+      std::count_if(worker.mRuns.begin(), worker.mRuns.end(),
+                    [](const auto& aRun) { return aRun.mPhase == RunPhase::Starting; }));
+  }
+  return std::min(mSettings.mMaxRuns - runs, mSettings.mMaxStartingRuns - starting);
+}
+
+int
+Scheduler::CountWaiting(const Job& aJob, int aOccurrence, int aStep) const
+{
+  const auto& step = aJob.OpenOccurrences().at(aOccurrence).mSteps[aStep];
+  TaskRef ref{ aJob.Accepted().mId, aOccurrence, aStep, 0 };
+  int waiting = step.Untouched();
+  for (const auto& task : step.mTasks) {
+    waiting += IsWaiting(task, ref) ? 1 : 0;
+    ++ref.mIndex;
+  }
+  return waiting;
+}
+
+void
+Scheduler::ListWaiting(DueStep& aDue, int aLimit) const
+{
+  const auto& step = aDue.mJob->OpenOccurrences().at(aDue.mOccurrence).mSteps[aDue.mStep];
+  TaskRef ref{ aDue.mJob->Accepted().mId, aDue.mOccurrence, aDue.mStep, 0 };
+  for (const auto& task : step.mTasks) {
+    if (IsWaiting(task, ref)) {
+      aDue.mTasks.push_back(ref.mIndex);
+    }
+    ++ref.mIndex;
+  }
+  for (int i = 0; i < std::min(step.Untouched(), aLimit); ++i) {
+    aDue.mTasks.push_back(ref.mIndex + i);
+  }
+  // A task that fails again and again must not take the place of others each time.
+  std::stable_sort(aDue.mTasks.begin(), aDue.mTasks.end(), [&step](int aLeft, int aRight) {
+    return step.At(aLeft).mWaitingSince < step.At(aRight).mWaitingSince;
+  });
+  if (static_cast<int>(aDue.mTasks.size()) > aLimit) {
+    aDue.mTasks.resize(static_cast<std::size_t>(std::max(aLimit, 0)));
+  }
+}
+
+bool
+Scheduler::TakeTasks(DueStep& aDue) const
+{
+  const auto& spec = aDue.mJob->Spec(aDue.mStep);
+  ListWaiting(aDue, std::min(spec.mGang ? spec.mCount : mSettings.mMaxPlannedTasks, mStartRoom));
+  const bool isWhole = static_cast<int>(aDue.mTasks.size()) == spec.mCount;
+  return !aDue.mTasks.empty() && (!spec.mGang || isWhole);
+}
+
 void
 Scheduler::ExpireLeases(const CurrentTime& aNow)
 {
@@ -296,7 +359,7 @@
     const bool isGang = job->Spec(aRun.mTask.mStep).mGang;
     order.mPayload = job->Accepted().mSpec.mPayload;
     order.mCheckpoint =
-      isGang ? occurrence.mSteps[aRun.mTask.mStep].mTasks.front().mCheckpoint : task->mCheckpoint;
+      isGang ? occurrence.mSteps[aRun.mTask.mStep].At(0).mCheckpoint : task->mCheckpoint;
   }
   return order;
 }
@@ -346,15 +409,8 @@
         continue;
       }
       DueStep due{ &aJob, number, index, {}, aIsEntitled, InTime, {}, false };
-      for (std::size_t j = 0; j < step.mTasks.size(); ++j) {
-        const auto& task = step.mTasks[j];
-        const TaskRef ref{ aJob.Accepted().mId, number, index, static_cast<int>(j) };
-        if (task.mPhase == TaskPhase::Waiting && !mBeingStopped.contains(ref)) {
-          due.mTasks.push_back(static_cast<int>(j));
-        }
-      }
-      const bool isWhole = due.mTasks.size() == step.mTasks.size();
-      if (due.mTasks.empty() || (aJob.Spec(index).mGang && !isWhole)) {
+      const int waiting = CountWaiting(aJob, number, index);
+      if (waiting == 0 || (aJob.Spec(index).mGang && waiting < step.mCount)) {
         continue;
       }
       if (!jobClass) {
@@ -363,10 +419,6 @@
       }
       due.mObjective = objective;
       due.mClass = ClassOfStep(*jobClass, step);
-      // A task that fails again and again must not take the place of others each time.
-      std::stable_sort(due.mTasks.begin(), due.mTasks.end(), [&step](int aLeft, int aRight) {
-        return step.mTasks[aLeft].mWaitingSince < step.mTasks[aRight].mWaitingSince;
-      });
       due.mIsProtected =
         mGatherTurns.IsProtected({ aJob.Accepted().mId, number, index }, aNow.mSteady);
       due.mNeededSpeed = NeededSpeed(aJob, *jobClass, aJob.Spec(index).mLongRunning, aNow);
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -124,15 +124,16 @@
   const auto& ref = aRun.mRun.mTask;
   const auto& job = *FindJob(ref.mJob);
   const auto& spec = job.Spec(ref.mStep);
-  const auto& tasks = job.OpenOccurrences().at(ref.mOccurrence).mSteps[ref.mStep].mTasks;
+  const auto& step = job.OpenOccurrences().at(ref.mOccurrence).mSteps[ref.mStep];
+  const auto& task = step.At(ref.mIndex);
   // The first member of a gang that reports its end ends all of them.
-  if (spec.mLongRunning || tasks[ref.mIndex].mPhase != TaskPhase::Active) {
+  if (spec.mLongRunning || task.mPhase != TaskPhase::Active) {
     return;
   }
   aRun.mProgress.OnReport(kWhole, aNow.mSteady);
   const auto ran = aRun.mProgress.TimeAtPace();
-  const auto speed = spec.mGang ? SpeedOf(spec, tasks, aNow.mSteady)
-                                : SpeedOf(spec, { tasks[ref.mIndex] }, aNow.mSteady);
+  const auto speed =
+    spec.mGang ? SpeedOf(spec, step.mTasks, aNow.mSteady) : SpeedOf(spec, { task }, aNow.mSteady);
   if (ran && speed) {
     mRunTimes.OnDone(job.Accepted().mQueue, job.Accepted().mAccount, spec.mEstimate, *ran, *speed,
                      spec.mGang ? 1 : 1.0 / spec.mCount, aNow.mSteady);
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -82,6 +82,19 @@
   Duration mGangTimeout{ 3000 };
   // Time for which resources stay reserved for a step for which other runs are being evicted.
   Duration mReservationDuration{ 1500 };
+  // Bounds of what one plan may take of the processor and the memory, whatever callers submit. The
+  // most waiting steps for which a plan looks for workers, see PlanWindow, and the most tasks of a
+  // step that isn't a gang.
+  std::size_t mMaxPlannedSteps = 512;
+  int mMaxPlannedTasks = 512;
+  // The most runs whose start isn't confirmed. Each keeps a call with the job's payload.
+  int mMaxStartingRuns = 2048;
+  // The most runs in all and on one worker, which count for tasks that need hardly any resources.
+  int mMaxRuns = 32768;
+  int mMaxRunsPerWorker = 512;
+  // Time for which a job is kept with its steps after its end, so that runs that are reported late
+  // still count with what they occupy. Longer than any lease.
+  Duration mEndedJobDetails{ 15000 };
   // Time for which the records of a job are kept after its end.
   Duration mFinishedRetention{ 180000 };
 };
--- a/src/scheduler/StepRanking.cpp
+++ b/src/scheduler/StepRanking.cpp
@@ -15,7 +15,7 @@
 bool
 IsMostlyDone(const Step& aStep)
 {
-  return 2 * aStep.mDone >= static_cast<int>(aStep.mTasks.size());
+  return 2 * aStep.mDone >= aStep.mCount;
 }
 
 // Returns what decides, in this order.
--- a/src/scheduler/WaitScanner.cpp
+++ b/src/scheduler/WaitScanner.cpp
@@ -50,6 +50,9 @@
   for (auto& it : found) {
     if (placer && it.mDue && examined < kMaxExaminedSteps) {
       ++examined;
+      const bool isGang = it.mDue->mJob->Spec(it.mDue->mStep).mGang;
+      const int most = mScheduler.mSettings.mMaxPlannedTasks;
+      mScheduler.ListWaiting(*it.mDue, isGang ? it.mWait.mTasks : std::min(it.mWait.mTasks, most));
       Examine(*it.mDue, *placer, aNow, it.mWait);
     }
     report.mSteps.push_back(std::move(it.mWait));
@@ -160,11 +163,11 @@
       wait.mRunning = groups.mRunning;
       const bool isGang = aJob.Spec(index).mGang;
       const auto add = [&](const Group& aGroup, WaitReason aReason) {
-        if (aGroup.mTasks.empty() || Since(aGroup.mSince, aNow) < kMinReportedWait) {
+        if (aGroup.mTasks == 0 || Since(aGroup.mSince, aNow) < kMinReportedWait) {
           return;
         }
         auto it = wait;
-        it.mTasks = static_cast<int>(aGroup.mTasks.size());
+        it.mTasks = aGroup.mTasks;
         it.mWaited = Since(aGroup.mSince, aNow);
         it.mReason = aReason;
         it.mWorker = IdOf(aGroup.mWorker);
@@ -176,7 +179,7 @@
       add(groups.mUnreported, WaitReason::RunUnreported);
       add(groups.mStopping, WaitReason::RunBeingStopped);
       const bool waitsForMembers =
-        isGang && !(groups.mUnreported.mTasks.empty() && groups.mStopping.mTasks.empty());
+        isGang && groups.mUnreported.mTasks + groups.mStopping.mTasks > 0;
       const auto found = aFound.size();
       if (!waitsForMembers) {
         add(groups.mWaiting, WaitReason::NotExamined);
@@ -187,14 +190,8 @@
       auto& last = aFound.back();
       DescribeWaiting(aJob, groups, aUnanswered, aMayStart, last.mWait);
       if (last.mWait.mReason == WaitReason::NotExamined) {
-        last.mDue = DueStep{ &aJob,
-                             number,
-                             index,
-                             groups.mWaiting.mTasks,
-                             mScheduler.mEntitled.contains(id),
-                             InTime,
-                             aJob.Objective(),
-                             false };
+        last.mDue = DueStep{ &aJob,  number,           index, {}, mScheduler.mEntitled.contains(id),
+                             InTime, aJob.Objective(), false };
       }
     }
   }
@@ -207,7 +204,7 @@
   StepGroups groups;
   auto ref = aFirst;
   const auto add = [&ref](Group& aGroup, TimePoint aSince, const WorkerId* aWorker) {
-    aGroup.mTasks.push_back(ref.mIndex);
+    ++aGroup.mTasks;
     if (aSince < aGroup.mSince) {
       aGroup.mSince = aSince;
       aGroup.mWorker = aWorker;
@@ -231,6 +228,10 @@
       add(groups.mWaiting, std::max(aReady, task.mWaitingSince), nullptr);
     }
   }
+  if (aStep.Untouched() > 0) {
+    add(groups.mWaiting, aReady, nullptr);
+    groups.mWaiting.mTasks += aStep.Untouched() - 1;
+  }
   return groups;
 }
 
--- a/src/scheduler/WaitScanner.h
+++ b/src/scheduler/WaitScanner.h
@@ -40,7 +40,7 @@
   // Tasks of a step that wait for the same kind of event.
   struct Group
   {
-    std::vector<int> mTasks;
+    int mTasks = 0;
     TimePoint mSince = TimePoint::max();
     // The worker that is waited for; null for none.
     const WorkerId* mWorker = nullptr;
--- a/tests/scheduler/AccountUsageTests.cpp
+++ b/tests/scheduler/AccountUsageTests.cpp
@@ -37,9 +37,9 @@
   step.mDemand = aWork.mDemand;
   accepted.mSpec.mSteps = { step };
   Job job(accepted, TimePoint());
-  auto& tasks = job.FindOrCreateOccurrence(0).mSteps.front().mTasks;
+  auto& tasks = job.FindOrCreateOccurrence(0).mSteps.front();
   for (int i = 0; i < aWork.mRunning; ++i) {
-    tasks[static_cast<std::size_t>(i)].mPhase = TaskPhase::Active;
+    tasks.Touch(i).mPhase = TaskPhase::Active;
   }
   return job;
 }
--- a/tests/scheduler/StepRankingTests.cpp
+++ b/tests/scheduler/StepRankingTests.cpp
@@ -80,7 +80,7 @@
 Test(StepRanking, counts_a_late_step_as_in_time_once_half_of_it_is_done)
 {
   Step step;
-  step.mTasks.resize(4);
+  step.mCount = 4;
   step.mDone = 1;
   cr_assert_eq(ClassOfStep(Late, step), Late);
   step.mDone = 2;
