Refuse jobs whose cost isn't bounded, with the reason

What callers saw: a submission of count 1,000,000 was answered 200 and stored, and the leader then logged job_record_malformed: the accepted job never ran. Jobs of 8,000 steps, of gangs of 30,000 or with 200 KiB of text were accepted and took the leader's memory.

Cause: platform/Callers.cpp clamped each count before it compared the sum, so a count over the limit passed as the limit, which the reader of the record refuses. Nothing else of a job had a limit but the 1 MiB of its body.

Change: what a job may have is decided in the product, by FindExcess() and JobLimits: 4,096 tasks, 1,024 of a gang, 256 steps, 1,024 dependencies, 4,096 bytes for the workers, 256 bytes of a label or rack. A job over a limit is answered 400 with {"error": reason}, nothing is stored. The sum is of 64 bits, and no limit lets a job pass that no leader reads. Each limit is a setting (limits.job_*), each refusal is counted by reason in lovagerock_jobs_refused_total and logged at most five times a second.

--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -14,6 +14,7 @@
 #include "http/Responder.h"
 #include "kv/KvError.h"
 #include "kv/PrefixStore.h"
+#include "scheduler/JobLimits.h"
 #include "scheduler/JobRecord.h"
 
 #include <algorithm>
@@ -39,6 +40,7 @@
   {
     T::Timeout(aRequest)
     } -> std::convertible_to<Duration>;
+  // Reads a submission; nullopt if it is malformed. Its sizes are checked by FindExcess().
   {
     T::ReadJob(aText)
     } -> std::convertible_to<std::optional<scheduler::JobSpec>>;
@@ -78,6 +80,8 @@
   std::function<bool(const RequestWrite&, std::vector<SocketAddress>& aAsked, TimePoint aDeadline,
                      RelayCallback)>
     mRelayWrite;
+  // Receives the reason for which a submission was refused; may be empty.
+  std::function<void(const char*)> mOnJobRefused;
 };
 
 // Serves the callers' HTTP API: accepts and cancels jobs, returns a job's state and the number of
@@ -86,10 +90,12 @@
 class CallerApi
 {
 public:
-  CallerApi(EventLoop& aLoop, Store& aStore, CallerHooks aHooks)
+  CallerApi(EventLoop& aLoop, Store& aStore, CallerHooks aHooks,
+            const scheduler::JobLimits& aLimits = {})
     : mLoop(aLoop)
     , mStore(aStore)
     , mHooks(std::move(aHooks))
+    , mLimits(aLimits)
   {
   }
 
@@ -230,9 +236,11 @@
               const JobId& aJob, const http::Responder& aResponder)
   {
     auto spec = Codec::ReadJob(aRequest.mBody);
-    if (!spec) {
-      LogEvent("job_malformed").With("job", aJob);
-      aResponder.Send({ 400, {}, "" });
+    const auto excess = spec ? scheduler::FindExcess(*spec, mLimits) : std::nullopt;
+    if (!spec || excess) {
+      const char* reason = excess ? scheduler::JobExcessName(*excess) : "malformed";
+      ReportRefusedJob(aJob, aAccount, reason);
+      aResponder.Send(http::JsonResponse(400, DumpJson({ { "error", reason } })));
       return;
     }
     const scheduler::AcceptedJob job{ aJob,          aQueue.mName,   aAccount,
@@ -243,6 +251,22 @@
     Begin(write);
   }
 
+  // Counts and logs a submission that is refused because of its content. Callers
+  // can trigger this as often as they like.
+  void ReportRefusedJob(const JobId& aJob, const AccountId& aAccount, const char* aReason)
+  {
+    if (mHooks.mOnJobRefused) {
+      mHooks.mOnJobRefused(aReason);
+    }
+    if (mJobRefusalRate.Allows(std::chrono::steady_clock::now())) {
+      LogEvent("job_refused")
+        .With("job", aJob)
+        .With("account", aAccount)
+        .With("reason", aReason)
+        .With("omitted", mJobRefusalRate.TakeOmitted());
+    }
+  }
+
   void Cancel(const http::Request& aRequest, const JobId& aJob, const AccountId& aAccount,
               const http::Responder& aResponder)
   {
@@ -491,7 +515,9 @@
   CallerHooks mHooks;
   // Writes that wait for their next attempt.
   std::vector<PendingPtr> mWritesToRetry;
+  scheduler::JobLimits mLimits;
   LogRate mDenialRate;
+  LogRate mJobRefusalRate;
   CallbackGuard mGuard;
 };
 
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/SocketAddress.h"
 #include "base/Units.h"
+#include "scheduler/JobLimits.h"
 #include "scheduler/SchedulerSettings.h"
 
 #include <optional>
@@ -46,6 +47,10 @@
   // All availability zones; empty if unknown.
   std::set<ZoneId> mZones;
   scheduler::SchedulerSettings mScheduler;
+  // Limits of a submitted job.
+  scheduler::JobLimits mJobs;
+  // The memory that the accepted jobs may take on the leader; 0 for a quarter of the machine's.
+  MemoryMiB mBacklogMemory;
 };
 
 // While the store doesn't confirm the leadership, more than half of the witnesses must have
--- a/src/control/EdgeMetrics.cpp
+++ b/src/control/EdgeMetrics.cpp
@@ -45,6 +45,11 @@
                 .Help("Connections closed and requests refused because of a limit, by listener and "
                       "reason")
                 .Register(mRegistry))
+  , mRefusedJobs(
+      prometheus::BuildCounter()
+        .Name("lovagerock_jobs_refused_total")
+        .Help("Submissions refused because of their content or of the backlog, by reason")
+        .Register(mRegistry))
 {
   auto& speeds = AddFamily(mRegistry, "lovagerock_workers_by_speed",
                            "Workers that accept work, by the class of their learned speed");
--- a/src/control/EdgeMetrics.h
+++ b/src/control/EdgeMetrics.h
@@ -29,6 +29,11 @@
   {
     mRelayed[static_cast<std::size_t>(aOutcome)]->Increment();
   }
+  // Counts a submission that was refused because of its content or of the backlog.
+  void CountRefusedJob(const std::string& aReason)
+  {
+    mRefusedJobs.Add({ { "reason", aReason } }).Increment();
+  }
   // Sets what a listener holds for its callers, and what it has refused.
   void SetListener(const std::string& aListener, const http::CallerCounts& aCounts);
   void SetPeers(const peer::PeerCounters& aCounters);
@@ -59,6 +64,7 @@
   prometheus::Family<prometheus::Gauge>& mConnections;
   prometheus::Family<prometheus::Gauge>& mHeld;
   prometheus::Family<prometheus::Counter>& mRefusals;
+  prometheus::Family<prometheus::Counter>& mRefusedJobs;
   std::array<ReasonGauges, scheduler::kWaitReasons> mReasons;
   // By level.
   std::array<prometheus::Gauge*, scheduler::kAccountLevels> mAccounts{};
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -65,7 +65,7 @@
     , mCallerServer(aLoop, MakeCallerLimits(aSettings))
     , mReadinessServer(aLoop, MakeReadinessLimits(aSettings))
     , mRelay(aStore, mPeers, aSettings.mPeers, MakeRelayHooks())
-    , mCallerApi(aLoop, aStore, MakeCallerHooks())
+    , mCallerApi(aLoop, aStore, MakeCallerHooks(), aSettings.mJobs)
   {
   }
 
@@ -285,6 +285,7 @@
     hooks.mQueryPendingCount = [this](const std::string& aQueue, PendingCountCallback aCallback) {
       QueryPendingCount(aQueue, std::move(aCallback));
     };
+    hooks.mOnJobRefused = [this](const char* aReason) { mMetrics.CountRefusedJob(aReason); };
     hooks.mRelayWrite = [this](const RequestWrite& aWrite, std::vector<SocketAddress>& aAsked,
                                TimePoint aDeadline, RelayCallback aCallback) {
       return mRelay.Send(aWrite, aAsked, aDeadline, std::move(aCallback));
