List again when the changes of a watch don't fit into one answer

What callers saw: after a flood of large submissions the leader learned of no job any more; accepted jobs never ran.

Cause: a watch call returns all changes since a revision, without a limit, and the client takes answers of 64 MiB at most, more than half of a small machine's memory. An answer over the limit was asked for again, and again failed.

Evidence: with submissions of 200 KiB, "answer of the key-value service is too large" in the log of the only node, for each attempt, and no job_received after the 67th of 1,131 accepted jobs.

A watch whose answer is larger lists again, which comes in pages.

Test: PrefixWatch/lists_again_when_the_changes_do_not_fit_into_an_answer, which never ends before.

--- a/src/control/PrefixWatch.h
+++ b/src/control/PrefixWatch.h
@@ -100,8 +100,12 @@
 
   void OnEvents(std::error_code aError, const kv::EventPage& aPage)
   {
-    if (aError == kv::KvError::HistoryGone) {
-      LogEvent("watch_history_gone").With("prefix", mPrefix).With("after", mAsOf);
+    if (aError == kv::KvError::HistoryGone || aError == kv::KvError::TooLarge) {
+      // Changes that are too many for one answer would be so again; a listing comes in pages.
+      LogEvent("watch_history_gone")
+        .With("prefix", mPrefix)
+        .With("after", mAsOf)
+        .With("reason", aError.message());
       StartList();
       return;
     }
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -218,6 +218,8 @@
   // The time until a write is answered.
   Duration mWriteTime{ 0 };
   std::size_t mPageSize = 500;
+  // More changes than this don't fit into an answer.
+  std::size_t mMaxEvents = 1000000;
   int mLists = 0;
   // Listings that were answered with an error.
   int mFailedLists = 0;
@@ -287,6 +289,8 @@
       const auto page = EventsFor(watch);
       if (watch.mAfter.Value() < mCompacted) {
         Answer([watch] { watch.mCallback(kv::KvError::HistoryGone, {}); });
+      } else if (page.mEvents.size() > mMaxEvents) {
+        Answer([watch] { watch.mCallback(kv::KvError::TooLarge, {}); });
       } else if (!page.mEvents.empty()) {
         Answer([watch, page] { watch.mCallback({}, page); });
       } else {
