Limit the orders to workers that are in progress at a time

What callers saw: jobs whose tasks need nothing took 14,221 descriptors of 256, so that the node could accept no connection.

Cause: each start order opens a connection, and a plan sends all its orders at once. Tasks without demand fit on one worker in any number.

A start that has waited is checked again before it is sent: released ones by ReleaseStart(), repeated ones by IsRepeatedStartDue(); a stop of a worker that has gone meanwhile is dropped.

--- a/src/control/CallerLimits.cpp
+++ b/src/control/CallerLimits.cpp
@@ -95,4 +95,18 @@
   return limits;
 }
 
+Bytes
+MaxBacklog(const ControlSettings& aSettings)
+{
+  return aSettings.mBacklogMemory > MemoryMiB(0)
+           ? Bytes(aSettings.mBacklogMemory.Value() * kBytesPerMiB)
+           : PartOfMemory(aSettings, 4);
+}
+
+std::size_t
+MaxOrders(const ControlSettings& aSettings)
+{
+  return PartOfDescriptors(aSettings, 6, 8);
+}
+
 } // namespace lovagerock::control
--- a/src/control/CallerLimits.h
+++ b/src/control/CallerLimits.h
@@ -22,4 +22,12 @@
 peer::PeerSettings
 MakePeerLimits(const ControlSettings& aSettings);
 
+// The memory that the accepted jobs may take on the leader.
+Bytes
+MaxBacklog(const ControlSettings& aSettings);
+
+// The most orders to workers that a leader has in progress at a time.
+std::size_t
+MaxOrders(const ControlSettings& aSettings);
+
 } // namespace lovagerock::control
--- a/src/control/HeldStarts.h
+++ b/src/control/HeldStarts.h
@@ -41,6 +41,8 @@
   }
   // Returns the orders whose runs are named by stored progress, and holds them no longer.
   std::vector<scheduler::StartOrder> TakeStored() { return std::exchange(mStored, {}); }
+  // Holds an order again that was taken and not sent.
+  void Return(scheduler::StartOrder aOrder) { mStored.push_back(std::move(aOrder)); }
   // The runs of all orders that are held back.
   std::set<scheduler::RunRef> Runs() const
   {
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -9,7 +9,9 @@
 #include "control/Election.h"
 #include "control/FormerLeaders.h"
 #include "control/HandOver.h"
+#include "control/CallerLimits.h"
 #include "control/HeldStarts.h"
+#include "control/OrderWindow.h"
 #include "control/PlanPacer.h"
 #include "control/PrefixReader.h"
 #include "control/PrefixWatch.h"
@@ -96,6 +98,7 @@
                      MakeLeaseBounds(), MakeFormerLeaderHooks())
     , mWitnesses(aElection.Witnesses().mWitnesses)
     , mRecords(aLoop, aStore, std::string(kRecordPrefix), MakeRecordCallbacks())
+    , mOrders(MaxOrders(aSettings))
     , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
   {
     OnDeployment(aDeployment);
@@ -603,12 +606,15 @@
     mPacer.OnPlanned(end, std::chrono::ceil<Duration>(end - begin));
     // Stops are sent first, because other work waits for the capacity that they free.
     for (const auto& it : orders.mStops) {
-      SendStop(it);
+      mOrders.AddStop([this, it] { return SendStop(it); });
     }
     std::vector<scheduler::StartOrder> unnamed;
     for (const auto& it : orders.mStarts) {
       if (it.mIsRepeated) {
-        SendStart(it);
+        mOrders.AddStart([this, it] {
+          const bool isDue = mScheduler.IsRepeatedStartDue(it.mWorker, it.mRun);
+          return isDue && SendStart(it);
+        });
       } else {
         unnamed.push_back(it);
       }
@@ -633,13 +639,27 @@
       });
     }
     for (const auto& it : orders) {
-      SendStart(it);
+      mOrders.AddStart([this, it] { return SendReleasedStart(it); });
     }
     if (orders.size() < held) {
       SchedulePlan();
     }
   }
 
+  // Sends a start order that may have waited for others since it was released.
+  bool SendReleasedStart(const scheduler::StartOrder& aOrder)
+  {
+    if (!MayStart()) {
+      mHeldStarts.Return(aOrder);
+      return false;
+    }
+    if (!mScheduler.ReleaseStart(aOrder.mWorker, aOrder.mRun, Now())) {
+      SchedulePlan();
+      return false;
+    }
+    return SendStart(aOrder);
+  }
+
   // Returns for how long the start of a run may be held up on its way: no longer than until the
   // worker's zone may have to be empty.
   Duration LongestStart() const
@@ -648,7 +668,7 @@
                         : Duration::max();
   }
 
-  void SendStart(const scheduler::StartOrder& aOrder)
+  bool SendStart(const scheduler::StartOrder& aOrder)
   {
     const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
     const auto deadline = mLeases.Deadline(aOrder.mWorker, LongestStart());
@@ -660,6 +680,7 @@
                  mGuard.Wrap([this, aOrder, token = target.mToken](const OrderReply& aReply) {
                    OnStartReply(aOrder, token, aReply);
                  }));
+    return true;
   }
 
   // Whether the worker refused a call because of a token that this leader has sent itself since.
@@ -670,6 +691,7 @@
 
   void OnStartReply(const scheduler::StartOrder& aOrder, FencingToken aSent, OrderReply aReply)
   {
+    mOrders.OnEnded();
     if (aReply.mOutcome == scheduler::OrderOutcome::Fenced &&
         IsFencedByItself(aOrder.mWorker, aSent)) {
       aReply.mOutcome = scheduler::OrderOutcome::TooLate;
@@ -691,18 +713,24 @@
     SchedulePlan();
   }
 
-  void SendStop(const scheduler::StopOrder& aOrder)
+  // Returns false if the worker has gone while the order waited for others.
+  bool SendStop(const scheduler::StopOrder& aOrder)
   {
-    const auto& worker = mScheduler.Workers().at(aOrder.mWorker);
-    const auto target = mLeases.Target(worker);
+    const auto worker = mScheduler.Workers().find(aOrder.mWorker);
+    if (worker == mScheduler.Workers().end()) {
+      return false;
+    }
+    const auto target = mLeases.Target(worker->second);
     mCalls.Stop(target, aOrder.mRun,
                 mGuard.Wrap([this, aOrder, token = target.mToken](const OrderReply& aReply) {
                   OnStopReply(aOrder, token, aReply);
                 }));
+    return true;
   }
 
   void OnStopReply(const scheduler::StopOrder& aOrder, FencingToken aSent, const OrderReply& aReply)
   {
+    mOrders.OnEnded();
     if (aReply.mOutcome == scheduler::OrderOutcome::Fenced &&
         !IsFencedByItself(aOrder.mWorker, aSent)) {
       OnFenced(aOrder.mWorker);
@@ -888,6 +916,7 @@
   std::optional<HandOver> mHandOver;
   // Jobs whose progress came from the former leader.
   std::set<JobId> mHandedOverJobs;
+  OrderWindow mOrders;
   kv::Revision mBatchRevision;
   std::optional<ProgressWriter<Store>> mWriter;
   HeldStarts mHeldStarts;
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -131,6 +131,9 @@
 
   const Fleet& Workers() const { return mFleet; }
   const SchedulerCounts& Counts() const { return mCounts; }
+  // Returns whether a start order that is repeated, and was held back since Plan() returned it, may
+  // be sent now. If not, the run is being stopped or isn't on the worker any more.
+  bool IsRepeatedStartDue(const WorkerId& aWorker, const RunRef& aRun);
   const AccountUsage& Usage() const { return mAccountUsage; }
   // What is known of the workers' speeds; its record is stored and read by the caller.
   WorkerSpeeds& Speeds() { return mSpeeds; }
--- a/src/scheduler/SchedulerReports.cpp
+++ b/src/scheduler/SchedulerReports.cpp
@@ -237,6 +237,19 @@
   aWorker.Add(placed);
 }
 
+bool
+Scheduler::IsRepeatedStartDue(const WorkerId& aWorker, const RunRef& aRun)
+{
+  const auto it = mFleet.find(aWorker);
+  auto* placed = it == mFleet.end() ? nullptr : it->second.Find(aRun);
+  if (placed && placed->mPhase != RunPhase::Starting) {
+    // Nothing awaits an outcome, so the run may be stopped.
+    placed->mOrderInFlight = false;
+    placed->mIsOrderOutdated = false;
+  }
+  return placed && placed->mPhase == RunPhase::Starting;
+}
+
 bool
 Scheduler::ReleaseStart(const WorkerId& aWorker, const RunRef& aRun, const CurrentTime& aNow)
 {
