Bound the memory of accepted jobs: refuse, park, and load page by page

What callers saw: nothing bounded the jobs that the leader holds. 40 clients with ordinary submissions took a node of 60 MB over 48 MiB within 7,542 accepted jobs, cancelled jobs stayed for three minutes with all their text, and the next leader read the whole backlog into the same memory before it looked at it.

Change, in the product: - Backlog accounts for what the accepted jobs take, by account, or by queue if callers need no key, and by urgency. A group is closed while it holds more than is free (a dynamic threshold as in shared-memory switches): one account fills at most half, and others and its own priority 0 still find room. The leader writes the closed groups to leader/closed, which all nodes watch already with the election; in calm nothing is written. - A submission of a closed group is answered 429 with Retry-After: 2 before anything is stored. "Never runs" must be true, so the job is looked up first: if an earlier attempt was stored, the answer is 200. 20 look-ups a second and node; others are answered 504, which tells nothing of the job. - Nodes learn of it with a delay, and a new leader may have less memory. A job that has never begun and doesn't fit is parked: its id stays, its record in the store, and it is loaded when others have ended, that of the group which holds least first. It is counted as pending, can be asked for and cancelled. - A takeover takes the listing page by page, and parks what hasn't begun beyond half of the limit. - Of an ended job the text for the workers is freed at once, and 15 s later, if nothing of it runs any more, all but a summary. The limit is a quarter of the machine's memory (limits.backlog_mb). Metrics: lovagerock_backlog_bytes, lovagerock_backlog_limit_bytes, lovagerock_jobs_ parked, lovagerock_backlog_closed_groups. Log: backlog_groups_closed (at most one per 300 ms), job_parked (at most five a second).

Ruled out: a count of jobs (jobs differ a thousandfold), grants of memory to nodes (a node must accept while no leader is there), a limit per node (it takes no account of what others accept).

--- a/src/base/LogRate.h
+++ b/src/base/LogRate.h
@@ -8,10 +8,19 @@
 
 namespace lovagerock {
 
-// Limits how often lines of one kind are logged that callers can trigger.
+// Limits how often lines of one kind are logged that callers can trigger, or how often another
+// thing is done for them.
 class LogRate
 {
 public:
+  // Enough lines to see what happens, and too few to load the node.
+  static constexpr int kLinesPerSecond = 5;
+
+  explicit LogRate(int aMaxPerSecond = kLinesPerSecond)
+    : mMaxPerSecond(aMaxPerSecond)
+  {
+  }
+
   // Whether a line may be logged now. If not, it is counted.
   bool Allows(TimePoint aNow)
   {
@@ -19,7 +28,7 @@
       mStarted = aNow;
       mLogged = 0;
     }
-    if (mLogged >= kMaxPerSecond) {
+    if (mLogged >= mMaxPerSecond) {
       ++mOmitted;
       return false;
     }
@@ -30,9 +39,7 @@
   std::uint64_t TakeOmitted() { return std::exchange(mOmitted, 0); }
 
 private:
-  // Enough to see what happens, and too few to load the node.
-  static constexpr int kMaxPerSecond = 5;
-
+  int mMaxPerSecond;
   TimePoint mStarted;
   int mLogged = 0;
   std::uint64_t mOmitted = 0;
--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -5,6 +5,7 @@
 #include "base/LogEvent.h"
 #include "base/LogRate.h"
 #include "base/WallClock.h"
+#include "control/Backlog.h"
 #include "control/ControlSettings.h"
 #include "control/Deployment.h"
 #include "control/Keys.h"
@@ -80,6 +81,8 @@
   std::function<bool(const RequestWrite&, std::vector<SocketAddress>& aAsked, TimePoint aDeadline,
                      RelayCallback)>
     mRelayWrite;
+  // Whether submissions of the group are to be refused; may be empty.
+  std::function<bool(const BacklogGroup&)> mIsClosed;
   // Receives the reason for which a submission was refused; may be empty.
   std::function<void(const char*)> mOnJobRefused;
 };
@@ -243,6 +246,11 @@
       aResponder.Send(http::JsonResponse(400, DumpJson({ { "error", reason } })));
       return;
     }
+    const auto group = BacklogGroup::Of(aAccount, aQueue.mName, aQueue.mPolicy);
+    if (mHooks.mIsClosed && mHooks.mIsClosed(group)) {
+      RefuseForBacklog(aJob, aAccount, aResponder);
+      return;
+    }
     const scheduler::AcceptedJob job{ aJob,          aQueue.mName,   aAccount,
                                       WallClockMs(), aQueue.mPolicy, std::move(*spec) };
     auto write = NewWrite(aRequest, aResponder,
@@ -251,7 +259,34 @@
     Begin(write);
   }
 
-  // Counts and logs a submission that is refused because of its content. Callers
+  // Refuses a submission because of what its account or queue holds already, unless an earlier
+  // attempt was stored: "never runs" must be true.
+  void
+  RefuseForBacklog(const JobId& aJob, const AccountId& aAccount, const http::Responder& aResponder)
+  {
+    if (!mRefusalChecks.Allows(std::chrono::steady_clock::now())) {
+      ReportRefusedJob(aJob, aAccount, "backlog_full_unchecked");
+      aResponder.Send(
+        { 504, { { "Retry-After", std::to_string(kBacklogRetryAfterSeconds) } }, "" });
+      return;
+    }
+    mStore.Get(KeyOf(kJobPrefix, aJob), mGuard.Wrap([this, aJob, aAccount, aResponder](
+                                                      std::error_code aError,
+                                                      const std::optional<kv::Item>& aItem) {
+      if (aError) {
+        Refuse(aResponder, "store_unreachable", aJob.Value());
+      } else if (aItem) {
+        aResponder.Send(http::JsonResponse(200, "{}"));
+      } else {
+        ReportRefusedJob(aJob, aAccount, "backlog_full");
+        auto refusal = http::JsonResponse(429, DumpJson({ { "error", "backlog_full" } }));
+        refusal.mHeaders.Add("Retry-After", std::to_string(kBacklogRetryAfterSeconds));
+        aResponder.Send(std::move(refusal));
+      }
+    }));
+  }
+
+  // Counts and logs a submission that is refused because of its content or of the backlog. Callers
   // can trigger this as often as they like.
   void ReportRefusedJob(const JobId& aJob, const AccountId& aAccount, const char* aReason)
   {
@@ -518,6 +553,7 @@
   scheduler::JobLimits mLimits;
   LogRate mDenialRate;
   LogRate mJobRefusalRate;
+  LogRate mRefusalChecks{ kMaxRefusalChecks };
   CallbackGuard mGuard;
 };
 
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -98,6 +98,15 @@
 inline constexpr Duration kPlanDelay{ 3 };
 // A plan is requested at least this often, for work that becomes due without an event.
 inline constexpr Duration kPlanPeriod{ 60 };
+// Interval at which the memory of the accepted jobs is compared with its limit, how many of these
+// pass between two counts of it, and the shortest time between two changes of the closed groups.
+inline constexpr Duration kBacklogPeriod{ 100 };
+inline constexpr int kBacklogCounts = 10;
+inline constexpr Duration kMinPublishPeriod{ 300 };
+// Parked jobs that are being read at a time.
+inline constexpr int kMaxLoadingParked = 8;
+// What the summary of an ended job takes.
+inline constexpr Bytes kEndedJobBytes{ 256 };
 // Interval at which the records of jobs past their retention time are deleted.
 inline constexpr Duration kExpiryPeriod{ 10000 };
 // Interval at which a node that shuts down checks whether it may exit.
@@ -118,5 +127,11 @@
 inline constexpr Duration kMaxWriteRetryTime{ 2000 };
 // Value of the Retry-After header of requests that are refused because of a short outage.
 inline constexpr int kRetryAfterSeconds = 1;
+// The same of submissions that are refused because of the backlog: jobs take seconds to end.
+inline constexpr int kBacklogRetryAfterSeconds = 2;
+// A submission that the backlog refuses is first looked up in the store, because an earlier attempt
+// may have been stored. So many a second are; others are answered 504, which tells nothing of the
+// job.
+inline constexpr int kMaxRefusalChecks = 20;
 
 } // namespace lovagerock::control
--- a/src/control/EdgeMetrics.cpp
+++ b/src/control/EdgeMetrics.cpp
@@ -36,6 +36,19 @@
   , mSpeedSamples(AddFamily(mRegistry, "lovagerock_worker_speed_samples",
                             "Samples of workers' speeds that this leader has taken")
                     .Add({}))
+  , mBacklogUsed(AddFamily(mRegistry, "lovagerock_backlog_bytes",
+                           "Estimated memory of the accepted jobs on this leader")
+                   .Add({}))
+  , mBacklogLimit(AddFamily(mRegistry, "lovagerock_backlog_limit_bytes",
+                            "What the accepted jobs may take on this leader")
+                    .Add({}))
+  , mParkedJobs(AddFamily(mRegistry, "lovagerock_jobs_parked",
+                          "Accepted jobs that are left in the store because they don't fit")
+                  .Add({}))
+  , mClosedGroups(AddFamily(mRegistry, "lovagerock_backlog_closed_groups",
+                            "Accounts and queues whose submissions are refused because of what "
+                            "they hold")
+                    .Add({}))
   , mConnections(
       AddFamily(mRegistry, "lovagerock_listener_connections", "Open connections, by listener"))
   , mHeld(AddFamily(mRegistry, "lovagerock_listener_held_bytes",
@@ -151,6 +164,10 @@
   for (std::size_t i = 0; i < mSpeedClasses.size(); ++i) {
     mSpeedClasses[i]->Set(status.mSpeeds.mWorkers[i]);
   }
+  mBacklogUsed.Set(static_cast<double>(status.mBacklog.mUsed.Value()));
+  mBacklogLimit.Set(static_cast<double>(status.mBacklog.mLimit.Value()));
+  mParkedJobs.Set(static_cast<double>(status.mBacklog.mParked));
+  mClosedGroups.Set(static_cast<double>(status.mBacklog.mClosedGroups));
   mSpeedSamples.Set(static_cast<double>(status.mSpeeds.mSamples));
   AddWaste(status.mWasted);
   std::ostringstream stream;
--- a/src/control/EdgeMetrics.h
+++ b/src/control/EdgeMetrics.h
@@ -61,6 +61,10 @@
   prometheus::Gauge& mEvacuatedZones;
   prometheus::Gauge& mZonesOutdated;
   prometheus::Gauge& mSpeedSamples;
+  prometheus::Gauge& mBacklogUsed;
+  prometheus::Gauge& mBacklogLimit;
+  prometheus::Gauge& mParkedJobs;
+  prometheus::Gauge& mClosedGroups;
   prometheus::Family<prometheus::Gauge>& mConnections;
   prometheus::Family<prometheus::Gauge>& mHeld;
   prometheus::Family<prometheus::Counter>& mRefusals;
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -285,6 +285,9 @@
     hooks.mQueryPendingCount = [this](const std::string& aQueue, PendingCountCallback aCallback) {
       QueryPendingCount(aQueue, std::move(aCallback));
     };
+    hooks.mIsClosed = [this](const BacklogGroup& aGroup) {
+      return mElection && mElection->ClosedGroups().contains(aGroup);
+    };
     hooks.mOnJobRefused = [this](const char* aReason) { mMetrics.CountRefusedJob(aReason); };
     hooks.mRelayWrite = [this](const RequestWrite& aWrite, std::vector<SocketAddress>& aAsked,
                                TimePoint aDeadline, RelayCallback aCallback) {
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -4,6 +4,7 @@
 #include "base/CallbackGuard.h"
 #include "base/Json.h"
 #include "base/Random.h"
+#include "control/Backlog.h"
 #include "control/ClaimRecord.h"
 #include "control/Keys.h"
 #include "control/LeaderHistory.h"
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -76,6 +78,8 @@
   ClaimRecord OwnClaim() const { return mLastClaim.mToken == Token() ? mLastClaim : ClaimRecord(); }
   // The record of witnesses. At the time of the election it is the one that is stored.
   const WitnessRecord& Witnesses() const { return mWitnesses; }
+  // The groups whose submissions the leader wants to be refused, as the store's record names them.
+  const std::set<BacklogGroup>& ClosedGroups() const { return mClosedGroups; }
   // The condition on a leader's writes: the leader key still is the one that this node wrote.
   kv::ConditionalWrites::Condition Condition() const
   {
@@ -132,7 +136,7 @@
       OnLastClaim(last->second.mValue, last->second.mRevision);
       mHistory.OnListed(mLastClaim.mToken, BootTime());
     }
-    for (const auto key : { kResignedKey, kWitnessKey }) {
+    for (const auto key : { kResignedKey, kWitnessKey, kClosedGroupsKey }) {
       const auto it = aItems.find(std::string(key));
       OnRecord(it == aItems.end() ? kv::Item{ std::string(key), "", {} } : it->second);
     }
@@ -177,9 +181,21 @@
     } else if (aItem.mKey == kWitnessKey && aItem.mRevision > mWitnesses.mRevision) {
       const auto witnesses = ReadWitnesses(aItem.mValue);
       mWitnesses = { witnesses.value_or(std::vector<Witness>()), aItem.mRevision, !witnesses };
+    } else if (aItem.mKey == kClosedGroupsKey && aItem.mRevision > mClosedGroupsRevision) {
+      OnClosedGroups(aItem);
     }
   }
 
+  void OnClosedGroups(const kv::Item& aItem)
+  {
+    mClosedGroupsRevision = aItem.mRevision;
+    const auto groups = ReadClosedGroups(aItem.mValue);
+    if (!groups) {
+      LogEvent("closed_groups_malformed", LogLevel::Error).With("key", aItem.mKey);
+    }
+    mClosedGroups = groups.value_or(std::set<BacklogGroup>());
+  }
+
   // Returns the token of the leadership that was resigned; 0 if the text names none.
   static FencingToken ReadResignation(const std::string& aText)
   {
@@ -376,6 +392,8 @@
   FencingToken mResigned;
   kv::Revision mResignedRevision;
   WitnessRecord mWitnesses;
+  std::set<BacklogGroup> mClosedGroups;
+  kv::Revision mClosedGroupsRevision;
   LeaderHistory mHistory;
   bool mIsVacant = false;
   bool mIsClaiming = false;
--- a/src/control/Keys.h
+++ b/src/control/Keys.h
@@ -19,6 +19,8 @@
 inline constexpr std::string_view kResignedKey = "leader/resigned";
 // The witnesses of the leaders, see Witness.
 inline constexpr std::string_view kWitnessKey = "leader/witnesses";
+// The groups whose submissions nodes refuse, see Backlog. Written by the leader.
+inline constexpr std::string_view kClosedGroupsKey = "leader/closed";
 // Requests of callers; the leader watches them.
 inline constexpr std::string_view kRequestPrefix = "requests/";
 inline constexpr std::string_view kJobPrefix = "requests/job/";
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -4,12 +4,14 @@
 #include "base/CallbackGuard.h"
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
+#include "base/LogRate.h"
 #include "base/WallClock.h"
+#include "control/Backlog.h"
+#include "control/CallerLimits.h"
 #include "control/Deployment.h"
 #include "control/Election.h"
 #include "control/FormerLeaders.h"
 #include "control/HandOver.h"
-#include "control/CallerLimits.h"
 #include "control/HeldStarts.h"
 #include "control/OrderWindow.h"
 #include "control/PlanPacer.h"
@@ -98,6 +100,8 @@
                      MakeLeaseBounds(), MakeFormerLeaderHooks())
     , mWitnesses(aElection.Witnesses().mWitnesses)
     , mRecords(aLoop, aStore, std::string(kRecordPrefix), MakeRecordCallbacks())
+    , mBacklog(MaxBacklog(aSettings))
+    , mPublishedGroups(aElection.ClosedGroups())
     , mOrders(MaxOrders(aSettings))
     , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
   {
@@ -150,12 +154,17 @@
   // leave know of the end. Cancellations are stored before the leader learns of them.
   std::optional<JobStatus> State(const JobId& aJob) const
   {
-    const auto* job = mScheduler.FindJob(aJob);
+    if (const auto* parked = mBacklog.FindParked(aJob)) {
+      const auto state =
+        parked->mIsCancelled ? scheduler::JobState::Cancelled : scheduler::JobState::Queued;
+      return JobStatus{ state, parked->mGroup.mAccount };
+    }
+    const auto job = mScheduler.JobSummary(aJob);
     if (!job) {
       return std::nullopt;
     }
-    JobStatus known{ job->State(), job->Accepted().mAccount };
-    if (job->IsOver() && known.mState != scheduler::JobState::Cancelled &&
+    JobStatus known{ job->mState, job->mAccount };
+    if (job->mFinishedMs > 0 && known.mState != scheduler::JobState::Cancelled &&
         !mScheduler.IsStored(aJob)) {
       known.mState = scheduler::JobState::InProgress;
     }
@@ -170,7 +179,7 @@
     if (!isCurrent && !std::exchange(mIsOutdatedLogged, true)) {
       LogEvent("requests_outdated", LogLevel::Warning).With("age_ms", age);
     }
-    return { mScheduler.PendingJobs(aQueue), isCurrent };
+    return { mScheduler.PendingJobs(aQueue) + mBacklog.ParkedOf(aQueue), isCurrent };
   }
 
   // What this node knows as the leader, for the metrics.
@@ -185,6 +194,8 @@
     status.mAccounts = mScheduler.Usage().AccountsByLevel();
     status.mSpeeds = mScheduler.Speeds().Counts();
     status.mWasted = mScheduler.Wasted();
+    status.mBacklog = { mBacklog.Used(), mBacklog.Limit(), mBacklog.ParkedCount(),
+                        mPublishedGroups.size() };
     return status;
   }
 
@@ -374,7 +385,8 @@
   void WatchRequests()
   {
     WatchCallbacks callbacks;
-    callbacks.mOnList = [this](const auto& aItems) { OnRequests(aItems); };
+    callbacks.mOnPage = [this](const auto& aItems) { OnRequestPage(aItems); };
+    callbacks.mOnList = [this](const auto&) { OnRequestsListed(); };
     callbacks.mOnEvent = [this](const auto& aEvent) {
       if (aEvent.mValue) {
         OnRequest(aEvent.mKey, *aEvent.mValue, false);
@@ -389,28 +401,36 @@
     mRequests.emplace(mLoop, mStore, std::string(kRequestPrefix), std::move(callbacks));
   }
 
-  void OnRequests(const std::map<std::string, kv::Item>& aItems)
+  void OnRequestPage(const std::vector<kv::Item>& aItems)
   {
-    // Cancellation keys sort before job keys, but a job must be added before it can be cancelled.
-    for (const auto& [key, item] : aItems) {
-      if (key.starts_with(kJobPrefix)) {
-        OnRequest(key, item.mValue, !IsLoaded());
+    for (const auto& it : aItems) {
+      // Cancellation keys sort before job keys, but a job must be added before it can be cancelled.
+      if (const auto cancelled = JobOfKey(kCancelPrefix, it.mKey)) {
+        mListedCancels.push_back(*cancelled);
+      } else if (const auto job = JobOfKey(kJobPrefix, it.mKey); job && !KnowsJob(*job)) {
+        OnRequest(it.mKey, it.mValue, !IsLoaded());
       }
     }
-    for (const auto& [key, item] : aItems) {
-      if (key.starts_with(kCancelPrefix)) {
-        OnRequest(key, item.mValue, false);
-      }
+    if (!IsLoaded()) {
+      // Ended jobs, so that they take no room from the following ones.
+      mScheduler.SummarizeEndedJobs(Now());
+      CountBacklog();
     }
-    mProgress.clear();
-    for (const auto& it : std::exchange(mHandedOverJobs, {})) {
-      mScheduler.MarkUnstored(it);
+  }
+
+  void OnRequestsListed()
+  {
+    for (const auto& it : std::exchange(mListedCancels, {})) {
+      Cancel(it);
     }
+    mProgress.clear();
+    mHandedOverJobs.clear();
     if (!IsLoaded()) {
       const bool namesAllRuns = mHandOver->mIsComplete || NamesStoredProgressAllRuns();
       mScheduler.OnHandedOver(mFormerLeaders.EarlierLeasesLast(), namesAllRuns, Now());
       LogEvent("jobs_loaded")
         .With("jobs", mScheduler.JobCount())
+        .With("parked", mBacklog.ParkedCount())
         .With("unreported_runs", mScheduler.UnreportedRuns(Now()))
         .With("names_all_runs", namesAllRuns)
         .With("earlier_leases_ms", mFormerLeaders.EarlierLeasesLast())
@@ -418,6 +438,7 @@
       RenewRecordedLeases();
       WatchWorkers();
       mPeriodicPlanTimer = mLoop.Every(kPlanPeriod, [this] { SchedulePlan(); });
+      mBacklogTimer = mLoop.Every(kBacklogPeriod, [this] { UpdateBacklog(); });
       mExpiryTimer = mLoop.Every(kExpiryPeriod, [this] { mDeleteExpired = true; });
       mFormerLeaders.KeepAsking([this] { return mScheduler.EarlierLeases(Now()) > Duration(0); });
     }
@@ -427,7 +448,7 @@
   void OnRequest(const std::string& aKey, const std::string& aValue, bool aInherited)
   {
     if (const auto cancelled = JobOfKey(kCancelPrefix, aKey)) {
-      mScheduler.CancelJob(*cancelled, Now());
+      Cancel(*cancelled);
       return;
     }
     if (!aKey.starts_with(kJobPrefix)) {
@@ -439,22 +460,166 @@
       return;
     }
     const auto age = WallClockMs() - job->mAcceptedMs;
-    if (!aInherited && !mScheduler.FindJob(job->mId) &&
+    if (!aInherited && !KnowsJob(job->mId) &&
         age > mSettings.mScheduler.mFinishedRetention.count()) {
       // The record was listed before it was deleted: every job of that age is either known, or has
       // ended and been deleted.
       LogEvent("job_record_outdated").With("job", job->mId).With("age_ms", age);
       return;
     }
-    const auto progress = mProgress.find(job->mId);
-    if (!mScheduler.AddJob(*job, progress == mProgress.end() ? "" : progress->second, aInherited,
-                           Now())) {
-      LogEvent("job_progress_malformed", LogLevel::Error).With("job", job->mId);
-    } else if (!aInherited) {
+    if (KnowsJob(job->mId) || ParkIfFull(*job, aInherited)) {
+      return;
+    }
+    AddJob(*job, aInherited);
+    if (!aInherited) {
       LogEvent("job_received").With("job", job->mId).With("queue", job->mQueue);
     }
   }
 
+  bool KnowsJob(const JobId& aJob) const
+  {
+    return mBacklog.FindParked(aJob) || mScheduler.KnowsJob(aJob);
+  }
+
+  static BacklogGroup GroupOf(const scheduler::AcceptedJob& aJob)
+  {
+    return BacklogGroup::Of(aJob.mAccount, aJob.mQueue, aJob.mPolicy);
+  }
+
+  void AddJob(const scheduler::AcceptedJob& aJob, bool aInherited)
+  {
+    const auto progress = mProgress.extract(aJob.mId);
+    if (!mScheduler.AddJob(aJob, progress.empty() ? "" : progress.mapped(), aInherited, Now())) {
+      LogEvent("job_progress_malformed", LogLevel::Error).With("job", aJob.mId);
+    } else if (const auto* job = mScheduler.FindJob(aJob.mId)) {
+      mBacklog.OnLoaded(GroupOf(aJob), job->MemoryUse());
+    }
+    if (mHandedOverJobs.contains(aJob.mId)) {
+      mScheduler.MarkUnstored(aJob.mId);
+    }
+  }
+
+  // Leaves the job in the store if it doesn't fit into the memory for jobs. A job with progress may
+  // run, so it has to be loaded.
+  bool ParkIfFull(const scheduler::AcceptedJob& aJob, bool aInherited)
+  {
+    const auto group = GroupOf(aJob);
+    const auto memory = scheduler::Job(aJob, TimePoint()).MemoryUse();
+    const bool fits =
+      IsLoaded() ? mBacklog.Fits(group, memory) : mBacklog.FitsAtTakeover(group, memory);
+    if (fits || mProgress.contains(aJob.mId)) {
+      return false;
+    }
+    if (mParkRate.Allows(std::chrono::steady_clock::now())) {
+      LogEvent("job_parked", LogLevel::Warning)
+        .With("job", aJob.mId)
+        .With("used_bytes", mBacklog.Used())
+        .With("limit_bytes", mBacklog.Limit())
+        .With("omitted", mParkRate.TakeOmitted());
+    }
+    mBacklog.Park({ aJob.mId, group, aJob.mQueue, aInherited, false });
+    return true;
+  }
+
+  void Cancel(const JobId& aJob)
+  {
+    if (!mBacklog.CancelParked(aJob)) {
+      mScheduler.CancelJob(aJob, Now());
+    }
+  }
+
+  // Keeps the memory of jobs within its limit, and tells other nodes whose jobs to refuse.
+  void UpdateBacklog()
+  {
+    if (++mBacklogUpdates % kBacklogCounts == 0) {
+      mScheduler.SummarizeEndedJobs(Now());
+      CountBacklog();
+    }
+    LoadParked();
+    PublishClosedGroups();
+  }
+
+  void CountBacklog()
+  {
+    std::map<BacklogGroup, Bytes> groups;
+    mScheduler.VisitJobs([&groups](const scheduler::Job& aJob) {
+      groups[GroupOf(aJob.Accepted())] += aJob.MemoryUse();
+    });
+    const auto ended = static_cast<std::int64_t>(mScheduler.SummarizedJobs());
+    mBacklog.SetLoaded(std::move(groups), Bytes(ended * kEndedJobBytes.Value()));
+  }
+
+  void LoadParked()
+  {
+    while (mLoadingParked < kMaxLoadingParked) {
+      const auto next = mBacklog.NextParked();
+      if (!next) {
+        return;
+      }
+      ++mLoadingParked;
+      mStore.Get(KeyOf(kJobPrefix, *next),
+                 mGuard.Wrap([this, id = *next](std::error_code aError,
+                                                const std::optional<kv::Item>& aItem) {
+                   --mLoadingParked;
+                   OnParkedRead(id, aError, aItem);
+                 }));
+    }
+  }
+
+  void OnParkedRead(const JobId& aJob, std::error_code aError, const std::optional<kv::Item>& aItem)
+  {
+    const auto* parked = mBacklog.FindParked(aJob);
+    if (!parked) {
+      return;
+    }
+    if (aError) {
+      mBacklog.RetryParked(aJob);
+      return;
+    }
+    const auto job = aItem ? scheduler::ReadAcceptedJob(aItem->mValue) : std::nullopt;
+    const bool isCancelled = parked->mIsCancelled;
+    const bool isInherited = parked->mIsInherited;
+    mBacklog.RemoveParked(aJob);
+    if (!job) {
+      LogEvent("job_record_malformed", LogLevel::Error).With("key", KeyOf(kJobPrefix, aJob));
+      return;
+    }
+    AddJob(*job, isInherited);
+    if (isCancelled) {
+      mScheduler.CancelJob(aJob, Now());
+    }
+    SchedulePlan();
+  }
+
+  // Writes the groups whose submissions are to be refused where all nodes see them.
+  void PublishClosedGroups()
+  {
+    const auto now = std::chrono::steady_clock::now();
+    auto closed = mBacklog.UpdateClosed();
+    if (closed == mPublishedGroups || mIsPublishing || !mElection.IsConfirmed() ||
+        now - mPublishedAt < kMinPublishPeriod) {
+      return;
+    }
+    LogEvent("backlog_groups_closed", LogLevel::Warning)
+      .With("groups", closed.size())
+      .With("before", mPublishedGroups.size())
+      .With("used_bytes", mBacklog.Used())
+      .With("limit_bytes", mBacklog.Limit())
+      .With("parked", mBacklog.ParkedCount());
+    mIsPublishing = true;
+    mPublishedAt = now;
+    kv::ConditionalWrites writes;
+    writes.mConditions = { mElection.Condition() };
+    writes.mWrites.push_back({ std::string(kClosedGroupsKey), WriteClosedGroups(closed), {} });
+    mStore.Write(
+      writes, mGuard.Wrap([this, closed](std::error_code aError, const kv::WriteOutcome& aOutcome) {
+        mIsPublishing = false;
+        if (!aError && aOutcome.mApplied) {
+          mPublishedGroups = closed;
+        }
+      }));
+  }
+
   // Renews the leases of the recorded workers. A worker whose entry expired during an outage may
   // have work that only its own report names.
   void RenewRecordedLeases()
@@ -911,11 +1076,21 @@
   // Reads the records of former leaders: progress, racks and the batch key.
   PrefixReader<Store> mRecords;
   std::map<JobId, std::string> mProgress;
+  // Cancelled jobs of the listing that is being read.
+  std::vector<JobId> mListedCancels;
   bool mAreRecordsLoaded = false;
   // Unset until the hand-over request is answered or has timed out.
   std::optional<HandOver> mHandOver;
   // Jobs whose progress came from the former leader.
   std::set<JobId> mHandedOverJobs;
+  Backlog mBacklog;
+  // The groups that the store's record names as closed, as far as is known.
+  std::set<BacklogGroup> mPublishedGroups;
+  bool mIsPublishing = false;
+  TimePoint mPublishedAt;
+  int mBacklogUpdates = 0;
+  int mLoadingParked = 0;
+  LogRate mParkRate;
   OrderWindow mOrders;
   kv::Revision mBatchRevision;
   std::optional<ProgressWriter<Store>> mWriter;
@@ -944,6 +1119,7 @@
   Timer mPeriodicPlanTimer;
   Timer mStoreTimer;
   Timer mExpiryTimer;
+  Timer mBacklogTimer;
   CallbackGuard mGuard;
 };
 
--- a/src/control/PrefixWatch.h
+++ b/src/control/PrefixWatch.h
@@ -14,14 +14,19 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace lovagerock::control {
 
 // Notifications to the owner of a watch.
 struct WatchCallbacks
 {
-  // Receives all items, after the first listing and whenever events may have been missed.
+  // Receives all items, after the first listing and whenever events may have been missed; none if
+  // mOnPage has received them.
   std::function<void(const std::map<std::string, kv::Item>&)> mOnList;
+  // Receives the items of a listing page by page, in the order of their keys, so that they needn't
+  // be kept until its end; may be empty.
+  std::function<void(const std::vector<kv::Item>&)> mOnPage;
   std::function<void(const kv::ItemEvent&)> mOnEvent;
   // Every change that the store acknowledged before this BootTime() has been reported.
   std::function<void(Duration)> mOnConfirmed;
@@ -74,6 +79,10 @@
     if (mAsOf == kv::Revision()) {
       mAsOf = aPage.mAsOf;
     }
+    if (mCallbacks.mOnPage) {
+      mCallbacks.mOnPage(aPage.mItems);
+      return;
+    }
     for (auto& it : aPage.mItems) {
       auto key = it.mKey;
       mItems[std::move(key)] = std::move(it);
--- a/src/control/WaitMonitor.h
+++ b/src/control/WaitMonitor.h
@@ -47,6 +47,15 @@
   }
 };
 
+// What the accepted jobs take on the leader, see Backlog.
+struct BacklogStatus
+{
+  Bytes mUsed;
+  Bytes mLimit;
+  std::size_t mParked = 0;
+  std::size_t mClosedGroups = 0;
+};
+
 // What a node knows as the leader.
 struct LeaderStatus
 {
@@ -61,6 +70,7 @@
   scheduler::SpeedCounts mSpeeds{};
   // The work that was thrown away since it became the leader.
   scheduler::WasteCounts mWasted{};
+  BacklogStatus mBacklog;
 };
 
 // Logs why jobs wait, at a bounded rate, and keeps the numbers for the metrics.
--- a/src/scheduler/Job.cpp
+++ b/src/scheduler/Job.cpp
@@ -12,6 +12,14 @@
 // The assumed run time of a task without an estimate.
 constexpr Duration kDefaultRunTime{ 3000 };
 
+// What a job, one of its steps, an open step and one of its tasks that had a run take in memory,
+// with what the scheduler's and the leader's tables keep of them; see "Accepted jobs" in
+// docs/CAPACITY.md.
+constexpr std::size_t kJobBytes = 1024;
+constexpr std::size_t kStepBytes = 256;
+constexpr std::size_t kOpenStepBytes = 128;
+constexpr std::size_t kTaskBytes = 256;
+
 } // namespace
 
 const char*
@@ -86,6 +94,7 @@
   if (!IsOver()) {
     mFinal = aFinal;
     mFinishedMs = aNowMs;
+    mAccepted.mSpec.mPayload = std::string();
   }
 }
 
@@ -262,6 +271,23 @@
   return mAcceptedAt + mPolicy.mTargetLatency + allowedRunTime;
 }
 
+Bytes
+Job::MemoryUse() const
+{
+  const auto& spec = mAccepted.mSpec;
+  std::size_t bytes = kJobBytes + spec.mPayload.size();
+  for (const auto& it : spec.mSteps) {
+    bytes += kStepBytes + it.mAfter.size() * sizeof(int) + it.mRequiredLabel.size() +
+             it.mPreferredRack.Value().size();
+  }
+  for (const auto& [number, occurrence] : mOpenOccurrences) {
+    for (const auto& it : occurrence.mSteps) {
+      bytes += kOpenStepBytes + it.mTasks.size() * kTaskBytes;
+    }
+  }
+  return Bytes(static_cast<std::int64_t>(bytes));
+}
+
 Accelerators
 Job::LargestStepAccelerators() const
 {
--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -115,7 +115,8 @@
 
   JobState State() const;
   bool IsOver() const { return mFinal != JobState::Queued; }
-  // Ends the job with the given state; does nothing if it is over.
+  // Ends the job with the given state, and frees what is needed only to start tasks; does nothing
+  // if it is over.
   void Finish(JobState aFinal, std::int64_t aNowMs);
   // Wall clock time of the job's end, in milliseconds since 1970.
   std::int64_t FinishedMs() const { return mFinishedMs; }
@@ -151,8 +152,8 @@
   Duration RemainingRunTime() const;
   // Returns the time by which the job should be done, see QueuePolicy::mSlackFactor.
   TimePoint Objective() const;
-  // Frees what is needed only to start tasks. The job must be over.
-  void ReleasePayload() { mAccepted.mSpec.mPayload = std::string(); }
+  // Returns an estimate of the memory that the job takes now, without its runs on workers.
+  Bytes MemoryUse() const;
   // Returns the sum of the accelerators of a step's tasks, for the step where it is largest.
   Accelerators LargestStepAccelerators() const;
 
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -77,7 +77,7 @@
 Scheduler::AddJob(const AcceptedJob& aJob, const std::string& aProgress, bool aInherited,
                   const CurrentTime& aNow)
 {
-  if (mJobs.contains(aJob.mId)) {
+  if (KnowsJob(aJob.mId)) {
     return true;
   }
   const auto age = std::max<std::int64_t>(0, aNow.mWallMs - aJob.mAcceptedMs);
@@ -175,14 +175,58 @@
       expired.push_back(id);
     }
   }
+  for (const auto& [id, job] : mEndedJobs) {
+    if (aNow.mWallMs - job.mFinishedMs > mSettings.mFinishedRetention.count() && IsStored(id)) {
+      expired.push_back(id);
+    }
+  }
   return expired;
 }
 
+std::optional<EndedJob>
+Scheduler::JobSummary(const JobId& aJob) const
+{
+  if (const auto* job = FindJob(aJob)) {
+    return EndedJob{ job->State(), job->Accepted().mAccount, job->FinishedMs() };
+  }
+  const auto it = mEndedJobs.find(aJob);
+  return it == mEndedJobs.end() ? std::nullopt : std::optional(it->second);
+}
+
+void
+Scheduler::SummarizeEndedJobs(const CurrentTime& aNow)
+{
+  std::vector<JobId> ended;
+  for (const auto& [id, job] : mJobs) {
+    if (job.IsOver() && aNow.mWallMs - job.FinishedMs() > mSettings.mEndedJobDetails.count() &&
+        IsStored(id)) {
+      ended.push_back(id);
+    }
+  }
+  if (ended.empty()) {
+    return;
+  }
+  std::set<JobId> running;
+  for (const auto& [id, worker] : mFleet) {
+    for (const auto& run : worker.mRuns) {
+      running.insert(run.mRun.mTask.mJob);
+    }
+  }
+  for (const auto& id : ended) {
+    if (!running.contains(id)) {
+      const auto& job = mJobs.at(id);
+      mEndedJobs[id] = { job.State(), job.Accepted().mAccount, job.FinishedMs() };
+      mJobs.erase(id);
+    }
+  }
+}
+
 void
 Scheduler::RemoveJobs(const std::vector<JobId>& aJobs)
 {
   for (const auto& it : aJobs) {
     mJobs.erase(it);
+    mEndedJobs.erase(it);
   }
 }
 
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -33,6 +33,15 @@
   std::int64_t mWallMs = 0;
 };
 
+// What is kept of a job for some time after its end.
+struct EndedJob
+{
+  JobState mState = JobState::Completed;
+  AccountId mAccount;
+  // Wall clock time of the end, in milliseconds since 1970; 0 if the job isn't over.
+  std::int64_t mFinishedMs = 0;
+};
+
 class WaitScanner;
 
 // Counts of decisions and of failed and lost runs since the scheduler was created.
@@ -71,8 +80,29 @@
   bool AddJob(const AcceptedJob& aJob, const std::string& aProgress, bool aInherited,
               const CurrentTime& aNow);
   void CancelJob(const JobId& aJob, const CurrentTime& aNow);
+  // Returns null also for an ended job of which only a summary is kept.
   const Job* FindJob(const JobId& aJob) const;
-  std::size_t JobCount() const { return mJobs.size(); }
+  // Whether the job was added and not removed since.
+  bool KnowsJob(const JobId& aJob) const
+  {
+    return mJobs.contains(aJob) || mEndedJobs.contains(aJob);
+  }
+  // Returns the job's state and account, also if FindJob() doesn't know it any more; nullopt if it
+  // isn't known.
+  std::optional<EndedJob> JobSummary(const JobId& aJob) const;
+  std::size_t JobCount() const { return mJobs.size() + mEndedJobs.size(); }
+  // Calls aVisit with each job of which more than a summary is kept.
+  template<typename Visit>
+  void VisitJobs(const Visit& aVisit) const
+  {
+    for (const auto& [id, job] : mJobs) {
+      aVisit(job);
+    }
+  }
+  std::size_t SummarizedJobs() const { return mEndedJobs.size(); }
+  // Keeps only summaries of jobs that have been over for mEndedJobDetails, whose end is stored and
+  // of which nothing runs any more.
+  void SummarizeEndedJobs(const CurrentTime& aNow);
   // Returns the number of jobs of a queue that aren't over and of which no task has started.
   int PendingJobs(const std::string& aQueue) const;
   // Returns the jobs whose end is stored and longer ago than mFinishedRetention.
@@ -101,6 +131,9 @@
   // Returns whether a start order that was held back since Plan() returned it may be sent now. If
   // not, the run has ended without an order.
   bool ReleaseStart(const WorkerId& aWorker, const RunRef& aRun, const CurrentTime& aNow);
+  // Returns whether a start order that is repeated, and was held back since Plan() returned it, may
+  // be sent now. If not, the run is being stopped or isn't on the worker any more.
+  bool IsRepeatedStartDue(const WorkerId& aWorker, const RunRef& aRun);
   void OnStartOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
                       WorkerClock aClock, const CurrentTime& aNow);
   void OnStopOutcome(const WorkerId& aWorker, const RunRef& aRun, OrderOutcome aOutcome,
@@ -131,9 +164,6 @@
 
   const Fleet& Workers() const { return mFleet; }
   const SchedulerCounts& Counts() const { return mCounts; }
-  // Returns whether a start order that is repeated, and was held back since Plan() returned it, may
-  // be sent now. If not, the run is being stopped or isn't on the worker any more.
-  bool IsRepeatedStartDue(const WorkerId& aWorker, const RunRef& aRun);
   const AccountUsage& Usage() const { return mAccountUsage; }
   // What is known of the workers' speeds; its record is stored and read by the caller.
   WorkerSpeeds& Speeds() { return mSpeeds; }
@@ -475,6 +505,7 @@
   std::map<AccountId, Accelerators> mGuarantees;
   std::set<ZoneId> mEvacuatedZones;
   std::unordered_map<JobId, Job> mJobs;
+  std::unordered_map<JobId, EndedJob> mEndedJobs;
   Fleet mFleet;
   PlanWindow mPlanWindow;
   // How many runs the current plan may still start.
