Give the operators' and the peers' port of lovagerock-node limits of their own

What callers saw: 60 connections with chunked bodies, or with bodies of 8 MiB less their last byte, at the operators' port took over 125,044 KiB; 1,200 connections with parts of requests 125,992 KiB; 60 connections at the peers' port with calls that don't end 129,332 KiB. Each test breaks off at 128 MB.

Cause: the operators' server took the defaults of ServerLimits, the peers' transport those of PeerSettings: both limit one connection and nothing over all connections.

The largest body is as before, so an operator's file is taken as before. A call of another node has at most 262,144 values, enough for a batch with all workers of a region at the design size, and ends within 60 s. The settings are checked against each other.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -23,6 +23,14 @@
 constexpr Duration kFencedBackoff{ 2000 };
 constexpr int kNotifyTries = 3;
 constexpr Duration kIdleCheckPeriod{ 50 };
+// An operators' connection without a request for this time may be closed for a new one.
+constexpr Duration kMinIdleTime{ 1000 };
+// What the kernel may hold for a connection of an operator or another node, in each direction.
+constexpr Bytes kSocketBuffer{ 256 * 1024 };
+// A batch of workers' changes has some 40 values for each of a region's 2,300 workers.
+constexpr std::size_t kMaxPeerCallValues = 262144;
+// Longer than any timeout of a call between nodes.
+constexpr Duration kMaxPeerCallTime{ 60000 };
 
 std::uint64_t
 NewIncarnation()
@@ -98,6 +106,35 @@
   return limits;
 }
 
+// For operators.
+http::ServerLimits
+MakeAdminLimits(const NodeSettings& aSettings)
+{
+  http::ServerLimits limits;
+  limits.mReadTimeout = aSettings.mReadTimeout;
+  limits.mMaxConnections = static_cast<std::size_t>(aSettings.mAdminMaxConnections);
+  limits.mMaxReceiving = Bytes(aSettings.mAdminMaxReceiving);
+  limits.mMaxHeld = Bytes(aSettings.mAdminMaxHeld);
+  limits.mReceiveLimit = aSettings.mReceiveLimit;
+  limits.mMinReceiveRate = Bytes(aSettings.mMinReceiveRate);
+  limits.mMinIdleTime = kMinIdleTime;
+  limits.mSocketBuffer = kSocketBuffer;
+  return limits;
+}
+
+// For other nodes.
+peer::PeerSettings
+MakePeerLimits(const NodeSettings& aSettings)
+{
+  peer::PeerSettings limits;
+  limits.mMaxConnections = static_cast<std::size_t>(aSettings.mPeerMaxConnections);
+  limits.mMaxHeld = Bytes(aSettings.mPeerMaxHeld);
+  limits.mMaxCallValues = kMaxPeerCallValues;
+  limits.mMaxCallTime = kMaxPeerCallTime;
+  limits.mSocketBuffer = kSocketBuffer;
+  return limits;
+}
+
 membership::VmListSettings
 MakeVmListSettings(const NodeSettings& aSettings)
 {
@@ -119,7 +156,7 @@
   , mStore(aLoop, detail::MakeKvSettings(mSettings, 64))
   , mWatchStore(
       aLoop, detail::MakeKvSettings(mSettings, jobs::JobApi<kv::ConsulStore>::kMaxWaitingCallers))
-  , mTransport(aLoop, mRandom)
+  , mTransport(aLoop, mRandom, detail::MakePeerLimits(mSettings))
   , mMembership(aLoop, mTransport, detail::MakeSelf(mSettings))
   , mConfig(aLoop, mStore, mTransport, mMembership, mRandom, detail::MakeConfigSettings(mSettings))
   , mWorkerApi(mControlClient)
@@ -156,7 +193,7 @@
               [this](const JobId& aJob) { NotifyPlanner(aJob, detail::kNotifyTries); } })
   , mAdminApi(MakeAdminHooks())
   , mServer(aLoop, detail::MakeLimits(mSettings))
-  , mAdminServer(aLoop)
+  , mAdminServer(aLoop, detail::MakeAdminLimits(mSettings))
   , mVmList(aLoop, mTransport, mRandom, mSettings.mNode, mMembership.Self().mIncarnation,
             { [this] { return ReadsVmList(); }, [this] { return RegionPeers(NodeId()); } },
             detail::MakeVmListSettings(mSettings),
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -44,6 +44,25 @@
     ->check(CLI::Range(std::int64_t{ 1 }, kLargestBuffer));
 }
 
+void
+AddOtherListenersLimits(CLI::App& aApp, NodeSettings& aSettings)
+{
+  const auto add = [&aApp](const char* aName, std::int64_t& aLimit, std::int64_t aMost,
+                           const char* aHelp) {
+    AddSetting(aApp, aName, aLimit, aHelp)->check(CLI::Range(std::int64_t{ 1 }, aMost));
+  };
+  add("--admin-max-connections", aSettings.mAdminMaxConnections, kMostConnections,
+      "Open connections of operators");
+  add("--admin-max-receiving", aSettings.mAdminMaxReceiving, kLargestBuffer,
+      "Bytes of operators' requests that are being received, over all connections");
+  add("--admin-max-held", aSettings.mAdminMaxHeld, kLargestBuffer,
+      "Bytes of operators' requests that are being received or answered");
+  add("--peer-max-connections", aSettings.mPeerMaxConnections, kMostConnections,
+      "Open connections of other nodes");
+  add("--peer-max-held", aSettings.mPeerMaxHeld, kLargestBuffer,
+      "Bytes of other nodes' calls that are being received, and of answers that aren't sent");
+}
+
 // The largest request must fit into the bytes for receiving, or it could never be completed.
 void
 CheckLimits(const NodeSettings& aSettings)
@@ -53,6 +72,14 @@
     throw CLI::ValidationError("--max-receiving", "must be at least --max-body and 131072 more, " +
                                                     std::to_string(least.Value()));
   }
+  const auto leastAdmin = http::ServerLimits::LargestRequest(http::ServerLimits().mMaxBody);
+  if (Bytes(aSettings.mAdminMaxReceiving) < leastAdmin) {
+    throw CLI::ValidationError("--admin-max-receiving",
+                               "must be at least " + std::to_string(leastAdmin.Value()));
+  }
+  if (aSettings.mAdminMaxHeld < 2 * aSettings.mAdminMaxReceiving) {
+    throw CLI::ValidationError("--admin-max-held", "must be at least twice --admin-max-receiving");
+  }
 }
 
 void
@@ -66,6 +93,7 @@
   AddSetting(aApp, "--read-timeout-ms", aSettings.mReadTimeout,
              "Time without a byte from a caller while its request is read", Duration(1000));
   AddCallerLimits(aApp, aSettings);
+  AddOtherListenersLimits(aApp, aSettings);
   AddSetting(aApp, "--drain-accept-ms", aSettings.mDrainAccept,
              "Time to go on accepting after SIGTERM, until the balancer has noticed");
   AddSetting(aApp, "--reclaim-deadline-ms", aSettings.mReclaimDeadline,
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -31,6 +31,12 @@
   std::int64_t mMaxReceiving = 32 * 1024 * 1024;
   Duration mReceiveLimit{ 30000 };
   std::int64_t mMinReceiveRate = 16 * 1024;
+  // The operators' port, and the port for other nodes.
+  std::int64_t mAdminMaxConnections = 64;
+  std::int64_t mAdminMaxReceiving = 16 * 1024 * 1024;
+  std::int64_t mAdminMaxHeld = 32 * 1024 * 1024;
+  std::int64_t mPeerMaxConnections = 128;
+  std::int64_t mPeerMaxHeld = 32 * 1024 * 1024;
   Duration mDrainAccept{ 2000 };
   Duration mReclaimDeadline{ 2000 };
   LogLevel mLogLevel = LogLevel::Info;
