End a transaction of progress at 512 KiB

What callers would see: a leader that stores the progress of jobs with thousands of tasks holds up to 29 records of hundreds of KiB in one transaction, each several times over (record, base64, JSON, send buffer), and runs out of memory. Found by reading what the leader buffers; the tests of tests/hostile don't reach it, because their tasks don't run in such numbers.

Change: a transaction ends with the write that reaches 512 KiB, and deletions wait for the last write as before. Batches of usual jobs, 29 records of about 1 KiB, are as they were.

Test: ProgressWriter/splits_large_records_into_several_transactions fails before: all six records of 300 KiB go in one transaction.

--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -73,6 +73,9 @@
   // Transaction entries that every call needs: the leader's condition, and the condition and the
   // write of the batch key.
   static constexpr std::size_t kReservedEntries = 3;
+  // A transaction ends with the write that reaches this size. The records of jobs with thousands of
+  // tasks have hundreds of KiB each, and a transaction is in memory several times over.
+  static constexpr std::size_t kMaxTransactionBytes = 512 * 1024;
 
   struct Batch
   {
@@ -118,10 +121,10 @@
     call.mConditions = { mLeader, { std::string(kBatchKey), mBatchRevision } };
     call.mWrites.push_back({ std::string(kBatchKey), std::to_string(++mBatchNumber), {} });
     auto room = kv::kMaxTransactionEntries - kReservedEntries;
-    mSentWrites = std::min(room, batch.mWrites.size());
+    mSentWrites = CountWrites(batch.mWrites, room);
     call.mWrites.insert(call.mWrites.end(), batch.mWrites.begin(),
                         batch.mWrites.begin() + static_cast<long>(mSentWrites));
-    room -= mSentWrites;
+    room = mSentWrites < batch.mWrites.size() ? 0 : room - mSentWrites;
     mSentDeletes = std::min(room, batch.mDeletes.size());
     call.mDeletes.assign(batch.mDeletes.begin(),
                          batch.mDeletes.begin() + static_cast<long>(mSentDeletes));
@@ -130,6 +133,18 @@
     }));
   }
 
+  // Returns how many of the writes fit into a transaction; at least one.
+  static std::size_t
+  CountWrites(const std::vector<kv::ConditionalWrites::Write>& aWrites, std::size_t aRoom)
+  {
+    std::size_t bytes = 0;
+    std::size_t n = 0;
+    while (n < std::min(aRoom, aWrites.size()) && bytes < kMaxTransactionBytes) {
+      bytes += aWrites[n++].mValue.size();
+    }
+    return n;
+  }
+
   void OnWritten(std::error_code aError, const kv::WriteOutcome& aOutcome)
   {
     if (!aError && aOutcome.mApplied) {
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -252,6 +252,26 @@
   cr_assert_not(f.mStore.mItems.contains("progress/job/j"));
 }
 
+// Guards against transactions of large records that take many times their size in memory.
+Test(ProgressWriter, splits_large_records_into_several_transactions)
+{
+  Fixture f;
+  f.mStore.Put(std::string(kLeaderKey), "{}");
+  const auto leader = f.mStore.mItems.at(std::string(kLeaderKey)).mRevision;
+  ProgressWriter writer(f.mStore, { std::string(kLeaderKey), leader }, kv::Revision());
+  std::vector<kv::ConditionalWrites::Write> writes;
+  for (int i = 0; i < 6; ++i) {
+    writes.push_back({ "large" + std::to_string(i), std::string(300 * 1024, 'x'), {} });
+  }
+  bool isStored = false;
+  std::vector<std::size_t> parts;
+  writer.StoreBatch(
+    writes, { "old" }, [&](bool aIsStored) { isStored = aIsStored; },
+    [&](std::size_t aStored) { parts.push_back(aStored); });
+  f.RunUntil([&] { return isStored; });
+  cr_assert_eq(parts, (std::vector<std::size_t>{ 2, 4, 6 }));
+}
+
 Test(ProgressWriter, splits_a_large_batch_into_several_transactions)
 {
   Fixture f;
