--- a/tests/control/RelayFixture.h
+++ b/tests/control/RelayFixture.h
@@ -212,6 +212,8 @@
     hooks.mAreKeysCurrent = [] { return true; };
     hooks.mConfigurationAge = [] { return Duration(0); };
     hooks.mIsStoreReachable = [this] { return mIsStoreReachable; };
+    hooks.mIsClosed = [this](const BacklogGroup& aGroup) { return mClosed.contains(aGroup); };
+    hooks.mOnJobRefused = [this](const char* aReason) { ++mRefused[aReason]; };
     hooks.mRelayWrite = [this](const RequestWrite& aWrite, std::vector<SocketAddress>& aAsked,
                                TimePoint aDeadline, RelayCallback aCallback) {
       return mRelay.Send(aWrite, aAsked, aDeadline, std::move(aCallback));
@@ -224,6 +226,9 @@
   std::optional<SocketAddress> mLeader;
   bool mIsStoreReachable = true;
   std::vector<RelayOutcome> mOutcomes;
+  // The groups whose submissions the node refuses, and the refusals by reason.
+  std::set<BacklogGroup> mClosed;
+  std::map<std::string, int> mRefused;
   Relay mRelay;
   CallerApi<NodeStore, FakeCodec> mApi;
   http::HttpServer mServer;
