Divide the steps that a plan looks at among accounts and queues

Cause: a plan looks at 512 waiting steps, most of them the first by rank. Jobs with 1,000,000 due repetitions had up to 4,096 open occurrences each, so some 40 of them had over 100,000 waiting steps. Those came before the ordinary job by their objective, and its turn among the others came after hundreds of plans.

Change: the steps that a plan looks at are divided among the groups of jobs (an account, or a queue without keys, and by urgency: JobGroup, which the backlog uses as well); a group that needs fewer leaves the rest to the others. Within a group it is as before. A job has at most 16 open occurrences.

Ruled out: more steps a plan (its time grows with them), the first steps by rank alone (steps that never fit keep others out for ever).

LargeLoad/looks_at_steps_of_each_group_in_each_plan fails before.

The soak is new: three nodes of 40 MB, five workers, hostile callers that submit jobs over the limits, jobs that never fit, due repetitions and tasks that need nothing to all nodes, beside the faults of the other soaks.

--- a/src/control/Backlog.cpp
+++ b/src/control/Backlog.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 std::string
-WriteClosedGroups(const std::set<BacklogGroup>& aGroups)
+WriteClosedGroups(const std::set<scheduler::JobGroup>& aGroups)
 {
   auto rows = Json::array();
   for (const auto& it : aGroups) {
@@ -35,7 +35,7 @@
   return DumpJson({ { "closed", std::move(rows) } });
 }
 
-std::optional<std::set<BacklogGroup>>
+std::optional<std::set<scheduler::JobGroup>>
 ReadClosedGroups(const std::string& aText)
 {
   const auto json = ParseJson(aText);
@@ -43,7 +43,7 @@
     return std::nullopt;
   }
   try {
-    std::set<BacklogGroup> groups;
+    std::set<scheduler::JobGroup> groups;
     for (const auto& it : json->at("closed")) {
       groups.insert({ AccountId(it.at(0).get<std::string>()), it.at(1).get<std::string>(),
                       it.at(2).get<bool>() });
@@ -55,7 +55,7 @@
 }
 
 Bytes
-Backlog::UsedBy(const BacklogGroup& aGroup) const
+Backlog::UsedBy(const scheduler::JobGroup& aGroup) const
 {
   Bytes used;
   if (const auto it = mLoaded.find(aGroup); it != mLoaded.end()) {
@@ -74,7 +74,7 @@
 }
 
 bool
-Backlog::Fits(const BacklogGroup& aGroup, Bytes aJob) const
+Backlog::Fits(const scheduler::JobGroup& aGroup, Bytes aJob) const
 {
   const auto sum = Used() + aJob;
   const bool isSmall = UsedBy(aGroup) + aJob <= Part(mLimit, kSmallGroupPart);
@@ -82,20 +82,20 @@
 }
 
 bool
-Backlog::FitsAtTakeover(const BacklogGroup& aGroup, Bytes aJob) const
+Backlog::FitsAtTakeover(const scheduler::JobGroup& aGroup, Bytes aJob) const
 {
   return Used() + aJob <= Part(mLimit, 2) && Fits(aGroup, aJob);
 }
 
 void
-Backlog::OnLoaded(const BacklogGroup& aGroup, Bytes aJob)
+Backlog::OnLoaded(const scheduler::JobGroup& aGroup, Bytes aJob)
 {
   mLoaded[aGroup] += aJob;
   mLoadedSum += aJob;
 }
 
 void
-Backlog::SetLoaded(std::map<BacklogGroup, Bytes> aGroups, Bytes aOthers)
+Backlog::SetLoaded(std::map<scheduler::JobGroup, Bytes> aGroups, Bytes aOthers)
 {
   mLoaded = std::move(aGroups);
   mLoadedSum = aOthers;
@@ -199,13 +199,13 @@
   }));
 }
 
-std::set<BacklogGroup>
+std::set<scheduler::JobGroup>
 Backlog::UpdateClosed()
 {
   const auto free = std::max(mLimit - Used(), Bytes(0));
   const Bytes reopen(free.Value() / kReopenDenominator * kReopenNumerator);
-  std::set<BacklogGroup> closed;
-  const auto check = [&](const BacklogGroup& aGroup) {
+  std::set<scheduler::JobGroup> closed;
+  const auto check = [&](const scheduler::JobGroup& aGroup) {
     if (UsedBy(aGroup) > (mClosed.contains(aGroup) ? reopen : free)) {
       closed.insert(aGroup);
     }
--- a/src/control/Backlog.h
+++ b/src/control/Backlog.h
@@ -2,9 +2,8 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
-#include "scheduler/JobSpec.h"
+#include "scheduler/JobGroup.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -17,36 +16,18 @@
 
 namespace lovagerock::control {
 
-// Jobs that share one part of the leader's memory: those of an account, or of a queue whose callers
-// need no API key. Urgent ones, of priority 0, have a part of their own, so that an account that
-// fills its other part still gets its guarantee.
-struct BacklogGroup
-{
-  AccountId mAccount;
-  // Empty if there is an account.
-  std::string mQueue;
-  bool mIsUrgent = false;
-
-  static BacklogGroup
-  Of(const AccountId& aAccount, const std::string& aQueue, const scheduler::QueuePolicy& aPolicy)
-  {
-    return { aAccount, aAccount.IsEmpty() ? aQueue : std::string(), aPolicy.mPriority == 0 };
-  }
-  auto operator<=>(const BacklogGroup&) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 // The groups whose submissions are refused, in a form that is stored.
 std::string
-WriteClosedGroups(const std::set<BacklogGroup>& aGroups);
+WriteClosedGroups(const std::set<scheduler::JobGroup>& aGroups);
 // Returns nullopt if the text is malformed.
-std::optional<std::set<BacklogGroup>>
+std::optional<std::set<scheduler::JobGroup>>
 ReadClosedGroups(const std::string& aText);
 
 // What is known of a job that is left in the store.
 struct ParkedJob
 {
   JobId mId;
-  BacklogGroup mGroup;
+  scheduler::JobGroup mGroup;
   std::string mQueue;
   // Whether the leader found it at its takeover.
   bool mIsInherited = false;
@@ -73,14 +54,14 @@
 
   // Whether a job of the group fits. Groups that hold next to nothing may use a reserve, so that
   // their jobs don't wait for those of a group that fills the rest.
-  bool Fits(const BacklogGroup& aGroup, Bytes aJob) const;
+  bool Fits(const scheduler::JobGroup& aGroup, Bytes aJob) const;
   // The same while a leader loads jobs at its takeover and doesn't know yet how much those take
   // that have begun.
-  bool FitsAtTakeover(const BacklogGroup& aGroup, Bytes aJob) const;
+  bool FitsAtTakeover(const scheduler::JobGroup& aGroup, Bytes aJob) const;
   // A job was given to the scheduler.
-  void OnLoaded(const BacklogGroup& aGroup, Bytes aJob);
+  void OnLoaded(const scheduler::JobGroup& aGroup, Bytes aJob);
   // Sets what the scheduler's jobs take: those that aren't over by group, and others.
-  void SetLoaded(std::map<BacklogGroup, Bytes> aGroups, Bytes aOthers);
+  void SetLoaded(std::map<scheduler::JobGroup, Bytes> aGroups, Bytes aOthers);
 
   void Park(ParkedJob aJob);
   const ParkedJob* FindParked(const JobId& aJob) const;
@@ -100,24 +81,24 @@
   int ParkedOf(const std::string& aQueue) const;
 
   // Returns the groups to refuse. A closed group is opened again once it holds clearly less.
-  std::set<BacklogGroup> UpdateClosed();
+  std::set<scheduler::JobGroup> UpdateClosed();
   Bytes Limit() const { return mLimit; }
   // What all jobs take, the parked ones too.
   Bytes Used() const;
 
 private:
-  Bytes UsedBy(const BacklogGroup& aGroup) const;
+  Bytes UsedBy(const scheduler::JobGroup& aGroup) const;
 
   Bytes mLimit;
-  std::map<BacklogGroup, Bytes> mLoaded;
+  std::map<scheduler::JobGroup, Bytes> mLoaded;
   // The sum of mLoaded, and ended jobs.
   Bytes mLoadedSum;
   std::unordered_map<JobId, ParkedJob> mParked;
   // Those to be loaded, by group in the order of their arrival.
-  std::map<BacklogGroup, std::deque<JobId>> mWaiting;
+  std::map<scheduler::JobGroup, std::deque<JobId>> mWaiting;
   std::vector<JobId> mCancelled;
-  std::map<BacklogGroup, int> mParkedOfGroup;
-  std::set<BacklogGroup> mClosed;
+  std::map<scheduler::JobGroup, int> mParkedOfGroup;
+  std::set<scheduler::JobGroup> mClosed;
 };
 
 } // namespace lovagerock::control
--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -82,7 +82,7 @@
                      RelayCallback)>
     mRelayWrite;
   // Whether submissions of the group are to be refused; may be empty.
-  std::function<bool(const BacklogGroup&)> mIsClosed;
+  std::function<bool(const scheduler::JobGroup&)> mIsClosed;
   // Receives the reason for which a submission was refused; may be empty.
   std::function<void(const char*)> mOnJobRefused;
 };
@@ -246,7 +246,7 @@
       aResponder.Send(http::JsonResponse(400, DumpJson({ { "error", reason } })));
       return;
     }
-    const auto group = BacklogGroup::Of(aAccount, aQueue.mName, aQueue.mPolicy);
+    const auto group = scheduler::JobGroup::Of(aAccount, aQueue.mName, aQueue.mPolicy);
     if (mHooks.mIsClosed && mHooks.mIsClosed(group)) {
       RefuseForBacklog(aJob, aAccount, aResponder);
       return;
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -285,7 +285,7 @@
     hooks.mQueryPendingCount = [this](const std::string& aQueue, PendingCountCallback aCallback) {
       QueryPendingCount(aQueue, std::move(aCallback));
     };
-    hooks.mIsClosed = [this](const BacklogGroup& aGroup) {
+    hooks.mIsClosed = [this](const scheduler::JobGroup& aGroup) {
       return mElection && mElection->ClosedGroups().contains(aGroup);
     };
     hooks.mOnJobRefused = [this](const char* aReason) { mMetrics.CountRefusedJob(aReason); };
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -79,7 +79,7 @@
   // The record of witnesses. At the time of the election it is the one that is stored.
   const WitnessRecord& Witnesses() const { return mWitnesses; }
   // The groups whose submissions the leader wants to be refused, as the store's record names them.
-  const std::set<BacklogGroup>& ClosedGroups() const { return mClosedGroups; }
+  const std::set<scheduler::JobGroup>& ClosedGroups() const { return mClosedGroups; }
   // The condition on a leader's writes: the leader key still is the one that this node wrote.
   kv::ConditionalWrites::Condition Condition() const
   {
@@ -193,7 +193,7 @@
     if (!groups) {
       LogEvent("closed_groups_malformed", LogLevel::Error).With("key", aItem.mKey);
     }
-    mClosedGroups = groups.value_or(std::set<BacklogGroup>());
+    mClosedGroups = groups.value_or(std::set<scheduler::JobGroup>());
   }
 
   // Returns the token of the leadership that was resigned; 0 if the text names none.
@@ -392,7 +392,7 @@
   FencingToken mResigned;
   kv::Revision mResignedRevision;
   WitnessRecord mWitnesses;
-  std::set<BacklogGroup> mClosedGroups;
+  std::set<scheduler::JobGroup> mClosedGroups;
   kv::Revision mClosedGroupsRevision;
   LeaderHistory mHistory;
   bool mIsVacant = false;
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -481,9 +481,9 @@
     return mBacklog.FindParked(aJob) || mScheduler.KnowsJob(aJob);
   }
 
-  static BacklogGroup GroupOf(const scheduler::AcceptedJob& aJob)
+  static scheduler::JobGroup GroupOf(const scheduler::AcceptedJob& aJob)
   {
-    return BacklogGroup::Of(aJob.mAccount, aJob.mQueue, aJob.mPolicy);
+    return scheduler::JobGroup::Of(aJob.mAccount, aJob.mQueue, aJob.mPolicy);
   }
 
   void AddJob(const scheduler::AcceptedJob& aJob, bool aInherited)
@@ -541,7 +541,7 @@
 
   void CountBacklog()
   {
-    std::map<BacklogGroup, Bytes> groups;
+    std::map<scheduler::JobGroup, Bytes> groups;
     mScheduler.VisitJobs([&groups](const scheduler::Job& aJob) {
       groups[GroupOf(aJob.Accepted())] += aJob.MemoryUse();
     });
@@ -1085,7 +1085,7 @@
   std::set<JobId> mHandedOverJobs;
   Backlog mBacklog;
   // The groups that the store's record names as closed, as far as is known.
-  std::set<BacklogGroup> mPublishedGroups;
+  std::set<scheduler::JobGroup> mPublishedGroups;
   bool mIsPublishing = false;
   TimePoint mPublishedAt;
   int mBacklogUpdates = 0;
--- a/src/scheduler/Job.cpp
+++ b/src/scheduler/Job.cpp
@@ -17,7 +17,7 @@
 // docs/CAPACITY.md.
 constexpr std::size_t kJobBytes = 1024;
 constexpr std::size_t kStepBytes = 256;
-constexpr std::size_t kOpenStepBytes = 128;
+constexpr std::size_t kOpenStepBytes = 256;
 constexpr std::size_t kTaskBytes = 256;
 
 } // namespace
@@ -136,8 +136,8 @@
 void
 Job::OpenDueOccurrences(std::int64_t aNowMs, TimePoint aNow)
 {
-  const auto mayOpen =
-    std::max<std::int64_t>(kMaxOpenTasks / std::max<std::int64_t>(TasksPerOccurrence(), 1), 1);
+  const auto tasks = std::max<std::int64_t>(TasksPerOccurrence(), 1);
+  const auto mayOpen = std::clamp<std::int64_t>(kMaxOpenTasks / tasks, 1, kMaxOpenOccurrences);
   while (mNextOccurrence < mAccepted.mSpec.Occurrences() &&
          (mAccepted.mSpec.mRepetitions == 0 || NextDueMs() <= aNowMs) &&
          static_cast<std::int64_t>(mOpenOccurrences.size()) < mayOpen) {
--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -128,7 +128,8 @@
   std::map<int, Occurrence>& OpenOccurrences() { return mOpenOccurrences; }
   const std::map<int, Occurrence>& OpenOccurrences() const { return mOpenOccurrences; }
   // Creates the occurrences that have become due and records which steps have become ready. While
-  // the open ones have more than kMaxOpenTasks, later ones wait for their end.
+  // there are kMaxOpenOccurrences open ones, or these have kMaxOpenTasks, later ones wait for their
+  // end.
   void OpenDueOccurrences(std::int64_t aNowMs, TimePoint aNow);
   // Returns when the next occurrence is due, in milliseconds since 1970, or 0 if none is left.
   std::int64_t NextDueMs() const;
--- a/src/scheduler/Limits.h
+++ b/src/scheduler/Limits.h
@@ -24,6 +24,8 @@
 // limits, see JobLimits.
 inline constexpr int kMaxTasks = 100'000;
 inline constexpr int kMaxOccurrences = 1'000'000;
+// The most occurrences of one job that are open at a time.
+inline constexpr int kMaxOpenOccurrences = 16;
 // The most tasks of the occurrences of one job that are open at a time, unless one occurrence has
 // more. The record of their progress has to fit into a value of the store, 1 MiB.
 inline constexpr int kMaxOpenTasks = 4096;
--- a/src/scheduler/PlanWindow.h
+++ b/src/scheduler/PlanWindow.h
@@ -1,46 +1,32 @@
 #pragma once
 
-#include <algorithm>
+#include "scheduler/JobGroup.h"
+
 #include <cstddef>
+#include <map>
 #include <vector>
 
 namespace lovagerock::scheduler {
 
-// Chooses which of the waiting steps a plan looks at if there are too many for one plan: the first
-// ones by rank, and a part of the others, in turn. So a plan takes a bounded time, and steps that
-// never fit can't keep others from being looked at.
+// Chooses which of the waiting steps a plan looks at if there are too many for one plan, so that a
+// plan takes a bounded time whatever callers submit. Each group of jobs has the same number of
+// steps, unless it has fewer; of each, most are the first ones by rank, and the others are looked
+// at in turn. So neither steps of another group nor steps that never fit keep one from being looked
+// at.
 class PlanWindow
 {
 public:
-  explicit PlanWindow(std::size_t aMaxSteps)
-    : mMaxSteps(std::max<std::size_t>(aMaxSteps, 2))
-  {
-  }
+  explicit PlanWindow(std::size_t aMaxSteps);
 
-  // Returns the positions of the steps to look at now, ascending, out of aSteps sorted by rank.
-  std::vector<std::size_t> Choose(std::size_t aSteps)
-  {
-    std::vector<std::size_t> chosen;
-    const auto first = aSteps <= mMaxSteps ? aSteps : mMaxSteps - mMaxSteps / kOthersPart;
-    for (std::size_t i = 0; i < first; ++i) {
-      chosen.push_back(i);
-    }
-    const auto others = aSteps - first;
-    for (std::size_t i = 0; i < std::min(mMaxSteps - first, others); ++i) {
-      mNext = mNext < others ? mNext : 0;
-      chosen.push_back(first + mNext++);
-    }
-    std::sort(chosen.begin(), chosen.end());
-    return chosen;
-  }
+  // Returns the positions of the steps to look at now, ascending. aGroups has the group of each
+  // step, in the order of their ranks.
+  std::vector<std::size_t> Choose(const std::vector<JobGroup>& aGroups);
 
 private:
-  // One step in this many is one of the others.
-  static constexpr std::size_t kOthersPart = 4;
-
   std::size_t mMaxSteps;
-  // The place among the others at which the next plan begins.
-  std::size_t mNext = 0;
+  // For each group that has more steps than its part, the place among the others at which the next
+  // plan begins.
+  std::map<JobGroup, std::size_t> mNext;
 };
 
 } // namespace lovagerock::scheduler
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -71,7 +71,16 @@
   }
   PlaceRefusedGangMembers(placer, aNow, aOrders);
   auto steps = DueSteps(aNow);
-  for (const auto position : mPlanWindow.Choose(steps.size())) {
+  std::vector<JobGroup> groups;
+  if (steps.size() > mSettings.mMaxPlannedSteps) {
+    for (const auto& it : steps) {
+      const auto& job = it.mJob->Accepted();
+      groups.push_back(JobGroup::Of(job.mAccount, job.mQueue, it.mJob->Policy()));
+    }
+  } else {
+    groups.resize(steps.size());
+  }
+  for (const auto position : mPlanWindow.Choose(groups)) {
     if (auto& due = steps[position]; TakeTasks(due)) {
       PlaceDue(due, placer, aNow, aOrders);
     }
--- a/tests/control/BacklogRefusalTests.cpp
+++ b/tests/control/BacklogRefusalTests.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // The account's jobs of priority 0, which is that of the fixture's queue.
-const BacklogGroup kGroup{ AccountId("account"), "", true };
+const scheduler::JobGroup kGroup{ AccountId("account"), "", true };
 
 } // namespace
 
--- a/tests/control/BacklogTests.cpp
+++ b/tests/control/BacklogTests.cpp
@@ -14,7 +14,7 @@
 constexpr Bytes kLimit{ 1024 * 1024 };
 constexpr Bytes kJob{ 8 * 1024 };
 
-BacklogGroup
+scheduler::JobGroup
 Account(const char* aName, bool aIsUrgent = false)
 {
   return { AccountId(aName), "", aIsUrgent };
@@ -22,7 +22,7 @@
 
 // Gives the backlog jobs of a group until it closes.
 int
-Fill(Backlog& aBacklog, const BacklogGroup& aGroup)
+Fill(Backlog& aBacklog, const scheduler::JobGroup& aGroup)
 {
   int n = 0;
   while (!aBacklog.UpdateClosed().contains(aGroup)) {
@@ -33,7 +33,7 @@
 }
 
 ParkedJob
-Parked(const std::string& aId, const BacklogGroup& aGroup)
+Parked(const std::string& aId, const scheduler::JobGroup& aGroup)
 {
   return { JobId(aId), aGroup, "queue", false, false };
 }
@@ -68,9 +68,9 @@
 // Guards against nodes that read the groups otherwise than the leader wrote them.
 Test(Backlog, writes_and_reads_closed_groups)
 {
-  const std::set<BacklogGroup> groups{ Account("one"),
-                                       Account("two", true),
-                                       { AccountId(), "queue \"q\"", false } };
+  const std::set<scheduler::JobGroup> groups{ Account("one"),
+                                              Account("two", true),
+                                              { AccountId(), "queue \"q\"", false } };
   cr_assert(ReadClosedGroups(WriteClosedGroups(groups)) == groups);
   for (const auto* const text : { "", "[]", "{}", R"({"closed":[["a"]]})", R"({"closed":[1]})" }) {
     cr_assert_not(ReadClosedGroups(text).has_value(), "%s", text);
@@ -105,6 +105,7 @@
 {
   LeaderFixture f;
   f.mSettings.mBacklogMemory = MemoryMiB(1);
+  f.mSettings.mScheduler.mEndedJobDetails = Duration(0);
   f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
   constexpr int kJobs = 1200;
   for (int i = 0; i < kJobs; ++i) {
@@ -150,6 +151,6 @@
   for (int i = 0; i < 500; ++i) {
     f.Submit("job" + std::to_string(i));
   }
-  const BacklogGroup group{ AccountId(), "queue", false };
+  const scheduler::JobGroup group{ AccountId(), "queue", false };
   f.RunUntil([&] { return f.mElection->ClosedGroups().contains(group); });
 }
--- a/tests/control/RelayFixture.h
+++ b/tests/control/RelayFixture.h
@@ -212,7 +212,9 @@
     hooks.mAreKeysCurrent = [] { return true; };
     hooks.mConfigurationAge = [] { return Duration(0); };
     hooks.mIsStoreReachable = [this] { return mIsStoreReachable; };
-    hooks.mIsClosed = [this](const BacklogGroup& aGroup) { return mClosed.contains(aGroup); };
+    hooks.mIsClosed = [this](const scheduler::JobGroup& aGroup) {
+      return mClosed.contains(aGroup);
+    };
     hooks.mOnJobRefused = [this](const char* aReason) { ++mRefused[aReason]; };
     hooks.mRelayWrite = [this](const RequestWrite& aWrite, std::vector<SocketAddress>& aAsked,
                                TimePoint aDeadline, RelayCallback aCallback) {
@@ -227,7 +229,7 @@
   bool mIsStoreReachable = true;
   std::vector<RelayOutcome> mOutcomes;
   // The groups whose submissions the node refuses, and the refusals by reason.
-  std::set<BacklogGroup> mClosed;
+  std::set<scheduler::JobGroup> mClosed;
   std::map<std::string, int> mRefused;
   Relay mRelay;
   CallerApi<NodeStore, FakeCodec> mApi;
--- a/tests/integration/EdgeSoakTests.cpp
+++ b/tests/integration/EdgeSoakTests.cpp
@@ -1,5 +1,6 @@
 #include "base/Random.h"
 #include "integration/EdgeSystem.h"
+#include "integration/HostileCallers.h"
 #include "integration/TestFailure.h"
 
 #include <criterion/criterion.h>
@@ -28,6 +29,33 @@
 // the restart, the next one if this one is killed meanwhile.
 constexpr int kNoticeMs = 3500;
 
+// A small machine, so that hostile callers fill the memory for jobs soon.
+constexpr const char* kSmallNode = "limits:\n"
+                                   "  memory_mb: 40\n"
+                                   "  file_descriptors: 512\n"
+                                   "  cpu_share: 1\n"
+                                   "  cores: 1\n"
+                                   "  link_mbps: 100\n";
+
+// The queue of the ordinary jobs, and one that hostile callers have found.
+Json
+TwoQueues()
+{
+  Json routes = Json::array();
+  for (const auto* const name : { "batch", "found" }) {
+    routes.push_back({ { "name", name },
+                       { "host", "127.0.0.1" },
+                       { "prefix", "/" + std::string(name) + "/" },
+                       { "service", "batch" },
+                       { "public", true },
+                       { "priority", 1 },
+                       { "max_attempts", 3 },
+                       { "slack_factor", 3.0 },
+                       { "target_latency_ms", 1000 } });
+  }
+  return { { "version", 2 }, { "routes", routes } };
+}
+
 // The number in an environment variable, or the default.
 int
 SettingOr(const char* aName, int aDefault)
@@ -243,3 +271,33 @@
     soak.Finish();
   });
 }
+
+// Guards against runs that are repeated, and ordinary jobs that never end, while hostile callers
+// fill the memory for jobs and leaders change.
+Test(EdgeSoak, repeats_nothing_beside_hostile_callers)
+{
+  const int seed = SettingOr("LOVAGEROCK_EDGE_SOAK_SEED", 1);
+  const int rounds = SettingOr("LOVAGEROCK_EDGE_SOAK_ROUNDS", 3);
+  std::cerr << "hostile soak: seed " << seed << ", rounds " << rounds << '\n';
+  WorkerFleet workers;
+  workers.mCount = kWorkers;
+  RunWithEdges(
+    kNodes, workers,
+    [=](EdgeSystem& aSystem) {
+      aSystem.Configure(TwoQueues(), "/found/");
+      std::vector<SocketAddress> nodes;
+      for (int i = 0; i < kNodes; ++i) {
+        nodes.push_back(aSystem.CallersAddress(i));
+      }
+      EdgeSoak soak(aSystem, static_cast<std::uint64_t>(seed));
+      {
+        const HostileCallers hostile(nodes, "/found/", static_cast<std::uint64_t>(seed));
+        for (int i = 0; i < rounds; ++i) {
+          soak.RunRound();
+        }
+        std::cerr << hostile.Describe() << '\n';
+      }
+      soak.Finish();
+    },
+    kSmallNode);
+}
--- a/tests/scheduler/LargeLoadTests.cpp
+++ b/tests/scheduler/LargeLoadTests.cpp
@@ -82,6 +82,13 @@
   f.Submit(job);
   f.Plan();
   cr_assert_eq(f.mScheduler->FindJob(JobId("repeated"))->OpenOccurrences().size(), 4);
+  auto single = f.Job("single", { SchedulerFixture::Step(1, 8) });
+  single.mSpec.mRepetitions = 1'000'000;
+  single.mSpec.mFirstRunMs = 1;
+  single.mSpec.mInterval = Duration(1);
+  f.Submit(single);
+  f.Plan();
+  cr_assert_eq(f.mScheduler->FindJob(JobId("single"))->OpenOccurrences().size(), 16);
   auto small = f.Job("small", { SchedulerFixture::Step(1, 8) });
   small.mSpec.mRepetitions = 3;
   small.mSpec.mFirstRunMs = 1;
@@ -146,12 +153,33 @@
   }
 }
 
+// Guards against a group whose steps come first in rank and keep those of others from a plan.
+Test(LargeLoad, looks_at_steps_of_each_group_in_each_plan)
+{
+  SchedulerFixture f;
+  f.mSettings.mMaxPlannedSteps = 8;
+  f.Restart();
+  f.AddWorkers(1);
+  for (int i = 0; i < 1000; ++i) {
+    auto step = SchedulerFixture::Step(1, 1);
+    step.mRequiredLabel = "none";
+    auto job = f.Job("hopeless" + std::to_string(i), { step });
+    job.mAccount = AccountId("other");
+    f.Submit(job);
+  }
+  f.mNow.mSteady += Duration(10);
+  f.mNow.mWallMs += 10;
+  f.Submit(f.Job("fits", { SchedulerFixture::Step(1, 1) }));
+  cr_assert_eq(f.Plan().mStarts.size(), 1);
+}
+
 Test(PlanWindow, looks_at_the_first_steps_always_and_at_all_others_in_turn)
 {
   PlanWindow window(8);
+  const JobGroup group{ AccountId("a"), "", false };
   std::set<std::size_t> seen;
   for (int i = 0; i < 7; ++i) {
-    const auto chosen = window.Choose(20);
+    const auto chosen = window.Choose(std::vector<JobGroup>(20, group));
     cr_assert_eq(chosen.size(), 8);
     for (std::size_t j = 0; j < 6; ++j) {
       cr_assert_eq(chosen[j], j);
@@ -160,6 +188,19 @@
     seen.insert(chosen.begin(), chosen.end());
   }
   cr_assert_eq(seen.size(), 20);
-  cr_assert_eq(window.Choose(5).size(), 5);
-  cr_assert(window.Choose(0).empty());
+  cr_assert_eq(window.Choose(std::vector<JobGroup>(5, group)).size(), 5);
+  cr_assert(window.Choose({}).empty());
+}
+
+Test(PlanWindow, leaves_to_large_groups_what_small_ones_do_not_need)
+{
+  PlanWindow window(10);
+  const JobGroup small{ AccountId("a"), "", false };
+  const JobGroup large{ AccountId("b"), "", false };
+  std::vector<JobGroup> steps(30, large);
+  steps.insert(steps.end(), 2, small);
+  const auto chosen = window.Choose(steps);
+  cr_assert_eq(chosen.size(), 10);
+  cr_assert_eq(chosen[8], 30);
+  cr_assert_eq(chosen[9], 31);
 }
