--- a/src/scheduler/PlanWindow.cpp
+++ b/src/scheduler/PlanWindow.cpp
@@ -50,6 +50,7 @@
     groups[aGroups[i]].push_back(i);
   }
   std::vector<std::size_t> counts;
+  counts.reserve(groups.size());
   for (const auto& [group, positions] : groups) {
     counts.push_back(positions.size());
   }
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -259,8 +259,10 @@
   f.mStore.Put(std::string(kLeaderKey), "{}");
   const auto leader = f.mStore.mItems.at(std::string(kLeaderKey)).mRevision;
   ProgressWriter writer(f.mStore, { std::string(kLeaderKey), leader }, kv::Revision());
+  constexpr int kWrites = 6;
   std::vector<kv::ConditionalWrites::Write> writes;
-  for (int i = 0; i < 6; ++i) {
+  writes.reserve(kWrites);
+  for (int i = 0; i < kWrites; ++i) {
     writes.push_back({ "large" + std::to_string(i), std::string(300 * 1024, 'x'), {} });
   }
   bool isStored = false;
--- a/tests/hostile/HostileJobTests.cpp
+++ b/tests/hostile/HostileJobTests.cpp
@@ -247,8 +247,8 @@
   RunCrowd(
     kClients, 24000,
     [](std::uint64_t aNumber) {
-      static const auto job = SmallJob();
-      return SubmitText(aNumber, job);
+      static const auto kText = SmallJob();
+      return SubmitText(aNumber, kText);
     },
     kSmallNode);
 }
@@ -259,11 +259,11 @@
   RunCrowd(
     kClients, 48000,
     [](std::uint64_t aNumber) {
-      static const auto job = SmallJob();
+      static const auto kText = SmallJob();
       // Each client's next request, or nearly, is another number's.
       const auto id = aNumber / 2 / kClients * kClients + aNumber % kClients;
       return aNumber / kClients % 2 == 0
-               ? SubmitText(id, job)
+               ? SubmitText(id, kText)
                : RequestText("DELETE", "/found/" + NumberedJob(id + 0x1000));
     },
     kSmallNode);
@@ -337,8 +337,8 @@
   RunCrowd(
     kClients, 24000,
     [](std::uint64_t aNumber) {
-      static const auto job = SmallJob();
-      return SubmitText(aNumber, aNumber % 8 == 0 ? JobBody(Json::array({ Step(4000) })) : job);
+      static const auto kText = SmallJob();
+      return SubmitText(aNumber, aNumber % 8 == 0 ? JobBody(Json::array({ Step(4000) })) : kText);
     },
     kSmallNode,
     [](EdgeSystem& aSystem) {
@@ -363,8 +363,8 @@
   RunCrowd(
     kClients, 24000,
     [](std::uint64_t aNumber) {
-      static const auto job = SmallJob();
-      return RequestText("POST", "/members/" + NumberedJob(aNumber + 0x1000), job, Key("one"));
+      static const auto kText = SmallJob();
+      return RequestText("POST", "/members/" + NumberedJob(aNumber + 0x1000), kText, Key("one"));
     },
     kSmallNode,
     [](EdgeSystem& aSystem) {
--- a/tests/integration/EdgeSoakTests.cpp
+++ b/tests/integration/EdgeSoakTests.cpp
@@ -286,6 +286,7 @@
     [=](EdgeSystem& aSystem) {
       aSystem.Configure(TwoQueues(), "/found/");
       std::vector<SocketAddress> nodes;
+      nodes.reserve(kNodes);
       for (int i = 0; i < kNodes; ++i) {
         nodes.push_back(aSystem.CallersAddress(i));
       }
--- a/tests/integration/HostileCallers.cpp
+++ b/tests/integration/HostileCallers.cpp
@@ -103,6 +103,7 @@
   HttpCaller caller;
   while (!mIsStopped && mSent < kMaxRequests) {
     std::vector<http::ClientRequest> requests;
+    requests.reserve(kAtATime);
     for (int i = 0; i < kAtATime; ++i) {
       requests.push_back(NextRequest());
     }
