Move the reading of parked jobs and the record of closed groups out of Leader

ParkedJobLoader reads the records of parked jobs as soon as they fit, ClosedGroupsPublisher writes the groups whose submissions are refused; the decisions stay in Backlog.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -8,12 +8,14 @@
 #include "base/WallClock.h"
 #include "control/Backlog.h"
 #include "control/CallerLimits.h"
+#include "control/ClosedGroupsPublisher.h"
 #include "control/Deployment.h"
 #include "control/Election.h"
 #include "control/FormerLeaders.h"
 #include "control/HandOver.h"
 #include "control/HeldStarts.h"
 #include "control/OrderWindow.h"
+#include "control/ParkedJobLoader.h"
 #include "control/PlanPacer.h"
 #include "control/PrefixReader.h"
 #include "control/PrefixWatch.h"
@@ -101,7 +103,10 @@
     , mWitnesses(aElection.Witnesses().mWitnesses)
     , mRecords(aLoop, aStore, std::string(kRecordPrefix), MakeRecordCallbacks())
     , mBacklog(MaxBacklog(aSettings))
-    , mPublishedGroups(aElection.ClosedGroups())
+    , mParkedLoader(
+        aStore, mBacklog,
+        [this](const auto& aJob, const auto& aParked) { OnParkedLoaded(aJob, aParked); })
+    , mClosedGroups(aStore, aElection)
     , mOrders(MaxOrders(aSettings))
     , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
   {
@@ -195,7 +200,7 @@
     status.mSpeeds = mScheduler.Speeds().Counts();
     status.mWasted = mScheduler.Wasted();
     status.mBacklog = { mBacklog.Used(), mBacklog.Limit(), mBacklog.ParkedCount(),
-                        mPublishedGroups.size() };
+                        mClosedGroups.Published().size() };
     return status;
   }
 
@@ -535,8 +540,8 @@
       mScheduler.SummarizeEndedJobs(Now());
       CountBacklog();
     }
-    LoadParked();
-    PublishClosedGroups();
+    mParkedLoader.LoadNext();
+    mClosedGroups.Update(mBacklog);
   }
 
   void CountBacklog()
@@ -549,77 +554,15 @@
     mBacklog.SetLoaded(std::move(groups), Bytes(ended * kEndedJobBytes.Value()));
   }
 
-  void LoadParked()
+  void OnParkedLoaded(const scheduler::AcceptedJob& aJob, const ParkedJob& aParked)
   {
-    while (mLoadingParked < kMaxLoadingParked) {
-      const auto next = mBacklog.NextParked();
-      if (!next) {
-        return;
-      }
-      ++mLoadingParked;
-      mStore.Get(KeyOf(kJobPrefix, *next),
-                 mGuard.Wrap([this, id = *next](std::error_code aError,
-                                                const std::optional<kv::Item>& aItem) {
-                   --mLoadingParked;
-                   OnParkedRead(id, aError, aItem);
-                 }));
-    }
-  }
-
-  void OnParkedRead(const JobId& aJob, std::error_code aError, const std::optional<kv::Item>& aItem)
-  {
-    const auto* parked = mBacklog.FindParked(aJob);
-    if (!parked) {
-      return;
-    }
-    if (aError) {
-      mBacklog.RetryParked(aJob);
-      return;
-    }
-    const auto job = aItem ? scheduler::ReadAcceptedJob(aItem->mValue) : std::nullopt;
-    const bool isCancelled = parked->mIsCancelled;
-    const bool isInherited = parked->mIsInherited;
-    mBacklog.RemoveParked(aJob);
-    if (!job) {
-      LogEvent("job_record_malformed", LogLevel::Error).With("key", KeyOf(kJobPrefix, aJob));
-      return;
-    }
-    AddJob(*job, isInherited);
-    if (isCancelled) {
-      mScheduler.CancelJob(aJob, Now());
+    AddJob(aJob, aParked.mIsInherited);
+    if (aParked.mIsCancelled) {
+      mScheduler.CancelJob(aJob.mId, Now());
     }
     SchedulePlan();
   }
 
-  // Writes the groups whose submissions are to be refused where all nodes see them.
-  void PublishClosedGroups()
-  {
-    const auto now = std::chrono::steady_clock::now();
-    auto closed = mBacklog.UpdateClosed();
-    if (closed == mPublishedGroups || mIsPublishing || !mElection.IsConfirmed() ||
-        now - mPublishedAt < kMinPublishPeriod) {
-      return;
-    }
-    LogEvent("backlog_groups_closed", LogLevel::Warning)
-      .With("groups", closed.size())
-      .With("before", mPublishedGroups.size())
-      .With("used_bytes", mBacklog.Used())
-      .With("limit_bytes", mBacklog.Limit())
-      .With("parked", mBacklog.ParkedCount());
-    mIsPublishing = true;
-    mPublishedAt = now;
-    kv::ConditionalWrites writes;
-    writes.mConditions = { mElection.Condition() };
-    writes.mWrites.push_back({ std::string(kClosedGroupsKey), WriteClosedGroups(closed), {} });
-    mStore.Write(
-      writes, mGuard.Wrap([this, closed](std::error_code aError, const kv::WriteOutcome& aOutcome) {
-        mIsPublishing = false;
-        if (!aError && aOutcome.mApplied) {
-          mPublishedGroups = closed;
-        }
-      }));
-  }
-
   // Renews the leases of the recorded workers. A worker whose entry expired during an outage may
   // have work that only its own report names.
   void RenewRecordedLeases()
@@ -1084,12 +1027,9 @@
   // Jobs whose progress came from the former leader.
   std::set<JobId> mHandedOverJobs;
   Backlog mBacklog;
-  // The groups that the store's record names as closed, as far as is known.
-  std::set<scheduler::JobGroup> mPublishedGroups;
-  bool mIsPublishing = false;
-  TimePoint mPublishedAt;
+  ParkedJobLoader<Store> mParkedLoader;
+  ClosedGroupsPublisher<Store> mClosedGroups;
   int mBacklogUpdates = 0;
-  int mLoadingParked = 0;
   LogRate mParkRate;
   OrderWindow mOrders;
   kv::Revision mBatchRevision;
