Park inherited jobs only if the loaded progress names all runs

What would happen: after a leader of an earlier version, which ordered runs before it recorded them, a new leader with a full backlog parks a job that runs. Its worker's report of a run of an unknown job counts for nothing: the run is stopped, and an end as done is acknowledged and lost, so the task runs again. Found by reading; no play has shown it.

Change: while the progress doesn't name all runs, inherited jobs are loaded whatever they take.

Test: LeaderBacklog/parks_inherited_jobs_only_if_all_runs_are_named, which fails before for a hand-over that isn't complete.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -504,15 +504,23 @@
     }
   }
 
+  // Whether the loaded progress names all runs that may be in progress.
+  bool NamesProgressAllRuns() const
+  {
+    return mHandOver->mIsComplete || NamesStoredProgressAllRuns();
+  }
+
   // Leaves the job in the store if it doesn't fit into the memory for jobs. A job with progress may
-  // run, so it has to be loaded.
+  // run, so it has to be loaded; so may any job that is inherited from leaders that ordered runs
+  // before they recorded them.
   bool ParkIfFull(const scheduler::AcceptedJob& aJob, bool aInherited)
   {
     const auto group = GroupOf(aJob);
     const auto memory = scheduler::Job(aJob, TimePoint()).MemoryUse();
     const bool fits =
       IsLoaded() ? mBacklog.Fits(group, memory) : mBacklog.FitsAtTakeover(group, memory);
-    if (fits || mProgress.contains(aJob.mId)) {
+    const bool mayRun = mProgress.contains(aJob.mId) || (aInherited && !NamesProgressAllRuns());
+    if (fits || mayRun) {
       return false;
     }
     if (mParkRate.Allows(std::chrono::steady_clock::now())) {
--- a/tests/control/BacklogTests.cpp
+++ b/tests/control/BacklogTests.cpp
@@ -149,3 +149,20 @@
   const scheduler::JobGroup group{ AccountId(), "queue", false };
   f.RunUntil([&] { return f.mElection->ClosedGroups().contains(group); });
 }
+
+// Guards against a parked job of which an earlier leader has started runs without recording them:
+// what its workers report would count for nothing.
+Test(LeaderBacklog, parks_inherited_jobs_only_if_all_runs_are_named)
+{
+  for (const bool isNamed : { false, true }) {
+    LeaderFixture f;
+    f.mSettings.mBacklogMemory = MemoryMiB(1);
+    f.mHandOver.mIsComplete = isNamed;
+    for (int i = 0; i < 1200; ++i) {
+      f.Submit("job" + std::to_string(i));
+    }
+    f.RunUntil([&] { return f.mLeader && f.mLeader->IsLoaded(); });
+    cr_assert_eq(f.mLeader->Status().mBacklog.mParked > 0, isNamed);
+    cr_assert_eq(f.mLeader->PendingJobs("queue").mJobs, 1200);
+  }
+}
