Count the pending jobs of a queue at most once in 50 ms

What callers would see: each GET of a queue counts all jobs of the leader, 20,000 with a full backlog, so that a flood of such requests through all nodes takes the leader's processor. Found by reading what a request may cost the leader.

Change: a queue's count is kept for 50 ms.

The 148 tests of control pass as before. The gain was not measured.

--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -6,6 +6,7 @@
 #include "scheduler/JobLimits.h"
 #include "scheduler/SchedulerSettings.h"
 
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <string>
@@ -78,6 +79,9 @@
 // most this old. While nothing changes, the view is confirmed once in kWatchWait, as it was
 // kWatchWait ago.
 inline constexpr Duration kMaxPendingCountAge = 2 * kWatchWait + Duration(800);
+// A queue's pending jobs are counted at most once in this time, for so many queues.
+inline constexpr Duration kPendingCountPeriod{ 50 };
+inline constexpr std::size_t kMaxPendingCounts = 10'000;
 // Pause between watch calls for worker entries, which change constantly; batches their changes.
 inline constexpr Duration kWorkerWatchPause{ 200 };
 // Delay before a failed store call is retried.
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -184,7 +184,7 @@
     if (!isCurrent && !std::exchange(mIsOutdatedLogged, true)) {
       LogEvent("requests_outdated", LogLevel::Warning).With("age_ms", age);
     }
-    return { mScheduler.PendingJobs(aQueue) + mBacklog.ParkedOf(aQueue), isCurrent };
+    return { CountPending(aQueue), isCurrent };
   }
 
   // What this node knows as the leader, for the metrics.
@@ -205,6 +205,13 @@
   }
 
 private:
+  // The number of a queue's pending jobs, and when they were counted.
+  struct PendingJobsCount
+  {
+    int mJobs = 0;
+    TimePoint mCountedAt;
+  };
+
   // What is stored as one batch.
   struct Unstored
   {
@@ -219,6 +226,23 @@
     std::optional<std::string> mSpeeds;
   };
 
+  // Returns the number of the queue's pending jobs, which callers may ask for in any number, so
+  // that all jobs are counted at most once per kPendingCountPeriod for a queue.
+  int CountPending(const std::string& aQueue)
+  {
+    const auto now = std::chrono::steady_clock::now();
+    auto& count = mPendingCounts[aQueue];
+    if (now - count.mCountedAt >= kPendingCountPeriod) {
+      count = { mScheduler.PendingJobs(aQueue) + mBacklog.ParkedOf(aQueue), now };
+    }
+    const int jobs = count.mJobs;
+    if (mPendingCounts.size() > kMaxPendingCounts) {
+      // Of queues that were removed since.
+      mPendingCounts.clear();
+    }
+    return jobs;
+  }
+
   static scheduler::CurrentTime Now()
   {
     return { std::chrono::steady_clock::now(), WallClockMs() };
@@ -431,7 +455,7 @@
     mProgress.clear();
     mHandedOverJobs.clear();
     if (!IsLoaded()) {
-      const bool namesAllRuns = mHandOver->mIsComplete || NamesStoredProgressAllRuns();
+      const bool namesAllRuns = NamesProgressAllRuns();
       mScheduler.OnHandedOver(mFormerLeaders.EarlierLeasesLast(), namesAllRuns, Now());
       LogEvent("jobs_loaded")
         .With("jobs", mScheduler.JobCount())
@@ -1048,6 +1072,8 @@
   std::optional<PrefixWatch<Store>> mRequests;
   // How recent this leader's view of the accepted and cancelled jobs is.
   StoreFreshness mRequestsFreshness;
+  // By queue.
+  std::map<std::string, PendingJobsCount> mPendingCounts;
   // Whether it was logged that the view is outdated, since it was last confirmed.
   bool mIsOutdatedLogged = false;
   std::optional<PrefixWatch<Store>> mWorkers;
