Promise nothing of a refused job that could not be looked up

What callers would see: while their account is closed and the store doesn't answer the look-up, a submission got 503, which says that the job never runs. An earlier attempt without an answer may have been stored, and it runs then.

Cause: the failed look-up was answered as any request that the store can't serve. Change: it is answered 504, as beyond the look-ups of a second. Found by reading the change once more.

Test: BacklogRefusal/promises_nothing_if_the_job_can_not_be_looked_up failed before (503), and passes; the 149 tests of control pass.

--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -265,16 +265,14 @@
   RefuseForBacklog(const JobId& aJob, const AccountId& aAccount, const http::Responder& aResponder)
   {
     if (!mRefusalChecks.Allows(std::chrono::steady_clock::now())) {
-      ReportRefusedJob(aJob, aAccount, "backlog_full_unchecked");
-      aResponder.Send(
-        { 504, { { "Retry-After", std::to_string(kBacklogRetryAfterSeconds) } }, "" });
+      SendUnchecked(aJob, aAccount, aResponder);
       return;
     }
     mStore.Get(KeyOf(kJobPrefix, aJob), mGuard.Wrap([this, aJob, aAccount, aResponder](
                                                       std::error_code aError,
                                                       const std::optional<kv::Item>& aItem) {
       if (aError) {
-        Refuse(aResponder, "store_unreachable", aJob.Value());
+        SendUnchecked(aJob, aAccount, aResponder);
       } else if (aItem) {
         aResponder.Send(http::JsonResponse(200, "{}"));
       } else {
@@ -286,6 +284,15 @@
     }));
   }
 
+  // Answers a submission that the backlog refuses without knowing whether an earlier attempt was
+  // stored: 504 promises nothing of the job.
+  void
+  SendUnchecked(const JobId& aJob, const AccountId& aAccount, const http::Responder& aResponder)
+  {
+    ReportRefusedJob(aJob, aAccount, "backlog_full_unchecked");
+    aResponder.Send({ 504, { { "Retry-After", std::to_string(kBacklogRetryAfterSeconds) } }, "" });
+  }
+
   // Counts and logs a submission that is refused because of its content or of the backlog. Callers
   // can trigger this as often as they like.
   void ReportRefusedJob(const JobId& aJob, const AccountId& aAccount, const char* aReason)
--- a/tests/control/BacklogRefusalTests.cpp
+++ b/tests/control/BacklogRefusalTests.cpp
@@ -52,3 +52,13 @@
   cr_assert_eq(f.Records(), 0);
   cr_assert_geq(f.Node(0).mRefused.at("backlog_full"), kMaxRefusalChecks);
 }
+
+// Guards against "never runs" for a job that may be stored, because it could not be looked up.
+Test(BacklogRefusal, promises_nothing_if_the_job_can_not_be_looked_up)
+{
+  RelayFixture f;
+  cr_assert_eq(f.Call(1, http::Method::Post).mStatus, 200);
+  f.Node(0).mClosed = { kGroup };
+  f.Node(0).mStore.mError = kv::KvError::Unavailable;
+  cr_assert_eq(f.Call(0, http::Method::Post).mStatus, 504);
+}
