Go by the time that the store applies to the leader's lease

The leader was killed right after it had started the task, its worker was cut off, and the next leader started the task elsewhere 5.6 s later while the first run's lease still lasted.

Cause: the store may apply another time to a lease than it is asked for, and says so in the answer. StoreClient::GrantLease() dropped that time. A successor took 1,500 ms off its election as the last confirmation of the former leader (1,000 ms here), a leader counted as confirmed for up to 0.4 s after another node could be elected, and a pause was noticed too late.

Ruled out: witnesses (the case would break without short leases), a run that wasn't recorded (it would start again at once).

Change: the time is part of a granted lease; LeadershipLease holds what a leader concludes from it; the claim names it, and the next leader goes by that of each former leader. A claim without it (earlier versions, unreadable) counts as if it were 0: up to 1.5 s more to wait, and right whatever the store applied. The answer to a renewal may name a time too; a shorter one counts as a renewal that was sent earlier, so that what the claim says stays true. Less than 500 ms is a reason not to claim. An answer to a claim without a readable time is an error, not a guess.

Why it works: a store that applies T lets the key go no earlier than T after the last confirmation, and both sides now compute with the same T. Renewals come as often within T as they did within 1,500 ms.

--- a/src/control/ClaimRecord.h
+++ b/src/control/ClaimRecord.h
@@ -18,11 +18,14 @@
   FencingToken mNamesRunsSince;
   // The same of the leaderships that renew workers' leases only as EarlierLeases expects of them.
   FencingToken mBoundsLeasesSince;
+  // The time that the store applies to the leadership's lease; 0 if the claim doesn't name it, as
+  // those of earlier versions don't.
+  Duration mLeaseTime{ 0 };
 };
 
-// Serializes the claim that follows the given one.
+// Serializes the claim that follows the given one, with a lease of that time.
 std::string
-WriteClaimRecord(const NodeId& aNode, const ClaimRecord& aLast);
+WriteClaimRecord(const NodeId& aNode, const ClaimRecord& aLast, Duration aLeaseTime);
 // Parses a stored claim. Any text that isn't one is a claim of an earlier version.
 ClaimRecord
 ReadClaimRecord(const std::string& aText, kv::Revision aRevision);
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -60,13 +60,12 @@
 inline constexpr Duration kWitnessAnswerAge{ 1000 };
 // Meanwhile a witness holds back its reply to a lease renewal for up to this time only.
 inline constexpr Duration kWitnessWait{ 250 };
-// Duration of the leader's lease in the store, and how often it is renewed.
+// The time that is asked for the leader's lease in the store, and how often a lease of that time is
+// renewed. What the store applies is up to it, see LeadershipLease.
 inline constexpr Duration kLeadershipLease{ 1500 };
 inline constexpr Duration kLeadershipRenewal{ 400 };
 // An order reaches its worker within this time, unless it is held up.
 inline constexpr Duration kOrderTime{ 100 };
-// A leader that sent no renewal for this time has stood still, and its lease may have ended.
-inline constexpr Duration kMaxRenewalGap = kLeadershipLease - kLeadershipRenewal;
 // A node claims a vacant leadership after the first time divided by its cores plus the second one
 // divided by its bandwidth in Mbit/s, so that larger machines become leaders.
 inline constexpr double kClaimDelayPerCoreMs = 12;
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -8,6 +8,7 @@
 #include "control/ClaimRecord.h"
 #include "control/Keys.h"
 #include "control/LeaderHistory.h"
+#include "control/LeadershipLease.h"
 #include "control/PrefixWatch.h"
 #include "control/Witnesses.h"
 
@@ -60,19 +61,12 @@
   // Whether the leader may stop runs and renew workers' leases. After a pause of this process or
   // its VM it may not until the store has confirmed the leadership, because another leader may have
   // been elected meanwhile.
-  bool MayAct() const
-  {
-    return IsLeader() && !mHasPaused && BootTime() - mCheckedAt < kLeadershipLease;
-  }
+  bool MayAct() const { return IsLeader() && mLease.MayAct(BootTime()); }
   // Whether the store has confirmed the leadership so recently that no other node can be elected
   // before an order that is sent now arrives.
-  bool IsConfirmed() const
-  {
-    return IsLeader() && !mHasPaused && BootTime() - mConfirmedAt < kLeadershipLease - kOrderTime;
-  }
-  // The time since the store last confirmed the leadership. No other node is elected before it is
-  // kLeadershipLease, unless this one resigns.
-  Duration ConfirmationAge() const { return BootTime() - mConfirmedAt; }
+  bool IsConfirmed() const { return IsLeader() && mLease.IsConfirmed(BootTime()); }
+  // See LeadershipLease::ConfirmationAge().
+  Duration ConfirmationAge() const { return mLease.ConfirmationAge(BootTime()); }
   FencingToken Token() const { return mToken.value_or(FencingToken()); }
   // This node's claim; all tokens in it are 0 if it isn't the last one.
   ClaimRecord OwnClaim() const { return mLastClaim.mToken == Token() ? mLastClaim : ClaimRecord(); }
@@ -134,7 +128,7 @@
   {
     if (const auto last = aItems.find(std::string(kLastLeaderKey)); last != aItems.end()) {
       OnLastClaim(last->second.mValue, last->second.mRevision);
-      mHistory.OnListed(mLastClaim.mToken, BootTime());
+      OnLastClaimListed();
     }
     for (const auto key : { kResignedKey, kWitnessKey, kClosedGroupsKey }) {
       const auto it = aItems.find(std::string(key));
@@ -152,7 +146,7 @@
   {
     if (aEvent.mKey == kLastLeaderKey) {
       OnLastClaim(aEvent.mValue.value_or(""), aEvent.mRevision);
-      mHistory.OnClaim(FencingToken(aEvent.mRevision.Value()), BootTime());
+      OnClaimSeen(ReadClaimRecord(aEvent.mValue.value_or(""), aEvent.mRevision));
     }
     OnRecord({ aEvent.mKey, aEvent.mValue.value_or(""), aEvent.mRevision });
     if (aEvent.mKey != kLeaderKey) {
@@ -172,6 +166,20 @@
     }
   }
 
+  // The latest claim is the last one according to the store.
+  void OnLastClaimListed()
+  {
+    mHistory.OnListed(mLastClaim.mToken, BootTime());
+    mHistory.OnLeaseTime(mLastClaim.mToken, mLastClaim.mLeaseTime);
+  }
+
+  // The claim follows those that this node knows of.
+  void OnClaimSeen(const ClaimRecord& aClaim)
+  {
+    mHistory.OnClaim(aClaim.mToken, BootTime());
+    mHistory.OnLeaseTime(aClaim.mToken, aClaim.mLeaseTime);
+  }
+
   // Takes a record that claims are conditional on, if it is one.
   void OnRecord(const kv::Item& aItem)
   {
@@ -260,15 +268,24 @@
       return;
     }
     mClaimSentAt = BootTime();
-    mStore.GrantLease(kLeadershipLease,
-                      mGuard.Wrap([this](std::error_code aError, kv::StoreLease aLease) {
-                        if (aError) {
-                          mIsClaiming = false;
-                          return;
-                        }
-                        mLease = aLease;
-                        WriteClaim();
-                      }));
+    mStore.GrantLease(kLeadershipLease, mGuard.Wrap([this](auto aError, const auto& aLease) {
+      OnLeaseGranted(aError, aLease);
+    }));
+  }
+
+  void OnLeaseGranted(std::error_code aError, const kv::GrantedLease& aLease)
+  {
+    const bool isUsable = !aError && LeadershipLease::IsLongEnough(aLease.mTime);
+    if (!isUsable) {
+      // A lease that isn't used ends by itself.
+      mIsClaiming = false;
+      LogEvent("claim_not_made", LogLevel::Warning)
+        .With("reason", aError ? aError.message() : "lease_too_short")
+        .With("lease_ms", aLease.mTime);
+      return;
+    }
+    mGranted = aLease;
+    WriteClaim();
   }
 
   void WriteClaim()
@@ -278,13 +295,13 @@
                            { std::string(kLastLeaderKey), kv::Revision(mLastClaim.mToken.Value()) },
                            { std::string(kResignedKey), mResignedRevision },
                            { std::string(kWitnessKey), mWitnesses.mRevision } };
-    const auto claim = WriteClaimRecord(mSettings.mNode, mLastClaim);
+    const auto claim = WriteClaimRecord(mSettings.mNode, mLastClaim, mGranted.mTime);
     writes.mWrites.push_back({ std::string(kLastLeaderKey), claim, {} });
     writes.mWrites.push_back({ std::string(kLeaderKey),
                                DumpJson({ { "node", mSettings.mNode.Value() },
                                           { "address", mSettings.mPeers.ToString() },
                                           { "previous", mLastClaim.mToken.Value() } }),
-                               mLease });
+                               mGranted.mLease });
     mStore.Write(
       writes, mGuard.Wrap([this, claim](std::error_code aError, const kv::WriteOutcome& aOutcome) {
         OnClaimed(claim, aError, aOutcome);
@@ -305,19 +322,22 @@
       return;
     }
     OnLastClaim(aClaim, aOutcome.mRevision);
-    mHistory.OnClaim(mLastClaim.mToken, BootTime());
+    OnClaimSeen(mLastClaim);
     mToken = FencingToken(aOutcome.mRevision.Value());
     mLeaderRevision = aOutcome.mRevision;
     mIsVacant = false;
-    mConfirmedAt = mClaimSentAt;
-    mCheckedAt = mClaimSentAt;
-    mRenewalSentAt = BootTime();
-    mHasPaused = false;
-    mRenewalTimer = mLoop.Every(kLeadershipRenewal, [this] { Renew(); });
-    LogEvent("elected").With("token", *mToken);
+    mLease = LeadershipLease(mGranted.mTime, mClaimSentAt, BootTime());
+    RenewPeriodically();
+    LogEvent("elected").With("token", *mToken).With("lease_ms", mGranted.mTime);
     mCallbacks.mOnElected(*mToken);
   }
 
+  void RenewPeriodically()
+  {
+    mRenewalPeriod = mLease.RenewalPeriod();
+    mRenewalTimer = mLoop.Every(mRenewalPeriod, [this] { Renew(); });
+  }
+
   void OnClaimRefused(const std::vector<kv::Item>& aPresent)
   {
     bool isHeld = false;
@@ -326,7 +346,7 @@
       OnRecord(it);
       if (it.mKey == kLastLeaderKey) {
         OnLastClaim(it.mValue, it.mRevision);
-        mHistory.OnListed(mLastClaim.mToken, BootTime());
+        OnLastClaimListed();
       }
     }
     if (!isHeld) {
@@ -338,32 +358,43 @@
   void Renew()
   {
     const auto now = BootTime();
-    if (now - std::exchange(mRenewalSentAt, now) > kMaxRenewalGap) {
+    if (mLease.OnRenewalSent(now)) {
       LogEvent("leader_paused", LogLevel::Warning).With("token", Token());
-      mHasPaused = true;
-      mPauseNoticedAt = now;
     }
-    if (now - mConfirmedAt > mSettings.mScheduler.mStoreOutageTolerance - kLeadershipRenewal) {
+    const auto tolerance = mSettings.mScheduler.mStoreOutageTolerance;
+    if (mLease.ConfirmationAge(now) > tolerance - kLeadershipRenewal) {
       EndLeadership("store_unreachable");
       return;
     }
-    mStore.RenewLease(mLease, mGuard.Wrap([this, now, token = mToken](std::error_code aError) {
-      if (mToken == token) {
-        OnRenewed(aError, now);
-      }
-    }));
+    mStore.RenewLease(mGranted.mLease,
+                      mGuard.Wrap([this, now, token = mToken](auto aError, const auto& aTime) {
+                        if (mToken == token) {
+                          OnRenewed(aError, aTime, now);
+                        }
+                      }));
   }
 
-  void OnRenewed(std::error_code aError, Duration aSent)
+  // aTime is the time that the store says applies from now on, if it says one.
+  void OnRenewed(std::error_code aError, const std::optional<Duration>& aTime, Duration aSent)
   {
     if (aError == kv::KvError::LeaseEnded) {
       EndLeadership("lease_ended");
       return;
     }
-    mCheckedAt = std::max(mCheckedAt, aSent);
-    if (!aError) {
-      mConfirmedAt = std::max(mConfirmedAt, aSent);
-      mHasPaused = mHasPaused && aSent < mPauseNoticedAt;
+    if (aError) {
+      mLease.OnFailed(aSent);
+      return;
+    }
+    if (aTime && !LeadershipLease::IsLongEnough(*aTime)) {
+      StandBack("lease_too_short");
+      return;
+    }
+    mLease.OnConfirmed(aSent, aTime);
+    if (mLease.RenewalPeriod() != mRenewalPeriod) {
+      LogEvent("leadership_lease_changed", LogLevel::Warning)
+        .With("token", Token())
+        .With("lease_ms", aTime.value_or(Duration(0)));
+      RenewPeriodically();
     }
   }
 
@@ -382,7 +413,10 @@
   ElectionCallbacks mCallbacks;
   std::optional<PrefixWatch<Store>> mWatch;
   std::optional<FencingToken> mToken;
-  kv::StoreLease mLease;
+  // The store's lease of the present claim, and what follows from it while this node leads.
+  kv::GrantedLease mGranted;
+  LeadershipLease mLease;
+  Duration mRenewalPeriod{ 0 };
   // The last seen revision of the leader key.
   kv::Revision mLeaderRevision;
   std::optional<SocketAddress> mAddress;
@@ -398,17 +432,9 @@
   bool mIsVacant = false;
   bool mIsClaiming = false;
   bool mIsWithdrawn = false;
-  // All times are BootTime(). The send time of the last claim or renewal that the store confirmed,
-  // and of the last one that it confirmed or failed without telling that the lease has ended.
+  // When the lease of the present claim was asked for, as BootTime().
   Duration mClaimSentAt{ 0 };
-  Duration mConfirmedAt{ 0 };
-  Duration mCheckedAt{ 0 };
-  // When the last renewal was sent. A longer gap than kMaxRenewalGap is a pause of this process or
-  // its VM; the flag holds until the store confirms a renewal that was sent after the pause.
-  Duration mRenewalSentAt{ 0 };
-  Duration mPauseNoticedAt{ 0 };
-  bool mHasPaused = false;
-  // No claim is made before this time.
+  // No claim is made before this BootTime().
   Duration mNextClaimAt{ 0 };
   Timer mRenewalTimer;
   Timer mClaimTimer;
--- a/src/control/Keys.h
+++ b/src/control/Keys.h
@@ -15,7 +15,7 @@
 // value is a ClaimRecord.
 inline constexpr std::string_view kLastLeaderKey = "leader/last";
 // Rewritten by a leader that resigns; its value is that leadership's token. A leader that ends
-// without it has not been confirmed for kLeadershipLease before the next claim.
+// without it has not been confirmed for the time of its lease before the next claim.
 inline constexpr std::string_view kResignedKey = "leader/resigned";
 // The witnesses of the leaders, see Witness.
 inline constexpr std::string_view kWitnessKey = "leader/witnesses";
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -254,8 +254,8 @@
     hooks.mMayRenew = [this] { return mElection.MayAct(); };
     hooks.mLeaseDuration = [this] { return LeaseDuration(); };
     hooks.mRenewalWait = [this](const WorkerId& aWorker) {
-      return !mElection.IsConfirmed() && mWitnesses.IsWitness(aWorker) ? kWitnessWait
-                                                                       : kRenewalWait;
+      return !CountsLeasesFromConfirmation() && mWitnesses.IsWitness(aWorker) ? kWitnessWait
+                                                                              : kRenewalWait;
     };
     hooks.mOnAnswer = [this](const WorkerId& aWorker, auto aIncarnation, Duration aSent) {
       mWitnesses.OnAnswer(aWorker, aIncarnation, aSent);
@@ -273,6 +273,14 @@
              mScheduler.WithClockDrift(settings.mWitnessedLease) };
   }
 
+  // Whether the store has confirmed the leadership so recently that leases count from that, and
+  // witnesses needn't answer. Independent of the time of the leader's own lease: if that is long,
+  // it outlasts the workers' leases.
+  bool CountsLeasesFromConfirmation() const
+  {
+    return mElection.ConfirmationAge() < kLeadershipLease - kOrderTime;
+  }
+
   // Returns for how long workers' leases may be renewed now. A successor relies on it: leases end
   // at a fixed time after the last confirmation of the leadership, or shortly after the witnesses
   // have answered the successor.
@@ -281,7 +289,7 @@
     const auto& settings = mSettings.mScheduler;
     const auto age = mElection.ConfirmationAge();
     const auto lease = settings.mLeaseDuration - age;
-    if (mElection.IsConfirmed() || lease >= settings.mWitnessedLease) {
+    if (CountsLeasesFromConfirmation() || lease >= settings.mWitnessedLease) {
       mAreLeasesWitnessed = false;
       return lease;
     }
--- a/src/control/LeaderHistory.cpp
+++ b/src/control/LeaderHistory.cpp
@@ -30,7 +30,7 @@
   if (!mLeaders.empty() && aToken <= mLeaders.back().mToken) {
     return;
   }
-  mLeaders.push_back({ aToken, NodeId(), std::nullopt, FencingToken(), aNow, false });
+  mLeaders.push_back({ aToken, NodeId(), std::nullopt, FencingToken(), aNow, Duration(0), false });
   if (mLeaders.size() > kMaxLeaders) {
     mLeaders.erase(mLeaders.begin());
   }
@@ -49,6 +49,16 @@
   }
 }
 
+void
+LeaderHistory::OnLeaseTime(FencingToken aToken, Duration aTime)
+{
+  for (auto& it : mLeaders) {
+    if (it.mToken == aToken) {
+      it.mLeaseTime = aTime;
+    }
+  }
+}
+
 std::vector<FormerLeader>
 LeaderHistory::Before(FencingToken aToken) const
 {
@@ -71,7 +81,7 @@
   : mBounds(aBounds)
   , mBoundsLeasesSince(aPresent.mBoundsLeasesSince)
 {
-  const FormerLeader present{ aPresent.mToken, {}, {}, {}, aPresent.mElectedAt, false };
+  const FormerLeader present{ aPresent.mToken, {}, {}, {}, aPresent.mElectedAt, {}, false };
   mUnknownUntil = LeasesUntilBefore(aLeaders.empty() ? present : aLeaders.front());
   for (std::size_t i = 0; i < aLeaders.size(); ++i) {
     const auto& next = i + 1 < aLeaders.size() ? aLeaders[i + 1] : present;
@@ -79,7 +89,7 @@
     const bool isBounded = IsBounded(entry.mLeader.mToken);
     const bool hasResigned = entry.mLeader.mHasResigned;
     const auto confirmedUntil =
-      isBounded ? ConfirmedUntil(next.mSeenAt, hasResigned) : next.mSeenAt;
+      isBounded ? ConfirmedUntil(entry.mLeader, next.mSeenAt) : next.mSeenAt;
     entry.mActsUntil =
       confirmedUntil + (isBounded && hasResigned ? Duration(0) : mBounds.mOutageTolerance);
     entry.mMayExtendUntil = entry.mActsUntil;
@@ -148,10 +158,11 @@
 }
 
 Duration
-EarlierLeases::ConfirmedUntil(Duration aSuccessorAt, bool aHasResigned)
+EarlierLeases::ConfirmedUntil(const FormerLeader& aLeader, Duration aSuccessorAt)
 {
-  // The store lets the leadership of one that doesn't resign run out before the next claim.
-  return aHasResigned ? aSuccessorAt : aSuccessorAt - kLeadershipLease;
+  // The store lets the lease of one that doesn't resign run out before the next claim. If its time
+  // isn't known, it may be shorter than any that this node could suppose.
+  return aLeader.mHasResigned ? aSuccessorAt : aSuccessorAt - aLeader.mLeaseTime;
 }
 
 Duration
@@ -162,8 +173,7 @@
   if (!IsBounded(aEntry.mLeader.mToken)) {
     return std::min(aEntry.mActsUntil + mBounds.mLease, oneLeaseAfterItsEnd);
   }
-  const auto confirmed =
-    ConfirmedUntil(aEntry.mSuccessorAt, aEntry.mLeader.mHasResigned) + mBounds.mLease;
+  const auto confirmed = ConfirmedUntil(aEntry.mLeader, aEntry.mSuccessorAt) + mBounds.mLease;
   const auto extended = aEntry.mMayExtendUntil + mBounds.mWitnessedLease;
   return std::min(std::max(confirmed, extended), oneLeaseAfterItsEnd);
 }
--- a/src/control/LeaderHistory.h
+++ b/src/control/LeaderHistory.h
@@ -25,6 +25,8 @@
   FencingToken mPredecessor;
   // When this node first saw the claim, as BootTime(). The leadership had begun by then.
   Duration mSeenAt{ 0 };
+  // The time of its lease in the store, as its claim says; 0 if that isn't known.
+  Duration mLeaseTime{ 0 };
   // Whether it is known to have resigned. It may have been confirmed until the next claim then.
   bool mHasResigned = false;
 };
@@ -41,6 +43,8 @@
   // The leader's key says who holds the leadership, and which one was the last before it.
   void OnLeader(FencingToken aToken, const NodeId& aNode,
                 const std::optional<SocketAddress>& aAddress, FencingToken aPredecessor);
+  // The claim names the time of the leadership's lease in the store.
+  void OnLeaseTime(FencingToken aToken, Duration aTime);
   // Returns the leaderships before the given one, oldest first. No other one began between them.
   std::vector<FormerLeader> Before(FencingToken aToken) const;
 
@@ -111,9 +115,9 @@
 
   // Whether the leader renews leases as mBounds says.
   bool IsBounded(FencingToken aLeader) const;
-  // Returns the last time at which the store may have confirmed a leader that has a successor since
-  // then.
-  static Duration ConfirmedUntil(Duration aSuccessorAt, bool aHasResigned);
+  // Returns the last time at which the store may have confirmed the leader, which has a successor
+  // since aSuccessorAt.
+  static Duration ConfirmedUntil(const FormerLeader& aLeader, Duration aSuccessorAt);
   // Returns when the last lease ends that the leader may have renewed.
   Duration LeasesUntil(const Entry& aEntry) const;
   // The same of all leaders before one that was seen at that time.
--- a/src/kv/PrefixStore.h
+++ b/src/kv/PrefixStore.h
@@ -17,6 +17,15 @@
 // A lease of the service, to which keys may be bound; 0 is none.
 using StoreLease = StrongCount<struct StoreLeaseTag>;
 
+// A lease as the service has granted it.
+struct GrantedLease
+{
+  StoreLease mLease;
+  // The time that the service applies, from the arrival of the call. It may be another one than was
+  // asked for.
+  Duration mTime{ 0 };
+};
+
 // A key with its value.
 struct Item
 {
@@ -82,8 +91,10 @@
 using PageCallback = std::function<void(std::error_code, ItemPage)>;
 using EventsCallback = std::function<void(std::error_code, EventPage)>;
 using WriteCallback = std::function<void(std::error_code, WriteOutcome)>;
-using LeaseCallback = std::function<void(std::error_code, StoreLease)>;
-using DoneCallback = std::function<void(std::error_code)>;
+using LeaseCallback = std::function<void(std::error_code, GrantedLease)>;
+// Receives the time that the service applies from the renewal on; unset if it doesn't say, and the
+// time is the same as before.
+using RenewalCallback = std::function<void(std::error_code, std::optional<Duration>)>;
 
 // Conditions and writes together, at most.
 inline constexpr std::size_t kMaxTransactionEntries = 32;
@@ -95,7 +106,8 @@
 concept PrefixStore = requires(T aStore, const std::string& aKey, Revision aAfter, Duration aTime,
                                const ConditionalWrites& aWrites, StoreLease aLease,
                                ItemCallback aOnItem, PageCallback aOnPage, EventsCallback aOnEvents,
-                               WriteCallback aOnWrite, LeaseCallback aOnLease, DoneCallback aOnDone)
+                               WriteCallback aOnWrite, LeaseCallback aOnLease,
+                               RenewalCallback aOnRenewal)
 {
   // Reads one key; no item if it is absent.
   aStore.Get(aKey, aOnItem);
@@ -104,10 +116,10 @@
   // Reads the changes below a prefix after a revision, waiting for the first one at most aTime.
   aStore.Watch(aKey, aAfter, aTime, aOnEvents);
   aStore.Write(aWrites, aOnWrite);
-  // Grants a lease for a time from the call's arrival.
+  // Asks for a lease of a time.
   aStore.GrantLease(aTime, aOnLease);
   // Starts the lease's time anew.
-  aStore.RenewLease(aLease, aOnDone);
+  aStore.RenewLease(aLease, aOnRenewal);
 };
 
 } // namespace lovagerock::kv
--- a/src/standin/platform/MetadataService.cpp
+++ b/src/standin/platform/MetadataService.cpp
@@ -267,15 +267,20 @@
 MetadataService::OnGrant(const http::Request& aRequest, const http::Responder& aTo)
 {
   const auto json = ParseJson(aRequest.mBody).value_or(Json::object());
-  const auto time = JsonValue(json, "ttl_ms", std::int64_t{ 1000 });
-  Reply(aTo, { { "lease", mTable.GrantLease(Duration(time), SteadyNow()) }, { "ttl_ms", time } });
+  const Duration asked(JsonValue(json, "ttl_ms", std::int64_t{ 1000 }));
+  const auto time = mFaults.mLeaseTime.value_or(asked);
+  Reply(aTo, { { "lease", mTable.GrantLease(time, SteadyNow()) }, { "ttl_ms", time.count() } });
 }
 
 void
 MetadataService::OnRenew(const http::Request& aRequest, const http::Responder& aTo)
 {
-  const bool isKnown = mTable.RenewLease(LeaseOf(aRequest), SteadyNow());
-  Reply(aTo, Json::object(), isKnown ? 200 : 404);
+  const auto time = mTable.RenewLease(LeaseOf(aRequest), SteadyNow(), mFaults.mLeaseTime);
+  if (time) {
+    Reply(aTo, { { "ttl_ms", time->count() } });
+  } else {
+    Reply(aTo, Json::object(), 404);
+  }
 }
 
 void
--- a/src/standin/platform/MetadataService.h
+++ b/src/standin/platform/MetadataService.h
@@ -6,6 +6,7 @@
 #include "standin/platform/MetadataTable.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <system_error>
@@ -28,6 +29,9 @@
   bool mRefusingWrites = false;
   // This many transactions are carried out without an answer.
   int mLostAnswers = 0;
+  // Grants and renews leases for this time, whatever the callers ask for; unset for what they ask
+  // for.
+  std::optional<Duration> mLeaseTime;
 };
 
 // Serves a metadata table over the platform's protocol, with faults.
--- a/src/standin/platform/MetadataTable.cpp
+++ b/src/standin/platform/MetadataTable.cpp
@@ -88,15 +88,16 @@
   return mLastLease;
 }
 
-bool
-MetadataTable::RenewLease(std::int64_t aLease, TimePoint aNow)
+std::optional<Duration>
+MetadataTable::RenewLease(std::int64_t aLease, TimePoint aNow, std::optional<Duration> aTime)
 {
   const auto it = mLeases.find(aLease);
   if (it == mLeases.end()) {
-    return false;
+    return std::nullopt;
   }
+  it->second.mTime = aTime.value_or(it->second.mTime);
   it->second.mEnd = aNow + it->second.mTime;
-  return true;
+  return it->second.mTime;
 }
 
 void
--- a/src/standin/platform/MetadataTable.h
+++ b/src/standin/platform/MetadataTable.h
@@ -77,8 +77,10 @@
   void DiscardHistory();
 
   std::int64_t GrantLease(Duration aTime, TimePoint aNow);
-  // Starts the lease's time anew; false if there is no such lease.
-  bool RenewLease(std::int64_t aLease, TimePoint aNow);
+  // Starts the lease's time anew, as another one if that is given. Returns the time that applies;
+  // nullopt if there is no such lease.
+  std::optional<Duration>
+  RenewLease(std::int64_t aLease, TimePoint aNow, std::optional<Duration> aTime = std::nullopt);
   // Ends the lease and removes its keys.
   void EndLease(std::int64_t aLease);
   void ExpireLeases(TimePoint aNow);
--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -143,6 +143,10 @@
   faults.mRefusingAddresses = JsonValue(aFaults, "refusing_addresses", faults.mRefusingAddresses);
   faults.mSilent = JsonValue(aFaults, "silent", faults.mSilent);
   faults.mLostAnswers = JsonValue(aFaults, "lost_answers", faults.mLostAnswers);
+  if (aFaults.contains("lease_ms")) {
+    const auto time = JsonValue(aFaults, "lease_ms", std::int64_t{ 0 });
+    faults.mLeaseTime = time > 0 ? std::optional(Duration(time)) : std::nullopt;
+  }
   mLateWorker = JsonValue(aFaults, "late_worker", mLateWorker);
   mLateBy = Duration(JsonValue(aFaults, "late_ms", mLateBy.count()));
   mLateStartBy = Duration(JsonValue(aFaults, "late_start_ms", mLateStartBy.count()));
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -108,29 +108,30 @@
     ServeWatches();
   }
 
-  void GrantLease(Duration, kv::LeaseCallback aCallback)
+  void GrantLease(Duration aTime, kv::LeaseCallback aCallback)
   {
-    Answer([this, aCallback] {
+    Answer([this, aTime, aCallback] {
       if (mIsDown) {
         aCallback(kv::KvError::Unavailable, {});
         return;
       }
       mLeases.insert(++mLease);
-      aCallback({}, kv::StoreLease(mLease));
+      aCallback({}, { kv::StoreLease(mLease), mLeaseTime.value_or(aTime) });
     });
   }
 
-  void RenewLease(kv::StoreLease aLease, kv::DoneCallback aCallback)
+  void RenewLease(kv::StoreLease aLease, kv::RenewalCallback aCallback)
   {
     if (mHoldsRenewals) {
       return;
     }
     Answer([this, aLease, aCallback] {
       if (mIsDown || mFailsRenewals) {
-        aCallback(kv::KvError::Unavailable);
+        aCallback(kv::KvError::Unavailable, {});
       } else {
         aCallback(mLeases.contains(aLease.Value()) ? std::error_code()
-                                                   : make_error_code(kv::KvError::LeaseEnded));
+                                                   : make_error_code(kv::KvError::LeaseEnded),
+                  mLeaseTime);
       }
     });
   }
@@ -207,6 +208,8 @@
   std::string mFailingWatchPrefix;
   // The number of upcoming lists that fail, of those that don't begin at the first key.
   int mPagesToFail = 0;
+  // Leases are granted and renewed for this time; unset for what callers ask for.
+  std::optional<Duration> mLeaseTime;
   // Renewals of leases get no answer.
   bool mHoldsRenewals = false;
   // Renewals of leases fail.
--- a/tests/control/LeaderHistoryTests.cpp
+++ b/tests/control/LeaderHistoryTests.cpp
@@ -25,6 +25,9 @@
   history.OnLeader(FencingToken(2), NodeId("b"), std::nullopt, FencingToken(1));
   history.OnClaim(FencingToken(3), Duration(21000));
   history.OnLeader(FencingToken(3), NodeId("c"), std::nullopt, FencingToken(2));
+  for (int token = 1; token <= 3; ++token) {
+    history.OnLeaseTime(FencingToken(token), kLeadershipLease);
+  }
   return history.Before(FencingToken(4));
 }
 
@@ -37,10 +40,11 @@
 }
 
 EarlierLeases
-OneLeader(bool aHasResigned)
+OneLeader(bool aHasResigned, Duration aLeaseTime = kLeadershipLease)
 {
   FormerLeader leader;
   leader.mToken = FencingToken(1);
+  leader.mLeaseTime = aLeaseTime;
   leader.mHasResigned = aHasResigned;
   EarlierLeases leases({ leader }, { FencingToken(2), Duration(22000), FencingToken(1) }, kBounds);
   leases.OnSettled(FencingToken(1));
@@ -138,6 +142,29 @@
   cr_assert_eq(leases.Remaining(elected), late + kWitnessAnswerAge + kWitnessedLease);
 }
 
+// Guards against a second run while the first one's lease lasts: the store applied another time to
+// the lease of the leader that was killed than nodes ask for.
+Test(EarlierLeases, count_from_the_time_that_the_store_applied_to_the_leadership)
+{
+  const Duration elected(22000);
+  for (const Duration time : { Duration(1000), Duration(1800) }) {
+    auto leases = OneLeader(false, time);
+    cr_assert_eq(leases.Remaining(elected), kTolerance - time + kWitnessedLease);
+    leases.OnWitnessesAnswered(kv::Revision(1), elected);
+    cr_assert_eq(leases.Remaining(elected), kLease - time);
+  }
+}
+
+// Guards against the same after a leader of an earlier version, whose claim doesn't name the time:
+// it may be any.
+Test(EarlierLeases, count_from_the_next_claim_if_the_time_of_the_leadership_is_unknown)
+{
+  const Duration elected(22000);
+  auto leases = OneLeader(false, Duration(0));
+  leases.OnWitnessesAnswered(kv::Revision(1), elected);
+  cr_assert_eq(leases.Remaining(elected), kLease);
+}
+
 // Guards against the same after a leader that was confirmed until it resigned.
 Test(EarlierLeases, last_one_lease_after_a_resignation)
 {
@@ -179,6 +206,7 @@
 {
   LeaderHistory history;
   history.OnClaim(FencingToken(5), Duration(22000));
+  history.OnLeaseTime(FencingToken(5), kLeadershipLease);
   const NewLeadership present{ FencingToken(6), Duration(22000), FencingToken(1) };
   EarlierLeases unknown(history.Before(FencingToken(6)), present, kBounds);
   unknown.OnSettled(FencingToken(4));
--- a/tests/control/RelayFixture.h
+++ b/tests/control/RelayFixture.h
@@ -69,7 +69,7 @@
   {
     mStore.GrantLease(aTime, std::move(aCallback));
   }
-  void RenewLease(kv::StoreLease aLease, kv::DoneCallback aCallback)
+  void RenewLease(kv::StoreLease aLease, kv::RenewalCallback aCallback)
   {
     mStore.RenewLease(aLease, std::move(aCallback));
   }
--- a/tests/control/TakeoverTests.cpp
+++ b/tests/control/TakeoverTests.cpp
@@ -332,12 +332,14 @@
 Test(ClaimRecord, tells_since_when_leaders_record_runs_before_they_order_them)
 {
   const kv::Revision revision(70);
-  const auto first = ReadClaimRecord(WriteClaimRecord(NodeId("n"), {}), revision);
+  const auto first = ReadClaimRecord(WriteClaimRecord(NodeId("n"), {}, Duration(1000)), revision);
   cr_assert_eq(first.mToken, FencingToken(70));
   cr_assert_eq(first.mNamesRunsSince, FencingToken(70));
   cr_assert_eq(first.mBoundsLeasesSince, FencingToken(70));
-  const ClaimRecord last{ FencingToken(60), FencingToken(40), FencingToken(50) };
-  const auto later = ReadClaimRecord(WriteClaimRecord(NodeId("n"), last), revision);
+  cr_assert_eq(first.mLeaseTime, Duration(1000));
+  const ClaimRecord last{ FencingToken(60), FencingToken(40), FencingToken(50), Duration(1000) };
+  const auto later = ReadClaimRecord(WriteClaimRecord(NodeId("n"), last, Duration(3000)), revision);
+  cr_assert_eq(later.mLeaseTime, Duration(3000));
   cr_assert_eq(later.mNamesRunsSince, FencingToken(40));
   cr_assert_eq(later.mBoundsLeasesSince, FencingToken(50));
 }
@@ -351,6 +353,16 @@
   cr_assert_eq(claim.mBoundsLeasesSince, FencingToken());
 }
 
+// Guards against a time that a successor supposes although the claim names none that can be read.
+Test(ClaimRecord, names_no_time_of_the_lease_if_it_cannot_be_read)
+{
+  for (const auto* text :
+       { R"({"boundsLeasesSince":40})", R"({"leaseMs":"x"})", R"({"leaseMs":-5})",
+         R"({"leaseMs":9000000000000000000})", R"({"leaseMs":1e300})", R"({"leaseMs":null})" }) {
+    cr_assert_eq(ReadClaimRecord(text, kv::Revision(70)).mLeaseTime, Duration(0), "%s", text);
+  }
+}
+
 // Guards against trust in the records of a leader that doesn't write them: claims of earlier
 // versions hold the name of the node.
 Test(ClaimRecord, takes_other_texts_for_claims_of_earlier_versions)
--- a/tests/platform/ReplyTests.cpp
+++ b/tests/platform/ReplyTests.cpp
@@ -82,6 +82,34 @@
   return *reply;
 }
 
+std::pair<std::error_code, kv::GrantedLease>
+Grant(const std::string& aBody)
+{
+  FixedReply server(aBody);
+  StoreClient client(server.mLoop, server.mServer.Address());
+  std::optional<std::pair<std::error_code, kv::GrantedLease>> reply;
+  client.GrantLease(Duration(1500), [&](auto aError, const auto& aLease) {
+    reply = std::pair(aError, aLease);
+    server.mLoop.Stop();
+  });
+  server.mLoop.Run();
+  return *reply;
+}
+
+std::pair<std::error_code, std::optional<Duration>>
+Keep(const std::string& aBody)
+{
+  FixedReply server(aBody);
+  StoreClient client(server.mLoop, server.mServer.Address());
+  std::optional<std::pair<std::error_code, std::optional<Duration>>> reply;
+  client.RenewLease(kv::StoreLease(7), [&](auto aError, const auto& aTime) {
+    reply = std::pair(aError, aTime);
+    server.mLoop.Stop();
+  });
+  server.mLoop.Run();
+  return *reply;
+}
+
 } // namespace
 
 // Guards against a leader that never gets through its takeover, because a page of the listing takes
@@ -443,3 +471,34 @@
     cr_assert_eq(Watch(odd).first, make_error_code(kv::KvError::BadAnswer), "%s", odd);
   }
 }
+
+// Guards against a leader that goes by the time that it asked for, while the store lets its lease
+// end earlier.
+Test(StoreClient, tells_the_time_that_applies_to_a_lease)
+{
+  const auto [ec, lease] = Grant(R"({"lease":7,"ttl_ms":1000})");
+  cr_assert_not(ec);
+  cr_assert_eq(lease.mLease, kv::StoreLease(7));
+  cr_assert_eq(lease.mTime, Duration(1000));
+  const auto [keepError, time] = Keep(R"({"ttl_ms":2000})");
+  cr_assert_not(keepError);
+  cr_assert(time == Duration(2000));
+  // The time of the grant goes on.
+  const auto [silentError, unsaid] = Keep("{}");
+  cr_assert_not(silentError);
+  cr_assert_not(unsaid.has_value());
+}
+
+// Guards against a guess at a time that the store doesn't tell.
+Test(StoreClient, does_not_take_a_lease_without_a_readable_time)
+{
+  for (const auto* const odd :
+       { R"({"lease":7})", R"({"lease":7,"ttl_ms":"1000"})", R"({"lease":7,"ttl_ms":0})",
+         R"({"lease":7,"ttl_ms":-1})", R"({"lease":7,"ttl_ms":null})", R"({"ttl_ms":1000})",
+         R"({"lease":7,"ttl_ms":18446744073709551615})", "[]", "" }) {
+    cr_assert_eq(Grant(odd).first, make_error_code(kv::KvError::BadAnswer), "%s", odd);
+  }
+  for (const auto* const odd : { R"({"ttl_ms":"1000"})", R"({"ttl_ms":0})", R"({"ttl_ms":1.5})" }) {
+    cr_assert_eq(Keep(odd).first, make_error_code(kv::KvError::BadAnswer), "%s", odd);
+  }
+}
