Record the cancellation of a job before answering that there is none

A node stood still with the submission unread, the client left and cancelled the job at another node, and the first one stored the job when it went on.

Cause: CallerApi::CheckVisible() and WriteRelay::Make() answered from a read of the job's key and left nothing that a later submission meets; the leader ignores cancellations of jobs that it doesn't know.

Evidence: the answering node logs no stored cancellation and the store has no key of it, while the submission is stored 1.6 s later. Ruled out: a stored cancellation that the leader overlooks (there is none; it would be the next fault), a hang-up that the frozen node could notice (a late write of the store has no caller).

Change: the cancellation is recorded under its job and account before the 410. The leader cancels a job of that account when it meets it, or at once if it knows it, before any plan; a new leader lists the records before the jobs. The late submission is answered 200 and shown as cancelled: one job, and no refusal that promises more than holds. Records live for 60 s and are deleted by the leader. A node records 50 at once and 5 a second after that, beyond it the answer is 503 with Retry-After. Over the relay the asked node records; a node of an earlier version, which doesn't, isn't taken for an acknowledgement.

Why it works: whatever order the store carries the two writes out in, the leader sees both in one history and compares them at the later one. A condition on the submission's write was weighed: it misses a job that is stored between the look-up and the record, and writes of earlier versions.

Price: such a cancellation costs a write of the store beside its read; submissions, and cancellations of stored jobs, cost what they did.

--- a/src/control/CallerApi.h
+++ b/src/control/CallerApi.h
@@ -8,6 +8,7 @@
 #include "control/Backlog.h"
 #include "control/ControlSettings.h"
 #include "control/Deployment.h"
+#include "control/EarlyCancellations.h"
 #include "control/Keys.h"
 #include "control/Leader.h"
 #include "control/RelayedWrite.h"
@@ -83,6 +84,8 @@
     mRelayWrite;
   // Whether submissions of the group are to be refused; may be empty.
   std::function<bool(const scheduler::JobGroup&)> mIsClosed;
+  // Whether one more early cancellation may be recorded now; may be empty.
+  std::function<bool()> mMayRecordCancellation;
   // Receives the reason for which a submission was refused; may be empty.
   std::function<void(const char*)> mOnJobRefused;
 };
@@ -138,9 +141,11 @@
     http::Responder mResponder;
     const char* mOperation = "";
     TimePoint mDeadline;
-    // Whether the write may be sent to the store: a cancellation may once the account is known to
-    // see the job.
+    // Whether the write may be sent to the store: a cancellation may once it is known whether the
+    // account sees the job.
     bool mIsAllowed = false;
+    // Whether it is the cancellation of a job that the account doesn't see; see EarlyCancellations.
+    bool mIsEarly = false;
     // An earlier attempt may have been applied, or may still be.
     bool mIsOutcomeUnknown = false;
     int mRefusals = 0;
@@ -324,6 +329,7 @@
                                                         WriteDeadline(aRequest),
                                                         false,
                                                         false,
+                                                        false,
                                                         0,
                                                         {},
                                                         true,
@@ -358,15 +364,30 @@
       mGuard.Wrap([this, aWrite](std::error_code aError, const std::optional<kv::Item>& aItem) {
         if (aError) {
           OnReadFailed(aWrite, aError);
-        } else if (!IsVisible(aItem, aWrite->mWrite.mAccount)) {
-          aWrite->mResponder.Send({ 410, {}, "" });
-        } else {
+        } else if (IsVisible(aItem, aWrite->mWrite.mAccount)) {
           aWrite->mIsAllowed = true;
           SendWrite(aWrite);
+        } else {
+          RecordEarlyCancellation(aWrite);
         }
       }));
   }
 
+  // Cancels a job that isn't stored, or that the account doesn't see. The answer doesn't tell which
+  // of the two.
+  void RecordEarlyCancellation(const PendingPtr& aWrite)
+  {
+    if (mHooks.mMayRecordCancellation && !mHooks.mMayRecordCancellation()) {
+      RefuseUnchecked(aWrite->mResponder, "too_many_early_cancellations",
+                      aWrite->mWrite.mJob.Value());
+      return;
+    }
+    aWrite->mOperation = "early_cancel";
+    aWrite->mIsEarly = true;
+    aWrite->mIsAllowed = true;
+    SendWrite(aWrite);
+  }
+
   void OnReadFailed(const PendingPtr& aWrite, std::error_code aError)
   {
     if (RelayAfter(aWrite, aError)) {
@@ -381,7 +402,10 @@
 
   void SendWrite(const PendingPtr& aWrite)
   {
-    mStore.Write(StoreOperation(aWrite->mWrite),
+    const auto& write = aWrite->mWrite;
+    mStore.Write(aWrite->mIsEarly
+                   ? EarlyCancellationWrites(write.mJob, write.mAccount, WallClockMs())
+                   : StoreOperation(write),
                  mGuard.Wrap([this, aWrite](std::error_code aError, kv::WriteOutcome aOutcome) {
                    OnWritten(aWrite, aError, aOutcome);
                  }));
@@ -408,7 +432,8 @@
       .With("request", aWrite->mOperation)
       .With("job", aWrite->mWrite.mJob)
       .With("again", aAgain);
-    aWrite->mResponder.Send(http::JsonResponse(200, "{}"));
+    aWrite->mResponder.Send(aWrite->mIsEarly ? http::Response{ 410, {}, "" }
+                                             : http::JsonResponse(200, "{}"));
   }
 
   // Goes on through another node after the store has failed an attempt. The first refusal because
@@ -438,6 +463,7 @@
     switch (aAnswer.mOutcome) {
       case RelayOutcome::Stored:
       case RelayOutcome::Present:
+        aWrite->mIsEarly = false;
         OnStored(aWrite, aAnswer.mOutcome == RelayOutcome::Present);
         return;
       case RelayOutcome::Gone:
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -108,6 +108,14 @@
 inline constexpr Duration kMinPublishPeriod{ 300 };
 // Parked jobs that are being read at a time.
 inline constexpr int kMaxLoadingParked = 8;
+// The time for which the cancellation of a job that isn't stored is kept. A submission may be
+// stored that much later: a node or the store holds it up for seconds, and callers repeat it within
+// seconds more.
+inline constexpr Duration kEarlyCancellationTime{ 60000 };
+// Such cancellations that a node records at once, and per second. Each one is a write of the store,
+// whose rate all nodes share, and takes some memory of the leader for kEarlyCancellationTime.
+inline constexpr int kEarlyCancellationBurst = 50;
+inline constexpr double kEarlyCancellationsPerSecond = 5;
 // What the summary of an ended job takes.
 inline constexpr Bytes kEndedJobBytes{ 256 };
 // Interval at which the records of jobs past their retention time are deleted.
--- a/src/control/EdgeMetrics.cpp
+++ b/src/control/EdgeMetrics.cpp
@@ -49,6 +49,21 @@
                             "Accounts and queues whose submissions are refused because of what "
                             "they hold")
                     .Add({}))
+  , mEarlyCancellations(AddFamily(mRegistry, "lovagerock_early_cancellations",
+                                  "Recorded cancellations of jobs that weren't stored")
+                          .Add({}))
+  , mRecordedCancellations(prometheus::BuildCounter()
+                             .Name("lovagerock_early_cancellations_recorded_total")
+                             .Help("Cancellations of jobs that weren't stored, recorded by this "
+                                   "node")
+                             .Register(mRegistry)
+                             .Add({}))
+  , mRefusedCancellations(prometheus::BuildCounter()
+                            .Name("lovagerock_early_cancellations_refused_total")
+                            .Help("Cancellations of jobs that weren't stored, refused because of "
+                                  "their number")
+                            .Register(mRegistry)
+                            .Add({}))
   , mConnections(
       AddFamily(mRegistry, "lovagerock_listener_connections", "Open connections, by listener"))
   , mHeld(AddFamily(mRegistry, "lovagerock_listener_held_bytes",
@@ -168,6 +183,7 @@
   mBacklogLimit.Set(static_cast<double>(status.mBacklog.mLimit.Value()));
   mParkedJobs.Set(static_cast<double>(status.mBacklog.mParked));
   mClosedGroups.Set(static_cast<double>(status.mBacklog.mClosedGroups));
+  mEarlyCancellations.Set(static_cast<double>(status.mEarlyCancellations));
   mSpeedSamples.Set(static_cast<double>(status.mSpeeds.mSamples));
   AddWaste(status.mWasted);
   std::ostringstream stream;
--- a/src/control/EdgeMetrics.h
+++ b/src/control/EdgeMetrics.h
@@ -34,6 +34,11 @@
   {
     mRefusedJobs.Add({ { "reason", aReason } }).Increment();
   }
+  // Counts the cancellation of a job that wasn't stored, and whether it was recorded.
+  void CountEarlyCancellation(bool aIsRecorded)
+  {
+    (aIsRecorded ? mRecordedCancellations : mRefusedCancellations).Increment();
+  }
   // Sets what a listener holds for its callers, and what it has refused.
   void SetListener(const std::string& aListener, const http::CallerCounts& aCounts);
   void SetPeers(const peer::PeerCounters& aCounters);
@@ -65,6 +70,9 @@
   prometheus::Gauge& mBacklogLimit;
   prometheus::Gauge& mParkedJobs;
   prometheus::Gauge& mClosedGroups;
+  prometheus::Gauge& mEarlyCancellations;
+  prometheus::Counter& mRecordedCancellations;
+  prometheus::Counter& mRefusedCancellations;
   prometheus::Family<prometheus::Gauge>& mConnections;
   prometheus::Family<prometheus::Gauge>& mHeld;
   prometheus::Family<prometheus::Counter>& mRefusals;
--- a/src/control/EdgeNode.h
+++ b/src/control/EdgeNode.h
@@ -5,6 +5,7 @@
 #include "base/Json.h"
 #include "base/LogEvent.h"
 #include "base/Random.h"
+#include "base/TokenBucket.h"
 #include "control/CallerApi.h"
 #include "control/CallerLimits.h"
 #include "control/ControlSettings.h"
@@ -288,6 +289,7 @@
     hooks.mIsClosed = [this](const scheduler::JobGroup& aGroup) {
       return mElection && mElection->ClosedGroups().contains(aGroup);
     };
+    hooks.mMayRecordCancellation = [this] { return MayRecordCancellation(); };
     hooks.mOnJobRefused = [this](const char* aReason) { mMetrics.CountRefusedJob(aReason); };
     hooks.mRelayWrite = [this](const RequestWrite& aWrite, std::vector<SocketAddress>& aAsked,
                                TimePoint aDeadline, RelayCallback aCallback) {
@@ -306,10 +308,19 @@
       return mElection ? mElection->LeaderAddress() : mNoAddress;
     };
     hooks.mIsStoreReachable = [this] { return mStoreFreshness.IsReachable(BootTime()); };
+    hooks.mMayRecordCancellation = [this] { return MayRecordCancellation(); };
     hooks.mOnOutcome = [this](RelayOutcome aOutcome) { mMetrics.CountRelayedWrite(aOutcome); };
     return hooks;
   }
 
+  // Callers can name as many unknown jobs as they like, and each record is a write of the store.
+  bool MayRecordCancellation()
+  {
+    const bool isAllowed = mEarlyCancellations.Take(std::chrono::steady_clock::now());
+    mMetrics.CountEarlyCancellation(isAllowed);
+    return isAllowed;
+  }
+
   bool IsLoadedLeader() const { return mLeader && mLeader->IsLoaded(); }
 
   void HandlePeers()
@@ -461,6 +472,7 @@
   http::HttpServer mCallerServer;
   http::HttpServer mReadinessServer;
   EdgeMetrics mMetrics;
+  TokenBucket mEarlyCancellations{ kEarlyCancellationBurst, kEarlyCancellationsPerSecond };
   WriteRelay<Store, peer::NghttpTransport> mRelay;
   CallerApi<Store, typename P::Callers> mCallerApi;
   std::optional<Deployment> mDeployment;
--- a/src/control/Keys.h
+++ b/src/control/Keys.h
@@ -25,6 +25,8 @@
 inline constexpr std::string_view kRequestPrefix = "requests/";
 inline constexpr std::string_view kJobPrefix = "requests/job/";
 inline constexpr std::string_view kCancelPrefix = "requests/cancel/";
+// Cancellations of jobs that weren't stored, see EarlyCancellations.
+inline constexpr std::string_view kEarlyCancelPrefix = "requests/early-cancel/";
 // Records that the leader writes.
 inline constexpr std::string_view kRecordPrefix = "progress/";
 inline constexpr std::string_view kProgressPrefix = "progress/job/";
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -10,6 +10,7 @@
 #include "control/CallerLimits.h"
 #include "control/ClosedGroupsPublisher.h"
 #include "control/Deployment.h"
+#include "control/EarlyCancellations.h"
 #include "control/Election.h"
 #include "control/FormerLeaders.h"
 #include "control/HandOver.h"
@@ -199,6 +200,7 @@
     status.mAccounts = mScheduler.Usage().AccountsByLevel();
     status.mSpeeds = mScheduler.Speeds().Counts();
     status.mWasted = mScheduler.Wasted();
+    status.mEarlyCancellations = mEarlyCancellations.Count();
     status.mBacklog = { mBacklog.Used(), mBacklog.Limit(), mBacklog.ParkedCount(),
                         mClosedGroups.Published().size() };
     return status;
@@ -218,6 +220,8 @@
     scheduler::ProgressBatch mProgress;
     // Jobs whose records are deleted.
     std::vector<JobId> mExpiredJobs;
+    // The keys of early cancellations that are deleted.
+    std::vector<std::string> mExpiredCancellations;
     // Whether the record says that the takeover is settled, see IsSettledRecordDue().
     bool mIsSettled = false;
     // The new record of witnesses, if it changes.
@@ -446,6 +450,8 @@
         mListedCancels.push_back(*cancelled);
       } else if (const auto job = JobOfKey(kJobPrefix, it.mKey); job && !KnowsJob(*job)) {
         OnRequest(it.mKey, it.mValue, !IsLoaded());
+      } else {
+        OnEarlyCancellation(it.mKey, it.mValue);
       }
     }
     if (!IsLoaded()) {
@@ -489,6 +495,7 @@
       return;
     }
     if (!aKey.starts_with(kJobPrefix)) {
+      OnEarlyCancellation(aKey, aValue);
       return;
     }
     const auto job = scheduler::ReadAcceptedJob(aValue);
@@ -504,12 +511,40 @@
       LogEvent("job_record_outdated").With("job", job->mId).With("age_ms", age);
       return;
     }
-    if (KnowsJob(job->mId) || ParkIfFull(*job, aInherited)) {
+    if (KnowsJob(job->mId)) {
       return;
     }
-    AddJob(*job, aInherited);
-    if (!aInherited) {
-      LogEvent("job_received").With("job", job->mId).With("queue", job->mQueue);
+    if (!ParkIfFull(*job, aInherited)) {
+      AddJob(*job, aInherited);
+      if (!aInherited) {
+        LogEvent("job_received").With("job", job->mId).With("queue", job->mQueue);
+      }
+    }
+    CancelIfEarly(job->mId, job->mAccount);
+  }
+
+  // Takes an early cancellation if the key is that of one. The job may have been stored since the
+  // node that recorded it looked.
+  void OnEarlyCancellation(const std::string& aKey, const std::string& aValue)
+  {
+    const auto job = mEarlyCancellations.OnRecord(aKey, aValue, WallClockMs());
+    const auto known = job ? State(*job) : std::nullopt;
+    if (known) {
+      CancelIfEarly(*job, known->mAccount);
+    }
+  }
+
+  // Cancels a known job if its account has cancelled it before it was stored.
+  void CancelIfEarly(const JobId& aJob, const AccountId& aAccount)
+  {
+    if (!mEarlyCancellations.Covers(aJob, aAccount)) {
+      return;
+    }
+    LogEvent("job_cancelled_early").With("job", aJob);
+    if (IsLoaded()) {
+      Cancel(aJob);
+    } else {
+      mListedCancels.push_back(aJob);
     }
   }
 
@@ -964,6 +999,8 @@
     mHeldStarts.OnTaken();
     const auto held = PutFirst(mHeldStarts.StoringJobs(), mStoring->mProgress.mWrites);
     auto deletes = KeysOf(mStoring->mExpiredJobs);
+    const auto& cancellations = mStoring->mExpiredCancellations;
+    deletes.insert(deletes.end(), cancellations.begin(), cancellations.end());
     auto writes = WritesOf(mStoring->mProgress, deletes);
     if (mStoring->mIsSettled) {
       // After the progress, which names what this leader has learned.
@@ -993,6 +1030,7 @@
     unstored.mProgress = mScheduler.TakeProgress();
     if (std::exchange(mDeleteExpired, false)) {
       unstored.mExpiredJobs = mScheduler.ExpiredJobs(Now());
+      unstored.mExpiredCancellations = mEarlyCancellations.Expired(WallClockMs());
     }
     unstored.mIsSettled = IsSettledRecordDue();
     unstored.mWitnesses = mWitnesses.Change(mScheduler.Workers());
@@ -1014,6 +1052,7 @@
       mSettled = batch.mIsSettled ? mToken : mSettled;
       mScheduler.OnStored(batch.mProgress);
       mScheduler.RemoveJobs(batch.mExpiredJobs);
+      mEarlyCancellations.RemoveExpired(batch.mExpiredCancellations, WallClockMs());
       OnBatchStored(batch.mProgress);
     } else {
       mScheduler.OnNotStored(batch.mProgress);
@@ -1059,6 +1098,7 @@
   // Reads the records of former leaders: progress, racks and the batch key.
   PrefixReader<Store> mRecords;
   std::map<JobId, std::string> mProgress;
+  EarlyCancellations mEarlyCancellations;
   // Cancelled jobs of the listing that is being read.
   std::vector<JobId> mListedCancels;
   bool mAreRecordsLoaded = false;
--- a/src/control/RelayedWrite.h
+++ b/src/control/RelayedWrite.h
@@ -42,7 +42,8 @@
   Stored,
   // The store has acknowledged that the job's record was there before.
   Present,
-  // The job of a cancellation doesn't exist for the account.
+  // The job of a cancellation doesn't exist for the account, and the cancellation is recorded in
+  // case that a submission is still under way; see EarlyCancellations.
   Gone,
   // The asked node has not written it, and won't.
   Refused,
--- a/src/control/WaitMonitor.h
+++ b/src/control/WaitMonitor.h
@@ -71,6 +71,7 @@
   // The work that was thrown away since it became the leader.
   scheduler::WasteCounts mWasted{};
   BacklogStatus mBacklog;
+  std::size_t mEarlyCancellations = 0;
 };
 
 // Logs why jobs wait, at a bounded rate, and keeps the numbers for the metrics.
--- a/src/control/WriteRelay.h
+++ b/src/control/WriteRelay.h
@@ -4,6 +4,8 @@
 #include "base/CallbackGuard.h"
 #include "base/Json.h"
 #include "base/LogEvent.h"
+#include "base/WallClock.h"
+#include "control/EarlyCancellations.h"
 #include "control/Keys.h"
 #include "control/RelayedWrite.h"
 #include "kv/KvError.h"
@@ -32,6 +34,8 @@
   std::function<std::optional<SocketAddress>()> mLeader;
   // Whether the store has answered this node recently.
   std::function<bool()> mIsStoreReachable;
+  // Whether one more early cancellation may be recorded now; may be empty.
+  std::function<bool()> mMayRecordCancellation;
   // Receives the outcome of each write that this node has relayed.
   std::function<void(RelayOutcome)> mOnOutcome;
 };
@@ -146,6 +150,10 @@
       mNodes.OnNamed(*leader);
     }
     const auto outcome = ParseRelayOutcome(JsonValue(aReply, "outcome", std::string()));
+    if (outcome == RelayOutcome::Gone && !JsonValue(aReply, "recorded", false)) {
+      // A node of an earlier version has left no trace of the cancellation.
+      return { RelayOutcome::Refused, "not_recorded" };
+    }
     if (outcome == RelayOutcome::Stored || outcome == RelayOutcome::Present) {
       mStoredAt = BootTime();
       mLastRejectedNode.reset();
@@ -228,7 +236,8 @@
     Json reply{ { "outcome", RelayOutcomeName(aAnswer.mOutcome) },
                 { "reason", aAnswer.mReason },
                 { "busy", aAnswer.mIsBusy },
-                { "no_store", aAnswer.mHasNoStore } };
+                { "no_store", aAnswer.mHasNoStore },
+                { "recorded", aAnswer.mOutcome == RelayOutcome::Gone } };
     if (const auto leader = NamedLeader()) {
       reply["leader"] = leader->ToString();
     }
@@ -247,27 +256,43 @@
                  if (aError) {
                    // Nothing is written before the job was read.
                    aFinish(Failed(RelayOutcome::Refused, aError));
-                 } else if (!IsVisible(aItem, aWrite.mAccount)) {
-                   aFinish({ RelayOutcome::Gone, "no_such_job", false });
-                 } else {
+                 } else if (IsVisible(aItem, aWrite.mAccount)) {
                    Write(aWrite, aFinish);
+                 } else {
+                   RecordEarlyCancellation(aWrite, aFinish);
                  }
                }));
   }
 
+  // See CallerApi::RecordEarlyCancellation().
+  void RecordEarlyCancellation(const RequestWrite& aWrite, const Finish& aFinish)
+  {
+    if (mHooks.mMayRecordCancellation && !mHooks.mMayRecordCancellation()) {
+      aFinish({ RelayOutcome::Refused, "too_many_early_cancellations", true });
+      return;
+    }
+    Write(EarlyCancellationWrites(aWrite.mJob, aWrite.mAccount, WallClockMs()), RelayOutcome::Gone,
+          aFinish);
+  }
+
   void Write(const RequestWrite& aWrite, const Finish& aFinish)
   {
-    mStore.Write(
-      StoreOperation(aWrite),
-      mGuard.Wrap([this, aFinish](std::error_code aError, const kv::WriteOutcome& aOutcome) {
-        if (!aError) {
-          aFinish({ aOutcome.mApplied ? RelayOutcome::Stored : RelayOutcome::Present, "", false });
-          return;
-        }
-        const bool isRefused =
-          aError == kv::KvError::Unavailable || aError == kv::KvError::RateLimited;
-        aFinish(Failed(isRefused ? RelayOutcome::Refused : RelayOutcome::Unknown, aError));
-      }));
+    Write(StoreOperation(aWrite), RelayOutcome::Stored, aFinish);
+  }
+
+  // aOutcome is what to answer once the store has applied the writes.
+  void Write(const kv::ConditionalWrites& aWrites, RelayOutcome aOutcome, const Finish& aFinish)
+  {
+    mStore.Write(aWrites, mGuard.Wrap([this, aOutcome, aFinish](std::error_code aError,
+                                                                const kv::WriteOutcome& aWritten) {
+      if (!aError) {
+        aFinish({ aWritten.mApplied ? aOutcome : RelayOutcome::Present, "", false });
+        return;
+      }
+      const bool isRefused =
+        aError == kv::KvError::Unavailable || aError == kv::KvError::RateLimited;
+      aFinish(Failed(isRefused ? RelayOutcome::Refused : RelayOutcome::Unknown, aError));
+    }));
   }
 
   RelayAnswer Failed(RelayOutcome aOutcome, std::error_code aError)
--- a/tests/control/RelayFixture.h
+++ b/tests/control/RelayFixture.h
@@ -201,6 +201,7 @@
     RelayHooks hooks;
     hooks.mLeader = [this] { return mLeader; };
     hooks.mIsStoreReachable = [this] { return mIsStoreReachable; };
+    hooks.mMayRecordCancellation = [this] { return mMayRecordCancellations; };
     hooks.mOnOutcome = [this](RelayOutcome aOutcome) { mOutcomes.push_back(aOutcome); };
     return hooks;
   }
@@ -215,6 +216,7 @@
     hooks.mIsClosed = [this](const scheduler::JobGroup& aGroup) {
       return mClosed.contains(aGroup);
     };
+    hooks.mMayRecordCancellation = [this] { return mMayRecordCancellations; };
     hooks.mOnJobRefused = [this](const char* aReason) { ++mRefused[aReason]; };
     hooks.mRelayWrite = [this](const RequestWrite& aWrite, std::vector<SocketAddress>& aAsked,
                                TimePoint aDeadline, RelayCallback aCallback) {
@@ -227,6 +229,7 @@
   FakePeers mPeers;
   std::optional<SocketAddress> mLeader;
   bool mIsStoreReachable = true;
+  bool mMayRecordCancellations = true;
   std::vector<RelayOutcome> mOutcomes;
   // The groups whose submissions the node refuses, and the refusals by reason.
   std::set<scheduler::JobGroup> mClosed;
--- a/tests/integration/EdgeSystem.cpp
+++ b/tests/integration/EdgeSystem.cpp
@@ -234,6 +234,16 @@
   return call;
 }
 
+void
+EdgeSystem::SubmitAndLeave(int aNode, const std::string& aJob, const Json& aSteps,
+                           std::chrono::milliseconds aTaskTime, std::chrono::milliseconds aPatience)
+{
+  Announce(mCaller, aJob, aSteps);
+  auto call = SubmitCall(aNode, aJob, aSteps, aTaskTime.count());
+  call.mDeadline = aPatience;
+  mCaller.Call(call);
+}
+
 CallResult
 EdgeSystem::SubmitPayload(int aNode, const std::string& aJob, const Json& aSteps,
                           const Json& aPayload)
@@ -419,6 +429,17 @@
   Require(violations.empty(), "broken promises: " + DumpJson(violations));
 }
 
+void
+EdgeSystem::AwaitNotRunning(const std::string& aJob)
+{
+  AwaitTrue("no task of " + aJob + " to run", [&] {
+    const auto running = Ledger().at("running");
+    const auto& tasks = running.items();
+    return std::none_of(tasks.begin(), tasks.end(),
+                        [&aJob](const auto& aIt) { return aIt.key().starts_with(aJob + '.'); });
+  });
+}
+
 void
 EdgeSystem::RequireNoIdleJob()
 {
--- a/tests/integration/EdgeSystem.h
+++ b/tests/integration/EdgeSystem.h
@@ -48,6 +48,10 @@
   // it once it is accepted. Returns whether it is. May be called by several threads at a time.
   bool SubmitChecked(HttpCaller& aCaller, int aNode, const std::string& aJob, const Json& aSteps,
                      std::chrono::milliseconds aTaskTime) const;
+  // Submits a job at a node, waits for the answer for that time only and closes the connection. The
+  // node may read the request later, if it is frozen.
+  void SubmitAndLeave(int aNode, const std::string& aJob, const Json& aSteps,
+                      std::chrono::milliseconds aTaskTime, std::chrono::milliseconds aPatience);
   CallResult Cancel(int aNode, const std::string& aJob);
   // The job's state as the node tells it; empty without an answer of 200. The platform's ledger is
   // told of jobs that are shown as completed.
@@ -97,6 +101,8 @@
   Json Ledger();
   // Ends the test if a task ran twice at a time or after its end.
   void RequireNothingRanTwice();
+  // Waits until no task of the job runs; callers have cancelled it.
+  void AwaitNotRunning(const std::string& aJob);
   // Ends the test if a job had nothing running for too long, see IdleJobCheck.
   void RequireNoIdleJob();
   // How much of all workers is in use, see PlatformControl; by a caller of the thread's own.
