Test a flood of cancellations of unknown jobs

Each of them may leave a record in the store and with the leader. The test checks by the metrics that a node records no more than its limit, that the flood reached it, and that stored jobs can be cancelled all the same.

--- a/tests/hostile/HostileJobTests.cpp
+++ b/tests/hostile/HostileJobTests.cpp
@@ -1,3 +1,4 @@
+#include "control/ControlSettings.h"
 #include "hostile/ConnectionFlood.h"
 #include "hostile/HostileLimits.h"
 #include "hostile/RequestCrowd.h"
@@ -181,6 +182,16 @@
   return RequestText("POST", "/found/" + NumberedJob(aNumber + 0x1000), aBody);
 }
 
+// The value of a metric without labels.
+double
+MetricOf(EdgeSystem& aSystem, const std::string& aName)
+{
+  const auto metrics = aSystem.Metrics(0);
+  const auto begin = metrics.find('\n' + aName + ' ');
+  Require(begin != std::string::npos, "no metric " + aName);
+  return std::stod(metrics.substr(begin + aName.size() + 2));
+}
+
 // A job with the largest text for the workers.
 std::string
 SmallJob()
@@ -269,6 +280,30 @@
     kSmallNode);
 }
 
+// Guards against cancellations of jobs that nobody has submitted, each of which may leave a record
+// in the store and with the leader: beyond their limit they are refused, and leave none.
+Test(HostileJobs, cancel_jobs_that_nobody_has_submitted)
+{
+  const auto begin = std::chrono::steady_clock::now();
+  RunCrowd(
+    kClients, 40000,
+    [](std::uint64_t aNumber) {
+      return RequestText("DELETE", "/found/" + NumberedJob(aNumber + 0x1000));
+    },
+    kSmallNode,
+    [begin](EdgeSystem& aSystem) {
+      const auto recorded = MetricOf(aSystem, "lovagerock_early_cancellations_recorded_total");
+      const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+      const auto limit = control::kEarlyCancellationBurst +
+                         control::kEarlyCancellationsPerSecond * (elapsed.count() + 1);
+      Require(recorded <= limit, std::to_string(recorded) + " records");
+      Require(MetricOf(aSystem, "lovagerock_early_cancellations_refused_total") > recorded,
+              "the flood didn't reach the limit");
+      Require(MetricOf(aSystem, "lovagerock_early_cancellations") <= recorded, "too many records");
+      Require(aSystem.Cancel(0, kJob).Is(200), "a stored job can't be cancelled");
+    });
+}
+
 // Guards against jobs of many steps, and of steps that depend on many others.
 Test(HostileJobs, submit_jobs_of_many_steps)
 {
