Soak: cancel past frozen nodes, and grant other leases than asked for

Each round now cancels a job whose submission a frozen node has not read, in a quarter of the rounds with the leader killed in between, and the store applies 1.0, 1.2 or 3 s to leases in three of five rounds. At the end no task of a cancelled job may run; such a task would take ten minutes. The other checks are as they were.

--- a/tests/integration/EdgeSoakTests.cpp
+++ b/tests/integration/EdgeSoakTests.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
@@ -90,6 +91,7 @@
       mSystem.Drain(WorkerName(kStayingWorkers + mDrained), mRandom.Jitter(2000ms));
       ++mDrained;
     }
+    CancelPastFrozenNode();
     StopLeaders(mRandom.Below(2) == 0 ? 1 : 2);
     AskForAllJobs();
   }
@@ -127,12 +129,16 @@
     mSystem.SetFaults({ { "silent_workers", Json::array() },
                         { "lost_starts", 0 },
                         { "late_starts", 0 },
-                        { "late_calls", 0 } });
+                        { "late_calls", 0 },
+                        { "lease_ms", 0 } });
     for (int i = 0; i < mJobs; ++i) {
       mSystem.AwaitState(AnyNode(), JobName(i), "completed");
     }
     AwaitTrue("all late calls to be carried out",
               [&] { return mSystem.Ledger().at("late_starts").empty(); });
+    for (const auto& it : mCancelled) {
+      mSystem.AwaitNotRunning(it);
+    }
     mSystem.RequireNothingRanTwice();
   }
 
@@ -163,6 +169,34 @@
               [&] { return mSystem.Submit(AnyNode(), job, steps, times).Is(200); });
   }
 
+  // Cancels a job whose submission a node that stands still has not read. In some rounds the leader
+  // is killed before the node goes on.
+  void CancelPastFrozenNode()
+  {
+    // So that a task that runs although it was cancelled is still there at the end.
+    constexpr auto kTaskTime = 10min;
+    const int leader = mSystem.AwaitLeaderExcept({});
+    const int frozen = (leader + 1) % kNodes;
+    const auto job = "c" + JobName(static_cast<int>(mCancelled.size())).substr(1);
+    mCancelled.push_back(job);
+    mSystem.Freeze(frozen);
+    const Json step{
+      { "count", 1 }, { "cpu", 100 }, { "mem_mb", 100 }, { "gpu", 1 }, { "estimate_ms", 500 }
+    };
+    mSystem.SubmitAndLeave(frozen, job, Json::array({ step }), kTaskTime, mRandom.Jitter(500ms));
+    AwaitTrue(job + " to be cancelled", [&] {
+      const auto result = mSystem.Cancel((leader + 2) % kNodes, job);
+      return result.Is(200) || result.Is(410);
+    });
+    if (mRandom.Below(4) == 0) {
+      mSystem.Kill(leader);
+      mSystem.Start(leader);
+    }
+    std::this_thread::sleep_for(mRandom.Jitter(1500ms));
+    mSystem.Resume(frozen);
+    mSystem.AwaitReady(leader);
+  }
+
   // A job whose tasks end within some tenths of a second, most of them much sooner.
   void SubmitShortJob()
   {
@@ -189,6 +223,8 @@
 
   void SetWorkerFaults()
   {
+    // What the store applies to leases, 0 for what nodes ask for.
+    constexpr std::array<int, 5> kLeaseMs{ 0, 0, 1000, 1200, 3000 };
     Json silent = Json::array();
     if (mRandom.Below(3) > 0) {
       silent.push_back(WorkerName(mRandom.Below(kWorkers)));
@@ -198,7 +234,8 @@
                         { "late_starts", mRandom.Below(2) },
                         { "late_start_ms", mRandom.Jitter(3000ms).count() },
                         { "lost_answers", mRandom.Below(2) },
-                        { "discard_history", mRandom.Below(3) == 0 } });
+                        { "discard_history", mRandom.Below(3) == 0 },
+                        { "lease_ms", kLeaseMs.at(mRandom.Below(kLeaseMs.size())) } });
   }
 
   // Stops leaders in a row, some of them while the store refuses them, and starts them again.
@@ -235,13 +272,16 @@
   EdgeSystem& mSystem;
   Random mRandom;
   int mJobs = 0;
+  // The jobs that were cancelled past a frozen node.
+  std::vector<std::string> mCancelled;
   std::uint64_t mDrained = 0;
 };
 
 } // namespace
 
 // Guards against runs that are repeated in series of planned stops of leaders, while workers are
-// silent or leave, starts are late, answers are lost and the store refuses a leader.
+// silent or leave, starts are late, answers are lost, the store refuses a leader and applies other
+// times to leases than asked for; and against jobs that run although they were cancelled.
 Test(EdgeSoak, repeats_nothing_in_a_series_of_faults)
 {
   const int seed = SettingOr("LOVAGEROCK_EDGE_SOAK_SEED", 1);
