Move the accepted jobs out of Leader

What it does with requests (jobs, cancellations, parking, the memory for jobs) is a part of its own, which the records of early cancellations made larger: AcceptedJobs has it now, with the state of a job. No behaviour changes: whether the loaded progress names all runs is asked once the progress is loaded and not with each job; it can't change between.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -4,19 +4,16 @@
 #include "base/CallbackGuard.h"
 #include "base/EventLoop.h"
 #include "base/LogEvent.h"
-#include "base/LogRate.h"
 #include "base/WallClock.h"
-#include "control/Backlog.h"
+#include "control/AcceptedJobs.h"
 #include "control/CallerLimits.h"
 #include "control/ClosedGroupsPublisher.h"
 #include "control/Deployment.h"
-#include "control/EarlyCancellations.h"
 #include "control/Election.h"
 #include "control/FormerLeaders.h"
 #include "control/HandOver.h"
 #include "control/HeldStarts.h"
 #include "control/OrderWindow.h"
-#include "control/ParkedJobLoader.h"
 #include "control/PlanPacer.h"
 #include "control/PrefixReader.h"
 #include "control/PrefixWatch.h"
@@ -28,7 +25,6 @@
 #include "control/WorkerCalls.h"
 #include "control/WorkerLeases.h"
 #include "control/ZoneEvacuations.h"
-#include "scheduler/JobRecord.h"
 #include "scheduler/Scheduler.h"
 #include "scheduler/WaitScanner.h"
 
@@ -60,13 +56,6 @@
     } -> std::convertible_to<std::optional<scheduler::WorkerEntry>>;
 };
 
-// A job's state and client account as the leader knows them.
-struct JobStatus
-{
-  scheduler::JobState mState = scheduler::JobState::Queued;
-  AccountId mAccount;
-};
-
 // The number of pending jobs of a queue as the leader knows it.
 struct PendingCount
 {
@@ -103,10 +92,7 @@
                      MakeLeaseBounds(), MakeFormerLeaderHooks())
     , mWitnesses(aElection.Witnesses().mWitnesses)
     , mRecords(aLoop, aStore, std::string(kRecordPrefix), MakeRecordCallbacks())
-    , mBacklog(MaxBacklog(aSettings))
-    , mParkedLoader(
-        aStore, mBacklog,
-        [this](const auto& aJob, const auto& aParked) { OnParkedLoaded(aJob, aParked); })
+    , mJobs(aStore, mScheduler, aSettings, MaxBacklog(aSettings), [this] { SchedulePlan(); })
     , mClosedGroups(aStore, aElection)
     , mOrders(MaxOrders(aSettings))
     , mLeases(aLoop, aCalls, mScheduler, aElection.Token(), aSettings.mScheduler, MakeLeaseHooks())
@@ -155,27 +141,8 @@
   // Whether the jobs are loaded.
   bool IsLoaded() const { return mWorkers.has_value(); }
 
-  // Returns the job's state; nullopt if the leader doesn't know the job. An ended job is reported
-  // as in progress until its end is stored: until then, only this leader and a worker that may
-  // leave know of the end. Cancellations are stored before the leader learns of them.
-  std::optional<JobStatus> State(const JobId& aJob) const
-  {
-    if (const auto* parked = mBacklog.FindParked(aJob)) {
-      const auto state =
-        parked->mIsCancelled ? scheduler::JobState::Cancelled : scheduler::JobState::Queued;
-      return JobStatus{ state, parked->mGroup.mAccount };
-    }
-    const auto job = mScheduler.JobSummary(aJob);
-    if (!job) {
-      return std::nullopt;
-    }
-    JobStatus known{ job->mState, job->mAccount };
-    if (job->mFinishedMs > 0 && known.mState != scheduler::JobState::Cancelled &&
-        !mScheduler.IsStored(aJob)) {
-      known.mState = scheduler::JobState::InProgress;
-    }
-    return known;
-  }
+  // See AcceptedJobs::State().
+  std::optional<JobStatus> State(const JobId& aJob) const { return mJobs.State(aJob); }
 
   // Returns the number of the queue's known jobs of which no task has started.
   PendingCount PendingJobs(const std::string& aQueue)
@@ -200,8 +167,9 @@
     status.mAccounts = mScheduler.Usage().AccountsByLevel();
     status.mSpeeds = mScheduler.Speeds().Counts();
     status.mWasted = mScheduler.Wasted();
-    status.mEarlyCancellations = mEarlyCancellations.Count();
-    status.mBacklog = { mBacklog.Used(), mBacklog.Limit(), mBacklog.ParkedCount(),
+    status.mEarlyCancellations = mJobs.GetEarlyCancellations().Count();
+    const auto& backlog = mJobs.GetBacklog();
+    status.mBacklog = { backlog.Used(), backlog.Limit(), backlog.ParkedCount(),
                         mClosedGroups.Published().size() };
     return status;
   }
@@ -237,7 +205,7 @@
     const auto now = std::chrono::steady_clock::now();
     auto& count = mPendingCounts[aQueue];
     if (now - count.mCountedAt >= kPendingCountPeriod) {
-      count = { mScheduler.PendingJobs(aQueue) + mBacklog.ParkedOf(aQueue), now };
+      count = { mJobs.CountPending(aQueue), now };
     }
     const int jobs = count.mJobs;
     if (mPendingCounts.size() > kMaxPendingCounts) {
@@ -347,7 +315,7 @@
       } else if (it.mKey == kSpeedsKey) {
         OnSpeedRecord(it);
       } else if (const auto job = JobOfKey(kProgressPrefix, it.mKey)) {
-        mProgress[*job] = std::move(it.mValue);
+        mJobs.AddProgress(*job, std::move(it.mValue));
       } else if (it.mKey.starts_with(kRackPrefix)) {
         OnRackRecord(it);
       }
@@ -370,16 +338,14 @@
       return;
     }
     mWriter.emplace(mStore, mElection.Condition(), mBatchRevision);
-    for (const auto& it : mHandOver->mProgress) {
-      mProgress[it.mJob] = it.mText;
-      mHandedOverJobs.insert(it.mJob);
-    }
+    mJobs.AddHandedOver(mHandOver->mProgress);
+    mJobs.OnProgressLoaded(NamesProgressAllRuns());
     mScheduler.OnRestartsHandedOver(mHandOver->mRestarted);
     if (mHandOver->mToken.Value() != 0) {
       LogEvent("progress_handed_over")
         .With("from_token", mHandOver->mToken)
         .With("complete", mHandOver->mIsComplete)
-        .With("jobs", mHandedOverJobs.size())
+        .With("jobs", mHandOver->mProgress.size())
         .With("restarted_workers", mHandOver->mRestarted.size());
     }
     WatchRequests();
@@ -426,11 +392,11 @@
   void WatchRequests()
   {
     WatchCallbacks callbacks;
-    callbacks.mOnPage = [this](const auto& aItems) { OnRequestPage(aItems); };
+    callbacks.mOnPage = [this](const auto& aItems) { mJobs.OnPage(aItems); };
     callbacks.mOnList = [this](const auto&) { OnRequestsListed(); };
     callbacks.mOnEvent = [this](const auto& aEvent) {
       if (aEvent.mValue) {
-        OnRequest(aEvent.mKey, *aEvent.mValue, false);
+        mJobs.OnWritten(aEvent.mKey, *aEvent.mValue);
         SchedulePlan();
       }
     };
@@ -442,38 +408,15 @@
     mRequests.emplace(mLoop, mStore, std::string(kRequestPrefix), std::move(callbacks));
   }
 
-  void OnRequestPage(const std::vector<kv::Item>& aItems)
-  {
-    for (const auto& it : aItems) {
-      // Cancellation keys sort before job keys, but a job must be added before it can be cancelled.
-      if (const auto cancelled = JobOfKey(kCancelPrefix, it.mKey)) {
-        mListedCancels.push_back(*cancelled);
-      } else if (const auto job = JobOfKey(kJobPrefix, it.mKey); job && !KnowsJob(*job)) {
-        OnRequest(it.mKey, it.mValue, !IsLoaded());
-      } else {
-        OnEarlyCancellation(it.mKey, it.mValue);
-      }
-    }
-    if (!IsLoaded()) {
-      // Ended jobs, so that they take no room from the following ones.
-      mScheduler.SummarizeEndedJobs(Now());
-      CountBacklog();
-    }
-  }
-
   void OnRequestsListed()
   {
-    for (const auto& it : std::exchange(mListedCancels, {})) {
-      Cancel(it);
-    }
-    mProgress.clear();
-    mHandedOverJobs.clear();
+    mJobs.OnListed();
     if (!IsLoaded()) {
       const bool namesAllRuns = NamesProgressAllRuns();
       mScheduler.OnHandedOver(mFormerLeaders.EarlierLeasesLast(), namesAllRuns, Now());
       LogEvent("jobs_loaded")
         .With("jobs", mScheduler.JobCount())
-        .With("parked", mBacklog.ParkedCount())
+        .With("parked", mJobs.GetBacklog().ParkedCount())
         .With("unreported_runs", mScheduler.UnreportedRuns(Now()))
         .With("names_all_runs", namesAllRuns)
         .With("earlier_leases_ms", mFormerLeaders.EarlierLeasesLast())
@@ -488,154 +431,17 @@
     SchedulePlan();
   }
 
-  void OnRequest(const std::string& aKey, const std::string& aValue, bool aInherited)
-  {
-    if (const auto cancelled = JobOfKey(kCancelPrefix, aKey)) {
-      Cancel(*cancelled);
-      return;
-    }
-    if (!aKey.starts_with(kJobPrefix)) {
-      OnEarlyCancellation(aKey, aValue);
-      return;
-    }
-    const auto job = scheduler::ReadAcceptedJob(aValue);
-    if (!job) {
-      LogEvent("job_record_malformed", LogLevel::Error).With("key", aKey);
-      return;
-    }
-    const auto age = WallClockMs() - job->mAcceptedMs;
-    if (!aInherited && !KnowsJob(job->mId) &&
-        age > mSettings.mScheduler.mFinishedRetention.count()) {
-      // The record was listed before it was deleted: every job of that age is either known, or has
-      // ended and been deleted.
-      LogEvent("job_record_outdated").With("job", job->mId).With("age_ms", age);
-      return;
-    }
-    if (KnowsJob(job->mId)) {
-      return;
-    }
-    if (!ParkIfFull(*job, aInherited)) {
-      AddJob(*job, aInherited);
-      if (!aInherited) {
-        LogEvent("job_received").With("job", job->mId).With("queue", job->mQueue);
-      }
-    }
-    CancelIfEarly(job->mId, job->mAccount);
-  }
-
-  // Takes an early cancellation if the key is that of one. The job may have been stored since the
-  // node that recorded it looked.
-  void OnEarlyCancellation(const std::string& aKey, const std::string& aValue)
-  {
-    const auto job = mEarlyCancellations.OnRecord(aKey, aValue, WallClockMs());
-    const auto known = job ? State(*job) : std::nullopt;
-    if (known) {
-      CancelIfEarly(*job, known->mAccount);
-    }
-  }
-
-  // Cancels a known job if its account has cancelled it before it was stored.
-  void CancelIfEarly(const JobId& aJob, const AccountId& aAccount)
-  {
-    if (!mEarlyCancellations.Covers(aJob, aAccount)) {
-      return;
-    }
-    LogEvent("job_cancelled_early").With("job", aJob);
-    if (IsLoaded()) {
-      Cancel(aJob);
-    } else {
-      mListedCancels.push_back(aJob);
-    }
-  }
-
-  bool KnowsJob(const JobId& aJob) const
-  {
-    return mBacklog.FindParked(aJob) || mScheduler.KnowsJob(aJob);
-  }
-
-  static scheduler::JobGroup GroupOf(const scheduler::AcceptedJob& aJob)
-  {
-    return scheduler::JobGroup::Of(aJob.mAccount, aJob.mQueue, aJob.mPolicy);
-  }
-
-  void AddJob(const scheduler::AcceptedJob& aJob, bool aInherited)
-  {
-    const auto progress = mProgress.extract(aJob.mId);
-    if (!mScheduler.AddJob(aJob, progress.empty() ? "" : progress.mapped(), aInherited, Now())) {
-      LogEvent("job_progress_malformed", LogLevel::Error).With("job", aJob.mId);
-    } else if (const auto* job = mScheduler.FindJob(aJob.mId)) {
-      mBacklog.OnLoaded(GroupOf(aJob), job->MemoryUse());
-    }
-    if (mHandedOverJobs.contains(aJob.mId)) {
-      mScheduler.MarkUnstored(aJob.mId);
-    }
-  }
-
   // Whether the loaded progress names all runs that may be in progress.
   bool NamesProgressAllRuns() const
   {
     return mHandOver->mIsComplete || NamesStoredProgressAllRuns();
   }
 
-  // Leaves the job in the store if it doesn't fit into the memory for jobs. A job with progress may
-  // run, so it has to be loaded; so may any job that is inherited from leaders that ordered runs
-  // before they recorded them.
-  bool ParkIfFull(const scheduler::AcceptedJob& aJob, bool aInherited)
-  {
-    const auto group = GroupOf(aJob);
-    const auto memory = scheduler::Job(aJob, TimePoint()).MemoryUse();
-    const bool fits =
-      IsLoaded() ? mBacklog.Fits(group, memory) : mBacklog.FitsAtTakeover(group, memory);
-    const bool mayRun = mProgress.contains(aJob.mId) || (aInherited && !NamesProgressAllRuns());
-    if (fits || mayRun) {
-      return false;
-    }
-    if (mParkRate.Allows(std::chrono::steady_clock::now())) {
-      LogEvent("job_parked", LogLevel::Warning)
-        .With("job", aJob.mId)
-        .With("used_bytes", mBacklog.Used())
-        .With("limit_bytes", mBacklog.Limit())
-        .With("omitted", mParkRate.TakeOmitted());
-    }
-    mBacklog.Park({ aJob.mId, group, aJob.mQueue, aInherited, false });
-    return true;
-  }
-
-  void Cancel(const JobId& aJob)
-  {
-    if (!mBacklog.CancelParked(aJob)) {
-      mScheduler.CancelJob(aJob, Now());
-    }
-  }
-
   // Keeps the memory of jobs within its limit, and tells other nodes whose jobs to refuse.
   void UpdateBacklog()
   {
-    if (++mBacklogUpdates % kBacklogCounts == 0) {
-      mScheduler.SummarizeEndedJobs(Now());
-      CountBacklog();
-    }
-    mParkedLoader.LoadNext();
-    mClosedGroups.Update(mBacklog);
-  }
-
-  void CountBacklog()
-  {
-    std::map<scheduler::JobGroup, Bytes> groups;
-    mScheduler.VisitJobs([&groups](const scheduler::Job& aJob) {
-      groups[GroupOf(aJob.Accepted())] += aJob.MemoryUse();
-    });
-    const auto ended = static_cast<std::int64_t>(mScheduler.SummarizedJobs());
-    mBacklog.SetLoaded(std::move(groups), Bytes(ended * kEndedJobBytes.Value()));
-  }
-
-  void OnParkedLoaded(const scheduler::AcceptedJob& aJob, const ParkedJob& aParked)
-  {
-    AddJob(aJob, aParked.mIsInherited);
-    if (aParked.mIsCancelled) {
-      mScheduler.CancelJob(aJob.mId, Now());
-    }
-    SchedulePlan();
+    mJobs.UpdateBacklog();
+    mClosedGroups.Update(mJobs.GetBacklog());
   }
 
   // Renews the leases of the recorded workers. A worker whose entry expired during an outage may
@@ -1030,7 +836,7 @@
     unstored.mProgress = mScheduler.TakeProgress();
     if (std::exchange(mDeleteExpired, false)) {
       unstored.mExpiredJobs = mScheduler.ExpiredJobs(Now());
-      unstored.mExpiredCancellations = mEarlyCancellations.Expired(WallClockMs());
+      unstored.mExpiredCancellations = mJobs.GetEarlyCancellations().Expired(WallClockMs());
     }
     unstored.mIsSettled = IsSettledRecordDue();
     unstored.mWitnesses = mWitnesses.Change(mScheduler.Workers());
@@ -1052,7 +858,7 @@
       mSettled = batch.mIsSettled ? mToken : mSettled;
       mScheduler.OnStored(batch.mProgress);
       mScheduler.RemoveJobs(batch.mExpiredJobs);
-      mEarlyCancellations.RemoveExpired(batch.mExpiredCancellations, WallClockMs());
+      mJobs.GetEarlyCancellations().RemoveExpired(batch.mExpiredCancellations, WallClockMs());
       OnBatchStored(batch.mProgress);
     } else {
       mScheduler.OnNotStored(batch.mProgress);
@@ -1097,20 +903,11 @@
   bool mAreLeasesWitnessed = false;
   // Reads the records of former leaders: progress, racks and the batch key.
   PrefixReader<Store> mRecords;
-  std::map<JobId, std::string> mProgress;
-  EarlyCancellations mEarlyCancellations;
-  // Cancelled jobs of the listing that is being read.
-  std::vector<JobId> mListedCancels;
   bool mAreRecordsLoaded = false;
   // Unset until the hand-over request is answered or has timed out.
   std::optional<HandOver> mHandOver;
-  // Jobs whose progress came from the former leader.
-  std::set<JobId> mHandedOverJobs;
-  Backlog mBacklog;
-  ParkedJobLoader<Store> mParkedLoader;
+  AcceptedJobs<Store> mJobs;
   ClosedGroupsPublisher<Store> mClosedGroups;
-  int mBacklogUpdates = 0;
-  LogRate mParkRate;
   OrderWindow mOrders;
   kv::Revision mBatchRevision;
   std::optional<ProgressWriter<Store>> mWriter;
