--- a/tests/control/EarlyCancellationTests.cpp
+++ b/tests/control/EarlyCancellationTests.cpp
@@ -164,6 +164,22 @@
   cr_assert_not(f.HasStarted("between"));
 }
 
+// Guards against the same for a job that doesn't fit into the leader's memory and is loaded later.
+Test(EarlyCancellations, stop_a_job_that_is_parked)
+{
+  CancelFixture f;
+  f.mSettings.mBacklogMemory = MemoryMiB(1);
+  f.AwaitLoaded();
+  f.CancelEarly("late");
+  for (int i = 0; i < 1200; ++i) {
+    f.Submit("job" + std::to_string(i));
+  }
+  f.Submit("late");
+  f.RunUntil([&] { return f.IsCancelled("late"); });
+  cr_assert_gt(f.mLeader->Status().mBacklog.mParked, 0);
+  cr_assert_not(f.HasStarted("late"));
+}
+
 // Guards against a store that fills with records of cancellations.
 Test(EarlyCancellations, are_deleted_by_the_leader)
 {
