Count a timer from the time it is set

What callers saw: after a takeover with many jobs no node got through its listing on a slow machine, so nothing started: each page of the listing was followed by list_interrupted, "no answer of the key-value service within the time limit", in the same millisecond as leader_paused.

Cause: the call for the next page is sent after the work on the page before it. Its timeout counted from the time that libevent had cached before that work. If the work took longer than the 900 ms of the timeout, the call ended at once, whatever the store did.

Why this works: the base is created without the cached time.

Evidence: HttpClient/counts_a_timeout_from_the_time_of_the_call, a call after work of twice its timeout, ended with "deadline exceeded" before and passes now. Ruled out: a slow store (the call failed in the very millisecond in which the leader's loop went on). Timers that are set in callbacks of plain timers, pipes and bufferevents weren't affected in a trial with libevent alone; why only those of HTTP connections are wasn't traced.

--- a/src/base/EventLoop.cpp
+++ b/src/base/EventLoop.cpp
@@ -24,6 +24,11 @@
   void operator()(event_base* aBase) const { event_base_free(aBase); }
 };
 
+struct EventConfigFree
+{
+  void operator()(event_config* aConfig) const { event_config_free(aConfig); }
+};
+
 struct SignalHandler
 {
   EventLoop::Task mTask;
@@ -65,6 +70,17 @@
   return { static_cast<time_t>(n / 1000), static_cast<suseconds_t>((n % 1000) * 1000) };
 }
 
+// Creates a base whose timers run from the time at which they are set. By default libevent counts
+// from the begin of the loop's pass: a timer that is set after long work of that pass would be due
+// too soon, and a call's timeout before the call is even sent.
+event_base*
+NewBase()
+{
+  const std::unique_ptr<event_config, EventConfigFree> config(event_config_new());
+  event_config_set_flag(config.get(), EVENT_BASE_FLAG_NO_CACHE_TIME);
+  return event_base_new_with_config(config.get());
+}
+
 void
 RunTimer(evutil_socket_t, short, void* aArgument)
 {
@@ -136,7 +152,7 @@
   // A write to a connection that its other end closed must return an error, not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   evthread_use_pthreads();
-  mState->mBase.reset(event_base_new());
+  mState->mBase.reset(detail::NewBase());
   mState->mWakeup.reset(event_new(mState->mBase.get(), -1, 0, detail::RunPosted, mState.get()));
   // A pending event keeps event_base_dispatch() running while nothing else is registered.
   mState->mKeepAlive.reset(
--- a/tests/http/HttpTests.cpp
+++ b/tests/http/HttpTests.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <sys/socket.h>
+#include <thread>
 #include <tuple>
 #include <unistd.h>
 #include <vector>
@@ -323,6 +324,30 @@
   cr_assert_eq(f.Call(request).first, make_error_code(HttpError::DeadlineExceeded));
 }
 
+// Guards against a call that ends with its timeout at once, because it was sent after long work on
+// the answer before it: a listing that goes on after a page of many items.
+Test(HttpClient, counts_a_timeout_from_the_time_of_the_call)
+{
+  Fixture f;
+  f.mServer->Handle(Method::Get, "/a", [](const http::Request&, const Responder& aResponder) {
+    aResponder.Send({ 200, {}, std::string(300'000, 'x') });
+  });
+  auto request = f.Request(Method::Get, "/a");
+  request.mStallTimeout = Duration(400);
+  request.mDeadline = Duration(50000);
+  std::optional<std::error_code> result;
+  f.mClient->Send(request, [&](std::error_code, const Response&) {
+    std::this_thread::sleep_for(2 * *request.mStallTimeout);
+    f.mClient->Send(request, [&](std::error_code aError, const Response&) {
+      result = aError;
+      f.mLoop.Stop();
+    });
+  });
+  f.mLoop.Run();
+  cr_assert(result.has_value());
+  cr_assert_not(*result, "%s", result->message().c_str());
+}
+
 Test(HttpClient, reuses_a_connection)
 {
   Fixture f;
