Serve other events while a listing is worked through

What callers saw: nothing started for as long as leaders lost their leases during their listings. A new leader worked through each page of up to 500 jobs in one go. On a slow machine, or with the sanitizers, that takes over 1.1 s: no renewal of its lease is sent meanwhile, it counts as paused (leader_paused) and the next node is elected, with the same result.

Cause: PrefixReader passed a whole page on in one call of the event loop.

Change: the items are passed on 16 at a time, and after 20 ms of work the loop serves other events first. The memory of the jobs is counted once per 500 items as before, not per call.

The new test can't be built on the old interface; that it would fail there is by mechanism: the page was one call.

Not covered: decoding the JSON of one page, up to 1 MB, remains one call.

--- a/src/control/AcceptedJobs.h
+++ b/src/control/AcceptedJobs.h
@@ -14,6 +14,7 @@
 #include "scheduler/Scheduler.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -63,8 +64,8 @@
   // All progress is told. aNamesAllRuns is whether it names all runs that may be in progress.
   void OnProgressLoaded(bool aNamesAllRuns) { mNamesAllRuns = aNamesAllRuns; }
 
-  // A page of a listing of the requests.
-  void OnPage(const std::vector<kv::Item>& aItems)
+  // Items of a listing of the requests.
+  void OnItems(const std::vector<kv::Item>& aItems)
   {
     for (const auto& it : aItems) {
       // Cancellation keys sort before job keys, but a job must be added before it can be cancelled.
@@ -76,16 +77,19 @@
         OnEarlyCancellation(it.mKey, it.mValue);
       }
     }
-    if (!mIsLoaded) {
+    mListedSinceCount += aItems.size();
+    if (!mIsLoaded && mListedSinceCount >= kListedBetweenCounts) {
       // Ended jobs, so that they take no room from the following ones.
-      mScheduler.SummarizeEndedJobs(Now());
-      CountBacklog();
+      CountAnew();
     }
   }
 
   // The listing has ended.
-  void OnListed()
+  void OnListEnd()
   {
+    if (!mIsLoaded) {
+      CountAnew();
+    }
     for (const auto& it : std::exchange(mListedCancels, {})) {
       Cancel(it);
     }
@@ -139,8 +143,7 @@
   void UpdateBacklog()
   {
     if (++mBacklogUpdates % kBacklogCounts == 0) {
-      mScheduler.SummarizeEndedJobs(Now());
-      CountBacklog();
+      CountAnew();
     }
     mParkedLoader.LoadNext();
   }
@@ -271,8 +274,11 @@
     mOnUpdate();
   }
 
-  void CountBacklog()
+  // Counts the memory of the jobs, of ended ones that of their summaries.
+  void CountAnew()
   {
+    mListedSinceCount = 0;
+    mScheduler.SummarizeEndedJobs(Now());
     std::map<scheduler::JobGroup, Bytes> groups;
     mScheduler.VisitJobs([&groups](const scheduler::Job& aJob) {
       groups[GroupOf(aJob.Accepted())] += aJob.MemoryUse();
@@ -297,6 +303,8 @@
   Backlog mBacklog;
   ParkedJobLoader<Store> mParkedLoader;
   int mBacklogUpdates = 0;
+  // Items of the first listing since the memory of the jobs was counted.
+  std::size_t mListedSinceCount = 0;
   LogRate mParkRate;
 };
 
--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -88,6 +88,13 @@
 // A leader whose listings have failed for this time, although the store confirms its leadership,
 // lets another node lead.
 inline constexpr Duration kMaxListOutage{ 3000 };
+// Listed items that are passed on at a time, and the time of work with them after which a node
+// serves other events: far below the period at which a leader renews its lease.
+inline constexpr std::size_t kListedAtATime = 16;
+inline constexpr Duration kMaxListWork{ 20 };
+// Items that a new leader lists between two counts of the memory of the jobs, each of which looks
+// at all of them.
+inline constexpr std::size_t kListedBetweenCounts = 500;
 // Time without claims of a node that has resigned because it couldn't carry out the leadership.
 inline constexpr Duration kClaimPause{ 2000 };
 // API keys are accepted while the configuration's age is below the revocation limit minus this
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -296,7 +296,7 @@
   ReaderCallbacks MakeRecordCallbacks()
   {
     ReaderCallbacks callbacks;
-    callbacks.mOnPage = [this](kv::ItemPage aPage) { OnRecords(std::move(aPage)); };
+    callbacks.mOnItems = [this](auto aItems, kv::Revision) { OnRecords(std::move(aItems)); };
     callbacks.mOnEnd = [this] {
       mAreRecordsLoaded = true;
       LoadJobs();
@@ -305,9 +305,9 @@
     return callbacks;
   }
 
-  void OnRecords(kv::ItemPage aPage)
+  void OnRecords(std::vector<kv::Item> aItems)
   {
-    for (auto& it : aPage.mItems) {
+    for (auto& it : aItems) {
       if (it.mKey == kBatchKey) {
         mBatchRevision = it.mRevision;
       } else if (it.mKey == kSettledKey) {
@@ -392,7 +392,7 @@
   void WatchRequests()
   {
     WatchCallbacks callbacks;
-    callbacks.mOnPage = [this](const auto& aItems) { mJobs.OnPage(aItems); };
+    callbacks.mOnListed = [this](const auto& aItems) { mJobs.OnItems(aItems); };
     callbacks.mOnList = [this](const auto&) { OnRequestsListed(); };
     callbacks.mOnEvent = [this](const auto& aEvent) {
       if (aEvent.mValue) {
@@ -410,7 +410,7 @@
 
   void OnRequestsListed()
   {
-    mJobs.OnListed();
+    mJobs.OnListEnd();
     if (!IsLoaded()) {
       const bool namesAllRuns = NamesProgressAllRuns();
       mScheduler.OnHandedOver(mFormerLeaders.EarlierLeasesLast(), namesAllRuns, Now());
--- a/src/control/PrefixWatch.h
+++ b/src/control/PrefixWatch.h
@@ -22,11 +22,11 @@
 struct WatchCallbacks
 {
   // Receives all items, after the first listing and whenever events may have been missed; none if
-  // mOnPage has received them.
+  // mOnListed has received them.
   std::function<void(const std::map<std::string, kv::Item>&)> mOnList;
-  // Receives the items of a listing page by page, in the order of their keys, so that they needn't
-  // be kept until its end; may be empty.
-  std::function<void(const std::vector<kv::Item>&)> mOnPage;
+  // Receives the items of a listing some at a time, in the order of their keys, so that they
+  // needn't be kept until its end; may be empty.
+  std::function<void(const std::vector<kv::Item>&)> mOnListed;
   std::function<void(const kv::ItemEvent&)> mOnEvent;
   // Every change that the store acknowledged before this BootTime() has been reported.
   std::function<void(Duration)> mOnConfirmed;
@@ -59,7 +59,9 @@
   ReaderCallbacks MakeReaderCallbacks()
   {
     ReaderCallbacks callbacks;
-    callbacks.mOnPage = [this](kv::ItemPage aPage) { OnPage(std::move(aPage)); };
+    callbacks.mOnItems = [this](std::vector<kv::Item> aItems, kv::Revision aAsOf) {
+      OnItems(std::move(aItems), aAsOf);
+    };
     callbacks.mOnEnd = [this] { OnListed(); };
     callbacks.mOnOutage = mCallbacks.mOnListOutage;
     return callbacks;
@@ -72,18 +74,18 @@
     mReader.Start();
   }
 
-  void OnPage(kv::ItemPage aPage)
+  void OnItems(std::vector<kv::Item> aItems, kv::Revision aAsOf)
   {
     // The pages aren't one snapshot: the watch starts at the first page's revision, so that changes
     // made since are reported as events.
     if (mAsOf == kv::Revision()) {
-      mAsOf = aPage.mAsOf;
+      mAsOf = aAsOf;
     }
-    if (mCallbacks.mOnPage) {
-      mCallbacks.mOnPage(aPage.mItems);
+    if (mCallbacks.mOnListed) {
+      mCallbacks.mOnListed(aItems);
       return;
     }
-    for (auto& it : aPage.mItems) {
+    for (auto& it : aItems) {
       auto key = it.mKey;
       mItems[std::move(key)] = std::move(it);
     }
--- a/tests/control/PrefixWatchTests.cpp
+++ b/tests/control/PrefixWatchTests.cpp
@@ -18,14 +18,14 @@
   FakeStore store(loop);
   std::vector<std::string> listed;
   WatchCallbacks callbacks;
-  callbacks.mOnPage = [&listed](const auto& aItems) {
+  callbacks.mOnListed = [&listed](const auto& aItems) {
     for (const auto& it : aItems) {
       listed.push_back(it.mKey);
     }
   };
   int lists = 0;
   callbacks.mOnList = [&lists](const auto& aItems) {
-    cr_assert(aItems.empty(), "the items were passed on page by page");
+    cr_assert(aItems.empty(), "the items were passed on before");
     ++lists;
   };
   callbacks.mOnEvent = [](const auto&) {};
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -6,10 +6,12 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace lovagerock;
@@ -78,8 +80,8 @@
   std::vector<std::string> read;
   bool hasEnded = false;
   ReaderCallbacks callbacks;
-  callbacks.mOnPage = [&](const kv::ItemPage& aPage) {
-    for (const auto& it : aPage.mItems) {
+  callbacks.mOnItems = [&](const std::vector<kv::Item>& aItems, kv::Revision) {
+    for (const auto& it : aItems) {
       read.push_back(it.mKey);
     }
   };
@@ -91,6 +93,35 @@
   cr_assert_eq(f.mStore.mLists, 5);
 }
 
+// Guards against a leader that loses its lease while it works through a page of many jobs, and so
+// never gets through its listing on a slow machine: other events are served meanwhile.
+Test(PrefixReader, serves_other_events_while_it_passes_on_a_page)
+{
+  Fixture f;
+  constexpr int kItems = 400;
+  f.mStore.mPageSize = kItems;
+  for (int i = 0; i < kItems; ++i) {
+    f.mStore.Put("p/" + std::to_string(i), "1");
+  }
+  int read = 0;
+  int readWhenServed = 0;
+  bool hasEnded = false;
+  ReaderCallbacks callbacks;
+  callbacks.mOnItems = [&](const std::vector<kv::Item>& aItems, kv::Revision) {
+    if (read == 0) {
+      f.mLoop.Post([&] { readWhenServed = read; });
+    }
+    read += static_cast<int>(aItems.size());
+    std::this_thread::sleep_for(kMaxListWork);
+  };
+  callbacks.mOnEnd = [&] { hasEnded = true; };
+  PrefixReader reader(f.mLoop, f.mStore, "p/", std::move(callbacks));
+  reader.Start();
+  f.RunUntil([&] { return hasEnded; });
+  cr_assert_eq(read, kItems);
+  cr_assert_eq(readWhenServed, static_cast<int>(kListedAtATime));
+}
+
 // Guards against a node that takes its view for old, and refuses requests, although it has just
 // been listed: the first attempts failed in an outage of the store.
 Test(PrefixWatch, confirms_a_listing_from_the_attempt_that_succeeded)
