Let the workers of the backlog's test end more jobs per plan

A plan is followed by a pause of four times its own time (PlanPacer), and the single worker of the test has room for 8 jobs, so that half of the parked jobs took some 50 plans and pauses. 5.8 s of processor time took 19.4 s here (beside a build).

The test now has 33 workers in that wait, each of which reports its own ends until they are stored, as real workers do. Jobs, memory, all checks and the 20 s are as they were.

--- a/tests/control/BacklogTests.cpp
+++ b/tests/control/BacklogTests.cpp
@@ -125,14 +125,14 @@
     return f.mLeader->State(JobId("job" + std::to_string(kJobs - 1)))->mState ==
            scheduler::JobState::Cancelled;
   });
-  // The others run as soon as those before them have ended.
-  std::int64_t ends = 0;
+  // The others run as soon as those before them have ended. A plan starts as many jobs as the
+  // workers have room for, and is followed by a pause of a multiple of its own time: further
+  // workers, so that half of the jobs don't take many plans.
+  for (int i = 0; i < 32; ++i) {
+    f.mStore.Put("workers/w" + std::to_string(i), "r");
+  }
   f.RunUntil([&] {
-    auto& running = f.mCalls.mRunning[WorkerId("w")];
-    for (const auto& it : running) {
-      f.mCalls.mFinished.push_back({ ++ends, it.mRun, scheduler::RunEnd::Done, "" });
-    }
-    running.clear();
+    f.mCalls.EndAllRuns();
     return f.mLeader->Status().mBacklog.mParked < status.mParked / 2;
   });
 }
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -52,7 +52,7 @@
     mRenewalTokens.push_back(aTarget.mToken);
     mContacted.insert(aTarget.mWorker);
     // The delay keeps the leader from renewing in a tight loop.
-    mTimers.push_back(mLoop.After(Duration(5), [this, aTarget, aCallback] {
+    mTimers.push_back(mLoop.After(Duration(5), [this, aTarget, aCall, aCallback] {
       RenewalReply reply;
       reply.mOutcome =
         mUnreachable.contains(aTarget.mWorker) ? scheduler::OrderOutcome::NotSent : mRenewalOutcome;
@@ -60,12 +60,26 @@
       reply.mReport.mIncarnation = mIncarnation;
       reply.mReport.mRunning = mRunning[aTarget.mWorker];
       reply.mReport.mFinished = mFinished;
+      const auto& ended = DropStoredEnds(aTarget.mWorker, aCall.mLastStoredEnd);
+      reply.mReport.mFinished.insert(reply.mReport.mFinished.end(), ended.begin(), ended.end());
       reply.mReport.mHasUnreadableRows = mHasUnreadableRows;
       reply.mReport.mIsPartial = mHasUnreadableRows;
       aCallback(reply);
     }));
   }
 
+  // Ends all runs. Each worker reports its own until it is told that they are stored.
+  void EndAllRuns()
+  {
+    for (auto& [worker, runs] : mRunning) {
+      auto& ends = mEnds[worker];
+      for (const auto& it : runs) {
+        ends.mUnstored.push_back({ ++ends.mLast, it.mRun, scheduler::RunEnd::Done, "" });
+      }
+      runs.clear();
+    }
+  }
+
   scheduler::OrderOutcome mOrderOutcome = scheduler::OrderOutcome::Done;
   scheduler::OrderOutcome mRenewalOutcome = scheduler::OrderOutcome::Done;
   std::vector<std::pair<WorkerId, StartCall>> mStarts;
@@ -87,13 +101,30 @@
   bool mHasUnreadableRows = false;
 
 private:
+  // The ends of a worker's runs.
+  struct Ends
+  {
+    std::vector<scheduler::FinishedRun> mUnstored;
+    std::int64_t mLast = 0;
+  };
+
   template<typename Task>
   void Answer(Task aTask)
   {
     mLoop.Post(std::move(aTask));
   }
 
+  // Drops the worker's ends up to that number, and returns the others.
+  const std::vector<scheduler::FinishedRun>&
+  DropStoredEnds(const WorkerId& aWorker, std::int64_t aLastStored)
+  {
+    auto& ends = mEnds[aWorker].mUnstored;
+    std::erase_if(ends, [aLastStored](const auto& aIt) { return aIt.mNumber <= aLastStored; });
+    return ends;
+  }
+
   EventLoop& mLoop;
+  std::map<WorkerId, Ends> mEnds;
   std::int64_t mClock = 1000;
   std::vector<Timer> mTimers;
 };
