Ask the store for no shorter lease than it grants

With a store that takes no lease under 1.5 s no node led, and no job started.

Cause: nodes asked for 1,500 ms whatever the settings say of the store (ttl_min_ms).

Evidence: the stand-in refuses shorter leases now if told so (min_lease_ms).

Cost: where the store's shortest lease is longer than 1.5 s, a killed leader is missed for as long.

--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -50,6 +50,8 @@
   scheduler::SchedulerSettings mScheduler;
   // Limits of a submitted job.
   scheduler::JobLimits mJobs;
+  // The shortest lease that the store grants; 0 if it isn't known.
+  Duration mMinStoreLease{ 0 };
   // The memory that the accepted jobs may take on the leader; 0 for a quarter of the machine's.
   MemoryMiB mBacklogMemory;
 };
@@ -60,8 +62,9 @@
 inline constexpr Duration kWitnessAnswerAge{ 1000 };
 // Meanwhile a witness holds back its reply to a lease renewal for up to this time only.
 inline constexpr Duration kWitnessWait{ 250 };
-// The time that is asked for the leader's lease in the store, and how often a lease of that time is
-// renewed. What the store applies is up to it, see LeadershipLease.
+// The time that is asked for the leader's lease in the store, unless the store grants longer ones
+// only, and how often a lease of that time is renewed. What the store applies is up to it, see
+// LeadershipLease.
 inline constexpr Duration kLeadershipLease{ 1500 };
 inline constexpr Duration kLeadershipRenewal{ 400 };
 // An order reaches its worker within this time, unless it is held up.
--- a/src/control/Election.h
+++ b/src/control/Election.h
@@ -268,7 +268,8 @@
       return;
     }
     mClaimSentAt = BootTime();
-    mStore.GrantLease(kLeadershipLease, mGuard.Wrap([this](auto aError, const auto& aLease) {
+    const auto time = std::max(kLeadershipLease, mSettings.mMinStoreLease);
+    mStore.GrantLease(time, mGuard.Wrap([this](auto aError, const auto& aLease) {
       OnLeaseGranted(aError, aLease);
     }));
   }
--- a/src/standin/platform/MetadataService.cpp
+++ b/src/standin/platform/MetadataService.cpp
@@ -268,6 +268,10 @@
 {
   const auto json = ParseJson(aRequest.mBody).value_or(Json::object());
   const Duration asked(JsonValue(json, "ttl_ms", std::int64_t{ 1000 }));
+  if (asked < mFaults.mMinLease) {
+    Reply(aTo, Json::object(), 400);
+    return;
+  }
   const auto time = mFaults.mLeaseTime.value_or(asked);
   Reply(aTo, { { "lease", mTable.GrantLease(time, SteadyNow()) }, { "ttl_ms", time.count() } });
 }
--- a/src/standin/platform/MetadataService.h
+++ b/src/standin/platform/MetadataService.h
@@ -32,6 +32,8 @@
   // Grants and renews leases for this time, whatever the callers ask for; unset for what they ask
   // for.
   std::optional<Duration> mLeaseTime;
+  // Refuses to grant leases that are shorter.
+  Duration mMinLease{ 0 };
 };
 
 // Serves a metadata table over the platform's protocol, with faults.
--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -147,6 +147,7 @@
     const auto time = JsonValue(aFaults, "lease_ms", std::int64_t{ 0 });
     faults.mLeaseTime = time > 0 ? std::optional(Duration(time)) : std::nullopt;
   }
+  faults.mMinLease = Duration(JsonValue(aFaults, "min_lease_ms", faults.mMinLease.count()));
   mLateWorker = JsonValue(aFaults, "late_worker", mLateWorker);
   mLateBy = Duration(JsonValue(aFaults, "late_ms", mLateBy.count()));
   mLateStartBy = Duration(JsonValue(aFaults, "late_start_ms", mLateStartBy.count()));
--- a/tests/integration/StoreLeaseTests.cpp
+++ b/tests/integration/StoreLeaseTests.cpp
@@ -19,6 +19,8 @@
 // What the store applies to leases, which nodes ask for a longer time. It is the shortest that the
 // platform may choose.
 constexpr int kLeaseMs = 1000;
+// The shortest time for which another store grants leases.
+constexpr int kMinLeaseMs = 2500;
 // The longest time for which workers are cut off.
 constexpr auto kCutOff = 5500ms;
 
@@ -80,3 +82,20 @@
     LoseLeaderAndWorker(aSystem);
   });
 }
+
+// Guards against nodes of which none can lead, since the store refuses leases as short as they ask
+// for.
+Test(StoreLeases, are_asked_for_at_least_the_shortest_time_that_the_store_grants)
+{
+  WorkerFleet workers;
+  workers.mCount = kWorkers;
+  RunWithEdges(
+    kNodes, workers,
+    [](EdgeSystem& aSystem) {
+      aSystem.SetFaults({ { "min_lease_ms", kMinLeaseMs } });
+      const int first = aSystem.AwaitLeaderExcept({});
+      aSystem.Stop(first);
+      aSystem.AwaitLeaderExcept({ first });
+    },
+    "  ttl_min_ms: " + std::to_string(kMinLeaseMs) + "\n");
+}
--- a/tests/platform/SettingsTests.cpp
+++ b/tests/platform/SettingsTests.cpp
@@ -14,16 +14,16 @@
 
 namespace {
 
-// Writes a settings file with the bounds, and reads it.
+// Writes a settings file with the bounds, and with further lines on the store, and reads it.
 std::optional<NodeSettings>
-ReadWithBounds(const std::string& aBounds)
+ReadWithBounds(const std::string& aBounds, const std::string& aStore = "")
 {
   const auto path = std::filesystem::temp_directory_path() /
                     ("lovagerock-settings-" + std::to_string(getpid()) + ".yaml");
   std::ofstream(path) << "node_name: n\nzone: z\nip: 127.0.0.1\n"
                       << "listen:\n  frontend: 127.0.0.1:1\n  ready: 127.0.0.1:2\n"
                       << "internal_ports: [3, 3]\nplatform:\n  address: 127.0.0.1:4\n"
-                      << "bounds:\n  " << aBounds << '\n';
+                      << aStore << "\nbounds:\n  " << aBounds << '\n';
   auto settings = ReadNodeSettings(path);
   std::filesystem::remove(path);
   return settings;
@@ -42,6 +42,18 @@
   cr_assert_eq(scheduler.mWitnessedLease, Duration(2000));
 }
 
+// Guards against nodes that ask the store for leases that it refuses, and of which none can lead.
+Test(NodeSettings, tell_the_shortest_lease_of_the_store)
+{
+  const auto read = [](const std::string& aTime) {
+    return ReadWithBounds("hold_max_ms: 2000", "  ttl_min_ms: " + aTime)->mControl.mMinStoreLease;
+  };
+  cr_assert_eq(read("2500"), Duration(2500));
+  cr_assert_eq(read("0"), Duration(0));
+  cr_assert_eq(read("soon"), Duration(0));
+  cr_assert_eq(ReadWithBounds("hold_max_ms: 2000")->mControl.mMinStoreLease, Duration(0));
+}
+
 // Guards against tasks that are started in an evacuated zone because the limit isn't read.
 Test(NodeSettings, have_the_limit_for_starts_in_an_evacuated_zone)
 {
