Say of libevent's cached time only what was seen

The comment and the postmortem said that every timer counts from it. A trial with plain timers, pipes and bufferevents showed no such thing; only calls over HTTP connections did. No code changed.

--- a/src/base/EventLoop.cpp
+++ b/src/base/EventLoop.cpp
@@ -70,9 +70,9 @@
   return { static_cast<time_t>(n / 1000), static_cast<suseconds_t>((n % 1000) * 1000) };
 }
 
-// Creates a base whose timers run from the time at which they are set. By default libevent counts
-// from the begin of the loop's pass: a timer that is set after long work of that pass would be due
-// too soon, and a call's timeout before the call is even sent.
+// Creates a base whose timers run from the time at which they are set. By default libevent may
+// count from an earlier time that it has cached: after long work on an answer, the timeout of the
+// next call was due before the call was even sent.
 event_base*
 NewBase()
 {
