--- a/review/tools-3/common.sh
+++ b/review/tools-3/common.sh
@@ -3,6 +3,7 @@
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 EDGE=$ROOT/target/bin/lovagerock-edge
 PLATFORM=$ROOT/target/review-3/bin/lovagerock-platform
+SLOW_STORE=$ROOT/target/review-3/bin/review-slow-store
 TROUBLE=${TROUBLE:-1}
 PIDS=()
 EDGE_PIDS=()
@@ -41,7 +42,7 @@
   trap cleanup EXIT
   trap 'exit 2' INT TERM
   [ -x "$EDGE" ] || cannot_run "no build of the deploy file"
-  [ -x "$PLATFORM" ] || cannot_run "review/build-3.sh has not been run"
+  [ -x "$PLATFORM" ] && [ -x "$SLOW_STORE" ] || cannot_run "review/build-3.sh has not been run"
   note "disruption: $TROUBLE"
 }
 
@@ -109,6 +110,30 @@
   await 5 is_used "$CONTROL" || cannot_run "the stand-in of the platform didn't start"
 }
 
+# start_slow_store: starts the proxy that can slow the store down. The entry machines that are
+# started from then on use it.
+start_slow_store() {
+  local port
+  port=$(free_ports 1) || cannot_run "no free ports"
+  "$SLOW_STORE" "$port" "$STORE" >"$DIR/slow-store.log" 2>&1 &
+  PIDS+=($!)
+  disown
+  await 5 is_used "$port" || cannot_run "the proxy of the store didn't start"
+  STORE=$port
+}
+
+# slow_store MS: the store carries calls out so much later from now on.
+slow_store() {
+  call POST "$STORE" /proxy/delay "{\"ms\":$1}"
+  note "the store takes $1 ms more -> $STATUS"
+}
+
+# leader: prints the number of the entry machine that was elected last.
+leader() {
+  grep -H 'event=elected' "$DIR"/edge-*.log | sort -t' ' -k1.1 | sed 's/^[^:]*edge-\([0-9]*\).log:time=\([^ ]*\).*/\2 \1/' |
+    sort | tail -n 1 | cut -d' ' -f2
+}
+
 # command PATH BODY: a command to the stand-in of the platform, which is recorded.
 command_platform() {
   call POST "$CONTROL" "$1" "$2"
