--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,5 +6,4 @@
 cd "$(dirname "$0")/.."
 cmake -S . -B target/review-3 -DCMAKE_BUILD_TYPE=Release -DCRITERION_LIBRARY=unused \
   -DCMAKE_PROJECT_lovagerock_INCLUDE="$PWD/review/tools-3/programs.cmake"
-cmake --build target/review-3 -j8 --target lovagerock-platform review-slow-store \
-  review-worker
+cmake --build target/review-3 -j8 --target lovagerock-platform review-slow-store
--- a/review/tools-3/common.sh
+++ b/review/tools-3/common.sh
@@ -3,7 +3,6 @@
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 EDGE=$ROOT/target/bin/lovagerock-edge
 PLATFORM=$ROOT/target/review-3/bin/lovagerock-platform
-WORKER=$ROOT/target/review-3/bin/review-worker
 SLOW_STORE=$ROOT/target/review-3/bin/review-slow-store
 TROUBLE=${TROUBLE:-1}
 PIDS=()
@@ -43,8 +42,7 @@
   trap cleanup EXIT
   trap 'exit 2' INT TERM
   [ -x "$EDGE" ] || cannot_run "no build of the deploy file"
-  [ -x "$PLATFORM" ] && [ -x "$SLOW_STORE" ] && [ -x "$WORKER" ] ||
-    cannot_run "review/build-3.sh has not been run"
+  [ -x "$PLATFORM" ] && [ -x "$SLOW_STORE" ] || cannot_run "review/build-3.sh has not been run"
   note "disruption: $TROUBLE"
 }
 
--- a/review/tools-3/programs.cmake
+++ b/review/tools-3/programs.cmake
@@ -2,9 +2,7 @@
 function(lovagerock_review_programs)
   add_executable(review-slow-store ${CMAKE_SOURCE_DIR}/review/tools-3/SlowStore.cpp)
   target_link_libraries(review-slow-store PRIVATE lr_options lr_http lr_base)
-  add_executable(review-worker ${CMAKE_SOURCE_DIR}/review/tools-3/Worker.cpp)
-  target_link_libraries(review-worker PRIVATE lr_standin)
-  set_target_properties(review-slow-store review-worker PROPERTIES RUNTIME_OUTPUT_DIRECTORY
+  set_target_properties(review-slow-store PROPERTIES RUNTIME_OUTPUT_DIRECTORY
                                                      ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 cmake_language(DEFER DIRECTORY ${CMAKE_SOURCE_DIR} CALL lovagerock_review_programs)
