Finish a batch of progress only once all of its records are stored

Cause: ProgressWriter::StoreFirst() takes the records that it replaces out of the batch that is being stored, and OnApplied() finished the batch as soon as nothing of it was left to be sent. If starts had replaced its whole rest, the ends that it vouches for were acknowledged while their records waited in the next transaction; a leader that is killed then takes them with it. The same batch vouches for raised tokens, deletions, the settled record and witnesses. The position up to which records had to be stored before starts were released moved with replaced records, so a start could be sent before the record that names its run was stored.

Why the fix works: a batch holds the set of records that it had when it was taken (AwaitedRecords), and is finished by nothing but an empty set. A record that is replaced stays awaited until the newer one is stored. Starts are released by the record of their job.

Tests: the three new ones of ProgressWriter fail if replaced records count as not awaited, which is the old rule, and pass now. The count that StoreBatch() passed on is gone; the two tests that compared it compare the same numbers, now of the records that aren't awaited any more, and check that each of these is stored. All 175 tests of control pass.

--- a/src/control/HeldStarts.h
+++ b/src/control/HeldStarts.h
@@ -2,6 +2,7 @@
 
 #include "scheduler/Orders.h"
 
+#include <algorithm>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -28,6 +29,19 @@
   void OnTaken() { Append(mStoring, std::exchange(mUnnamed, {})); }
   // The jobs of the orders whose runs are being stored so.
   std::set<JobId> StoringJobs() const { return JobsOf(mStoring); }
+  // A part of it is stored. Releases the orders of the jobs of which aIsAwaited says that their
+  // progress isn't awaited any more.
+  template<typename IsAwaited>
+  void OnPartStored(const IsAwaited& aIsAwaited)
+  {
+    const auto stored =
+      std::stable_partition(mStoring.begin(), mStoring.end(), [&aIsAwaited](const auto& aIt) {
+        return aIsAwaited(aIt.mRun.mTask.mJob);
+      });
+    mStored.insert(mStored.end(), std::make_move_iterator(stored),
+                   std::make_move_iterator(mStoring.end()));
+    mStoring.erase(stored, mStoring.end());
+  }
   // The outcome of storing it: if it isn't known to be stored, it will be taken again.
   void OnStored(bool aIsStored)
   {
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -803,7 +803,7 @@
     }
     mStoring = TakeUnstored();
     mHeldStarts.OnTaken();
-    const auto held = PutFirst(mHeldStarts.StoringJobs(), mStoring->mProgress.mWrites);
+    PutFirst(mHeldStarts.StoringJobs(), mStoring->mProgress.mWrites);
     auto deletes = KeysOf(mStoring->mExpiredJobs);
     const auto& cancellations = mStoring->mExpiredCancellations;
     deletes.insert(deletes.end(), cancellations.begin(), cancellations.end());
@@ -819,11 +819,10 @@
     if (mStoring->mSpeeds) {
       writes.push_back({ std::string(kSpeedsKey), *mStoring->mSpeeds, {} });
     }
-    const auto onPart = [this, held](std::size_t aStoredWrites) {
-      if (aStoredWrites >= held) {
-        mHeldStarts.OnStored(true);
-        SendStoredStarts();
-      }
+    const auto onPart = [this](const AwaitedRecords& aAwaited) {
+      mHeldStarts.OnPartStored(
+        [&aAwaited](const JobId& aJob) { return aAwaited.Contains(KeyOf(kProgressPrefix, aJob)); });
+      SendStoredStarts();
     };
     mWriter->StoreBatch(
       std::move(writes), std::move(deletes), [this](bool aIsStored) { OnBatchDone(aIsStored); },
--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -2,6 +2,7 @@
 
 #include "base/CallbackGuard.h"
 #include "base/LogEvent.h"
+#include "control/AwaitedRecords.h"
 #include "control/ControlSettings.h"
 #include "control/Keys.h"
 #include "kv/KvError.h"
@@ -43,18 +44,18 @@
 
   // Stores the writes in order, then deletes the keys; calls back with whether all of it was
   // applied. Large batches take several transactions, so a failed batch may be stored in part.
-  // After each one, aOnPart is called with the number of writes that are stored.
-  void
-  StoreBatch(std::vector<kv::ConditionalWrites::Write> aWrites, std::vector<std::string> aDeletes,
-             std::function<void(bool)> aDone, std::function<void(std::size_t)> aOnPart = {})
+  // After each one, aOnPart is called with the records of the batch that aren't stored yet.
+  void StoreBatch(std::vector<kv::ConditionalWrites::Write> aWrites,
+                  std::vector<std::string> aDeletes, std::function<void(bool)> aDone,
+                  std::function<void(const AwaitedRecords&)> aOnPart = {})
   {
-    mBatch.emplace(
-      Batch{ std::move(aWrites), std::move(aDeletes), std::move(aDone), std::move(aOnPart), 0 });
+    mBatch.emplace(std::move(aWrites), std::move(aDeletes), std::move(aDone), std::move(aOnPart));
     SendNext();
   }
 
   // Stores the writes between two transactions of the batch that is being stored, in place of the
-  // writes of the same keys that the batch still has. If one of the two fails, so does the other.
+  // writes of the same keys that the batch still has. They have to be newer than the batch, which
+  // isn't stored before they are. If one of the two fails, so does the other.
   void
   StoreFirst(std::vector<kv::ConditionalWrites::Write> aWrites, std::function<void(bool)> aDone)
   {
@@ -65,7 +66,7 @@
                                 [&aWrites](const auto& aIt) { return HasKey(aWrites, aIt.mKey); }),
                  rest.end());
     }
-    mFirst.emplace(Batch{ std::move(aWrites), {}, std::move(aDone), {}, 0 });
+    mFirst.emplace(std::move(aWrites), std::vector<std::string>(), std::move(aDone));
     SendNext();
   }
 
@@ -79,13 +80,23 @@
 
   struct Batch
   {
+    Batch(std::vector<kv::ConditionalWrites::Write> aWrites, std::vector<std::string> aDeletes,
+          std::function<void(bool)> aDone, std::function<void(const AwaitedRecords&)> aOnPart = {})
+      : mWrites(std::move(aWrites))
+      , mDeletes(std::move(aDeletes))
+      , mAwaited(mWrites, mDeletes)
+      , mDone(std::move(aDone))
+      , mOnPart(std::move(aOnPart))
+    {
+    }
+
+    // What is still to be sent, or is under way.
     std::vector<kv::ConditionalWrites::Write> mWrites;
     std::vector<std::string> mDeletes;
+    // The batch is stored once none of these is left.
+    AwaitedRecords mAwaited;
     std::function<void(bool)> mDone;
-    std::function<void(std::size_t)> mOnPart;
-    std::size_t mStoredWrites = 0;
-
-    bool IsEmpty() const { return mWrites.empty() && mDeletes.empty(); }
+    std::function<void(const AwaitedRecords&)> mOnPart;
   };
 
   static bool
@@ -98,15 +109,14 @@
   // Sends the next transaction unless one is under way.
   void SendNext()
   {
-    if (mIsSending || !IsBusy()) {
+    if (mIsSending) {
       return;
     }
-    mIsFirstSent = mFirst.has_value();
-    if (Sent()->IsEmpty()) {
-      Finish(Sent(), true);
-      SendNext();
+    FinishStored();
+    if (mIsSending || !IsBusy()) {
       return;
     }
+    mIsFirstSent = mFirst.has_value();
     Send();
   }
 
@@ -174,21 +184,42 @@
     mBatchRevision = aRevision;
     mAppliedRevision = aRevision;
     auto& batch = *Sent();
-    batch.mStoredWrites += mSentWrites;
-    batch.mWrites.erase(batch.mWrites.begin(),
-                        batch.mWrites.begin() + static_cast<long>(mSentWrites));
-    batch.mDeletes.erase(batch.mDeletes.begin(),
-                         batch.mDeletes.begin() + static_cast<long>(mSentDeletes));
-    if (batch.mOnPart) {
-      batch.mOnPart(batch.mStoredWrites);
-    }
-    if (batch.IsEmpty()) {
-      mIsFailing = false;
-      Finish(Sent(), true);
+    const auto writesEnd = batch.mWrites.begin() + static_cast<long>(mSentWrites);
+    const auto deletesEnd = batch.mDeletes.begin() + static_cast<long>(mSentDeletes);
+    std::for_each(batch.mWrites.begin(), writesEnd,
+                  [this](const auto& aIt) { OnStored(aIt.mKey); });
+    std::for_each(batch.mDeletes.begin(), deletesEnd, [this](const auto& aIt) { OnStored(aIt); });
+    batch.mWrites.erase(batch.mWrites.begin(), writesEnd);
+    batch.mDeletes.erase(batch.mDeletes.begin(), deletesEnd);
+    if (mBatch && mBatch->mOnPart) {
+      mBatch->mOnPart(mBatch->mAwaited);
     }
     SendNext();
   }
 
+  // The transaction that was sent last has stored or deleted the key.
+  void OnStored(const std::string& aKey)
+  {
+    if (mIsFirstSent) {
+      mFirst->mAwaited.OnStored(aKey);
+    }
+    if (mBatch) {
+      // What is stored first is newer than the batch, so it counts for the batch's records too.
+      mBatch->mAwaited.OnStored(aKey);
+    }
+  }
+
+  // Finishes what has all of its records stored.
+  void FinishStored()
+  {
+    for (auto* batch : { &mFirst, &mBatch }) {
+      if (*batch && (*batch)->mAwaited.IsEmpty()) {
+        mIsFailing = false;
+        Finish(*batch, true);
+      }
+    }
+  }
+
   // Takes the batch key's revision from the outcome of a transaction that wasn't applied. Returns
   // whether the transaction may be sent again at once: the leadership holds, so an earlier
   // transaction of this writer, which had no reply, has changed the batch key.
--- a/src/control/ProgressWrites.cpp
+++ b/src/control/ProgressWrites.cpp
@@ -8,12 +8,11 @@
 
 namespace lovagerock::control {
 
-std::size_t
+void
 PutFirst(const std::set<JobId>& aJobs, std::vector<scheduler::ProgressWrite>& aWrites)
 {
-  const auto end = std::stable_partition(
-    aWrites.begin(), aWrites.end(), [&aJobs](const auto& aIt) { return aJobs.contains(aIt.mJob); });
-  return static_cast<std::size_t>(end - aWrites.begin());
+  std::stable_partition(aWrites.begin(), aWrites.end(),
+                        [&aJobs](const auto& aIt) { return aJobs.contains(aIt.mJob); });
 }
 
 std::vector<kv::ConditionalWrites::Write>
--- a/src/control/ProgressWrites.h
+++ b/src/control/ProgressWrites.h
@@ -3,15 +3,14 @@
 #include "kv/PrefixStore.h"
 #include "scheduler/Orders.h"
 
-#include <cstddef>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace lovagerock::control {
 
-// Moves the writes of the jobs to the front; returns their number.
-std::size_t
+// Moves the writes of the jobs to the front.
+void
 PutFirst(const std::set<JobId>& aJobs, std::vector<scheduler::ProgressWrite>& aWrites);
 
 // Returns the batch's writes, progress before racks as ProgressBatch requires; appends the keys of
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -200,6 +200,24 @@
   cr_assert_eq(f.mStore.mWatchCalls, before + 1);
 }
 
+namespace {
+
+// Returns how many of the writes aren't awaited any more; fails if one of these isn't stored.
+std::size_t
+CountStored(const FakeStore& aStore, const std::vector<kv::ConditionalWrites::Write>& aWrites,
+            const AwaitedRecords& aAwaited)
+{
+  std::size_t stored = 0;
+  for (const auto& it : aWrites) {
+    const bool isAwaited = aAwaited.Contains(it.mKey);
+    cr_assert(isAwaited || aStore.mItems.contains(it.mKey));
+    stored += isAwaited ? 0 : 1;
+  }
+  return stored;
+}
+
+} // namespace
+
 // Guards against overwriting newer progress when the store applies an older write late.
 Test(ProgressWriter, prevents_a_late_batch_from_overwriting_a_newer_one)
 {
@@ -300,7 +318,7 @@
   std::vector<std::size_t> parts;
   writer.StoreBatch(
     writes, { "old" }, [&](bool aIsStored) { isStored = aIsStored; },
-    [&](std::size_t aStored) { parts.push_back(aStored); });
+    [&](const auto& aAwaited) { parts.push_back(CountStored(f.mStore, writes, aAwaited)); });
   f.RunUntil([&] { return isStored; });
   cr_assert_eq(parts, (std::vector<std::size_t>{ 2, 4, 6 }));
 }
@@ -321,10 +339,7 @@
   std::vector<std::size_t> parts;
   writer.StoreBatch(
     writes, { "requests/job/old" }, [&](bool aIsStored) { isStored = aIsStored; },
-    [&](std::size_t aStored) {
-      cr_assert(f.mStore.mItems.contains("progress/job/j" + std::to_string(aStored - 1)));
-      parts.push_back(aStored);
-    });
+    [&](const auto& aAwaited) { parts.push_back(CountStored(f.mStore, writes, aAwaited)); });
   f.RunUntil([&] { return isStored; });
   cr_assert(f.mStore.mItems.contains("progress/job/j69"));
   cr_assert_eq(parts, (std::vector<std::size_t>{ 29, 58, 70 }));
@@ -342,20 +357,28 @@
     mWriter.emplace(mStore, kv::ConditionalWrites::Condition{ std::string(kLeaderKey), leader },
                     kv::Revision());
     mStore.mWriteTime = Duration(20);
-    constexpr int kWrites = 70;
     std::vector<kv::ConditionalWrites::Write> writes;
     writes.reserve(kWrites);
     for (int i = 0; i < kWrites; ++i) {
       writes.push_back({ Key(i), "old", {} });
     }
-    mWriter->StoreBatch(writes, {}, [this](bool aIsStored) { mBatch = aIsStored; });
+    mWriter->StoreBatch(
+      writes, {}, [this](bool aIsStored) { mBatch = aIsStored; },
+      [this](const AwaitedRecords& aAwaited) {
+        mAwaitedOfReplaced.emplace_back(aAwaited.Contains(Key(40)),
+                                        mStore.mItems.contains(Key(40)));
+      });
   }
 
+  static constexpr int kWrites = 70;
+
   static std::string Key(int aJob) { return KeyOf(kProgressPrefix, JobId(std::to_string(aJob))); }
 
   std::optional<ProgressWriter<FakeStore>> mWriter;
   std::optional<bool> mBatch;
   std::optional<bool> mFirst;
+  // After each transaction: whether the record of job 40 was awaited, and whether it was stored.
+  std::vector<std::pair<bool, bool>> mAwaitedOfReplaced;
 };
 
 } // namespace
@@ -397,6 +420,57 @@
   cr_assert_eq(f.mStore.mItems.at(LongBatchFixture::Key(69)).mValue, "new");
 }
 
+// Guards against ends that are acknowledged before any record of them is stored: the urgent writes
+// have replaced all that was left of the batch.
+Test(ProgressWriter, finishes_a_batch_only_once_what_has_replaced_its_rest_is_stored)
+{
+  LongBatchFixture f;
+  std::vector<kv::ConditionalWrites::Write> urgent;
+  // The batch's first transaction, which is under way, has 29 writes.
+  for (int i = 29; i < LongBatchFixture::kWrites; ++i) {
+    urgent.push_back({ LongBatchFixture::Key(i), "new", {} });
+  }
+  f.mWriter->StoreFirst(urgent, [&f](bool aIsStored) { f.mFirst = aIsStored; });
+  f.RunUntil([&] {
+    const auto isStored = [&f](const auto& aIt) { return f.mStore.mItems.contains(aIt.mKey); };
+    cr_assert(!f.mBatch || std::all_of(urgent.begin(), urgent.end(), isStored));
+    return f.mBatch && f.mFirst;
+  });
+  cr_assert(*f.mBatch);
+  cr_assert(*f.mFirst);
+}
+
+// Guards against the same if the urgent writes are not stored after all.
+Test(ProgressWriter, fails_a_batch_whose_whole_rest_was_replaced_by_writes_that_fail)
+{
+  LongBatchFixture f;
+  std::vector<kv::ConditionalWrites::Write> urgent;
+  for (int i = 0; i < LongBatchFixture::kWrites; ++i) {
+    urgent.push_back({ LongBatchFixture::Key(i), "new", {} });
+  }
+  f.mWriter->StoreFirst(urgent, [&f](bool aIsStored) { f.mFirst = aIsStored; });
+  f.RunUntil([&] { return f.mStore.mWrites == 2; });
+  f.mStore.mIsDown = true;
+  f.RunUntil([&] { return f.mBatch && f.mFirst; });
+  cr_assert_not(*f.mFirst);
+  cr_assert_not(*f.mBatch);
+}
+
+// Guards against starts whose runs no stored record names: they are released by the records that
+// the batch still awaits, and one that is replaced is awaited until the newer one is stored.
+Test(ProgressWriter, tells_which_replaced_records_are_still_awaited)
+{
+  LongBatchFixture f;
+  f.mWriter->StoreFirst({ { LongBatchFixture::Key(40), "new", {} } },
+                        [&f](bool aIsStored) { f.mFirst = aIsStored; });
+  f.RunUntil([&] { return f.mBatch.has_value(); });
+  cr_assert_gt(f.mAwaitedOfReplaced.size(), 1);
+  for (const auto& [isAwaited, isStored] : f.mAwaitedOfReplaced) {
+    cr_assert_eq(isAwaited, !isStored);
+  }
+  cr_assert(f.mAwaitedOfReplaced.front().first);
+}
+
 // Guards against a batch that counts as stored without the writes that urgent ones have replaced.
 Test(ProgressWriter, fails_both_if_the_urgent_writes_are_not_stored)
 {
