Move the storing of progress out of the leader

The leader gives it the records beside the progress (settled, witnesses, speeds, deletions) as FurtherRecords, whose outcome is one callback. StoreFirst() gets progress alone, which has no deletes; the list of deletes that StoreHeldStarts() collected and dropped is gone. No behavior changes, but one: a failed batch doesn't put off a deletion that has become due meanwhile.

--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -12,13 +12,11 @@
 #include "control/Election.h"
 #include "control/FormerLeaders.h"
 #include "control/HandOver.h"
-#include "control/HeldStarts.h"
 #include "control/OrderWindow.h"
 #include "control/PlanPacer.h"
 #include "control/PrefixReader.h"
 #include "control/PrefixWatch.h"
-#include "control/ProgressWriter.h"
-#include "control/ProgressWrites.h"
+#include "control/ProgressRecorder.h"
 #include "control/StoreFreshness.h"
 #include "control/WaitMonitor.h"
 #include "control/Witnesses.h"
@@ -182,22 +180,6 @@
     TimePoint mCountedAt;
   };
 
-  // What is stored as one batch.
-  struct Unstored
-  {
-    scheduler::ProgressBatch mProgress;
-    // Jobs whose records are deleted.
-    std::vector<JobId> mExpiredJobs;
-    // The keys of early cancellations that are deleted.
-    std::vector<std::string> mExpiredCancellations;
-    // Whether the record says that the takeover is settled, see IsSettledRecordDue().
-    bool mIsSettled = false;
-    // The new record of witnesses, if it changes.
-    std::optional<std::vector<Witness>> mWitnesses;
-    // The new record of the workers' speeds, if it is due.
-    std::optional<std::string> mSpeeds;
-  };
-
   // Returns the number of the queue's pending jobs, which callers may ask for in any number, so
   // that all jobs are counted at most once per kPendingCountPeriod for a queue.
   int CountPending(const std::string& aQueue)
@@ -337,7 +319,8 @@
     if (!mAreRecordsLoaded || !mHandOver) {
       return;
     }
-    mWriter.emplace(mStore, mElection.Condition(), mBatchRevision);
+    mRecorder.emplace(mLoop, mStore, mScheduler, mElection.Condition(), mBatchRevision,
+                      MakeRecorderHooks());
     mJobs.AddHandedOver(mHandOver->mProgress);
     mJobs.OnProgressLoaded(NamesProgressAllRuns());
     mScheduler.OnRestartsHandedOver(mHandOver->mRestarted);
@@ -579,7 +562,7 @@
                                      mScheduler.IsTakeoverSettled(), CheckZonesCurrent() };
     const auto now = Now();
     if (mWaits.OnPlan(condition, now.mSteady)) {
-      mWaits.OnReport(mWaitScanner.Scan(now, condition.MayStart(), mHeldStarts.Runs()),
+      mWaits.OnReport(mWaitScanner.Scan(now, condition.MayStart(), mRecorder->HeldRuns()),
                       now.mSteady);
     }
   }
@@ -608,9 +591,9 @@
         unnamed.push_back(it);
       }
     }
-    mHeldStarts.Add(std::move(unnamed));
+    mRecorder->HoldStarts(std::move(unnamed));
     SendStoredStarts();
-    ScheduleStore();
+    mRecorder->Schedule();
   }
 
   // Sends the start orders whose runs are named by stored progress.
@@ -619,7 +602,7 @@
     if (!MayStart()) {
       return;
     }
-    auto orders = mHeldStarts.TakeStored();
+    auto orders = mRecorder->TakeNamedStarts();
     const auto held = orders.size();
     // Twice: one member of a gang that can't be started any more keeps back those before it.
     for (int i = 0; i < 2; ++i) {
@@ -639,7 +622,7 @@
   bool SendReleasedStart(const scheduler::StartOrder& aOrder)
   {
     if (!MayStart()) {
-      mHeldStarts.Return(aOrder);
+      mRecorder->ReturnStart(aOrder);
       return false;
     }
     if (!mScheduler.ReleaseStart(aOrder.mWorker, aOrder.mRun, Now())) {
@@ -730,61 +713,23 @@
     SchedulePlan();
   }
 
-  void ScheduleStore()
-  {
-    // Starts wait for their records, so these aren't batched with later changes.
-    const bool isUrgent = mHeldStarts.HasUnnamed() && !mWriter->IsFailing();
-    if (mWriter->IsBusy()) {
-      if (isUrgent && !mWriter->IsFirstBusy()) {
-        StoreHeldStarts();
-      }
-      return;
-    }
-    if ((mStoreTimer.IsPending() && !isUrgent) || !IsStoreDue()) {
-      return;
-    }
-    const auto delay = isUrgent ? Duration(0) : kStoreDelay;
-    mStoreTimer =
-      mLoop.After(mWriter->IsFailing() ? kStoreRetryDelay : delay, [this] { StoreProgress(); });
-  }
-
-  bool IsStoreDue() const
+  ProgressRecorderHooks MakeRecorderHooks()
   {
-    return mScheduler.HasProgress() || mDeleteExpired || IsSettledRecordDue() ||
-           mScheduler.Speeds().IsRecordDue() || mWitnesses.Change(mScheduler.Workers());
+    ProgressRecorderHooks hooks;
+    hooks.mIsLeader = [this] { return mElection.IsLeader(); };
+    hooks.mAreFurtherDue = [this] { return AreFurtherRecordsDue(); };
+    hooks.mTakeFurther = [this] { return TakeFurtherRecords(); };
+    hooks.mOnStartsNamed = [this] { SendStoredStarts(); };
+    hooks.mOnBatchStored = [this](const auto& aBatch, auto aToken) {
+      OnBatchStored(aBatch, aToken);
+    };
+    return hooks;
   }
 
-  // Stores the records of the runs that were planned while a batch is being stored. After a
-  // takeover, or a cancellation of many jobs, the rest of it takes many transactions.
-  void StoreHeldStarts()
+  bool AreFurtherRecordsDue() const
   {
-    const auto batch = std::make_shared<scheduler::ProgressBatch>(
-      mScheduler.TakeProgressOf(mHeldStarts.UnnamedJobs()));
-    mHeldStarts.OnTakenFirst();
-    std::vector<std::string> deletes;
-    mWriter->StoreFirst(WritesOf(*batch, deletes), [this, batch](bool aIsStored) {
-      mHeldStarts.OnFirstStored(aIsStored);
-      if (aIsStored) {
-        mScheduler.OnStored(*batch);
-        SendStoredStarts();
-      } else {
-        mScheduler.OnNotStored(*batch);
-      }
-      ScheduleStore();
-    });
-    DropReplaced(*batch);
-  }
-
-  // Leaves the jobs of a later batch out of the one that is being stored, whose progress of them it
-  // replaces.
-  void DropReplaced(const scheduler::ProgressBatch& aLater)
-  {
-    if (mStoring) {
-      std::erase_if(mStoring->mProgress.mWrites, [&aLater](const auto& aIt) {
-        return std::any_of(aLater.mWrites.begin(), aLater.mWrites.end(),
-                           [&aIt](const auto& aLaterIt) { return aLaterIt.mJob == aIt.mJob; });
-      });
-    }
+    return mDeleteExpired || IsSettledRecordDue() || mScheduler.Speeds().IsRecordDue() ||
+           mWitnesses.Change(mScheduler.Workers());
   }
 
   // Whether the store has to be told that nothing of what earlier leaders ordered is unknown, and
@@ -795,87 +740,60 @@
            mScheduler.EarlierLeases(Now()) == Duration(0);
   }
 
-  void StoreProgress()
+  // Returns the records of this leader that are stored after the progress, which names what it has
+  // learned.
+  FurtherRecords TakeFurtherRecords()
   {
-    // The writes have no effect after another leader was elected, so MayAct() isn't needed.
-    if (mWriter->IsBusy() || !mElection.IsLeader()) {
-      return;
-    }
-    mStoring = TakeUnstored();
-    mHeldStarts.OnTaken();
-    PutFirst(mHeldStarts.StoringJobs(), mStoring->mProgress.mWrites);
-    auto deletes = KeysOf(mStoring->mExpiredJobs);
-    const auto& cancellations = mStoring->mExpiredCancellations;
-    deletes.insert(deletes.end(), cancellations.begin(), cancellations.end());
-    auto writes = WritesOf(mStoring->mProgress, deletes);
-    if (mStoring->mIsSettled) {
-      // After the progress, which names what this leader has learned.
-      writes.push_back({ std::string(kSettledKey), DumpJson({ { "token", mToken.Value() } }), {} });
-    }
-    if (mStoring->mWitnesses) {
-      writes.push_back({ std::string(kWitnessKey), WriteWitnesses(*mStoring->mWitnesses), {} });
-      mWitnesses.OnStoring(*mStoring->mWitnesses);
-    }
-    if (mStoring->mSpeeds) {
-      writes.push_back({ std::string(kSpeedsKey), *mStoring->mSpeeds, {} });
-    }
-    const auto onPart = [this](const AwaitedRecords& aAwaited) {
-      mHeldStarts.OnPartStored(
-        [&aAwaited](const JobId& aJob) { return aAwaited.Contains(KeyOf(kProgressPrefix, aJob)); });
-      SendStoredStarts();
-    };
-    mWriter->StoreBatch(
-      std::move(writes), std::move(deletes), [this](bool aIsStored) { OnBatchDone(aIsStored); },
-      onPart);
-  }
-
-  Unstored TakeUnstored()
-  {
-    Unstored unstored;
-    unstored.mProgress = mScheduler.TakeProgress();
+    FurtherRecords records;
+    std::vector<JobId> expiredJobs;
+    std::vector<std::string> expiredCancellations;
     if (std::exchange(mDeleteExpired, false)) {
-      unstored.mExpiredJobs = mScheduler.ExpiredJobs(Now());
-      unstored.mExpiredCancellations = mJobs.GetEarlyCancellations().Expired(WallClockMs());
-    }
-    unstored.mIsSettled = IsSettledRecordDue();
-    unstored.mWitnesses = mWitnesses.Change(mScheduler.Workers());
-    if (auto& speeds = mScheduler.Speeds(); speeds.IsRecordDue()) {
+      expiredJobs = mScheduler.ExpiredJobs(Now());
+      expiredCancellations = mJobs.GetEarlyCancellations().Expired(WallClockMs());
+      records.mDeletes = KeysOf(expiredJobs);
+      records.mDeletes.insert(records.mDeletes.end(), expiredCancellations.begin(),
+                              expiredCancellations.end());
+    }
+    const bool isSettled = IsSettledRecordDue();
+    if (isSettled) {
+      records.mWrites.push_back(
+        { std::string(kSettledKey), DumpJson({ { "token", mToken.Value() } }), {} });
+    }
+    const auto witnesses = mWitnesses.Change(mScheduler.Workers());
+    if (witnesses) {
+      records.mWrites.push_back({ std::string(kWitnessKey), WriteWitnesses(*witnesses), {} });
+      mWitnesses.OnStoring(*witnesses);
+    }
+    const bool hasSpeeds = mScheduler.Speeds().IsRecordDue();
+    if (hasSpeeds) {
       const auto now = Now();
-      unstored.mSpeeds = speeds.TakeRecord(now.mSteady, now.mWallMs);
-    }
-    return unstored;
-  }
-
-  void OnBatchDone(bool aIsStored)
-  {
-    const auto batch = *std::exchange(mStoring, std::nullopt);
-    mHeldStarts.OnStored(aIsStored);
-    if (batch.mWitnesses) {
-      mWitnesses.OnStored(aIsStored);
+      records.mWrites.push_back(
+        { std::string(kSpeedsKey), mScheduler.Speeds().TakeRecord(now.mSteady, now.mWallMs), {} });
     }
-    if (aIsStored) {
-      mSettled = batch.mIsSettled ? mToken : mSettled;
-      mScheduler.OnStored(batch.mProgress);
-      mScheduler.RemoveJobs(batch.mExpiredJobs);
-      mJobs.GetEarlyCancellations().RemoveExpired(batch.mExpiredCancellations, WallClockMs());
-      OnBatchStored(batch.mProgress);
-    } else {
-      mScheduler.OnNotStored(batch.mProgress);
-      mDeleteExpired = !batch.mExpiredJobs.empty();
-      if (batch.mSpeeds) {
+    records.mOnDone = [this, expiredJobs, expiredCancellations, isSettled, hasSpeeds,
+                       hasWitnesses = witnesses.has_value()](bool aIsStored) {
+      if (hasWitnesses) {
+        mWitnesses.OnStored(aIsStored);
+      }
+      if (aIsStored) {
+        mSettled = isSettled ? mToken : mSettled;
+        mScheduler.RemoveJobs(expiredJobs);
+        mJobs.GetEarlyCancellations().RemoveExpired(expiredCancellations, WallClockMs());
+        return;
+      }
+      mDeleteExpired = mDeleteExpired || !expiredJobs.empty();
+      if (hasSpeeds) {
         mScheduler.Speeds().OnRecordNotStored();
       }
-    }
-    ScheduleStore();
+    };
+    return records;
   }
 
-  void OnBatchStored(const scheduler::ProgressBatch& aBatch)
+  void OnBatchStored(const scheduler::ProgressBatch& aBatch, FencingToken aToken)
   {
-    // Written on condition of the leadership, so it is lower than the token of any later leader.
-    const FencingToken token(mWriter->AppliedRevision().Value());
-    mLeases.OnTokenObtained(token);
+    mLeases.OnTokenObtained(aToken);
     for (const auto& it : aBatch.mRestarted) {
-      mLeases.RaiseToken(it, token);
+      mLeases.RaiseToken(it, aToken);
     }
     for (const auto& it : aBatch.mProcessedEnds) {
       mLeases.Renew(it.mWorker);
@@ -909,10 +827,8 @@
   ClosedGroupsPublisher<Store> mClosedGroups;
   OrderWindow mOrders;
   kv::Revision mBatchRevision;
-  std::optional<ProgressWriter<Store>> mWriter;
-  HeldStarts mHeldStarts;
-  // What is being stored, but for StoreHeldStarts().
-  std::optional<Unstored> mStoring;
+  // Unset until the jobs are loaded.
+  std::optional<ProgressRecorder<Store>> mRecorder;
   std::optional<PrefixWatch<Store>> mRequests;
   // How recent this leader's view of the accepted and cancelled jobs is.
   StoreFreshness mRequestsFreshness;
@@ -935,7 +851,6 @@
   PlanPacer mPacer;
   Timer mPlanTimer;
   Timer mPeriodicPlanTimer;
-  Timer mStoreTimer;
   Timer mExpiryTimer;
   Timer mBacklogTimer;
   CallbackGuard mGuard;
--- a/src/control/ProgressWrites.cpp
+++ b/src/control/ProgressWrites.cpp
@@ -16,22 +16,29 @@
 }
 
 std::vector<kv::ConditionalWrites::Write>
-WritesOf(const scheduler::ProgressBatch& aBatch, std::vector<std::string>& aDeletes)
+WritesOf(const std::vector<scheduler::ProgressWrite>& aProgress)
 {
   std::vector<kv::ConditionalWrites::Write> writes;
-  writes.reserve(aBatch.mWrites.size() + aBatch.mRacks.size());
-  for (const auto& it : aBatch.mWrites) {
+  writes.reserve(aProgress.size());
+  for (const auto& it : aProgress) {
     writes.push_back({ KeyOf(kProgressPrefix, it.mJob), it.mText, {} });
   }
-  for (const auto& it : aBatch.mRacks) {
+  return writes;
+}
+
+RackChanges
+ChangesOf(const std::vector<scheduler::RackWrite>& aRacks)
+{
+  RackChanges changes;
+  for (const auto& it : aRacks) {
     auto key = std::string(kRackPrefix) + it.mRack.Value();
     if (it.mWorkers.empty()) {
-      aDeletes.push_back(std::move(key));
+      changes.mDeletes.push_back(std::move(key));
     } else {
-      writes.push_back({ std::move(key), scheduler::WriteRackRecord(it.mWorkers), {} });
+      changes.mWrites.push_back({ std::move(key), scheduler::WriteRackRecord(it.mWorkers), {} });
     }
   }
-  return writes;
+  return changes;
 }
 
 std::vector<std::string>
--- a/src/control/ProgressWrites.h
+++ b/src/control/ProgressWrites.h
@@ -13,10 +13,19 @@
 void
 PutFirst(const std::set<JobId>& aJobs, std::vector<scheduler::ProgressWrite>& aWrites);
 
-// Returns the batch's writes, progress before racks as ProgressBatch requires; appends the keys of
-// racks without workers to aDeletes.
+// Returns the writes of the jobs' progress.
 std::vector<kv::ConditionalWrites::Write>
-WritesOf(const scheduler::ProgressBatch& aBatch, std::vector<std::string>& aDeletes);
+WritesOf(const std::vector<scheduler::ProgressWrite>& aProgress);
+
+// The changes of rack records: those of racks without workers are deleted.
+struct RackChanges
+{
+  std::vector<kv::ConditionalWrites::Write> mWrites;
+  std::vector<std::string> mDeletes;
+};
+
+RackChanges
+ChangesOf(const std::vector<scheduler::RackWrite>& aRacks);
 
 // Returns all keys of the jobs. Progress keys come last, so that no job record is ever listed after
 // its progress has been deleted.
--- a/tests/control/FakeStore.h
+++ b/tests/control/FakeStore.h
@@ -96,6 +96,15 @@
     }
     const bool isLost = mLoseAnswers > 0;
     mLoseAnswers -= isLost ? 1 : 0;
+    if (mAppliesLate) {
+      mTimers.push_back(mLoop.After(mWriteTime, [this, aWrites, aCallback, isLost] {
+        const auto outcome = Apply(aWrites);
+        aCallback(isLost ? make_error_code(kv::KvError::OutcomeUnknown) : std::error_code(),
+                  outcome);
+        ServeWatches();
+      }));
+      return;
+    }
     const auto outcome = Apply(aWrites);
     const auto answer = [aCallback, outcome, isLost] {
       aCallback(isLost ? make_error_code(kv::KvError::OutcomeUnknown) : std::error_code(), outcome);
@@ -220,6 +229,8 @@
   int mLoseAnswers = 0;
   // The time until a write is answered.
   Duration mWriteTime{ 0 };
+  // Whether writes are applied at the end of that time, not at its beginning.
+  bool mAppliesLate = false;
   std::size_t mPageSize = 500;
   // More changes than this don't fit into an answer.
   std::size_t mMaxEvents = 1000000;
