Store a part of the batch between urgent writes

What callers see: nothing yet; workers wait for the acknowledgement of their ends for as long as starts are planned in each round trip to the store.

Cause: when the urgent writes were stored, ProgressWriter called back before it sent the next transaction. The callback plans the next urgent writes, and these go first, so the rest of the batch waited without end.

Evidence: the new test adds urgent writes in each callback, 40 times; the batch was stored only after the 40th. Now it is stored beside them.

Why the fix works: the next transaction is sent before the callbacks, so one of the batch comes between two urgent ones. The urgent writes are taken while it is under way, and so can't replace what it holds: records still reach the store in the order in which they were taken.

A start that is planned while urgent writes are stored waits for one transaction of the batch more, if a batch is that long.

ProgressWriter/stores_urgent_writes_before_the_rest_of_a_batch counted the transactions that were sent when the callback came, now one more.

--- a/src/control/ProgressWriter.h
+++ b/src/control/ProgressWriter.h
@@ -106,18 +106,21 @@
                        [&aKey](const auto& aIt) { return aIt.mKey == aKey; });
   }
 
-  // Sends the next transaction unless one is under way.
+  // Sends the next transaction unless one is under way, then calls back for what is stored. In this
+  // order, so that urgent writes which a callback adds come after one transaction of the batch.
   void SendNext()
   {
     if (mIsSending) {
       return;
     }
-    FinishStored();
-    if (mIsSending || !IsBusy()) {
-      return;
+    const auto callbacks = TakeStored();
+    if (IsBusy()) {
+      mIsFirstSent = mFirst.has_value();
+      Send();
+    }
+    for (const auto& it : callbacks) {
+      it(true);
     }
-    mIsFirstSent = mFirst.has_value();
-    Send();
   }
 
   // The batch of the transaction that was sent last.
@@ -173,7 +176,9 @@
       .With("reason", aError ? aError.message() : std::string("condition_failed"));
     for (auto* batch : { &mFirst, &mBatch }) {
       if (*batch) {
-        Finish(*batch, false);
+        const auto done = std::move((*batch)->mDone);
+        batch->reset();
+        done(false);
       }
     }
   }
@@ -209,15 +214,18 @@
     }
   }
 
-  // Finishes what has all of its records stored.
-  void FinishStored()
+  // Removes what has all of its records stored, and returns its callbacks.
+  std::vector<std::function<void(bool)>> TakeStored()
   {
+    std::vector<std::function<void(bool)>> callbacks;
     for (auto* batch : { &mFirst, &mBatch }) {
       if (*batch && (*batch)->mAwaited.IsEmpty()) {
         mIsFailing = false;
-        Finish(*batch, true);
+        callbacks.push_back(std::move((*batch)->mDone));
+        batch->reset();
       }
     }
+    return callbacks;
   }
 
   // Takes the batch key's revision from the outcome of a transaction that wasn't applied. Returns
@@ -236,13 +244,6 @@
     return isLeader && mBatchRevision != known;
   }
 
-  static void Finish(std::optional<Batch>& aBatch, bool aIsStored)
-  {
-    const auto done = std::move(aBatch->mDone);
-    aBatch.reset();
-    done(aIsStored);
-  }
-
   Store& mStore;
   Condition mLeader;
   // The last known revision of the batch key, which a later leader may have written.
--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -387,21 +387,37 @@
 Test(ProgressWriter, stores_urgent_writes_before_the_rest_of_a_batch)
 {
   LongBatchFixture f;
-  int writes = 0;
-  f.mWriter->StoreFirst({ { "progress/job/urgent", "text", {} } }, [&](bool aIsStored) {
-    f.mFirst = aIsStored;
-    writes = f.mStore.mWrites;
-  });
+  f.mWriter->StoreFirst({ { "progress/job/urgent", "text", {} } },
+                        [&](bool aIsStored) { f.mFirst = aIsStored; });
   f.RunUntil([&] { return f.mFirst.has_value(); });
   cr_assert(*f.mFirst);
-  cr_assert_eq(writes, 2, "the transaction under way, and that of the urgent write");
-  cr_assert(f.mStore.mItems.contains("progress/job/urgent"));
+  const auto& items = f.mStore.mItems;
+  cr_assert_eq(items.at("progress/job/urgent").mRevision.Value(),
+               items.at(LongBatchFixture::Key(0)).mRevision.Value() + 1,
+               "the next transaction after the one that was under way");
   cr_assert_not(f.mBatch.has_value());
   f.RunUntil([&] { return f.mBatch.has_value(); });
   cr_assert(*f.mBatch);
   cr_assert(f.mStore.mItems.contains(LongBatchFixture::Key(69)));
 }
 
+// Guards against ends that are never acknowledged while starts are planned without a pause.
+Test(ProgressWriter, stores_a_batch_beside_urgent_writes_without_end)
+{
+  LongBatchFixture f;
+  constexpr int kManyWrites = 40;
+  int n = 0;
+  std::function<void(bool)> storeAgain = [&](bool) {
+    if (!f.mBatch && ++n < kManyWrites) {
+      f.mWriter->StoreFirst({ { "progress/job/urgent", std::to_string(n), {} } }, storeAgain);
+    }
+  };
+  storeAgain(true);
+  f.RunUntil([&] { return f.mBatch.has_value(); });
+  cr_assert(*f.mBatch);
+  cr_assert_lt(n, kManyWrites);
+}
+
 // Guards against progress that an earlier value overwrites: of the transaction under way, which the
 // store refuses at first, or of the rest of the batch.
 Test(ProgressWriter, keeps_urgent_writes_of_keys_that_the_batch_has_too)
