Remember workers that were given up, since orders to them may still arrive

Cause: the leader erased a worker whose entry was gone and whose lease was over, and with it the only sign that orders of its own were under way to that id. If the worker started again under its id, the leader took it for a new one and gave it work with the same token as before, so an order that was held up was carried out there. A lease bounds how long runs may go on, not when an order arrives.

That rules out that the leader knew the worker and had no token to give.

Why the fix works: FormerWorkers keeps the ids that were called. One that registers again as a later incarnation, or as one that can't be told from a later one, gets work only once it has answered a call with a token that no call to its id has carried; late orders have a lower one. The same incarnation needs nothing: it knows its tokens, and refuses an order whose lease is over. The memory has a limit, beyond which any unknown worker counts as one that comes back. The two maps of tokens, which grew without end, are WorkerTokens now, with the same limit.

--- a/src/control/EdgeMetrics.cpp
+++ b/src/control/EdgeMetrics.cpp
@@ -49,6 +49,9 @@
                             "Accounts and queues whose submissions are refused because of what "
                             "they hold")
                     .Add({}))
+  , mFormerWorkers(AddFamily(mRegistry, "lovagerock_former_workers",
+                             "Workers that were given up and are remembered")
+                     .Add({}))
   , mEarlyCancellations(AddFamily(mRegistry, "lovagerock_early_cancellations",
                                   "Recorded cancellations of jobs that weren't stored")
                           .Add({}))
@@ -183,6 +186,7 @@
   mBacklogLimit.Set(static_cast<double>(status.mBacklog.mLimit.Value()));
   mParkedJobs.Set(static_cast<double>(status.mBacklog.mParked));
   mClosedGroups.Set(static_cast<double>(status.mBacklog.mClosedGroups));
+  mFormerWorkers.Set(static_cast<double>(status.mFormerWorkers));
   mEarlyCancellations.Set(static_cast<double>(status.mEarlyCancellations));
   mSpeedSamples.Set(static_cast<double>(status.mSpeeds.mSamples));
   AddWaste(status.mWasted);
--- a/src/control/EdgeMetrics.h
+++ b/src/control/EdgeMetrics.h
@@ -70,6 +70,7 @@
   prometheus::Gauge& mBacklogLimit;
   prometheus::Gauge& mParkedJobs;
   prometheus::Gauge& mClosedGroups;
+  prometheus::Gauge& mFormerWorkers;
   prometheus::Gauge& mEarlyCancellations;
   prometheus::Counter& mRecordedCancellations;
   prometheus::Counter& mRefusedCancellations;
--- a/src/control/Leader.h
+++ b/src/control/Leader.h
@@ -165,6 +165,7 @@
     status.mAccounts = mScheduler.Usage().AccountsByLevel();
     status.mSpeeds = mScheduler.Speeds().Counts();
     status.mWasted = mScheduler.Wasted();
+    status.mFormerWorkers = mScheduler.FormerWorkerCount();
     status.mEarlyCancellations = mJobs.GetEarlyCancellations().Count();
     const auto& backlog = mJobs.GetBacklog();
     status.mBacklog = { backlog.Used(), backlog.Limit(), backlog.ParkedCount(),
--- a/src/control/WaitMonitor.h
+++ b/src/control/WaitMonitor.h
@@ -72,6 +72,8 @@
   scheduler::WasteCounts mWasted{};
   BacklogStatus mBacklog;
   std::size_t mEarlyCancellations = 0;
+  // The number of workers that were given up and are remembered, see scheduler::FormerWorkers.
+  std::size_t mFormerWorkers = 0;
 };
 
 // Logs why jobs wait, at a bounded rate, and keeps the numbers for the metrics.
--- a/src/control/WorkerLeases.h
+++ b/src/control/WorkerLeases.h
@@ -7,6 +7,7 @@
 #include "base/WallClock.h"
 #include "control/ControlSettings.h"
 #include "control/WorkerCalls.h"
+#include "control/WorkerTokens.h"
 #include "scheduler/Scheduler.h"
 
 #include <algorithm>
@@ -48,7 +49,7 @@
     : mLoop(aLoop)
     , mCalls(aCalls)
     , mScheduler(aScheduler)
-    , mToken(aToken)
+    , mTokens(aToken)
     , mSettings(aSettings)
     , mHooks(std::move(aHooks))
   {
@@ -56,26 +57,18 @@
 
   WorkerTarget Target(const scheduler::Worker& aWorker) const
   {
-    return { aWorker.mEntry.mId, aWorker.mEntry.mAddress, Token(aWorker.mEntry.mId) };
-  }
-
-  // Returns the fencing token of calls to the worker: that of the leadership, or a higher one.
-  FencingToken Token(const WorkerId& aWorker) const
-  {
-    const auto it = mRaisedTokens.find(aWorker);
-    return it == mRaisedTokens.end() ? mToken : std::max(mToken, it->second.mToken);
+    return { aWorker.mEntry.mId, aWorker.mEntry.mAddress, mTokens.OrderToken(aWorker.mEntry.mId) };
   }
 
   // Calls the worker with the token from now on, if it is still of that incarnation. The token must
   // have been obtained while the leadership held, so that those of later leaders are higher.
   void RaiseToken(const scheduler::RestartedWorker& aWorker, FencingToken aToken)
   {
-    auto& raised = mRaisedTokens[aWorker.mWorker];
-    const bool isRaised = raised.mIncarnation == aWorker.mIncarnation;
-    if (isRaised || Incarnation(aWorker.mWorker) != aWorker.mIncarnation) {
+    if (mTokens.IsRaisedFor(aWorker.mWorker, aWorker.mIncarnation) ||
+        Incarnation(aWorker.mWorker) != aWorker.mIncarnation) {
       return;
     }
-    raised = { aToken, aWorker.mIncarnation };
+    mTokens.RaiseFor(aWorker.mWorker, aWorker.mIncarnation, aToken);
     Renew(aWorker.mWorker);
   }
 
@@ -83,13 +76,8 @@
   // worker after a restart carries it, unless calls to the worker have carried it before.
   void OnTokenObtained(FencingToken aToken) { mObtainedToken = std::max(mObtainedToken, aToken); }
 
-  // Returns the highest fencing token that a call to the worker has carried. The worker may refuse
-  // orders with a lower one, that of Token() too.
-  FencingToken HighestToken(const WorkerId& aWorker) const
-  {
-    const auto it = mHighestTokens.find(aWorker);
-    return it == mHighestTokens.end() ? Token(aWorker) : std::max(Token(aWorker), it->second);
-  }
+  // See WorkerTokens::Highest().
+  FencingToken HighestToken(const WorkerId& aWorker) const { return mTokens.Highest(aWorker); }
 
   // Returns the end of a lease that is renewed now, at most aMost from now, on the worker's clock;
   // nullopt until that clock is known, and while leases may not be renewed.
@@ -112,6 +100,7 @@
     const auto it = mScheduler.Workers().find(aWorker);
     if (it == mScheduler.Workers().end()) {
       mRenewals.erase(aWorker);
+      mTokens.Prune(mScheduler.Workers(), mSettings.mMaxFormerWorkers);
       return;
     }
     auto& renewal = mRenewals[aWorker];
@@ -124,7 +113,7 @@
     }
     const auto& worker = it->second;
     if (worker.mNeedsHigherToken && mObtainedToken > HighestToken(aWorker)) {
-      mRaisedTokens[aWorker].mToken = mObtainedToken;
+      mTokens.Raise(aWorker, mObtainedToken);
     }
     RenewalCall call;
     call.mLeaseDeadline = renewal.mLastCallFailed ? std::nullopt : Deadline(aWorker);
@@ -148,7 +137,7 @@
       // token. Orders don't carry this one before the worker has answered, nor does this call renew
       // the lease or name ends, so nothing that is carried out late does harm with it.
       target.mToken = std::max(HighestToken(aWorker), mObtainedToken);
-      mHighestTokens[aWorker] = target.mToken;
+      mTokens.OnCall(aWorker, target.mToken);
     }
     const SentRenewal sent{ worker.mEntry.mIncarnation, target.mToken, call.mLastStoredEnd,
                             BootTime() };
@@ -184,15 +173,6 @@
     Timer mRetryTimer;
   };
 
-  // A token that is higher than that of the leadership.
-  struct RaisedToken
-  {
-    FencingToken mToken;
-    // The incarnation whose record gave the last token that was obtained by one. Work waits for
-    // that of the present incarnation, so that the next leader learns of the restart.
-    scheduler::WorkerIncarnation mIncarnation;
-  };
-
   // What a call was sent with.
   struct SentRenewal
   {
@@ -233,8 +213,8 @@
         renewal.mClockReadAt = std::chrono::steady_clock::now();
         mScheduler.OnLeaseReport(aWorker, aReply.mReport, Now());
         renewal.mIncarnation = Incarnation(aWorker);
-        if (aSent.mToken > Token(aWorker)) {
-          mRaisedTokens[aWorker].mToken = aSent.mToken;
+        if (aSent.mToken > mTokens.OrderToken(aWorker)) {
+          mTokens.Raise(aWorker, aSent.mToken);
         }
         if (HasRaisedToken(aWorker, aSent)) {
           mScheduler.OnTokenRaised(aWorker);
@@ -282,12 +262,12 @@
     return *it->second.mClock + scheduler::WorkerClock(advanced.count());
   }
 
-  // Whether the call had the token that was obtained for the worker's present incarnation.
+  // Whether the call had the token that was obtained for the worker's present incarnation. Work
+  // waits for that one, so that the next leader learns of the restart.
   bool HasRaisedToken(const WorkerId& aWorker, const SentRenewal& aSent) const
   {
-    const auto it = mRaisedTokens.find(aWorker);
-    return it != mRaisedTokens.end() && aSent.mToken == it->second.mToken &&
-           it->second.mIncarnation == Incarnation(aWorker);
+    return aSent.mToken == mTokens.OrderToken(aWorker) &&
+           mTokens.IsRaisedFor(aWorker, Incarnation(aWorker));
   }
 
   // Returns the delay before the next call after as many failed calls in a row. The first ones come
@@ -346,14 +326,10 @@
   EventLoop& mLoop;
   Calls& mCalls;
   scheduler::Scheduler& mScheduler;
-  FencingToken mToken;
+  WorkerTokens mTokens;
   scheduler::SchedulerSettings mSettings;
   WorkerLeaseHooks mHooks;
   std::map<WorkerId, Renewal> mRenewals;
-  // Kept for workers that have gone too, since they may come back.
-  std::map<WorkerId, RaisedToken> mRaisedTokens;
-  // The tokens of calls after failed ones; kept as long.
-  std::map<WorkerId, FencingToken> mHighestTokens;
   // The last token that was obtained while the leadership held.
   FencingToken mObtainedToken;
   CallbackGuard mGuard;
--- a/src/scheduler/Fleet.h
+++ b/src/scheduler/Fleet.h
@@ -87,6 +87,9 @@
   // Whether the worker has restarted under its id. An order that was meant for an earlier
   // incarnation may have extended its lease, see SchedulerSettings::mLongestLease.
   bool mHasRestarted = false;
+  // Whether this scheduler has called the worker's id, in this or an earlier incarnation, so that
+  // orders may be under way to it.
+  bool mWasCalled = false;
   // Whether the present incarnation may still carry out orders of this scheduler that were sent to
   // an earlier one. It refuses them once it has seen a higher fencing token, see
   // Scheduler::OnTokenRaised().
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -31,6 +31,7 @@
 Scheduler::Scheduler(const SchedulerSettings& aSettings, TimePoint aTakeover)
   : mSettings(aSettings)
   , mInheritedUntil(aTakeover + aSettings.mStoreOutageTolerance + MaxLeaseDuration())
+  , mFormerWorkers(aSettings.mMaxFormerWorkers)
   , mPlanWindow(aSettings.mMaxPlannedSteps)
   , mGatherTurns(aSettings.mGatherTurn, aSettings.mLongestGatherTurn, aSettings.mGatherPause,
                  aSettings.mMaxPassedTime)
@@ -278,6 +279,10 @@
 {
   auto [it, isNew] = mFleet.try_emplace(aEntry.mId);
   auto& worker = it->second;
+  const auto former = isNew ? mFormerWorkers.Take(aEntry.mId) : std::nullopt;
+  if (former) {
+    TakeBack(worker, aEntry, *former);
+  }
   const auto& known = worker.mEntry;
   if (isNew || !worker.mRegistered || known.mDraining != aEntry.mDraining ||
       known.mRack != aEntry.mRack || !(known.mAddress == aEntry.mAddress)) {
@@ -291,7 +296,15 @@
   const bool isNewInRegistry = aEntry.mIncarnation != worker.mRegisteredIncarnation;
   const bool mayBeOlder = worker.mHasAnswered && worker.mRegisteredIncarnation != birth;
   const bool isLater = isNewInRegistry && !mayBeOlder && aEntry.mIncarnation > birth;
-  if (!isNew && isLater && birth.Value() != 0) {
+  // A worker that was given up and whose last incarnation isn't known may have restarted.
+  const bool isRestart = birth.Value() != 0 ? isLater : former.has_value();
+  if (former) {
+    LogEvent("worker_returned")
+      .With("worker", aEntry.mId)
+      .With("incarnation", aEntry.mIncarnation)
+      .With("restarted", isRestart);
+  }
+  if (isRestart) {
     OnWorkerRestarted(worker, aNow);
   }
   if (aEntry.mDraining && !(worker.mEntry.mDraining && worker.mRegistered)) {
@@ -299,7 +312,7 @@
   }
   if (isNew) {
     // An earlier scheduler may have renewed its lease just before the takeover.
-    worker.mLeaseExpiry = mInheritedUntil;
+    worker.mLeaseExpiry = std::max(worker.mLeaseExpiry, mInheritedUntil);
   }
   // An entry that is listed again tells nothing new.
   if (isNew || isNewInRegistry || aEntry.mColdTime != worker.mEntry.mColdTime) {
@@ -313,6 +326,17 @@
   mAwaitedWorkers.erase(aEntry.mId);
 }
 
+void
+Scheduler::TakeBack(Worker& aWorker, const WorkerEntry& aEntry, const FormerWorker& aFormer) const
+{
+  aWorker.mEntry = aEntry;
+  aWorker.mEntry.mIncarnation = aFormer.mIncarnation;
+  aWorker.mRegistered = false;
+  aWorker.mHasRestarted = aFormer.mHasRestarted;
+  aWorker.mNeedsHigherToken = aFormer.mNeedsHigherToken;
+  aWorker.mWasCalled = true;
+}
+
 void
 Scheduler::OnWorkerUnregistered(const WorkerId& aWorker)
 {
@@ -329,6 +353,7 @@
   const auto it = mFleet.find(aWorker);
   if (it != mFleet.end()) {
     auto& worker = it->second;
+    worker.mWasCalled = true;
     worker.mOwnLeaseExpiry = aNow.mSteady + MaxLeaseDuration(worker);
     worker.mLeaseExpiry = std::max(worker.mLeaseExpiry, worker.mOwnLeaseExpiry);
   }
@@ -383,7 +408,7 @@
   }
   aWorker.mHasRestarted = true;
   // Without a call of this scheduler, the first one fences the orders of earlier schedulers.
-  aWorker.mNeedsHigherToken = aWorker.mOwnLeaseExpiry != TimePoint();
+  aWorker.mNeedsHigherToken = aWorker.mWasCalled;
   // Until the new incarnation has answered, an earlier scheduler may renew its lease too.
   aWorker.mOwnLeaseExpiry = aNow.mSteady + MaxLeaseDuration(aWorker);
   aWorker.mLeaseExpiry = std::max(aWorker.mOwnLeaseExpiry, InheritedLeaseExpiry(aWorker));
--- a/src/scheduler/Scheduler.h
+++ b/src/scheduler/Scheduler.h
@@ -2,6 +2,7 @@
 
 #include "scheduler/AccountUsage.h"
 #include "scheduler/Fleet.h"
+#include "scheduler/FormerWorkers.h"
 #include "scheduler/GatherTurns.h"
 #include "scheduler/Job.h"
 #include "scheduler/Orders.h"
@@ -163,6 +164,8 @@
   bool IsStored(const JobId& aJob) const;
 
   const Fleet& Workers() const { return mFleet; }
+  // The number of workers that were given up and are remembered.
+  std::size_t FormerWorkerCount() const { return mFormerWorkers.Count(); }
   const SchedulerCounts& Counts() const { return mCounts; }
   const AccountUsage& Usage() const { return mAccountUsage; }
   // What is known of the workers' speeds; its record is stored and read by the caller.
@@ -268,6 +271,9 @@
   // ended. Others may be runs of the new one, or become so by a start order without an answer, so
   // they are stopped first.
   void OnWorkerRestarted(Worker& aWorker, const CurrentTime& aNow);
+  // Sets what is known of a worker that was given up and has registered again: as yet it is the
+  // last known incarnation, whose lease is over.
+  void TakeBack(Worker& aWorker, const WorkerEntry& aEntry, const FormerWorker& aFormer) const;
   // Resets what is known of the incarnation that answered last.
   static void ForgetIncarnation(Worker& aWorker);
   // Applies the end of all runs of a worker that can't be in progress any more; aReason is logged.
@@ -507,6 +513,7 @@
   std::unordered_map<JobId, Job> mJobs;
   std::unordered_map<JobId, EndedJob> mEndedJobs;
   Fleet mFleet;
+  FormerWorkers mFormerWorkers;
   PlanWindow mPlanWindow;
   // How many runs the current plan may still start.
   int mStartRoom = 0;
--- a/src/scheduler/SchedulerPlan.cpp
+++ b/src/scheduler/SchedulerPlan.cpp
@@ -157,6 +157,10 @@
     }
     if (isExpired && !worker.mRegistered) {
       mDirtyRacks.insert(worker.mEntry.mRack);
+      if (worker.mWasCalled) {
+        mFormerWorkers.Add(it->first, { worker.mEntry.mIncarnation, worker.mHasRestarted,
+                                        worker.mNeedsHigherToken });
+      }
       it = mFleet.erase(it);
     } else {
       ++it;
--- a/src/scheduler/SchedulerSettings.h
+++ b/src/scheduler/SchedulerSettings.h
@@ -92,6 +92,8 @@
   // The most runs in all and on one worker, which count for tasks that need hardly any resources.
   int mMaxRuns = 32768;
   int mMaxRunsPerWorker = 512;
+  // The most workers that are remembered after they were given up, see FormerWorkers.
+  std::size_t mMaxFormerWorkers = 8192;
   // Time for which a job is kept with its steps after its end, so that runs that are reported late
   // still count with what they occupy. Longer than any lease.
   Duration mEndedJobDetails{ 15000 };
--- a/tests/control/LeaderFixture.h
+++ b/tests/control/LeaderFixture.h
@@ -198,6 +198,27 @@
     mStore.Put(KeyOf(kJobPrefix, job.mId), scheduler::WriteAcceptedJob(job));
   }
 
+  // Workers' leases end soon, so that a worker can be given up within a test. Must be called before
+  // the leader is elected.
+  void UseShortLeases()
+  {
+    mSettings.mScheduler.mLeaseDuration = Duration(200);
+    mSettings.mScheduler.mLongestLease = Duration(200);
+    mSettings.mScheduler.mStoreOutageTolerance = Duration(1000);
+  }
+
+  // Lets the worker fall silent and its entry go, until its lease is over and it is given up.
+  void LoseWorker()
+  {
+    mCalls.mUnreachable.insert(WorkerId("w"));
+    mCalls.mRunning.clear();
+    mStore.Remove("workers/w");
+    RunUntil([&] { return mLeader->Status().mFormerWorkers == 1; });
+    // The last retry of the calls finds that it is gone.
+    const auto later = std::chrono::steady_clock::now() + 2 * kRenewalRetryDelay;
+    RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  }
+
   const scheduler::QueuePolicy mPolicy{ ServiceId("service"), 1, 2, 3.0, Duration(1000) };
   EventLoop mLoop;
   FakeStore mStore{ mLoop };
--- a/tests/control/LeaderTests.cpp
+++ b/tests/control/LeaderTests.cpp
@@ -410,23 +410,47 @@
   cr_assert_eq(f.mElection->Token(), token);
 }
 
+// Guards against two runs of one task: a start that is held up reaches a worker that has left, and
+// has come back under its id after its lease was over. The worker refuses it once it has seen a
+// token that no order to its id has carried, also when it comes back a second time.
+Test(Leader, calls_a_worker_that_comes_back_in_a_new_life_with_a_token_that_no_order_has_carried)
+{
+  LeaderFixture f;
+  f.UseShortLeases();
+  f.mCalls.mIncarnation = scheduler::WorkerIncarnation(1);
+  f.RunUntil([&] { return f.mCalls.mRenewalCalls.size() > 2; });
+  for (int life = 2; life <= 4; ++life) {
+    const auto starts = f.mCalls.mStarts.size();
+    f.Submit("j" + std::to_string(life));
+    f.RunUntil([&] { return f.mCalls.mStarts.size() > starts; });
+    const auto carried =
+      *std::max_element(f.mCalls.mStartTokens.begin(), f.mCalls.mStartTokens.end());
+    f.LoseWorker();
+    f.mCalls.mIncarnation = scheduler::WorkerIncarnation(life);
+    f.mCalls.mUnreachable.clear();
+    f.mStore.Put("workers/w", "r");
+    // The task starts there once more.
+    f.RunUntil([&] { return f.mCalls.mStarts.size() > starts + 1; });
+    cr_assert_gt(f.mCalls.mStartTokens.back(), carried);
+    cr_assert_geq(f.mCalls.mRenewalTokens.back(), f.mCalls.mStartTokens.back());
+    f.mCalls.EndAllRuns();
+    f.RunUntil([&] { return f.mLeader->PendingJobs("queue").mJobs == 0; });
+  }
+  cr_assert_eq(f.mLost, 0);
+}
+
 // Guards against a leader that resigns because of its own raised token when a worker comes back
 // that it had given up. The calls that failed meanwhile may have had higher ones.
 Test(Leader, calls_a_worker_that_comes_back_with_the_raised_token)
 {
   LeaderFixture f;
-  f.mSettings.mScheduler.mLeaseDuration = Duration(200);
-  f.mSettings.mScheduler.mLongestLease = Duration(200);
-  f.mSettings.mScheduler.mStoreOutageTolerance = Duration(1000);
+  f.UseShortLeases();
   f.mCalls.mIncarnation = scheduler::WorkerIncarnation(1);
   f.RunUntil([&] { return f.mCalls.mRenewalCalls.size() > 2; });
   f.mCalls.mIncarnation = scheduler::WorkerIncarnation(2);
   f.RunUntil([&] { return f.mCalls.mRenewalTokens.back() > f.mElection->Token(); });
   const auto raised = f.mCalls.mRenewalTokens.back();
-  f.mCalls.mUnreachable.insert(WorkerId("w"));
-  f.mStore.Remove("workers/w");
-  const auto gone = std::chrono::steady_clock::now() + Duration(2000);
-  f.RunUntil([&] { return std::chrono::steady_clock::now() > gone; });
+  f.LoseWorker();
   f.mCalls.mUnreachable.clear();
   const auto before = f.mCalls.mRenewalCalls.size();
   f.mStore.Put("workers/w", "r");
