Soak: workers that come back after their leases, and a slow store

EdgeSoak/repeats_nothing_when_workers_come_back: a worker drains, leaves and comes back under its id, mostly after its lease, while starts and calls of any kind are held up past its return; in some rounds the leader is stopped or killed. EdgeSoak/repeats_nothing_beside_a_slow_store: 25 to 39 tasks of one worker end at once beside a store that takes 60 to 260 ms more, room for further tasks of their jobs becomes free on another worker, and the leader is killed with all that waits at the store.

The stand-in's store can carry calls out later, and drop the writes that wait.

--- a/src/standin/platform/MetadataService.cpp
+++ b/src/standin/platform/MetadataService.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace lovagerock::standin {
@@ -123,6 +124,8 @@
         mUnanswered.push_back(aTo);
       } else if (mFaults.mRefusing || mFaults.mRefusingAddresses.contains(aAddress)) {
         aTo.Send({ 503, {}, "" });
+      } else if (mFaults.mDelay > Duration(0) && aHandler != &MetadataService::OnWatch) {
+        mDelayed.push_back({ SteadyNow() + mFaults.mDelay, aHandler, std::move(aRequest), aTo });
       } else {
         (this->*aHandler)(aRequest, aTo);
       }
@@ -223,6 +226,32 @@
   }
 }
 
+std::size_t
+MetadataService::LoseWaitingWrites()
+{
+  return std::erase_if(mDelayed, [this](const auto& aIt) {
+    const bool isWrite = aIt.mHandler == &MetadataService::OnTransaction;
+    if (isWrite) {
+      mUnanswered.push_back(aIt.mResponder);
+    }
+    return isWrite;
+  });
+}
+
+void
+MetadataService::CarryOutDelayed()
+{
+  const auto now = SteadyNow();
+  const auto due = std::stable_partition(mDelayed.begin(), mDelayed.end(),
+                                         [now](const auto& aIt) { return aIt.mDue > now; });
+  const std::vector<DelayedCall> calls(std::make_move_iterator(due),
+                                       std::make_move_iterator(mDelayed.end()));
+  mDelayed.erase(due, mDelayed.end());
+  for (const auto& it : calls) {
+    (this->*it.mHandler)(it.mRequest, it.mResponder);
+  }
+}
+
 void
 MetadataService::OnTransaction(const http::Request& aRequest, const http::Responder& aTo)
 {
@@ -298,6 +327,7 @@
 void
 MetadataService::Tick()
 {
+  CarryOutDelayed();
   if (IsServing()) {
     mTable.ExpireLeases(SteadyNow());
   }
--- a/src/standin/platform/MetadataService.h
+++ b/src/standin/platform/MetadataService.h
@@ -5,6 +5,7 @@
 #include "http/HttpServer.h"
 #include "standin/platform/MetadataTable.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <set>
@@ -32,6 +33,8 @@
   // Grants and renews leases for this time, whatever the callers ask for; unset for what they ask
   // for.
   std::optional<Duration> mLeaseTime;
+  // Carries each call out so much later, but for watches.
+  Duration mDelay{ 0 };
   // Refuses to grant leases that are shorter.
   Duration mMinLease{ 0 };
 };
@@ -55,6 +58,9 @@
   void ServeWatches();
   // Discards the history and cuts all watches.
   void DiscardHistory();
+  // Drops the transactions that wait to be carried out, as if their callers were gone. Returns how
+  // many.
+  std::size_t LoseWaitingWrites();
 
 private:
   struct WaitingWatch
@@ -65,6 +71,14 @@
     http::Responder mResponder;
   };
   using Handler = void (MetadataService::*)(const http::Request&, const http::Responder&);
+  // A call that is carried out later.
+  struct DelayedCall
+  {
+    TimePoint mDue;
+    Handler mHandler;
+    http::Request mRequest;
+    http::Responder mResponder;
+  };
 
   void AddServer();
   void Handle(int aAddress, http::Method aMethod, const char* aPattern, Handler aHandler);
@@ -75,12 +89,15 @@
   void OnGrant(const http::Request& aRequest, const http::Responder& aTo);
   void OnRenew(const http::Request& aRequest, const http::Responder& aTo);
   void OnEndLease(const http::Request& aRequest, const http::Responder& aTo);
+  void CarryOutDelayed();
   void Tick();
   bool Serve(const WaitingWatch& aWatch, TimePoint aNow);
 
   MetadataTable mTable;
   MetadataFaults mFaults;
   std::vector<WaitingWatch> mWatches;
+  // In the order in which they came.
+  std::vector<DelayedCall> mDelayed;
   // Calls that are never answered.
   std::vector<http::Responder> mUnanswered;
   EventLoop& mLoop;
--- a/src/standin/platform/PlatformControl.cpp
+++ b/src/standin/platform/PlatformControl.cpp
@@ -147,6 +147,10 @@
     const auto time = JsonValue(aFaults, "lease_ms", std::int64_t{ 0 });
     faults.mLeaseTime = time > 0 ? std::optional(Duration(time)) : std::nullopt;
   }
+  faults.mDelay = Duration(JsonValue(aFaults, "store_delay_ms", faults.mDelay.count()));
+  if (JsonValue(aFaults, "lose_waiting_writes", false)) {
+    LogEvent("waiting_writes_lost").With("writes", mStore.LoseWaitingWrites());
+  }
   faults.mMinLease = Duration(JsonValue(aFaults, "min_lease_ms", faults.mMinLease.count()));
   mLateWorker = JsonValue(aFaults, "late_worker", mLateWorker);
   mLateBy = Duration(JsonValue(aFaults, "late_ms", mLateBy.count()));
--- a/src/standin/platform/PlatformControl.h
+++ b/src/standin/platform/PlatformControl.h
@@ -25,11 +25,12 @@
 //                          "lost_answers", "lapse", "discard_history", "late_worker", "late_ms",
 //                          "silent_workers": [worker], "unregistered_workers": [worker],
 //                          "lost_starts", "late_starts", "late_calls", "late_start_ms",
-//                          "notice_ms", "ignore_tokens"}; counts of starts and calls hold for each
+//                          "notice_ms", "ignore_tokens", "store_delay_ms",
+//                          "lose_waiting_writes"}; counts of starts and calls hold for each
 //                          worker; no late call is carried out within notice_ms after a restart
-//   POST /drain            {"worker", "remaining_ms"}: drains, and leaves for good after that time
-//   POST /restart          {"worker", "register_after_ms"}: crashes and starts again at once under
-//                          the same id; registers after that time
+//   POST /drain            {"worker", "remaining_ms"}: drains, and leaves after that time
+//   POST /restart          {"worker", "register_after_ms"}: crashes, unless it has left, and starts
+//                          again at once under the same id; registers after that time
 //   POST /completion-shown {"job"}: a caller was told that the job is completed
 //   POST /job-submitted    {"job", "steps"}: a caller is about to submit the job, with the steps as
 //                          it describes them. Tells workers what its tasks take
--- a/tests/integration/EdgeSoakTests.cpp
+++ b/tests/integration/EdgeSoakTests.cpp
@@ -122,6 +122,82 @@
     AskForAllJobs();
   }
 
+  // Lets a worker leave and come back under its id, in most rounds after its lease, while short
+  // tasks come and go and calls are carried out late; in some rounds the leader changes meanwhile.
+  void RunReturnRound()
+  {
+    // The lease that leaders ask for, on the clock of a worker that is slow.
+    constexpr auto kLease = 6200ms;
+    mSystem.SetFaults({ { "lost_starts", mRandom.Below(2) },
+                        { "late_starts", 1 + mRandom.Below(3) },
+                        { "late_calls", mRandom.Below(3) },
+                        { "late_start_ms", (kLease + 2 * mRandom.Jitter(4000ms)).count() },
+                        { "notice_ms", SettingOr("LOVAGEROCK_EDGE_SOAK_NOTICE_MS", kNoticeMs) } });
+    const auto worker = WorkerName(mRandom.Below(kBusyWorkers));
+    const auto change = mRandom.Below(6);
+    SubmitFor(mRandom.Jitter(1500ms), 5000ms);
+    const auto remaining = mRandom.Jitter(2000ms);
+    mSystem.Drain(worker, remaining);
+    SubmitFor(remaining, 5000ms);
+    if (change == 0) {
+      StopLeaders(1);
+    } else if (change == 1) {
+      KillLeader();
+    }
+    SubmitFor(mRandom.Below(4) == 0 ? mRandom.Jitter(kLease) : kLease + mRandom.Jitter(1500ms),
+              3000ms);
+    mSystem.Restart(worker, mRandom.Jitter(1000ms));
+    SubmitFor(2000ms + mRandom.Jitter(3000ms), 3000ms);
+    AskForAllJobs();
+  }
+
+  // Lets many tasks on one worker end at once while the store is slow. Meanwhile another worker
+  // gets room for which further tasks of some of these jobs wait, and the leader is killed with all
+  // that waits at the store.
+  void RunSlowStoreRound()
+  {
+    constexpr int kEndingJobs = 20;
+    const auto ending = WorkerName(0);
+    const auto full = WorkerName(1);
+    const auto step = [](const std::string& aWorker, int aCpu) {
+      return Json{ { "count", 1 },
+                   { "cpu", aCpu },
+                   { "mem_mb", 10 },
+                   { "estimate_ms", 3000 },
+                   { "requirements", aWorker } };
+    };
+    mSystem.SetFaults({ { "lost_answers", mRandom.Below(4) == 0 ? 1 : 0 } });
+    const auto end = std::chrono::steady_clock::now() + 4500ms;
+    const auto left = [end] {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(
+        end - std::chrono::steady_clock::now());
+    };
+    const auto roomAfter = std::chrono::milliseconds(mRandom.Below(600));
+    SubmitUntilAccepted(Json::array({ step(full, 8000) }), { left() + roomAfter });
+    const auto split = 5 + mRandom.Below(15);
+    for (std::uint64_t i = 0; i < kEndingJobs + split; ++i) {
+      Json steps = Json::array({ step(ending, 100) });
+      if (i >= kEndingJobs) {
+        steps.push_back(step(full, 500));
+      }
+      SubmitUntilAccepted(steps, { left(), 1500ms });
+    }
+    std::this_thread::sleep_for(left() - 200ms);
+    mSystem.SetFaults({ { "store_delay_ms", 60 + mRandom.Below(200) } });
+    std::this_thread::sleep_for(200ms + std::chrono::milliseconds(mRandom.Below(1200)));
+    const int leader = mSystem.Leader();
+    if (leader >= 0) {
+      mSystem.Kill(leader);
+    }
+    mSystem.SetFaults({ { "lose_waiting_writes", true }, { "store_delay_ms", 0 } });
+    mSystem.AwaitLeaderExcept({ leader });
+    if (leader >= 0) {
+      mSystem.Start(leader);
+      mSystem.AwaitReady(leader);
+    }
+    AskForAllJobs();
+  }
+
   // Ends all faults and waits for the end of all jobs.
   void Finish()
   {
@@ -130,6 +206,7 @@
                         { "lost_starts", 0 },
                         { "late_starts", 0 },
                         { "late_calls", 0 },
+                        { "lost_answers", 0 },
                         { "lease_ms", 0 } });
     for (int i = 0; i < mJobs; ++i) {
       mSystem.AwaitState(AnyNode(), JobName(i), "completed");
@@ -197,19 +274,35 @@
     mSystem.AwaitReady(leader);
   }
 
-  // A job whose tasks end within some tenths of a second, most of them much sooner.
-  void SubmitShortJob()
+  // A job most of whose tasks end within a tenth of a second, the others within the longest time.
+  void SubmitShortJob(std::chrono::milliseconds aLongest = 1500ms)
   {
     const Json step{ { "count", 1 + mRandom.Below(3) },
                      { "cpu", 100 },
                      { "mem_mb", 100 },
                      { "gpu", 1 },
                      { "estimate_ms", 100 } };
-    const auto time = mRandom.Below(4) == 0 ? mRandom.Jitter(1500ms) : mRandom.Jitter(80ms);
+    SubmitUntilAccepted(Json::array({ step }), { mRandom.Below(4) == 0 ? mRandom.Jitter(aLongest)
+                                                                       : mRandom.Jitter(80ms) });
+  }
+
+  // Submits short jobs for that time.
+  void SubmitFor(std::chrono::milliseconds aTime, std::chrono::milliseconds aLongest)
+  {
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    while (std::chrono::steady_clock::now() < end) {
+      SubmitShortJob(aLongest);
+      std::this_thread::sleep_for(mRandom.Jitter(300ms));
+    }
+  }
+
+  // Submits a job with a time for the tasks of each step, at any node until one accepts it.
+  void SubmitUntilAccepted(const Json& aSteps, const std::vector<std::chrono::milliseconds>& aTimes)
+  {
     const auto job = JobName(mJobs++);
     AwaitTrue(
       job + " to be accepted",
-      [&] { return mSystem.Submit(AnyNode(), job, Json::array({ step }), time).Is(200); }, 20ms);
+      [&] { return mSystem.Submit(AnyNode(), job, aSteps, aTimes).Is(200); }, 20ms);
   }
 
   void KillLeader()
@@ -312,6 +405,38 @@
   });
 }
 
+// Guards against runs that are repeated when workers leave and come back under their ids after
+// their leases, while calls of before reach the new incarnation late and leaders change.
+Test(EdgeSoak, repeats_nothing_when_workers_come_back)
+{
+  const int seed = SettingOr("LOVAGEROCK_EDGE_SOAK_SEED", 1);
+  const int rounds = SettingOr("LOVAGEROCK_EDGE_SOAK_ROUNDS", 3);
+  std::cerr << "return soak: seed " << seed << ", rounds " << rounds << '\n';
+  RunWithEdges(kNodes, kWorkers, [=](EdgeSystem& aSystem) {
+    EdgeSoak soak(aSystem, static_cast<std::uint64_t>(seed));
+    for (int i = 0; i < rounds; ++i) {
+      soak.RunReturnRound();
+    }
+    soak.Finish();
+  });
+}
+
+// Guards against tasks that are done and start again, when many end at once beside a slow store and
+// the leader is killed.
+Test(EdgeSoak, repeats_nothing_beside_a_slow_store)
+{
+  const int seed = SettingOr("LOVAGEROCK_EDGE_SOAK_SEED", 1);
+  const int rounds = SettingOr("LOVAGEROCK_EDGE_SOAK_ROUNDS", 3);
+  std::cerr << "slow store soak: seed " << seed << ", rounds " << rounds << '\n';
+  RunWithEdges(kNodes, kWorkers, [=](EdgeSystem& aSystem) {
+    EdgeSoak soak(aSystem, static_cast<std::uint64_t>(seed));
+    for (int i = 0; i < rounds; ++i) {
+      soak.RunSlowStoreRound();
+    }
+    soak.Finish();
+  });
+}
+
 // Guards against runs that are repeated, and ordinary jobs that never end, while hostile callers
 // fill the memory for jobs and leaders change.
 Test(EdgeSoak, repeats_nothing_beside_hostile_callers)
