Soak: aim the kill of the slow store's round at the transactions

They follow from the store's delay now: the room becomes free and the leader is killed while the two transactions are stored.

--- a/tests/integration/EdgeSoakTests.cpp
+++ b/tests/integration/EdgeSoakTests.cpp
@@ -172,9 +172,13 @@
       return std::chrono::duration_cast<std::chrono::milliseconds>(
         end - std::chrono::steady_clock::now());
     };
-    const auto roomAfter = std::chrono::milliseconds(mRandom.Below(600));
+    // The records of the ends take two transactions or more. The room is there, and the leader is
+    // killed, at any time while these are stored.
+    const auto delay = 120 + mRandom.Below(180);
+    const auto roomAfter = std::chrono::milliseconds(delay / 2 + mRandom.Below(delay));
+    const auto killedAfter = std::chrono::milliseconds(delay + mRandom.Below(2 * delay));
     SubmitUntilAccepted(Json::array({ step(full, 8000) }), { left() + roomAfter });
-    const auto split = 5 + mRandom.Below(15);
+    const auto split = 10 + mRandom.Below(7);
     for (std::uint64_t i = 0; i < kEndingJobs + split; ++i) {
       Json steps = Json::array({ step(ending, 100) });
       if (i >= kEndingJobs) {
@@ -182,9 +186,9 @@
       }
       SubmitUntilAccepted(steps, { left(), 1500ms });
     }
-    std::this_thread::sleep_for(left() - 200ms);
-    mSystem.SetFaults({ { "store_delay_ms", 60 + mRandom.Below(200) } });
-    std::this_thread::sleep_for(200ms + std::chrono::milliseconds(mRandom.Below(1200)));
+    std::this_thread::sleep_for(left() - delay * 1ms);
+    mSystem.SetFaults({ { "store_delay_ms", delay } });
+    std::this_thread::sleep_for(left() + killedAfter);
     const int leader = mSystem.Leader();
     if (leader >= 0) {
       mSystem.Kill(leader);
