--- a/tests/control/StoreTests.cpp
+++ b/tests/control/StoreTests.cpp
@@ -357,13 +357,8 @@
     mWriter.emplace(mStore, kv::ConditionalWrites::Condition{ std::string(kLeaderKey), leader },
                     kv::Revision());
     mStore.mWriteTime = Duration(20);
-    std::vector<kv::ConditionalWrites::Write> writes;
-    writes.reserve(kWrites);
-    for (int i = 0; i < kWrites; ++i) {
-      writes.push_back({ Key(i), "old", {} });
-    }
     mWriter->StoreBatch(
-      writes, {}, [this](bool aIsStored) { mBatch = aIsStored; },
+      Writes(0, "old"), {}, [this](bool aIsStored) { mBatch = aIsStored; },
       [this](const AwaitedRecords& aAwaited) {
         mAwaitedOfReplaced.emplace_back(aAwaited.Contains(Key(40)),
                                         mStore.mItems.contains(Key(40)));
@@ -372,6 +367,17 @@
 
   static constexpr int kWrites = 70;
 
+  // The writes of the batch's keys from the given one on.
+  static std::vector<kv::ConditionalWrites::Write> Writes(int aFirst, const std::string& aValue)
+  {
+    std::vector<kv::ConditionalWrites::Write> writes;
+    writes.reserve(kWrites);
+    for (int i = aFirst; i < kWrites; ++i) {
+      writes.push_back({ Key(i), aValue, {} });
+    }
+    return writes;
+  }
+
   static std::string Key(int aJob) { return KeyOf(kProgressPrefix, JobId(std::to_string(aJob))); }
 
   std::optional<ProgressWriter<FakeStore>> mWriter;
@@ -441,11 +447,8 @@
 Test(ProgressWriter, finishes_a_batch_only_once_what_has_replaced_its_rest_is_stored)
 {
   LongBatchFixture f;
-  std::vector<kv::ConditionalWrites::Write> urgent;
   // The batch's first transaction, which is under way, has 29 writes.
-  for (int i = 29; i < LongBatchFixture::kWrites; ++i) {
-    urgent.push_back({ LongBatchFixture::Key(i), "new", {} });
-  }
+  const auto urgent = LongBatchFixture::Writes(29, "new");
   f.mWriter->StoreFirst(urgent, [&f](bool aIsStored) { f.mFirst = aIsStored; });
   f.RunUntil([&] {
     const auto isStored = [&f](const auto& aIt) { return f.mStore.mItems.contains(aIt.mKey); };
@@ -460,11 +463,8 @@
 Test(ProgressWriter, fails_a_batch_whose_whole_rest_was_replaced_by_writes_that_fail)
 {
   LongBatchFixture f;
-  std::vector<kv::ConditionalWrites::Write> urgent;
-  for (int i = 0; i < LongBatchFixture::kWrites; ++i) {
-    urgent.push_back({ LongBatchFixture::Key(i), "new", {} });
-  }
-  f.mWriter->StoreFirst(urgent, [&f](bool aIsStored) { f.mFirst = aIsStored; });
+  f.mWriter->StoreFirst(LongBatchFixture::Writes(0, "new"),
+                        [&f](bool aIsStored) { f.mFirst = aIsStored; });
   f.RunUntil([&] { return f.mStore.mWrites == 2; });
   f.mStore.mIsDown = true;
   f.RunUntil([&] { return f.mBatch && f.mFirst; });
