--- a/tests/control/ProgressRecorderTests.cpp
+++ b/tests/control/ProgressRecorderTests.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iostream>
 #include <map>
 #include <optional>
 #include <string>
@@ -265,7 +266,7 @@
   constexpr std::uint64_t kSeeds = 6;
   constexpr int kSteps = 500;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    cr_log_info("seed %lu", static_cast<unsigned long>(seed));
+    std::cerr << "progress recorder: seed " << seed << '\n';
     RecorderFixture f(seed);
     f.Play(kSteps);
     cr_assert_gt(f.Started(), 0);
